--- /dev/null
+++ b/src/adapters/callers/caller_answers.ts
@@ -0,0 +1,141 @@
+/** Writes answers to callers: whole, or plainly not an answer. */
+import type { ServerResponse } from "node:http";
+import type {
+  CallerAnswer,
+  IStreamedAnswer,
+} from "../../common/services/types.ts";
+import { Outcome, Reason } from "../../common/types.ts";
+import type { IRefusal } from "../../common/types.ts";
+
+const STATUS_OK = 200;
+const STATUS_BY_REASON: Readonly<Record<Reason, number>> = {
+  [Reason.UnknownCaller]: 401,
+  [Reason.NotInPlan]: 403,
+  [Reason.NoSuchOperation]: 404,
+  [Reason.BadRequest]: 400,
+  [Reason.KeyRequired]: 400,
+  [Reason.KeyReused]: 422,
+  [Reason.InProgress]: 409,
+  [Reason.OverLimit]: 429,
+  [Reason.DeadlineTooNear]: 429,
+  [Reason.QueueFull]: 429,
+  [Reason.NoReplica]: 503,
+  [Reason.PlatformUnavailable]: 503,
+  [Reason.ListsUnknown]: 503,
+  [Reason.TargetLost]: 502,
+  [Reason.TargetRefused]: 503,
+  [Reason.ShuttingDown]: 503,
+  [Reason.DeadlinePassed]: 504,
+  [Reason.CallerLeft]: 499,
+};
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Writes a refusal in its one documented shape; returns its outcome. */
+export function sendRefusal(
+  response: ServerResponse,
+  requestId: string,
+  refusal: IRefusal,
+): Outcome {
+  if (refusal.retryAfter > 0) {
+    const seconds = Math.ceil(refusal.retryAfter / MILLISECONDS_PER_SECOND);
+    response.setHeader("retry-after", seconds);
+  }
+  const body = JSON.stringify({
+    request_id: requestId,
+    outcome: refusal.outcome,
+    reason: refusal.reason,
+    detail: refusal.detail,
+    retry_after_ms: refusal.retryAfter,
+  });
+  response.writeHead(STATUS_BY_REASON[refusal.reason], {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+  return refusal.outcome;
+}
+
+/** Writes an answer; returns the outcome as the caller sees it. */
+export async function sendAnswer(
+  response: ServerResponse,
+  requestId: string,
+  answer: CallerAnswer,
+): Promise<Outcome> {
+  if (answer.kind === "stream") {
+    return sendStream(response, requestId, answer.answer);
+  }
+  const body = JSON.stringify({
+    request_id: requestId,
+    outcome: Outcome.Completed,
+    answer: answer.answer.body,
+  });
+  response.writeHead(STATUS_OK, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+  });
+  response.end(body);
+  return Outcome.Completed;
+}
+
+/**
+ * Streams tokens as server-sent events. Nothing is written before the first
+ * token, so that an early failure is still an ordinary refusal; a later one
+ * resets the connection, since a plain close would look like the whole answer.
+ */
+async function sendStream(
+  response: ServerResponse,
+  requestId: string,
+  answer: IStreamedAnswer,
+): Promise<Outcome> {
+  let sent = 0;
+  for await (const batch of answer.tokens) {
+    if (batch.isErr()) {
+      if (sent === 0) {
+        return sendRefusal(response, requestId, batch.error);
+      }
+      response.destroy();
+      return batch.error.outcome;
+    }
+    if (sent === 0) {
+      response.writeHead(STATUS_OK, { "content-type": "text/event-stream" });
+    }
+    let text = "";
+    for (const token of batch.value) {
+      const data = token.isEnd
+        ? endData(requestId, token.sequence)
+        : JSON.stringify({ text: token.text });
+      const event = token.isEnd ? "event: end\n" : "";
+      text += `${event}id: ${token.sequence}\ndata: ${data}\n\n`;
+    }
+    sent += batch.value.length;
+    const isWhole = batch.value.at(-1)?.isEnd === true;
+    if (!response.write(text) && !isWhole) {
+      await drained(response);
+    }
+    if (isWhole) {
+      response.end();
+      return Outcome.Completed;
+    }
+  }
+  response.destroy();
+  return Outcome.Unknown;
+}
+
+function endData(requestId: string, tokens: number): string {
+  const outcome = Outcome.Completed;
+  return JSON.stringify({ request_id: requestId, outcome, tokens });
+}
+
+/** Waits for a slow caller, or for its connection to close. */
+function drained(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    const done = () => {
+      response.off("drain", done);
+      response.off("close", done);
+      resolve();
+    };
+    response.on("drain", done);
+    response.on("close", done);
+  });
+}
--- /dev/null
+++ b/src/adapters/callers/http_caller_server.ts
@@ -0,0 +1,210 @@
+/** Callers' side: HTTP/1.1 with JSON bodies and server-sent events. */
+import { createHash } from "node:crypto";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import type { PlanBook } from "../../common/plans/plan_book.ts";
+import { notRun } from "../../common/services/refusal.ts";
+import type { CallDispatcher } from "../../common/services/call_dispatcher.ts";
+import type {
+  IClock,
+  ILog,
+  IMetrics,
+  IRandom,
+} from "../../common/services/services.ts";
+import type { ICallerRequest } from "../../common/services/types.ts";
+import { Reason } from "../../common/types.ts";
+import type {
+  IRefusal,
+  IServiceDefinition,
+  ServiceName,
+} from "../../common/types.ts";
+import { addressOfServer } from "../listen.ts";
+import { readBody } from "./read_body.ts";
+import { sendAnswer, sendRefusal } from "./caller_answers.ts";
+
+/** Bounds on what a caller may send, in bytes and milliseconds. */
+const MAXIMUM_HEADER_BYTES = 16_384;
+const MAXIMUM_BODY_BYTES = 1_000_000;
+const HEADERS_TIMEOUT = 5_000;
+const REQUEST_TIMEOUT = 15_000;
+
+/** When to come back while the plan lists are not known, milliseconds. */
+const LISTS_RETRY_AFTER = 2_000;
+
+/** When to come back to another daemon, milliseconds. */
+const SHUTDOWN_RETRY_AFTER = 500;
+
+const PATH_PATTERN = /^\/v1\/services\/([^/?]+)\/([^/?]+)$/;
+
+/** What the caller server needs. */
+export interface ICallerParts {
+  readonly dispatcher: CallDispatcher;
+  readonly book: PlanBook;
+  readonly services: ReadonlyMap<ServiceName, IServiceDefinition>;
+  readonly clock: IClock;
+  readonly random: IRandom;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+}
+
+/** Accepts callers' requests and writes their answers. */
+export class HttpCallerServer {
+  readonly #parts: ICallerParts;
+  readonly #server: Server;
+  #isStopping = false;
+  #open = 0;
+  #whenIdle: (() => void) | null = null;
+
+  constructor(parts: ICallerParts) {
+    this.#parts = parts;
+    this.#server = createServer(
+      {
+        maxHeaderSize: MAXIMUM_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT,
+        requestTimeout: REQUEST_TIMEOUT,
+      },
+      (incoming, response) => void this.#serve(incoming, response),
+    );
+  }
+
+  /** Listens on `host:port` and returns the address taken. */
+  listen(address: string): Promise<string> {
+    return addressOfServer(this.#server, address);
+  }
+
+  /** Lets everything in flight finish, then closes. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    this.#server.close();
+    this.#server.closeIdleConnections();
+    if (this.#open > 0) {
+      await new Promise<void>((resolve) => {
+        this.#whenIdle = resolve;
+      });
+    }
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#open += 1;
+    const requestId =
+      readHeader(incoming, "x-request-id") ?? this.#parts.random.identifier();
+    response.setHeader("x-request-id", requestId);
+    if (this.#isStopping) {
+      response.setHeader("connection", "close");
+    }
+    try {
+      await this.#answer(incoming, response, requestId);
+    } catch (error) {
+      const detail = String(error);
+      this.#parts.log.error("caller_fault", { request: requestId, detail });
+      response.destroy();
+    } finally {
+      this.#open -= 1;
+      if (this.#open === 0) {
+        this.#whenIdle?.();
+      }
+    }
+  }
+
+  async #answer(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    requestId: string,
+  ): Promise<void> {
+    const started = this.#parts.clock.now();
+    const leaving = new AbortController();
+    response.on("close", () => leaving.abort());
+    const request = await this.#check(incoming, requestId, leaving.signal);
+    const answer = request.isErr()
+      ? Err(request.error)
+      : await this.#parts.dispatcher.dispatch(request.value);
+    const sent = answer.isErr()
+      ? sendRefusal(response, requestId, answer.error)
+      : await sendAnswer(response, requestId, answer.value);
+    this.#note(incoming, requestId, { sent, started });
+  }
+
+  #note(
+    incoming: IncomingMessage,
+    requestId: string,
+    result: { readonly sent: string; readonly started: number },
+  ): void {
+    const { clock, log, metrics } = this.#parts;
+    const milliseconds = Math.round(clock.now() - result.started);
+    metrics.count("requests", { outcome: result.sent });
+    log.info("request", {
+      request: requestId,
+      path: incoming.url,
+      outcome: result.sent,
+      milliseconds,
+    });
+  }
+
+  /** Finds who asks, for what, and reads the body. */
+  async #check(
+    incoming: IncomingMessage,
+    requestId: string,
+    signal: AbortSignal,
+  ): Promise<Result<ICallerRequest, IRefusal>> {
+    const { book, clock, services } = this.#parts;
+    if (this.#isStopping) {
+      const detail = "this daemon is shutting down";
+      return Err(notRun(Reason.ShuttingDown, detail, SHUTDOWN_RETRY_AFTER));
+    }
+    if (!book.isComplete) {
+      const detail = "the plan lists are not known here yet";
+      return Err(notRun(Reason.ListsUnknown, detail, LISTS_RETRY_AFTER));
+    }
+    const account = book.findByCredential(digestOf(bearer(incoming)));
+    if (account === null) {
+      return Err(notRun(Reason.UnknownCaller, "the credential is not known"));
+    }
+    const path = PATH_PATTERN.exec(incoming.url ?? "");
+    const service = services.get(path?.[1] ?? "");
+    const operation = service?.operations.get(path?.[2] ?? "");
+    if (incoming.method !== "POST" || !service || !operation) {
+      const detail = "expected POST /v1/services/SERVICE/OPERATION";
+      return Err(notRun(Reason.NoSuchOperation, detail));
+    }
+    const body = await readBody(incoming, MAXIMUM_BODY_BYTES);
+    if (body.isErr()) {
+      return Err(notRun(Reason.BadRequest, body.error));
+    }
+    const arrivedAt = clock.now();
+    return Ok({
+      requestId,
+      account,
+      service,
+      operation,
+      body: body.value.content,
+      bodyDigest: digestOf(body.value.text),
+      key: readHeader(incoming, "idempotency-key"),
+      arrivedAt,
+      deadline: arrivedAt + account.plan.deadline,
+      signal,
+    });
+  }
+}
+
+function readHeader(incoming: IncomingMessage, name: string): string | null {
+  const value = incoming.headers[name];
+  return typeof value === "string" && value !== "" ? value : null;
+}
+
+function bearer(incoming: IncomingMessage): string {
+  const [scheme, credential] = (incoming.headers.authorization ?? "").split(
+    " ",
+  );
+  return scheme?.toLowerCase() === "bearer" ? (credential ?? "") : "";
+}
+
+/** SHA-256 as lower-case hexadecimal. */
+export function digestOf(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- /dev/null
+++ b/src/adapters/log/logfmt_log.ts
@@ -0,0 +1,49 @@
+/** Log lines as key=value pairs on standard output, one event a line. */
+import { pino } from "pino";
+import type { DestinationStream, Logger } from "pino";
+import * as pinoLogfmt from "pino-logfmt";
+import type { ILog, LogFields } from "../../common/services/services.ts";
+
+/** The transport's default export, which its typings leave out. */
+const createTransport = (
+  pinoLogfmt as unknown as {
+    default: (options: object) => Promise<DestinationStream>;
+  }
+).default;
+
+/** Writes through pino and its logfmt transport, in this process. */
+export class LogfmtLog implements ILog {
+  readonly #logger: Logger;
+
+  private constructor(logger: Logger) {
+    this.#logger = logger;
+  }
+
+  /**
+   * @param base - fields on every line, such as the daemon's name
+   */
+  static async create(base: Record<string, string>): Promise<LogfmtLog> {
+    const stream = await createTransport({
+      includeLevelLabel: true,
+      levelLabelKey: "severity",
+      formatTime: true,
+      timeFormat: "isoUtcDateTime",
+      escapeMultilineStrings: true,
+      sync: true,
+    });
+    const logger = pino({ base, messageKey: "event" }, stream);
+    return new LogfmtLog(logger);
+  }
+
+  info(event: string, fields: LogFields = {}): void {
+    this.#logger.info(fields, event);
+  }
+
+  warn(event: string, fields: LogFields = {}): void {
+    this.#logger.warn(fields, event);
+  }
+
+  error(event: string, fields: LogFields = {}): void {
+    this.#logger.error(fields, event);
+  }
+}
--- /dev/null
+++ b/src/adapters/metrics/prometheus_metrics.ts
@@ -0,0 +1,112 @@
+/** Counters and latencies in the usual text exposition form. */
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { Counter, Gauge, Registry } from "prom-client";
+import type { IMetrics } from "../../common/services/services.ts";
+
+type Labels = Readonly<Record<string, string>>;
+
+const PREFIX = "cranberryledge_";
+const NO_LABELS: Labels = {};
+
+/** Largest duration that is told apart, milliseconds: ten minutes. */
+const LARGEST_DURATION = 600_000;
+
+/** Quantiles shown for each latency. */
+const QUANTILES: readonly number[] = [50, 95, 99];
+
+/** Counts by prom-client, latencies by HDR histograms. */
+export class PrometheusMetrics implements IMetrics {
+  readonly #registry = new Registry();
+  readonly #counters = new Map<string, Counter>();
+  readonly #gauges = new Map<string, Gauge>();
+  readonly #histograms = new Map<string, Map<string, Histogram>>();
+
+  count(name: string, labels: Labels = NO_LABELS): void {
+    let counter = this.#counters.get(name);
+    if (counter === undefined) {
+      counter = new Counter({
+        name: `${PREFIX}${name}_total`,
+        help: name,
+        labelNames: Object.keys(labels),
+        registers: [this.#registry],
+      });
+      this.#counters.set(name, counter);
+    }
+    counter.inc(labels);
+  }
+
+  observe(
+    name: string,
+    milliseconds: number,
+    labels: Labels = NO_LABELS,
+  ): void {
+    const value = Math.min(
+      Math.max(Math.round(milliseconds), 0),
+      LARGEST_DURATION,
+    );
+    this.#histogram(name, labels).recordValue(value);
+  }
+
+  gauge(name: string, value: number, labels: Labels = NO_LABELS): void {
+    this.#gaugeNamed(name, Object.keys(labels)).set(labels, value);
+  }
+
+  /** Everything so far, as text for a collector. */
+  async expose(): Promise<string> {
+    for (const [name, series] of this.#histograms) {
+      for (const [key, histogram] of series) {
+        this.#exposeHistogram(name, JSON.parse(key) as Labels, histogram);
+      }
+    }
+    return this.#registry.metrics();
+  }
+
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+
+  #exposeHistogram(name: string, labels: Labels, histogram: Histogram): void {
+    const labelNames = [...Object.keys(labels), "quantile"];
+    const gauge = this.#gaugeNamed(`${name}_milliseconds`, labelNames);
+    for (const quantile of QUANTILES) {
+      const value = histogram.getValueAtPercentile(quantile);
+      gauge.set({ ...labels, quantile: String(quantile / 100) }, value);
+    }
+  }
+
+  #histogram(name: string, labels: Labels): Histogram {
+    let series = this.#histograms.get(name);
+    if (series === undefined) {
+      series = new Map();
+      this.#histograms.set(name, series);
+    }
+    const key = JSON.stringify(labels);
+    let histogram = series.get(key);
+    if (histogram === undefined) {
+      histogram = build({
+        bitBucketSize: 32,
+        autoResize: true,
+        lowestDiscernibleValue: 1,
+        highestTrackableValue: LARGEST_DURATION,
+        numberOfSignificantValueDigits: 2,
+      });
+      series.set(key, histogram);
+    }
+    return histogram;
+  }
+
+  #gaugeNamed(name: string, labelNames: readonly string[]): Gauge {
+    let gauge = this.#gauges.get(name);
+    if (gauge === undefined) {
+      gauge = new Gauge({
+        name: `${PREFIX}${name}`,
+        help: name,
+        labelNames: [...labelNames],
+        registers: [this.#registry],
+      });
+      this.#gauges.set(name, gauge);
+    }
+    return gauge;
+  }
+}
--- /dev/null
+++ b/src/adapters/platform/http_platform.ts
@@ -0,0 +1,200 @@
+/** The platform's object API over HTTP. Replace this folder for another form. */
+import { Err, None, Ok, Some } from "ts-results-es";
+import type { Option, Result } from "ts-results-es";
+import { Agent, request } from "undici";
+import type { Dispatcher } from "undici";
+import { WriteFailureKind } from "../../common/services/services.ts";
+import type {
+  IConditionalWrite,
+  IPlatform,
+  IPlatformObject,
+  IWatchResult,
+  IWriteFailure,
+} from "../../common/services/services.ts";
+import { CallFailureKind } from "../../common/types.ts";
+import type { ICallFailure, IInstance } from "../../common/types.ts";
+import { failureOf } from "../http_failure.ts";
+
+/** The platform answers in milliseconds; a longer silence is a failure. */
+const CALL_TIMEOUT = 2_000;
+const CONNECT_TIMEOUT = 1_000;
+
+/** Beyond the time a watch asks to wait, milliseconds. */
+const WATCH_GRACE = 3_000;
+
+const STATUS_OK = 200;
+const STATUS_NOT_FOUND = 404;
+const STATUS_CONFLICT = 412;
+const STATUS_TOO_MANY = 429;
+const STATUS_UNAVAILABLE = 503;
+
+interface IAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Speaks the object API by conditional HTTP requests and long polls. */
+export class HttpPlatform implements IPlatform {
+  readonly #origin: string;
+  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT } });
+
+  /** @param origin - such as `http://10.0.0.1:8080` */
+  constructor(origin: string) {
+    this.#origin = origin;
+  }
+
+  async read(
+    kind: string,
+    name: string,
+  ): Promise<Result<Option<IPlatformObject>, ICallFailure>> {
+    const answer = await this.#get(objectPath(kind, name), CALL_TIMEOUT);
+    if (answer.isErr()) {
+      return Err(answer.error);
+    }
+    if (answer.value.status === STATUS_NOT_FOUND) {
+      return Ok(None);
+    }
+    return this.#expectOk<IPlatformObject>(answer.value).map((object) =>
+      Some(object),
+    );
+  }
+
+  async list(kind: string): Promise<Result<IWatchResult, ICallFailure>> {
+    const path = `/objects/${encodeURIComponent(kind)}`;
+    const answer = await this.#get(path, CALL_TIMEOUT);
+    return answer.andThen((value) => this.#expectOk<IWatchResult>(value));
+  }
+
+  async watch(
+    kind: string,
+    after: number,
+    options: { readonly timeout: number; readonly signal: AbortSignal },
+  ): Promise<Result<IWatchResult, ICallFailure>> {
+    const { timeout, signal } = options;
+    const query = `after=${after}&timeout_ms=${timeout}`;
+    const path = `/watch/${encodeURIComponent(kind)}?${query}`;
+    const answer = await this.#get(path, timeout + WATCH_GRACE, signal);
+    return answer.andThen((value) => this.#expectOk<IWatchResult>(value));
+  }
+
+  async write(
+    write: IConditionalWrite,
+  ): Promise<Result<number, IWriteFailure>> {
+    const { expectedVersion } = write;
+    const headers: Record<string, string> =
+      expectedVersion === null
+        ? { "if-none-match": "*" }
+        : { "if-match": String(expectedVersion) };
+    const answer = await this.#send("PUT", objectPath(write.kind, write.name), {
+      headers: { ...headers, "content-type": "application/json" },
+      body: JSON.stringify(write.value),
+    });
+    return settleWrite(answer).map(
+      (body) => (body as { version: number }).version,
+    );
+  }
+
+  async remove(
+    kind: string,
+    name: string,
+    expectedVersion: number,
+  ): Promise<Result<void, IWriteFailure>> {
+    const answer = await this.#send("DELETE", objectPath(kind, name), {
+      headers: { "if-match": String(expectedVersion) },
+    });
+    return settleWrite(answer).map(() => undefined);
+  }
+
+  async instances(): Promise<Result<readonly IInstance[], ICallFailure>> {
+    const answer = await this.#get("/instances", CALL_TIMEOUT);
+    return answer
+      .andThen((value) =>
+        this.#expectOk<{ instances: readonly IInstance[] }>(value),
+      )
+      .map((body) => body.instances);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  #get(
+    path: string,
+    timeout: number,
+    signal?: AbortSignal,
+  ): Promise<Result<IAnswer, ICallFailure>> {
+    return this.#send("GET", path, { timeout, signal });
+  }
+
+  async #send(
+    method: Dispatcher.HttpMethod,
+    path: string,
+    options: {
+      readonly headers?: Record<string, string>;
+      readonly body?: string;
+      readonly timeout?: number;
+      readonly signal?: AbortSignal;
+    },
+  ): Promise<Result<IAnswer, ICallFailure>> {
+    const timeout = options.timeout ?? CALL_TIMEOUT;
+    try {
+      const answer = await request(`${this.#origin}${path}`, {
+        method,
+        dispatcher: this.#agent,
+        headers: options.headers,
+        body: options.body,
+        headersTimeout: timeout,
+        bodyTimeout: timeout,
+        signal: options.signal,
+      });
+      const text = await answer.body.text();
+      const body: unknown = text === "" ? null : JSON.parse(text);
+      return Ok({ status: answer.statusCode, body });
+    } catch (error) {
+      return Err(failureOf(`platform ${method} ${path}`, error));
+    }
+  }
+
+  #expectOk<T>(answer: IAnswer): Result<T, ICallFailure> {
+    if (answer.status === STATUS_OK) {
+      return Ok(answer.body as T);
+    }
+    const detail = `platform answered ${answer.status}`;
+    return Err({ kind: CallFailureKind.Refused, detail });
+  }
+}
+
+function objectPath(kind: string, name: string): string {
+  return `/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
+}
+
+function settleWrite(
+  answer: Result<IAnswer, ICallFailure>,
+): Result<unknown, IWriteFailure> {
+  if (answer.isErr()) {
+    const isUnsent = answer.error.kind === CallFailureKind.NotSent;
+    const kind = isUnsent
+      ? WriteFailureKind.NotApplied
+      : WriteFailureKind.Unknown;
+    return Err({ kind, detail: answer.error.detail });
+  }
+  const { status, body } = answer.value;
+  if (status === STATUS_OK) {
+    return Ok(body);
+  }
+  return Err({
+    kind: kindOfStatus(status),
+    detail: `platform answered ${status} ${JSON.stringify(body)}`,
+  });
+}
+
+function kindOfStatus(status: number): WriteFailureKind {
+  if (status === STATUS_CONFLICT || status === STATUS_NOT_FOUND) {
+    return WriteFailureKind.Conflict;
+  }
+  const isRefused = status === STATUS_TOO_MANY || status === STATUS_UNAVAILABLE;
+  const isBad = status >= 400 && status < 500;
+  return isRefused || isBad
+    ? WriteFailureKind.NotApplied
+    : WriteFailureKind.Unknown;
+}
--- /dev/null
+++ b/src/adapters/random/system_random.ts
@@ -0,0 +1,14 @@
+/** Chance from the host. */
+import { randomUUID } from "node:crypto";
+import type { IRandom } from "../../common/services/services.ts";
+
+/** Unseeded chance, for running daemons. */
+export class SystemRandom implements IRandom {
+  next(): number {
+    return Math.random();
+  }
+
+  identifier(): string {
+    return randomUUID();
+  }
+}
--- /dev/null
+++ b/src/adapters/targets/engine_stream_reader.ts
@@ -0,0 +1,77 @@
+/** Reads an engine's server-sent events and checks that nothing is missing. */
+import { createParser } from "eventsource-parser";
+import type { EventSourceMessage } from "eventsource-parser";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import type {
+  IEngineCall,
+  IEngineToken,
+} from "../../common/services/services.ts";
+import { CallFailureKind } from "../../common/types.ts";
+import type { ICallFailure } from "../../common/types.ts";
+
+/** The data of one engine event. */
+interface IEngineEvent {
+  readonly requestId: string;
+  readonly group: string;
+  readonly generation: number;
+  readonly sequence: number;
+  readonly text: string;
+}
+
+/**
+ * Turns chunks into tokens. An event that names another request, another
+ * group or generation, or leaves a gap, ends the stream with a failure: a late
+ * or crossed answer would otherwise reach the wrong caller.
+ */
+export class EngineStreamReader {
+  readonly #call: IEngineCall;
+  #expected: number;
+  #batch: IEngineToken[] = [];
+  #failure: ICallFailure | null = null;
+  readonly #parser = createParser({
+    onEvent: (message) => this.#take(message),
+  });
+
+  constructor(call: IEngineCall) {
+    this.#call = call;
+    this.#expected = call.resumeFrom;
+  }
+
+  /** Tokens completed by this chunk; empty when it ends inside an event. */
+  feed(chunk: string): Result<readonly IEngineToken[], ICallFailure> {
+    this.#batch = [];
+    this.#parser.feed(chunk);
+    return this.#failure === null ? Ok(this.#batch) : Err(this.#failure);
+  }
+
+  #take(message: EventSourceMessage): void {
+    if (this.#failure !== null) {
+      return;
+    }
+    const event = JSON.parse(message.data) as IEngineEvent;
+    if (!this.#isOurs(event)) {
+      this.#fail(`an event names ${event.requestId} in ${event.group}`);
+      return;
+    }
+    if (event.sequence !== this.#expected) {
+      this.#fail(`token ${event.sequence} where ${this.#expected} was due`);
+      return;
+    }
+    const isEnd = message.event === "end";
+    this.#expected += 1;
+    this.#batch.push({ sequence: event.sequence, text: event.text, isEnd });
+  }
+
+  #isOurs(event: IEngineEvent): boolean {
+    return (
+      event.requestId === this.#call.requestId &&
+      event.group === this.#call.group &&
+      event.generation === this.#call.generation
+    );
+  }
+
+  #fail(detail: string): void {
+    this.#failure = { kind: CallFailureKind.Unknown, detail };
+  }
+}
--- /dev/null
+++ b/src/command_line/commands/get.ts
@@ -0,0 +1,35 @@
+/** `cranberryledge get LIST`: the list and its version. */
+import { Option } from "clipanion";
+import { parseListObject } from "../../common/services/plan_list_service.ts";
+import { PLAN_LIST_KIND } from "../../common/plans/types.ts";
+import { ExitCode } from "../exit_code.ts";
+import { PlatformCommand } from "./platform_command.ts";
+
+/** Prints a list; its version goes to standard error. */
+export class GetCommand extends PlatformCommand {
+  static override paths = [["get"]];
+  static override usage = PlatformCommand.Usage({
+    description: "print a plan list; its version is on standard error",
+  });
+
+  list = Option.String();
+
+  override async execute(): Promise<number> {
+    const list = this.parseList(this.list);
+    if (list === null) {
+      return ExitCode.Findings;
+    }
+    await using platform = this.connect();
+    const found = await platform.read(PLAN_LIST_KIND, list);
+    if (found.isErr()) {
+      this.context.stderr.write(`${found.error.detail}\n`);
+      return ExitCode.Unreachable;
+    }
+    const text = found.value.isSome()
+      ? parseListObject(found.value.value)
+      : null;
+    this.context.stdout.write(text?.text ?? "");
+    this.context.stderr.write(`version=${text?.version ?? 0}\n`);
+    return ExitCode.Done;
+  }
+}
--- /dev/null
+++ b/src/command_line/commands/platform_command.ts
@@ -0,0 +1,26 @@
+/** What commands that speak to the platform share. */
+import { Command, Option } from "clipanion";
+import { HttpPlatform } from "../../adapters/platform/http_platform.ts";
+import { PlanListName } from "../../common/plans/types.ts";
+
+/** A command with the platform's address. */
+export abstract class PlatformCommand extends Command {
+  platform = Option.String("--platform", {
+    required: true,
+    description: "IP:PORT of the platform's object API",
+    env: "CRANBERRYLEDGE_PLATFORM",
+  });
+
+  protected connect(): HttpPlatform {
+    return new HttpPlatform(`http://${this.platform}`);
+  }
+
+  protected parseList(name: string): PlanListName | null {
+    const list = Object.values(PlanListName).find((known) => known === name);
+    if (list === undefined) {
+      const known = Object.values(PlanListName).join(" or ");
+      this.context.stderr.write(`expected ${known}, found ${name}\n`);
+    }
+    return list ?? null;
+  }
+}
--- /dev/null
+++ b/src/command_line/main.ts
@@ -0,0 +1,18 @@
+#!/usr/bin/env node
+/** `cranberryledge`: the operators' command-line tool. */
+import { Builtins, Cli } from "clipanion";
+import { ApplyCommand } from "./commands/apply.ts";
+import { CheckCommand } from "./commands/check.ts";
+import { GetCommand } from "./commands/get.ts";
+import { StatusCommand } from "./commands/status.ts";
+
+const cli = new Cli({
+  binaryName: "cranberryledge",
+  binaryLabel: "cranberryledge",
+});
+cli.register(Builtins.HelpCommand);
+cli.register(ApplyCommand);
+cli.register(CheckCommand);
+cli.register(GetCommand);
+cli.register(StatusCommand);
+await cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/src/common/groups/domain_record_schema.ts
@@ -0,0 +1,64 @@
+/** Checks a domain record read from the platform; people may have edited it. */
+import { z } from "zod";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { formatPath } from "../plans/findings.ts";
+import type { IFinding } from "../plans/types.ts";
+import type { IDomainRecord } from "./types.ts";
+
+/** The platform's kind of object that holds domain records. */
+export const DOMAIN_KIND = "fabric_domains";
+
+const groupSchema = z.strictObject({
+  id: z.string().min(1),
+  service: z.string().min(1),
+  model: z.string(),
+  generation: z.number().int().positive(),
+  epoch: z.number().int().nonnegative(),
+  members: z.array(z.string().min(1)).min(1),
+});
+
+const recordSchema = z
+  .strictObject({
+    domain: z.string().min(1),
+    epoch: z.number().int().nonnegative(),
+    holder: z.string().min(1).nullable(),
+    attempt: z.string(),
+    nextGroup: z.number().int().positive(),
+    groups: z.array(groupSchema),
+  })
+  .superRefine((record, context) => {
+    const seen = new Set<string>();
+    record.groups.forEach((group, index) => {
+      for (const member of group.members) {
+        if (seen.has(member)) {
+          context.addIssue({
+            code: "custom",
+            path: ["groups", index, "members"],
+            message: `instance ${member} stands in two places`,
+          });
+        }
+        seen.add(member);
+      }
+    });
+  });
+
+/** The record, or what is wrong with it; a bad record is never rewritten. */
+export function checkDomainRecord(
+  name: string,
+  value: unknown,
+): Result<IDomainRecord, readonly IFinding[]> {
+  const checked = recordSchema.safeParse(value);
+  if (checked.success) {
+    return Ok(checked.data);
+  }
+  return Err(
+    checked.error.issues.map((issue) => ({
+      source: `${DOMAIN_KIND}/${name}`,
+      line: 1,
+      column: 1,
+      path: formatPath(issue.path),
+      message: issue.message,
+    })),
+  );
+}
--- /dev/null
+++ b/src/common/services/domain_service.ts
@@ -0,0 +1,249 @@
+/** Drives one fabric domain's lease, forms its groups and gives orders. */
+import { DisposableStore } from "../disposable.ts";
+import type { IDisposable } from "../disposable.ts";
+import { DomainLease, LeaseState } from "../groups/domain_lease.ts";
+import {
+  checkDomainRecord,
+  DOMAIN_KIND,
+} from "../groups/domain_record_schema.ts";
+import { planGroups, planOrders } from "../groups/formation.ts";
+import type {
+  IAddressedOrder,
+  IFormationPolicy,
+  IFormationView,
+  IWantedGroups,
+} from "../groups/formation.ts";
+import { LeaseActionKind } from "../groups/types.ts";
+import type {
+  IDomainRecord,
+  ILeaseTiming,
+  IVersionedRecord,
+  LeaseAction,
+} from "../groups/types.ts";
+import { formatFinding } from "../plans/findings.ts";
+import type { DaemonId, DomainName } from "../types.ts";
+import { WriteFailureKind } from "./services.ts";
+import type {
+  IClock,
+  ILog,
+  IPlatform,
+  IPlatformObject,
+  ITargets,
+} from "./services.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+
+/** How often the lease is looked at, milliseconds. */
+const TICK = 100;
+
+/** How long an order may take, milliseconds. */
+const ORDER_TIMEOUT = 1_000;
+
+/** What a domain service works with. */
+export interface IDomainPorts {
+  readonly platform: IPlatform;
+  readonly targets: ITargets;
+  readonly clock: IClock;
+  readonly log: ILog;
+  readonly directory: TargetDirectory;
+}
+
+/** Settings of a domain service. */
+export interface IDomainOptions {
+  readonly daemon: DaemonId;
+  readonly domain: DomainName;
+  readonly lease: ILeaseTiming;
+  readonly formation: IFormationPolicy;
+  /** How often an observer reads the record, milliseconds. */
+  readonly observeEvery: number;
+  readonly wanted: () => readonly IWantedGroups[];
+}
+
+/** One fabric domain, as one daemon sees and, when it holds it, runs it. */
+export class DomainService implements IDisposable {
+  readonly #ports: IDomainPorts;
+  readonly #options: IDomainOptions;
+  readonly #lease: DomainLease;
+  readonly #owned = new DisposableStore();
+  readonly #ordering = new Set<string>();
+  #lastRead = Number.NEGATIVE_INFINITY;
+  #isReading = false;
+  #isClosing = false;
+
+  constructor(ports: IDomainPorts, options: IDomainOptions) {
+    this.#ports = ports;
+    this.#options = options;
+    this.#lease = new DomainLease(
+      options.daemon,
+      options.domain,
+      options.lease,
+    );
+  }
+
+  get domain(): DomainName {
+    return this.#options.domain;
+  }
+
+  get isHolding(): boolean {
+    return this.#lease.state === LeaseState.Holding;
+  }
+
+  /** The newest record seen, or null. */
+  get record(): IDomainRecord | null {
+    return this.#lease.seen?.record ?? null;
+  }
+
+  start(): void {
+    void this.#read();
+    this.#owned.add(this.#ports.clock.every(TICK, () => this.#tick()));
+  }
+
+  /** Gives the lease back by a write, and stops. */
+  async close(): Promise<void> {
+    this.#isClosing = true;
+    this.#owned.dispose();
+    const actions = this.#lease.giveBack(this.#ports.clock.now());
+    await Promise.all(actions.map((action) => this.#perform(action)));
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  #tick(): void {
+    const now = this.#ports.clock.now();
+    this.#performAll(this.#lease.tick(now));
+    if (now - this.#lastRead >= this.#options.observeEvery) {
+      void this.#read();
+    }
+    if (this.#lease.mayOrder(now)) {
+      this.#govern(now);
+    }
+  }
+
+  #govern(now: number): void {
+    const record = this.record;
+    if (record === null) {
+      return;
+    }
+    const view = this.#view(now);
+    const policy = this.#options.formation;
+    const wanted = this.#options.wanted();
+    const next = planGroups(record, wanted, view, policy);
+    if (next !== null) {
+      this.#performAll(this.#lease.change(next, now));
+      return;
+    }
+    for (const order of planOrders(record, view, policy)) {
+      void this.#send(order);
+    }
+  }
+
+  #view(now: number): IFormationView {
+    const { instances, reports } = this.#ports.directory;
+    const here = [...instances.values()].filter(
+      (instance) => instance.domain === this.domain && instance.service === "",
+    );
+    return { instances: here, reports, now };
+  }
+
+  async #send(addressed: IAddressedOrder): Promise<void> {
+    const { instance, address, order } = addressed;
+    const { clock, log, targets } = this.#ports;
+    if (this.#ordering.has(instance) || !this.#lease.mayOrder(clock.now())) {
+      return;
+    }
+    this.#ordering.add(instance);
+    const { group, generation, epoch, kind } = order;
+    const answer = await targets.order(address, order, ORDER_TIMEOUT);
+    this.#ordering.delete(instance);
+    const result = answer.isOk() ? "accepted" : answer.error.detail;
+    const fields = { kind, instance, group, generation, epoch, result };
+    log.info("engine_order", fields);
+  }
+
+  #performAll(actions: readonly LeaseAction[]): void {
+    for (const action of actions) {
+      void this.#perform(action);
+    }
+  }
+
+  async #perform(action: LeaseAction): Promise<void> {
+    const { log } = this.#ports;
+    const domain = this.domain;
+    switch (action.kind) {
+      case LeaseActionKind.Write:
+        return this.#write(action.record, action.expectedVersion);
+      case LeaseActionKind.Read:
+        return this.#read();
+      case LeaseActionKind.Acquired:
+        log.info("lease_acquired", { domain, epoch: this.record?.epoch });
+        return;
+      case LeaseActionKind.Lost:
+        log.info("lease_lost", { domain });
+        return;
+    }
+  }
+
+  async #write(
+    record: IDomainRecord,
+    expectedVersion: number | null,
+  ): Promise<void> {
+    const written = await this.#ports.platform.write({
+      kind: DOMAIN_KIND,
+      name: this.domain,
+      value: record,
+      expectedVersion,
+    });
+    if (written.isOk()) {
+      this.#performAll(this.#lease.writeTook(written.value));
+      return;
+    }
+    const actions = this.#settle(written.error.kind);
+    if (!this.#isClosing) {
+      this.#performAll(actions);
+    }
+  }
+
+  #settle(failure: WriteFailureKind): readonly LeaseAction[] {
+    switch (failure) {
+      case WriteFailureKind.Conflict:
+        return this.#lease.writeConflicted();
+      case WriteFailureKind.NotApplied:
+        return this.#lease.writeFailed();
+      case WriteFailureKind.Unknown:
+        return this.#lease.writeUnknown();
+    }
+  }
+
+  async #read(): Promise<void> {
+    if (this.#isReading) {
+      return;
+    }
+    this.#isReading = true;
+    this.#lastRead = this.#ports.clock.now();
+    const found = await this.#ports.platform.read(DOMAIN_KIND, this.domain);
+    this.#isReading = false;
+    if (found.isErr()) {
+      return;
+    }
+    const object = found.value.isSome() ? found.value.value : null;
+    const seen = object === null ? null : this.#check(object);
+    if (object !== null && seen === null) {
+      return;
+    }
+    const now = this.#ports.clock.now();
+    this.#performAll(this.#lease.observed(seen, now));
+  }
+
+  #check(object: IPlatformObject): IVersionedRecord | null {
+    const checked = checkDomainRecord(object.name, object.value);
+    if (checked.isOk()) {
+      return { version: object.version, record: checked.value };
+    }
+    for (const finding of checked.error) {
+      const detail = formatFinding(finding);
+      this.#ports.log.error("domain_record_bad", { finding: detail });
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/common/services/services.ts
@@ -0,0 +1,223 @@
+/**
+ * The ports: what the services of src/common need from the outside. Adapters
+ * implement them; the daemon hands them in by constructor.
+ */
+import type { Option, Result } from "ts-results-es";
+import type { IDisposable } from "../disposable.ts";
+import type { PlanListName } from "../plans/types.ts";
+import type {
+  GroupId,
+  ICallFailure,
+  IFencingToken,
+  IInstance,
+  InstanceId,
+  ITargetReport,
+  MonotonicTime,
+  RequestId,
+} from "../types.ts";
+
+/** Time of this process, and timers on it. */
+export interface IClock {
+  /** Monotonic milliseconds; never goes back, not comparable elsewhere. */
+  now(): MonotonicTime;
+  /** Calendar time as milliseconds since 1970; only for people and records. */
+  calendar(): number;
+  /** Calls back once after a delay in milliseconds. */
+  after(delay: number, callback: () => void): IDisposable;
+  /** Calls back repeatedly, each period in milliseconds. */
+  every(period: number, callback: () => void): IDisposable;
+}
+
+/** Chance, handed in so that tests can seed it. */
+export interface IRandom {
+  /** A number in [0, 1). */
+  next(): number;
+  /** A fresh identifier that no other process will make. */
+  identifier(): string;
+}
+
+/** The fields of a log line; values are encoded by the adapter. */
+export type LogFields = Readonly<
+  Record<string, string | number | boolean | null | undefined>
+>;
+
+/** One event a line, as key=value pairs. */
+export interface ILog {
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+}
+
+/** An object of the platform's object API. */
+export interface IPlatformObject {
+  readonly kind: string;
+  readonly name: string;
+  /** Rises with each write to any object. */
+  readonly version: number;
+  /** Whatever JSON was written; not checked. */
+  readonly value: unknown;
+}
+
+/** How a conditional write failed. */
+export enum WriteFailureKind {
+  /** The object is at another version: the write had no effect. */
+  Conflict = "conflict",
+  /** The platform certainly did not apply the write. */
+  NotApplied = "not_applied",
+  /** The answer was lost: the write may have taken effect, or still may. */
+  Unknown = "unknown",
+}
+
+/** A failed conditional write. */
+export interface IWriteFailure {
+  readonly kind: WriteFailureKind;
+  readonly detail: string;
+}
+
+/** A write that takes effect only at the expected version. */
+export interface IConditionalWrite {
+  readonly kind: string;
+  readonly name: string;
+  readonly value: unknown;
+  /** Null: the object must not exist yet. */
+  readonly expectedVersion: number | null;
+}
+
+/** What a watch brought: changed objects, and where to go on from. */
+export interface IWatchResult {
+  readonly version: number;
+  readonly objects: readonly IPlatformObject[];
+}
+
+/** The platform's object API and its list of instances. */
+export interface IPlatform {
+  read(
+    kind: string,
+    name: string,
+  ): Promise<Result<Option<IPlatformObject>, ICallFailure>>;
+  list(kind: string): Promise<Result<IWatchResult, ICallFailure>>;
+  /** Resolves when something of the kind is newer, or empty at the timeout. */
+  watch(
+    kind: string,
+    after: number,
+    options: { readonly timeout: number; readonly signal: AbortSignal },
+  ): Promise<Result<IWatchResult, ICallFailure>>;
+  /** The new version, or why there is none. */
+  write(write: IConditionalWrite): Promise<Result<number, IWriteFailure>>;
+  remove(
+    kind: string,
+    name: string,
+    expectedVersion: number,
+  ): Promise<Result<void, IWriteFailure>>;
+  instances(): Promise<Result<readonly IInstance[], ICallFailure>>;
+}
+
+/** What an engine is told to become. */
+export enum OrderKind {
+  /** Join a group and load its model. */
+  Join = "join",
+  /** Leave its group and become free. */
+  Release = "release",
+}
+
+/** An order to an engine member. */
+export interface IEngineOrder extends IFencingToken {
+  readonly kind: OrderKind;
+  readonly group: GroupId;
+  readonly rank: number;
+  readonly model: string;
+  /** Addresses of all members, in order of rank. */
+  readonly members: readonly string[];
+  /** Milliseconds after which the engine must drop the order unserved. */
+  readonly validFor: number;
+}
+
+/** A request as sent to a replica group's first member. */
+export interface IEngineCall {
+  readonly requestId: RequestId;
+  readonly group: GroupId;
+  readonly generation: number;
+  readonly prompt: string;
+  readonly maximumTokens: number;
+  readonly priority: number;
+  /** Sequence number to go on from; 0 for a new run. */
+  readonly resumeFrom: number;
+}
+
+/** One step of an engine's answer. */
+export interface IEngineToken {
+  readonly sequence: number;
+  readonly text: string;
+  /** True on the last: it ends the answer and carries no text. */
+  readonly isEnd: boolean;
+}
+
+/** A call to a plain service. */
+export interface IServiceCall {
+  readonly requestId: RequestId;
+  readonly operation: string;
+  readonly body: unknown;
+  /** Milliseconds until the answer is worth nothing. */
+  readonly timeout: number;
+}
+
+/** Calls to targets: engine members and plain services. */
+export interface ITargets {
+  report(
+    address: string,
+    timeout: number,
+  ): Promise<Result<ITargetReport, ICallFailure>>;
+  order(
+    address: string,
+    order: IEngineOrder,
+    timeout: number,
+  ): Promise<Result<void, ICallFailure>>;
+  /**
+   * Streams tokens in batches as they arrive. Batches of one answer are in
+   * order and without gaps; the last token of a whole answer has `isEnd`.
+   * A failure ends the iteration as its last value.
+   */
+  generate(
+    address: string,
+    call: IEngineCall,
+    signal: AbortSignal,
+  ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>>;
+  call(
+    address: string,
+    call: IServiceCall,
+    signal: AbortSignal,
+  ): Promise<Result<unknown, ICallFailure>>;
+}
+
+/** A plan list's version, as peers tell one another. */
+export interface IListVersion {
+  readonly list: PlanListName;
+  readonly version: number;
+}
+
+/** Where a daemon is reached by its peers and by operators. */
+export interface IDaemonEntry {
+  readonly daemon: string;
+  readonly instance: InstanceId;
+  readonly zone: string;
+  readonly peerAddress: string;
+  readonly operationsAddress: string;
+}
+
+/** Counters and latencies, exposed to whoever collects them. */
+export interface IMetrics {
+  /** Adds to a counter. */
+  count(name: string, labels?: Readonly<Record<string, string>>): void;
+  /** Records a duration in milliseconds. */
+  observe(
+    name: string,
+    milliseconds: number,
+    labels?: Readonly<Record<string, string>>,
+  ): void;
+  /** Sets a level. */
+  gauge(
+    name: string,
+    value: number,
+    labels?: Readonly<Record<string, string>>,
+  ): void;
+}
--- /dev/null
+++ b/src/common/services/zone_domains.ts
@@ -0,0 +1,74 @@
+/** One {@link DomainService} for each fabric domain seen in the zone. */
+import { DisposableStore } from "../disposable.ts";
+import type { IWantedGroups } from "../groups/formation.ts";
+import type { DomainName } from "../types.ts";
+import { ServiceKind } from "../types.ts";
+import { DomainService } from "./domain_service.ts";
+import type { IDomainOptions, IDomainPorts } from "./domain_service.ts";
+
+/** How often the instance list is searched for new domains, milliseconds. */
+const SEARCH_EVERY = 500;
+
+/** Options common to the domains of a zone. */
+export interface IZoneDomainOptions extends Omit<
+  IDomainOptions,
+  "domain" | "wanted"
+> {
+  /** Groups wanted in a domain with this many engines. */
+  readonly wanted: (engines: number) => readonly IWantedGroups[];
+}
+
+/** Starts a domain service when the instance list first names its domain. */
+export class ZoneDomains {
+  readonly #ports: IDomainPorts;
+  readonly #options: IZoneDomainOptions;
+  readonly #owned = new DisposableStore();
+  readonly #domains = new Map<DomainName, DomainService>();
+
+  constructor(ports: IDomainPorts, options: IZoneDomainOptions) {
+    this.#ports = ports;
+    this.#options = options;
+  }
+
+  /** All domains of the zone seen so far. */
+  get all(): readonly DomainService[] {
+    return [...this.#domains.values()];
+  }
+
+  start(): void {
+    const search = () => this.#search();
+    this.#owned.add(this.#ports.clock.every(SEARCH_EVERY, search));
+  }
+
+  /** Gives every lease back. */
+  async close(): Promise<void> {
+    this.#owned.dispose();
+    await Promise.all(this.all.map((domain) => domain.close()));
+  }
+
+  #search(): void {
+    for (const instance of this.#ports.directory.instances.values()) {
+      const isEngine = instance.kind === ServiceKind.Engine;
+      if (isEngine && !this.#domains.has(instance.domain)) {
+        this.#add(instance.domain);
+      }
+    }
+  }
+
+  #add(domain: DomainName): void {
+    const service = new DomainService(this.#ports, {
+      ...this.#options,
+      domain,
+      wanted: () => this.#options.wanted(this.#countEngines(domain)),
+    });
+    this.#domains.set(domain, service);
+    service.start();
+  }
+
+  #countEngines(domain: DomainName): number {
+    const instances = [...this.#ports.directory.instances.values()];
+    return instances.filter(
+      (entry) => entry.domain === domain && entry.kind === ServiceKind.Engine,
+    ).length;
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,253 @@
+/** Wires one daemon: adapters to services, and their starting and stopping. */
+import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
+import { SystemClock } from "../adapters/clock/system_clock.ts";
+import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
+import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
+import { GrpcPeers, GrpcPeerServer } from "../adapters/peers/grpc_peers.ts";
+import { HttpPlatform } from "../adapters/platform/http_platform.ts";
+import { SystemRandom } from "../adapters/random/system_random.ts";
+import { HttpTargets } from "../adapters/targets/http_targets.ts";
+import { splitAddress } from "../adapters/listen.ts";
+import { CallDispatcher } from "../common/services/call_dispatcher.ts";
+import { EngineRunner } from "../common/services/engine_runner.ts";
+import { GroupDirectory } from "../common/services/group_directory.ts";
+import { PeerService } from "../common/services/peer_service.ts";
+import { PlanListService } from "../common/services/plan_list_service.ts";
+import { RunRecordService } from "../common/services/run_record_service.ts";
+import { ServiceRunner } from "../common/services/service_runner.ts";
+import { TargetDirectory } from "../common/services/target_directory.ts";
+import { ZoneDomains } from "../common/services/zone_domains.ts";
+import { formatFinding } from "../common/plans/findings.ts";
+import { OperationsServer } from "./operations_server.ts";
+import type { IStatusSource } from "./operations_server.ts";
+import { serviceDefinitions } from "./settings.ts";
+import type { Settings } from "./settings.ts";
+import { domainOptions } from "./domain_options.ts";
+
+/** Where a running daemon listens. */
+export interface IDaemonAddresses {
+  readonly callers: string;
+  readonly peers: string;
+  readonly operations: string;
+}
+
+/** One running daemon. */
+export class Daemon implements IStatusSource {
+  readonly #settings: Settings;
+  readonly #log: LogfmtLog;
+  readonly #clock = new SystemClock();
+  readonly #random = new SystemRandom();
+  readonly #metrics = new PrometheusMetrics();
+  readonly #id: string;
+  readonly #platform: HttpPlatform;
+  readonly #targets = new HttpTargets();
+  readonly #peers = new GrpcPeers();
+  readonly #lists: PlanListService;
+  readonly #directory: TargetDirectory;
+  readonly #domains: ZoneDomains;
+  readonly #groups: GroupDirectory;
+  readonly #dispatcher: CallDispatcher;
+  readonly #callers: HttpCallerServer;
+  readonly #operations: OperationsServer;
+  readonly #peerServer: GrpcPeerServer;
+  #peerService: PeerService | null = null;
+  #isStopping = false;
+
+  private constructor(settings: Settings, log: LogfmtLog) {
+    this.#settings = settings;
+    this.#log = log;
+    this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
+    this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
+    this.#lists = new PlanListService(this.#platform, this.#clock, log);
+    this.#directory = this.#createDirectory();
+    this.#domains = this.#createDomains();
+    this.#groups = new GroupDirectory(
+      {
+        targets: this.#directory,
+        domains: () => this.#domains.all,
+        clock: this.#clock,
+      },
+      settings.groups.freshness,
+    );
+    this.#dispatcher = this.#createDispatcher();
+    this.#callers = this.#createCallerServer();
+    this.#operations = new OperationsServer(this, this.#metrics);
+    this.#peerServer = this.#createPeerServer();
+  }
+
+  /** Starts a daemon and logs where it listens. */
+  static async start(settings: Settings): Promise<Daemon> {
+    const { name, zone } = settings.daemon;
+    const log = await LogfmtLog.create({ daemon: name, zone });
+    const daemon = new Daemon(settings, log);
+    await daemon.#start();
+    return daemon;
+  }
+
+  get isReady(): boolean {
+    return !this.#isStopping && this.#lists.book.isComplete;
+  }
+
+  /** Whether at least one replica group of the zone is complete. */
+  get canServe(): boolean {
+    const groups = this.#groups.groups();
+    return this.isReady && groups.some(({ isComplete }) => isComplete);
+  }
+
+  /** The daemon's own account of itself, for `cranberryledge status`. */
+  status(): object {
+    const { name, zone } = this.#settings.daemon;
+    return {
+      daemon: name,
+      id: this.#id,
+      zone,
+      ready: this.isReady,
+      stopping: this.#isStopping,
+      in_flight: this.#dispatcher.inFlight,
+      lists: this.#lists.versions,
+      lists_age_ms: this.#lists.age,
+      findings: this.#lists.book.findings.map(formatFinding),
+      domains: this.#domains.all.map((domain) => ({
+        domain: domain.domain,
+        holder: domain.record?.holder ?? null,
+        epoch: domain.record?.epoch ?? 0,
+        holding: domain.isHolding,
+      })),
+      groups: this.#groups.groups().map(({ group, isComplete }) => ({
+        ...group,
+        complete: isComplete,
+      })),
+    };
+  }
+
+  /** Finishes all in flight, gives leases back, and stops. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) {
+      return;
+    }
+    this.#isStopping = true;
+    this.#log.info("stopping", { in_flight: this.#dispatcher.inFlight });
+    await this.#callers.stop();
+    await this.#domains.close();
+    this.#directory.dispose();
+    this.#lists.dispose();
+    this.#peerService?.dispose();
+    await this.#peerService?.leave();
+    await this.#peerServer[Symbol.asyncDispose]();
+    await this.#peers[Symbol.asyncDispose]();
+    await this.#operations[Symbol.asyncDispose]();
+    await this.#targets[Symbol.asyncDispose]();
+    await this.#platform[Symbol.asyncDispose]();
+    this.#log.info("stopped");
+  }
+
+  async #start(): Promise<void> {
+    const { daemon } = this.#settings;
+    const callers = await this.#callers.listen(daemon.callers);
+    const operations = await this.#operations.listen(daemon.operations);
+    const port = await this.#peerServer.listen(daemon.peers);
+    const peers = `${splitAddress(daemon.peers).host}:${port}`;
+    this.#peerService = new PeerService(
+      {
+        peers: this.#peers,
+        platform: this.#platform,
+        clock: this.#clock,
+        random: this.#random,
+        lists: this.#lists,
+      },
+      {
+        daemon: this.#id,
+        instance: daemon.name,
+        zone: daemon.zone,
+        peerAddress: peers,
+        operationsAddress: operations,
+      },
+    );
+    this.#lists.start();
+    this.#directory.start();
+    this.#domains.start();
+    this.#peerService.start();
+    this.#log.info("listening", { callers, peers, operations });
+  }
+
+  #createDirectory(): TargetDirectory {
+    const { daemon, polling } = this.#settings;
+    return new TargetDirectory(
+      {
+        platform: this.#platform,
+        targets: this.#targets,
+        clock: this.#clock,
+      },
+      {
+        zone: daemon.zone,
+        timing: {
+          pollEvery: polling.targets,
+          pollTimeout: polling.timeout,
+          instancesEvery: polling.instances,
+        },
+      },
+    );
+  }
+
+  #createDomains(): ZoneDomains {
+    return new ZoneDomains(
+      {
+        platform: this.#platform,
+        targets: this.#targets,
+        clock: this.#clock,
+        log: this.#log,
+        directory: this.#directory,
+      },
+      domainOptions(this.#settings, this.#id),
+    );
+  }
+
+  #createDispatcher(): CallDispatcher {
+    const records = new RunRecordService({
+      platform: this.#platform,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+    });
+    return new CallDispatcher({
+      engines: new EngineRunner(this.#groups, this.#targets, this.#log),
+      services: new ServiceRunner({
+        groups: this.#groups,
+        targets: this.#targets,
+        records,
+        clock: this.#clock,
+      }),
+      clock: this.#clock,
+      metrics: this.#metrics,
+    });
+  }
+
+  #createCallerServer(): HttpCallerServer {
+    return new HttpCallerServer({
+      dispatcher: this.#dispatcher,
+      book: this.#lists.book,
+      services: serviceDefinitions(this.#settings),
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      metrics: this.#metrics,
+    });
+  }
+
+  #createPeerServer(): GrpcPeerServer {
+    return new GrpcPeerServer({
+      news: () => ({
+        daemon: this.#id,
+        zone: this.#settings.daemon.zone,
+        versions: this.#lists.versions,
+      }),
+      learn: (news) => {
+        const address = this.#peerService?.addressOf(news.daemon);
+        if (address) {
+          void this.#peerService?.learn(news, address);
+        }
+      },
+      text: (list) => this.#lists.book.text(list),
+    });
+  }
+}
--- /dev/null
+++ b/src/daemon/domain_options.ts
@@ -0,0 +1,60 @@
+/** What the settings say about leases and replica groups. */
+import type { IWantedGroups } from "../common/groups/formation.ts";
+import type { IZoneDomainOptions } from "../common/services/zone_domains.ts";
+import { ServiceKind } from "../common/types.ts";
+import type { DaemonId } from "../common/types.ts";
+import { serviceDefinitions } from "./settings.ts";
+import type { Settings } from "./settings.ts";
+
+/** Share of the takeover margin within which an engine may act on an order. */
+const ORDER_VALIDITY_SHARE = 0.5;
+
+/** Share of the takeover margin by which a holder stops before its end. */
+const SAFETY_SHARE = 0.25;
+
+/** A gap between ticks longer than this share of the lease is a pause. */
+const PAUSE_SHARE = 0.2;
+
+/** Options for every domain of the daemon's zone. */
+export function domainOptions(
+  settings: Settings,
+  daemon: DaemonId,
+): IZoneDomainOptions {
+  const { groups, polling } = settings;
+  return {
+    daemon,
+    lease: {
+      leaseTime: groups.lease,
+      takeoverMargin: groups.takeover_margin,
+      safetyMargin: groups.takeover_margin * SAFETY_SHARE,
+      renewEvery: groups.renew_every,
+      pauseBound: groups.lease * PAUSE_SHARE,
+    },
+    formation: {
+      membersPerGroup: groups.members,
+      freshness: groups.freshness,
+      replaceAfter: groups.replace_after,
+      orderValidity: groups.takeover_margin * ORDER_VALIDITY_SHARE,
+    },
+    observeEvery: polling.domains,
+    wanted: (engines) => wantedGroups(settings, engines),
+  };
+}
+
+/** Splits a domain's engines evenly between the engine services. */
+function wantedGroups(
+  settings: Settings,
+  engines: number,
+): readonly IWantedGroups[] {
+  const services = [...serviceDefinitions(settings).values()].filter(
+    (service) => service.kind === ServiceKind.Engine,
+  );
+  const { members, spare_share: spareShare } = settings.groups;
+  const spares = Math.floor(engines * spareShare);
+  const total = Math.floor((engines - spares) / members);
+  return services.map(({ name, model }, index) => ({
+    service: name,
+    model,
+    count: Math.floor((total + services.length - 1 - index) / services.length),
+  }));
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,31 @@
+#!/usr/bin/env node
+/** `cranberryledged SETTINGS`: the daemon's own process. */
+import { formatFinding } from "../common/plans/findings.ts";
+import { Daemon } from "./daemon.ts";
+import { loadSettings } from "./settings.ts";
+
+/** Exit code when the settings have findings. */
+const EXIT_BAD_SETTINGS = 2;
+
+async function main(): Promise<void> {
+  const path = process.argv[2];
+  if (path === undefined) {
+    process.stderr.write("usage: cranberryledged SETTINGS\n");
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+  const settings = loadSettings(path);
+  if (settings.isErr()) {
+    for (const finding of settings.error) {
+      process.stderr.write(`${formatFinding(finding)}\n`);
+    }
+    process.exit(EXIT_BAD_SETTINGS);
+  }
+  const daemon = await Daemon.start(settings.value);
+  const stop = () => {
+    void daemon.stop().then(() => process.exit(0));
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+}
+
+await main();
--- /dev/null
+++ b/src/daemon/operations_server.ts
@@ -0,0 +1,58 @@
+/** What operators and collectors read: status, readiness, metrics. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { addressOfServer } from "../adapters/listen.ts";
+import type { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
+
+/** A daemon's own account of itself. */
+export interface IStatusSource {
+  status(): object;
+  readonly isReady: boolean;
+}
+
+/** Serves `/status`, `/ready` and `/metrics`. */
+export class OperationsServer {
+  readonly #source: IStatusSource;
+  readonly #metrics: PrometheusMetrics;
+  readonly #server: Server;
+
+  constructor(source: IStatusSource, metrics: PrometheusMetrics) {
+    this.#source = source;
+    this.#metrics = metrics;
+    this.#server = createServer(
+      (incoming, response) => void this.#serve(incoming, response),
+    );
+  }
+
+  listen(address: string): Promise<string> {
+    return addressOfServer(this.#server, address);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    switch (incoming.url) {
+      case "/status":
+        response.setHeader("content-type", "application/json");
+        response.end(JSON.stringify(this.#source.status()));
+        return;
+      case "/ready":
+        response.statusCode = this.#source.isReady ? 200 : 503;
+        response.end();
+        return;
+      case "/metrics":
+        response.setHeader("content-type", this.#metrics.contentType);
+        response.end(await this.#metrics.expose());
+        return;
+      default:
+        response.statusCode = 404;
+        response.end();
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/settings.ts
@@ -0,0 +1,110 @@
+/** A daemon's settings: a YAML file, checked whole before anything starts. */
+import { readFileSync } from "node:fs";
+import { Err } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { z } from "zod";
+import { durationSchema } from "../common/plans/duration.ts";
+import { checkDocument } from "../common/plans/findings.ts";
+import type { IFinding } from "../common/plans/types.ts";
+import { AnswerKind, ServiceKind } from "../common/types.ts";
+import type {
+  IOperationDefinition,
+  IServiceDefinition,
+  ServiceName,
+} from "../common/types.ts";
+
+const addressSchema = z
+  .string()
+  .regex(/^(\[[0-9a-fA-F:]+\]|[\d.]+):\d{1,5}$/, "expected IP:PORT");
+
+const operationSchema = z.strictObject({
+  answer: z.enum(AnswerKind).default(AnswerKind.Buffered),
+  repeatable: z.boolean().default(true),
+});
+
+const serviceSchema = z.discriminatedUnion("kind", [
+  z.strictObject({
+    kind: z.literal(ServiceKind.Engine),
+    model: z.string().min(1),
+    operations: z.record(z.string().min(1), operationSchema),
+  }),
+  z.strictObject({
+    kind: z.literal(ServiceKind.Plain),
+    operations: z.record(z.string().min(1), operationSchema),
+  }),
+]);
+
+const groupsSchema = z.strictObject({
+  members: z.number().int().positive().default(4),
+  /** Share of each domain's engines held back as spares, 0 to 0.5. */
+  spare_share: z.number().min(0).max(0.5).default(0),
+  lease: durationSchema.default(5_000),
+  takeover_margin: durationSchema.default(2_000),
+  renew_every: durationSchema.default(1_500),
+  freshness: durationSchema.default(2_000),
+  replace_after: durationSchema.default(4_000),
+});
+
+const pollingSchema = z.strictObject({
+  targets: durationSchema.default(500),
+  timeout: durationSchema.default(1_000),
+  instances: durationSchema.default(1_000),
+  domains: durationSchema.default(1_000),
+});
+
+const settingsSchema = z.strictObject({
+  daemon: z.strictObject({
+    name: z.string().min(1),
+    zone: z.string().min(1),
+    callers: addressSchema,
+    peers: addressSchema,
+    operations: addressSchema,
+  }),
+  platform: z.strictObject({ address: addressSchema }),
+  services: z.record(z.string().min(1), serviceSchema),
+  groups: groupsSchema.prefault({}),
+  polling: pollingSchema.prefault({}),
+});
+
+/** Settings as checked; durations are milliseconds. */
+export type Settings = z.infer<typeof settingsSchema>;
+
+/** Checks settings, reporting every finding with its place. */
+export function checkSettings(
+  source: string,
+  text: string,
+): Result<Settings, readonly IFinding[]> {
+  return checkDocument<Settings>(
+    source,
+    text,
+    settingsSchema as z.ZodType<Settings>,
+  );
+}
+
+/** Reads and checks a settings file. */
+export function loadSettings(
+  path: string,
+): Result<Settings, readonly IFinding[]> {
+  try {
+    return checkSettings(path, readFileSync(path, "utf8"));
+  } catch (error) {
+    const message = `cannot be read: ${String(error)}`;
+    return Err([{ source: path, line: 1, column: 1, path: "", message }]);
+  }
+}
+
+/** The services of the settings, as the rest of the program knows them. */
+export function serviceDefinitions(
+  settings: Settings,
+): ReadonlyMap<ServiceName, IServiceDefinition> {
+  const found = new Map<ServiceName, IServiceDefinition>();
+  for (const [name, service] of Object.entries(settings.services)) {
+    const operations = new Map<string, IOperationDefinition>();
+    for (const [operation, definition] of Object.entries(service.operations)) {
+      operations.set(operation, { name: operation, ...definition });
+    }
+    const model = service.kind === ServiceKind.Engine ? service.model : "";
+    found.set(name, { name, kind: service.kind, model, operations });
+  }
+  return found;
+}
--- /dev/null
+++ b/src/stand_ins/engine_member/engine_member.ts
@@ -0,0 +1,284 @@
+/** A model engine member, as a stand-in: four of them make one replica. */
+import { randomUUID } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request as call } from "undici";
+import { OrderKind } from "../../common/services/services.ts";
+import type {
+  IEngineCall,
+  IEngineOrder,
+} from "../../common/services/services.ts";
+import { TargetState } from "../../common/types.ts";
+import type { IGroupMembership, ITargetReport } from "../../common/types.ts";
+import { JsonServer, ok, refuse } from "../shared/json_server.ts";
+import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
+import { tokenText } from "./text.ts";
+import { Fencing } from "./types.ts";
+import type { IEngineDeed, IEngineOptions } from "./types.ts";
+
+const STATUS_NOT_FOUND = 404;
+const STATUS_REFUSED = 409;
+const STATUS_UNAVAILABLE = 503;
+
+/** How often the other members are asked while a request runs. */
+const MEMBER_CHECK_EVERY = 100;
+const MEMBER_CHECK_TIMEOUT = 500;
+
+interface IMembership extends IGroupMembership {
+  readonly model: string;
+  readonly members: readonly string[];
+}
+
+interface IWork {
+  readonly requestId: string;
+  readonly group: string;
+  readonly generation: number;
+}
+
+/** One instance of the model engine. */
+export class EngineMember {
+  readonly #options: IEngineOptions;
+  readonly #incarnation = randomUUID();
+  readonly #deeds: IEngineDeed[] = [];
+  readonly #server = new JsonServer((request) => this.#handle(request));
+  #state = TargetState.Free;
+  #membership: IMembership | null = null;
+  #model = "";
+  #highestEpoch = 0;
+  #running = 0;
+  #reported = { running: 0, tokens: 0 };
+  #tokens = 0;
+
+  constructor(options: IEngineOptions) {
+    this.#options = options;
+  }
+
+  listen(address: string): Promise<string> {
+    setInterval(() => this.#takeReport(), this.#options.reportLag).unref();
+    return this.#server.listen(address);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#server[Symbol.asyncDispose]();
+  }
+
+  #handle(request: IJsonRequest): Promise<IJsonAnswer | null> | IJsonAnswer {
+    switch (request.parts[0]) {
+      case "report":
+        return ok(this.#report());
+      case "orders":
+        return this.#order(request.body as IEngineOrder);
+      case "generate":
+        return this.#generate(request.body as IEngineCall, request.response);
+      case "work":
+        return this.#work(request.body as IWork);
+      case "leave":
+        this.#state = TargetState.Leaving;
+        return ok({});
+      case "record":
+        return ok({ deeds: this.#deeds });
+      default:
+        return refuse(STATUS_NOT_FOUND, "no such path");
+    }
+  }
+
+  #report(): ITargetReport {
+    const membership = this.#membership;
+    return {
+      instance: this.#options.id,
+      incarnation: this.#incarnation,
+      state: this.#state,
+      membership: membership && {
+        group: membership.group,
+        generation: membership.generation,
+        epoch: membership.epoch,
+        rank: membership.rank,
+      },
+      model: this.#model,
+      running: this.#reported.running,
+      queued: 0,
+      tokens: this.#reported.tokens,
+      lag: this.#options.reportLag,
+    };
+  }
+
+  #takeReport(): void {
+    this.#reported = { running: this.#running, tokens: this.#tokens };
+  }
+
+  #order(order: IEngineOrder): IJsonAnswer {
+    const isOld = order.epoch < this.#highestEpoch;
+    if (isOld && this.#options.fencing === Fencing.Refuse) {
+      this.#keep("refused", order, "");
+      return refuse(STATUS_REFUSED, `epoch ${order.epoch} is superseded`);
+    }
+    if (this.#state === TargetState.Leaving) {
+      return refuse(STATUS_UNAVAILABLE, "leaving");
+    }
+    this.#highestEpoch = Math.max(this.#highestEpoch, order.epoch);
+    if (order.kind === OrderKind.Release) {
+      this.#membership = null;
+      this.#state = TargetState.Free;
+      this.#keep("released", order, "");
+      return ok({});
+    }
+    this.#join(order);
+    return ok({});
+  }
+
+  #join(order: IEngineOrder): void {
+    const { group, generation, epoch, rank, model, members } = order;
+    this.#membership = { group, generation, epoch, rank, model, members };
+    this.#keep("joined", order, "");
+    if (this.#model === model) {
+      this.#state = TargetState.Ready;
+      return;
+    }
+    this.#state = TargetState.Loading;
+    const joined = this.#membership;
+    setTimeout(() => {
+      if (this.#membership === joined) {
+        this.#model = model;
+        this.#state = TargetState.Ready;
+      }
+    }, this.#options.loadTime);
+  }
+
+  /** Another member asks this one to take part in a request. */
+  #work(work: IWork): IJsonAnswer {
+    const membership = this.#membership;
+    const isOurs =
+      membership?.group === work.group &&
+      membership.generation === work.generation;
+    if (!isOurs || !this.#isServing) {
+      return refuse(STATUS_REFUSED, "not a member of that group");
+    }
+    this.#keep("worked", { ...work, epoch: membership.epoch }, work.requestId);
+    return ok({});
+  }
+
+  get #isServing(): boolean {
+    return (
+      this.#state === TargetState.Ready || this.#state === TargetState.Leaving
+    );
+  }
+
+  async #generate(
+    wanted: IEngineCall,
+    response: ServerResponse,
+  ): Promise<IJsonAnswer | null> {
+    const membership = this.#membership;
+    const isNamed =
+      membership?.group === wanted.group &&
+      membership.generation === wanted.generation;
+    if (membership === null || !this.#isServing) {
+      return refuse(STATUS_UNAVAILABLE, "in no group");
+    }
+    if (!isNamed && this.#options.fencing === Fencing.Refuse) {
+      return refuse(STATUS_REFUSED, "another group or generation");
+    }
+    if (this.#state === TargetState.Leaving) {
+      return refuse(STATUS_UNAVAILABLE, "leaving");
+    }
+    if (!(await this.#askMembers(membership, wanted.requestId))) {
+      return refuse(STATUS_UNAVAILABLE, "a member is missing");
+    }
+    await this.#run(wanted, membership, response);
+    return null;
+  }
+
+  async #run(
+    wanted: IEngineCall,
+    membership: IMembership,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#running += 1;
+    this.#keep("began", membership, wanted.requestId);
+    let isBroken = false;
+    const check = setInterval(() => {
+      void this.#askMembers(membership, wanted.requestId).then((isWhole) => {
+        isBroken ||= !isWhole;
+      });
+    }, MEMBER_CHECK_EVERY);
+    await sleep(this.#options.firstTokenTime);
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    let sequence = wanted.resumeFrom;
+    while (
+      sequence < wanted.maximumTokens &&
+      !isBroken &&
+      !response.destroyed
+    ) {
+      const text = tokenText(wanted.prompt, sequence);
+      response.write(eventOf(wanted, membership, { sequence, text }));
+      sequence += 1;
+      this.#tokens += 1;
+      await sleep(this.#tokenTime);
+    }
+    clearInterval(check);
+    this.#running -= 1;
+    this.#tokens -= sequence - wanted.resumeFrom;
+    if (isBroken) {
+      response.destroy();
+      return;
+    }
+    const end = { sequence, text: "" };
+    response.end(`event: end\n${eventOf(wanted, membership, end)}`);
+    this.#keep("ended", membership, wanted.requestId);
+  }
+
+  get #tokenTime(): number {
+    const others = Math.max(0, this.#running - 1);
+    return this.#options.tokenTime + others * this.#options.batchTime;
+  }
+
+  /** Whether every other member takes part. */
+  async #askMembers(
+    membership: IMembership,
+    requestId: string,
+  ): Promise<boolean> {
+    const { group, generation, members } = membership;
+    const others = members.filter((_, rank) => rank !== membership.rank);
+    const body = JSON.stringify({ requestId, group, generation });
+    const answers = await Promise.all(
+      others.map((address) => askMember(address, body)),
+    );
+    return answers.every((isPresent) => isPresent);
+  }
+
+  #keep(
+    kind: IEngineDeed["kind"],
+    token: { group: string; generation: number; epoch: number },
+    requestId: string,
+  ): void {
+    const { group, generation, epoch } = token;
+    const at = Date.now();
+    this.#deeds.push({ kind, at, group, generation, epoch, requestId });
+  }
+}
+
+async function askMember(address: string, body: string): Promise<boolean> {
+  try {
+    const answer = await call(`http://${address}/work`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body,
+      headersTimeout: MEMBER_CHECK_TIMEOUT,
+      bodyTimeout: MEMBER_CHECK_TIMEOUT,
+    });
+    await answer.body.dump();
+    return answer.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
+
+function eventOf(
+  wanted: IEngineCall,
+  membership: IMembership,
+  token: { readonly sequence: number; readonly text: string },
+): string {
+  const { group, generation } = membership;
+  const { requestId } = wanted;
+  const data = JSON.stringify({ requestId, group, generation, ...token });
+  return `data: ${data}\n\n`;
+}
--- /dev/null
+++ b/src/stand_ins/engine_member/main.ts
@@ -0,0 +1,47 @@
+/** The engine member stand-in's own process. */
+import { parseArgs } from "node:util";
+import { InstanceState, ServiceKind } from "../../common/types.ts";
+import { announce, exitOnSignal } from "../shared/program.ts";
+import { registerInstance } from "../shared/register.ts";
+import { EngineMember } from "./engine_member.ts";
+import { Fencing } from "./types.ts";
+
+const { values } = parseArgs({
+  options: {
+    listen: { type: "string", default: "127.0.0.1:0" },
+    platform: { type: "string", default: "" },
+    id: { type: "string", default: "engine" },
+    zone: { type: "string", default: "zone" },
+    domain: { type: "string", default: "domain" },
+    fencing: { type: "string", default: Fencing.Refuse },
+    "load-time": { type: "string", default: "200" },
+    "first-token": { type: "string", default: "10" },
+    "token-time": { type: "string", default: "5" },
+    "batch-time": { type: "string", default: "1" },
+    "report-lag": { type: "string", default: "200" },
+  },
+});
+
+exitOnSignal();
+const member = new EngineMember({
+  id: values.id,
+  fencing: values.fencing === Fencing.Ignore ? Fencing.Ignore : Fencing.Refuse,
+  loadTime: Number(values["load-time"]),
+  firstTokenTime: Number(values["first-token"]),
+  tokenTime: Number(values["token-time"]),
+  batchTime: Number(values["batch-time"]),
+  reportLag: Number(values["report-lag"]),
+});
+const address = await member.listen(values.listen);
+if (values.platform !== "") {
+  await registerInstance(values.platform, {
+    id: values.id,
+    zone: values.zone,
+    domain: values.domain,
+    address,
+    state: InstanceState.Live,
+    kind: ServiceKind.Engine,
+    service: "",
+  });
+}
+announce({ address });
--- /dev/null
+++ b/src/stand_ins/engine_member/text.ts
@@ -0,0 +1,38 @@
+/** The deterministic text of the stand-in engine. */
+
+const WORDS: readonly string[] = [
+  "river",
+  "market",
+  "signal",
+  "harbour",
+  "council",
+  "season",
+  "bridge",
+  "ledger",
+];
+
+const HASH_START = 2_166_136_261;
+const HASH_FACTOR = 16_777_619;
+
+/**
+ * The text of one token. It depends on prompt and place only, so that a
+ * stream resumed on another group goes on with the very same words.
+ */
+export function tokenText(prompt: string, sequence: number): string {
+  let hash = HASH_START;
+  for (const character of `${sequence}:${prompt}`) {
+    hash ^= character.codePointAt(0) ?? 0;
+    hash = Math.imul(hash, HASH_FACTOR) >>> 0;
+  }
+  const word = WORDS[hash % WORDS.length] ?? "";
+  return sequence === 0 ? word : ` ${word}`;
+}
+
+/** The whole text of an answer. */
+export function wholeText(prompt: string, tokens: number): string {
+  const parts = [];
+  for (let sequence = 0; sequence < tokens; sequence++) {
+    parts.push(tokenText(prompt, sequence));
+  }
+  return parts.join("");
+}
--- /dev/null
+++ b/src/stand_ins/engine_member/types.ts
@@ -0,0 +1,33 @@
+/** What an engine member is told, and what it keeps of what it did. */
+
+/** How an engine treats orders that carry an old fencing number. */
+export enum Fencing {
+  Refuse = "refuse",
+  Ignore = "ignore",
+}
+
+/** Options of an engine member; times in milliseconds. */
+export interface IEngineOptions {
+  readonly id: string;
+  readonly fencing: Fencing;
+  /** How long loading a model's weights takes. */
+  readonly loadTime: number;
+  readonly firstTokenTime: number;
+  /** Time between tokens with one request running. */
+  readonly tokenTime: number;
+  /** Added to the time between tokens for each further request. */
+  readonly batchTime: number;
+  /** How old the load figures of a report are. */
+  readonly reportLag: number;
+}
+
+/** One thing an engine did, kept so that proofs can judge by it. */
+export interface IEngineDeed {
+  readonly kind:
+    "joined" | "released" | "refused" | "began" | "worked" | "ended";
+  readonly at: number;
+  readonly group: string;
+  readonly generation: number;
+  readonly epoch: number;
+  readonly requestId: string;
+}
--- /dev/null
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -0,0 +1,133 @@
+/** A TCP proxy that brings about the failures of a network. */
+import { connect, createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { addressOfServer, splitAddress } from "../../adapters/listen.ts";
+
+/** What happens to the bytes of a link. */
+export enum LinkMode {
+  Pass = "pass",
+  /** Open connections are reset and new ones refused. */
+  Cut = "cut",
+  /** Connections are accepted, and nothing passes any more. */
+  Silent = "silent",
+  /** Open connections go silent for good; new ones pass. */
+  SilentOld = "silent_old",
+  /** Requests pass; answers do not. */
+  NoAnswers = "no_answers",
+  /** Answers pass; requests do not. */
+  NoRequests = "no_requests",
+  /** The next answer is lost: its connection is reset in its place. */
+  LoseAnswer = "lose_answer",
+}
+
+interface IPair {
+  readonly client: Socket;
+  readonly target: Socket;
+  isSilenced: boolean;
+}
+
+/** One link: listens on a port of its own and passes on to one target. */
+export class FaultProxy {
+  readonly #target: string;
+  readonly #server: Server;
+  readonly #pairs = new Set<IPair>();
+  #mode = LinkMode.Pass;
+  #delay = 0;
+
+  /** @param target - `host:port` that connections are passed on to */
+  constructor(target: string) {
+    this.#target = target;
+    this.#server = createServer({ allowHalfOpen: true }, (client) =>
+      this.#accept(client),
+    );
+  }
+
+  listen(address: string): Promise<string> {
+    return addressOfServer(this.#server, address);
+  }
+
+  /** @param delay - milliseconds added in each direction */
+  setMode(mode: LinkMode, delay = 0): void {
+    this.#delay = delay;
+    this.#mode = mode;
+    if (mode === LinkMode.SilentOld) {
+      this.#pairs.forEach((pair) => {
+        pair.isSilenced = true;
+      });
+      this.#mode = LinkMode.Pass;
+    }
+    if (mode === LinkMode.Cut) {
+      this.#pairs.forEach(reset);
+    }
+  }
+
+  /** Connections open through this link. */
+  get connections(): number {
+    return this.#pairs.size;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#pairs.forEach(reset);
+    this.#server.close();
+  }
+
+  #accept(client: Socket): void {
+    if (this.#mode === LinkMode.Cut) {
+      client.resetAndDestroy();
+      return;
+    }
+    const { host, port } = splitAddress(this.#target);
+    const target = connect({ host, port, allowHalfOpen: true });
+    const pair: IPair = { client, target, isSilenced: false };
+    this.#pairs.add(pair);
+    client.on("data", (bytes) => this.#toTarget(pair, bytes));
+    target.on("data", (bytes) => this.#toClient(pair, bytes));
+    client.on("end", () => target.end());
+    target.on("end", () => client.end());
+    for (const socket of [client, target]) {
+      socket.on("error", () => reset(pair));
+      socket.on("close", () => this.#closed(pair));
+    }
+  }
+
+  #toTarget(pair: IPair, bytes: Buffer): void {
+    if (!this.#isSilent(pair) && this.#mode !== LinkMode.NoRequests) {
+      this.#later(() => pair.target.write(bytes));
+    }
+  }
+
+  #toClient(pair: IPair, bytes: Buffer): void {
+    if (this.#mode === LinkMode.LoseAnswer) {
+      this.#mode = LinkMode.Pass;
+      reset(pair);
+      return;
+    }
+    if (!this.#isSilent(pair) && this.#mode !== LinkMode.NoAnswers) {
+      this.#later(() => pair.client.write(bytes));
+    }
+  }
+
+  #isSilent(pair: IPair): boolean {
+    return pair.isSilenced || this.#mode === LinkMode.Silent;
+  }
+
+  #later(send: () => void): void {
+    if (this.#delay === 0) {
+      send();
+    } else {
+      setTimeout(send, this.#delay);
+    }
+  }
+
+  #closed(pair: IPair): void {
+    this.#pairs.delete(pair);
+    if (!pair.isSilenced) {
+      reset(pair);
+    }
+  }
+}
+
+function reset(pair: IPair): void {
+  pair.client.resetAndDestroy();
+  pair.target.resetAndDestroy();
+}
--- /dev/null
+++ b/src/stand_ins/fault_proxy/main.ts
@@ -0,0 +1,35 @@
+/** The fault proxy's own process: links are made and changed over HTTP. */
+import { parseArgs } from "node:util";
+import { JsonServer, ok, refuse } from "../shared/json_server.ts";
+import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
+import { announce, exitOnSignal } from "../shared/program.ts";
+import { FaultProxy, LinkMode } from "./fault_proxy.ts";
+
+const { values } = parseArgs({
+  options: { listen: { type: "string", default: "127.0.0.1:0" } },
+});
+
+const links = new Map<string, FaultProxy>();
+
+/** `POST /links {target}` makes a link; `PUT /links/NAME {mode, delay}`. */
+async function handle(request: IJsonRequest): Promise<IJsonAnswer> {
+  const body = request.body as Record<string, unknown> | null;
+  const name = request.parts[1];
+  if (request.method === "POST") {
+    const link = new FaultProxy(String(body?.target));
+    const address = await link.listen("127.0.0.1:0");
+    links.set(address, link);
+    return ok({ address });
+  }
+  const link = links.get(name ?? "");
+  const mode = Object.values(LinkMode).find((known) => known === body?.mode);
+  if (link === undefined || mode === undefined) {
+    return refuse(404, "no such link or mode");
+  }
+  link.setMode(mode, Number(body?.delay ?? 0));
+  return ok({ connections: link.connections });
+}
+
+exitOnSignal();
+const server = new JsonServer(handle);
+announce({ address: await server.listen(values.listen) });
--- /dev/null
+++ b/src/stand_ins/object_api/object_api_server.ts
@@ -0,0 +1,133 @@
+/** The platform's object API and instance list, as a stand-in. */
+import type { IInstance } from "../../common/types.ts";
+import { JsonServer, ok, refuse } from "../shared/json_server.ts";
+import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
+import { MAXIMUM_VALUE_BYTES, ObjectStore } from "./object_store.ts";
+import type { WriteResult } from "./object_store.ts";
+
+const STATUS_NOT_FOUND = 404;
+const STATUS_CONFLICT = 412;
+const STATUS_TOO_LARGE = 413;
+const LONGEST_WATCH = 60_000;
+
+/** Calls taken so far, by kind of call and of object. */
+export type CallCounts = Readonly<Record<string, number>>;
+
+/** Options of the stand-in. */
+export interface IObjectApiOptions {
+  /** How far the instance list lags behind, milliseconds. */
+  readonly instanceLag: number;
+}
+
+/** Serves an {@link ObjectStore} and a lagging list of instances. */
+export class ObjectApiServer {
+  readonly #options: IObjectApiOptions;
+  readonly #store = new ObjectStore();
+  readonly #instances = new Map<string, IInstance>();
+  #listed: readonly IInstance[] = [];
+  readonly #counts = new Map<string, number>();
+  readonly #server = new JsonServer((request) => this.#handle(request));
+
+  constructor(options: IObjectApiOptions) {
+    this.#options = options;
+  }
+
+  listen(address: string): Promise<string> {
+    return this.#server.listen(address);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#server[Symbol.asyncDispose]();
+  }
+
+  #handle(request: IJsonRequest): Promise<IJsonAnswer> | IJsonAnswer {
+    const [area, kind = "", name] = request.parts;
+    this.#count(`${request.method} ${area} ${kind}`);
+    switch (area) {
+      case "objects":
+        return name === undefined
+          ? this.#list(kind)
+          : this.#object(request, kind, name);
+      case "watch":
+        return this.#watch(request, kind);
+      case "instances":
+        return this.#instanceCall(request, kind);
+      case "counts":
+        return ok(Object.fromEntries(this.#counts));
+      default:
+        return refuse(STATUS_NOT_FOUND, "no such path");
+    }
+  }
+
+  #list(kind: string): IJsonAnswer {
+    const objects = this.#store.changedAfter(kind, -1);
+    return ok({ version: this.#store.version, objects });
+  }
+
+  #object(request: IJsonRequest, kind: string, name: string): IJsonAnswer {
+    const expected = expectedVersion(request);
+    switch (request.method) {
+      case "GET": {
+        const object = this.#store.read(kind, name);
+        return object ? ok(object) : refuse(STATUS_NOT_FOUND, "no such object");
+      }
+      case "PUT": {
+        const value = request.body;
+        if (JSON.stringify(value).length > MAXIMUM_VALUE_BYTES) {
+          return refuse(STATUS_TOO_LARGE, "value too large");
+        }
+        return answerWrite(this.#store.write({ kind, name, value }, expected));
+      }
+      case "DELETE":
+        return answerWrite(this.#store.remove(kind, name, expected ?? -1));
+      default:
+        return refuse(STATUS_NOT_FOUND, "no such method");
+    }
+  }
+
+  async #watch(request: IJsonRequest, kind: string): Promise<IJsonAnswer> {
+    const after = Number(request.query.get("after") ?? 0);
+    const asked = Number(request.query.get("timeout_ms") ?? 0);
+    const until = Date.now() + Math.min(asked, LONGEST_WATCH);
+    let objects = this.#store.changedAfter(kind, after);
+    while (objects.length === 0 && Date.now() < until) {
+      await this.#store.waitForWrite(until - Date.now());
+      objects = this.#store.changedAfter(kind, after);
+    }
+    const version = objects.at(-1)?.version ?? after;
+    return ok({ version, objects });
+  }
+
+  #instanceCall(request: IJsonRequest, id: string): IJsonAnswer {
+    if (request.method === "PUT") {
+      this.#instances.set(id, request.body as IInstance);
+      this.#publishLater();
+    } else if (request.method === "DELETE") {
+      this.#instances.delete(id);
+      this.#publishLater();
+    }
+    return ok({ instances: this.#listed });
+  }
+
+  #publishLater(): void {
+    const now = [...this.#instances.values()];
+    setTimeout(() => {
+      this.#listed = now;
+    }, this.#options.instanceLag);
+  }
+
+  #count(key: string): void {
+    this.#counts.set(key, (this.#counts.get(key) ?? 0) + 1);
+  }
+}
+
+function expectedVersion(request: IJsonRequest): number | null {
+  const match = request.headers["if-match"];
+  return match === undefined ? null : Number(match);
+}
+
+function answerWrite(result: WriteResult): IJsonAnswer {
+  const { version } = result;
+  const status = result.kind === "written" ? 200 : STATUS_CONFLICT;
+  return { status, body: { version } };
+}
--- /dev/null
+++ b/src/stand_ins/shared/json_server.ts
@@ -0,0 +1,86 @@
+/** A small JSON-over-HTTP server for the stand-ins. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { addressOfServer } from "../../adapters/listen.ts";
+import { readBody } from "../../adapters/callers/read_body.ts";
+
+/** Larger than the platform's bound, so that the stand-in checks it itself. */
+const MAXIMUM_BODY_BYTES = 4_000_000;
+
+/** A request as the handlers see it. */
+export interface IJsonRequest {
+  readonly method: string;
+  /** Path split at slashes, each part decoded. */
+  readonly parts: readonly string[];
+  readonly query: URLSearchParams;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: unknown;
+  readonly response: ServerResponse;
+}
+
+/** A JSON answer, or null when the handler has written one itself. */
+export interface IJsonAnswer {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Answers one request. */
+export type JsonHandler = (
+  request: IJsonRequest,
+) => Promise<IJsonAnswer | null> | IJsonAnswer | null;
+
+/** Serves one handler for all paths. */
+export class JsonServer {
+  readonly #handler: JsonHandler;
+  readonly #server: Server;
+
+  constructor(handler: JsonHandler) {
+    this.#handler = handler;
+    this.#server = createServer(
+      (incoming, response) => void this.#serve(incoming, response),
+    );
+  }
+
+  /** Listens on `host:port` and returns the address taken. */
+  listen(address: string): Promise<string> {
+    return addressOfServer(this.#server, address);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(incoming.url ?? "/", "http://stand-in");
+    const parts = url.pathname.split("/").slice(1).map(decodeURIComponent);
+    const body = await readBody(incoming, MAXIMUM_BODY_BYTES);
+    const answer = body.isErr()
+      ? { status: 400, body: { error: body.error } }
+      : await this.#handler({
+          method: incoming.method ?? "GET",
+          parts,
+          query: url.searchParams,
+          headers: incoming.headers,
+          body: body.value.content,
+          response,
+        });
+    if (answer !== null) {
+      response.writeHead(answer.status, { "content-type": "application/json" });
+      response.end(JSON.stringify(answer.body));
+    }
+  }
+}
+
+/** A 200 answer. */
+export function ok(body: unknown): IJsonAnswer {
+  return { status: 200, body };
+}
+
+/** An answer that nothing was done. */
+export function refuse(status: number, error: string): IJsonAnswer {
+  return { status, body: { error } };
+}
--- /dev/null
+++ b/test/support/caller.ts
@@ -0,0 +1,82 @@
+/** A caller of the deployment under test. */
+import { createParser } from "eventsource-parser";
+import { request } from "undici";
+
+/** What a caller asks for. */
+export interface ICall {
+  readonly address: string;
+  readonly credential: string;
+  /** Service and operation, as `summarizer/headline`. */
+  readonly operation: string;
+  readonly body: unknown;
+  readonly key?: string;
+  readonly requestId?: string;
+}
+
+/** A buffered answer or a refusal, as the caller sees it. */
+export interface IReply {
+  readonly status: number;
+  readonly body: {
+    readonly request_id: string;
+    readonly outcome: string;
+    readonly reason?: string;
+    readonly answer?: unknown;
+    readonly retry_after_ms?: number;
+  };
+}
+
+/** A stream as the caller sees it. */
+export interface IStreamReply {
+  readonly status: number;
+  readonly text: string;
+  readonly isWhole: boolean;
+  readonly wasReset: boolean;
+}
+
+/** Asks for a buffered answer. */
+export async function ask(call: ICall): Promise<IReply> {
+  const answer = await send(call);
+  const body = (await answer.body.json()) as IReply["body"];
+  return { status: answer.statusCode, body };
+}
+
+/** Asks for a stream and reads it to its end. */
+export async function askStream(call: ICall): Promise<IStreamReply> {
+  const answer = await send(call);
+  let text = "";
+  let isWhole = false;
+  const parser = createParser({
+    onEvent: (event) => {
+      if (event.event === "end") {
+        isWhole = true;
+      } else {
+        text += (JSON.parse(event.data) as { text: string }).text;
+      }
+    },
+  });
+  const { statusCode: status } = answer;
+  try {
+    const decoder = new TextDecoder();
+    for await (const chunk of answer.body) {
+      parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+    }
+  } catch {
+    return { status, text, isWhole, wasReset: true };
+  }
+  return { status, text, isWhole, wasReset: false };
+}
+
+function send(call: ICall) {
+  return request(`http://${call.address}/v1/services/${call.operation}`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${call.credential}`,
+      "content-type": "application/json",
+      ...(call.key === undefined ? {} : { "idempotency-key": call.key }),
+      ...(call.requestId === undefined
+        ? {}
+        : { "x-request-id": call.requestId }),
+    },
+    body: JSON.stringify(call.body),
+  });
+}
--- /dev/null
+++ b/test/support/deployment.ts
@@ -0,0 +1,216 @@
+/** A small deployment of real processes: platform, targets and daemons. */
+import { readFileSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { parse, stringify } from "yaml";
+import { request } from "undici";
+import { ProcessHandle, waitFor } from "./process_handle.ts";
+
+/** What is started, zone by zone. */
+export interface IDeploymentPlan {
+  /** Folder under examples/ with lists and settings. */
+  readonly example: "song_lam" | "hormas";
+  readonly zones: readonly string[];
+  readonly daemonsPerZone: number;
+  readonly enginesPerZone: number;
+  /** The plain service, one instance a zone. */
+  readonly plainService: string;
+  readonly engineArguments?: readonly string[];
+  readonly serviceArguments?: readonly string[];
+  /** Overrides for the settings' `groups` and `polling`. */
+  readonly groups?: object;
+  readonly polling?: object;
+  /** The platform's address as one daemon sees it, such as through a proxy. */
+  readonly platformAddress?: (daemon: string, direct: string) => string;
+}
+
+/** A daemon's status as its operations address gives it. */
+export interface IStatus {
+  readonly ready: boolean;
+  readonly id: string;
+  readonly lists: readonly { list: string; version: number }[];
+  readonly groups: readonly {
+    id: string;
+    generation: number;
+    members: readonly string[];
+    complete: boolean;
+  }[];
+  readonly domains: readonly {
+    domain: string;
+    holder: string | null;
+    epoch: number;
+    holding: boolean;
+  }[];
+}
+
+/** The running processes, by name. */
+export class Deployment {
+  readonly #plan: IDeploymentPlan;
+  readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-"));
+  readonly #processes = new Map<string, ProcessHandle>();
+
+  private constructor(plan: IDeploymentPlan) {
+    this.#plan = plan;
+  }
+
+  /** Starts everything, and waits until groups are complete everywhere. */
+  static async start(plan: IDeploymentPlan): Promise<Deployment> {
+    const deployment = new Deployment(plan);
+    try {
+      await deployment.#startAll();
+    } catch (error) {
+      await deployment[Symbol.asyncDispose]();
+      throw error;
+    }
+    return deployment;
+  }
+
+  get platformAddress(): string {
+    return this.process("platform").field("address");
+  }
+
+  /** Names of processes that start with a prefix. */
+  names(prefix: string): readonly string[] {
+    return [...this.#processes.keys()].filter((name) =>
+      name.startsWith(prefix),
+    );
+  }
+
+  process(name: string): ProcessHandle {
+    const found = this.#processes.get(name);
+    if (found === undefined) {
+      throw new Error(`no process ${name}`);
+    }
+    return found;
+  }
+
+  async status(daemon: string): Promise<IStatus> {
+    const address = this.process(daemon).field("operations");
+    const answer = await request(`http://${address}/status`);
+    return (await answer.body.json()) as IStatus;
+  }
+
+  /** What a stand-in keeps of what it did. */
+  async record<T>(target: string): Promise<T> {
+    const address = this.process(target).field("address");
+    const answer = await request(`http://${address}/record`);
+    return (await answer.body.json()) as T;
+  }
+
+  /** Starts one more daemon, or one again after it was stopped. */
+  async startDaemon(name: string, zone: string): Promise<ProcessHandle> {
+    const text = readFileSync(this.#example("entry.yaml"), "utf8");
+    const settings = parse(text) as Record<string, object>;
+    const direct = this.platformAddress;
+    const platform = this.#plan.platformAddress?.(name, direct) ?? direct;
+    const any = "127.0.0.1:0";
+    const path = join(this.#folder, `${name}.yaml`);
+    const written = {
+      ...settings,
+      daemon: { name, zone, callers: any, peers: any, operations: any },
+      platform: { address: platform },
+      groups: { ...settings["groups"], spare_share: 0, ...this.#plan.groups },
+      polling: { targets: "100ms", ...this.#plan.polling },
+    };
+    writeFileSync(path, stringify(written));
+    return this.#keep(name, "daemon/main.js", [path]);
+  }
+
+  async startEngine(name: string, zone: string): Promise<ProcessHandle> {
+    return this.#keep(name, "stand_ins/engine_member/main.js", [
+      ...this.#identity(name, zone),
+      ...(this.#plan.engineArguments ?? []),
+    ]);
+  }
+
+  async startService(name: string, zone: string): Promise<ProcessHandle> {
+    return this.#keep(name, "stand_ins/plain_service/main.js", [
+      ...this.#identity(name, zone),
+      "--service",
+      this.#plan.plainService,
+      ...(this.#plan.serviceArguments ?? []),
+    ]);
+  }
+
+  /** Runs the command-line tool; resolves with its exit code and output. */
+  async run(
+    ...words: readonly string[]
+  ): Promise<{ code: number; output: string }> {
+    const { execFile } = await import("node:child_process");
+    const main = new URL("../../dist/src/command_line/main.js", import.meta.url)
+      .pathname;
+    return new Promise((resolve) => {
+      execFile(process.execPath, [main, ...words], (error, stdout, stderr) => {
+        const code = typeof error?.code === "number" ? error.code : 0;
+        resolve({ code, output: stdout + stderr });
+      });
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const processes = [...this.#processes.values()];
+    await Promise.all(processes.map((entry) => entry[Symbol.asyncDispose]()));
+    rmSync(this.#folder, { recursive: true });
+  }
+
+  async #startAll(): Promise<void> {
+    const plan = this.#plan;
+    await this.#keep("platform", "stand_ins/object_api/main.js", []);
+    await this.#applyLists();
+    const starting: Promise<ProcessHandle>[] = [];
+    for (const zone of plan.zones) {
+      for (let index = 0; index < plan.enginesPerZone; index++) {
+        starting.push(this.startEngine(`engine-${zone}-${index}`, zone));
+      }
+      starting.push(this.startService(`service-${zone}`, zone));
+      for (let index = 0; index < plan.daemonsPerZone; index++) {
+        starting.push(this.startDaemon(`daemon-${zone}-${index}`, zone));
+      }
+    }
+    await Promise.all(starting);
+    await this.allServe();
+  }
+
+  /** Waits until every daemon is ready and sees complete groups. */
+  async allServe(): Promise<void> {
+    for (const daemon of this.names("daemon-")) {
+      await waitFor(`${daemon} sees complete groups`, async () => {
+        const { ready, groups } = await this.status(daemon);
+        return ready && groups.length > 0 && groups.every((g) => g.complete);
+      });
+    }
+  }
+
+  async #applyLists(): Promise<void> {
+    for (const list of ["customers", "plans"]) {
+      const file = this.#example(`${list}.yaml`);
+      const platform = ["--platform", this.platformAddress];
+      const result = await this.run("apply", list, file, ...platform);
+      if (result.code !== 0) {
+        throw new Error(`apply ${list}: ${result.output}`);
+      }
+    }
+  }
+
+  #identity(name: string, zone: string): string[] {
+    return [
+      ...["--platform", this.platformAddress],
+      ...["--id", name, "--zone", zone, "--domain", `${zone}-fabric`],
+    ];
+  }
+
+  #example(file: string): string {
+    const folder = `../../examples/${this.#plan.example}/${file}`;
+    return new URL(folder, import.meta.url).pathname;
+  }
+
+  async #keep(
+    name: string,
+    program: string,
+    words: readonly string[],
+  ): Promise<ProcessHandle> {
+    const handle = await ProcessHandle.start(name, program, words);
+    this.#processes.set(name, handle);
+    return handle;
+  }
+}
--- /dev/null
+++ b/test/support/process_handle.ts
@@ -0,0 +1,94 @@
+/** One real process under test, and waiting on what can be observed. */
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** Overall bound on any wait, milliseconds; generous, since CI may be busy. */
+const WAIT_BOUND = 60_000;
+const WAIT_STEP = 25;
+
+/** Waits until a condition holds; the description goes into the failure. */
+export async function waitFor(
+  description: string,
+  condition: () => boolean | Promise<boolean>,
+): Promise<void> {
+  const steps = WAIT_BOUND / WAIT_STEP;
+  for (let step = 0; step < steps; step++) {
+    if (await condition()) {
+      return;
+    }
+    await sleep(WAIT_STEP);
+  }
+  throw new Error(`did not come about: ${description}`);
+}
+
+/** A started program, with what it has written so far. */
+export class ProcessHandle {
+  readonly name: string;
+  readonly #child: ChildProcess;
+  #output = "";
+  #hasExited = false;
+
+  private constructor(name: string, child: ChildProcess) {
+    this.name = name;
+    this.#child = child;
+    child.stdout?.on("data", (text) => (this.#output += String(text)));
+    child.stderr?.on("data", (text) => (this.#output += String(text)));
+    child.on("exit", () => (this.#hasExited = true));
+  }
+
+  /** Starts `dist/src/PROGRAM` and waits until it says where it listens. */
+  static async start(
+    name: string,
+    program: string,
+    programArguments: readonly string[],
+  ): Promise<ProcessHandle> {
+    const path = new URL(`../../dist/src/${program}`, import.meta.url);
+    const child = spawn(process.execPath, [path.pathname, ...programArguments]);
+    const handle = new ProcessHandle(name, child);
+    await waitFor(`${name} listens`, () => {
+      if (handle.#hasExited) {
+        throw new Error(`${name} exited: ${handle.#output}`);
+      }
+      return handle.#output.includes("event=listening");
+    });
+    return handle;
+  }
+
+  get output(): string {
+    return this.#output;
+  }
+
+  get hasExited(): boolean {
+    return this.#hasExited;
+  }
+
+  /** A field of the line that says where the program listens. */
+  field(key: string): string {
+    const line = this.#output
+      .split("\n")
+      .find((text) => text.includes("event=listening"));
+    const match = new RegExp(`(?:^| )${key}=(\\S+)`).exec(line ?? "");
+    if (match?.[1] === undefined) {
+      throw new Error(`${this.name} did not say ${key}: ${line}`);
+    }
+    return match[1];
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.#child.kill(name);
+  }
+
+  /** Waits until the process has exited by itself. */
+  exited(): Promise<void> {
+    return waitFor(`${this.name} exits`, () => this.#hasExited);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    if (!this.#hasExited) {
+      this.#child.kill("SIGCONT");
+      this.#child.kill("SIGKILL");
+      await this.exited();
+    }
+  }
+}
