Put a fault-injecting link before every process of a test deployment

Cause: proofs need each connection to be cut or silenced on its own. Ruled out: one proxy for all, which cannot cut one daemon from the platform. Before: links on the platform only. After: platform, peers and targets.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -159,7 +159,7 @@
         daemon: this.#id,
         instance: daemon.name,
         zone: daemon.zone,
-        peerAddress: peers,
+        peerAddress: daemon.peers_advertised ?? peers,
         operationsAddress: operations,
       },
     );
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -58,6 +58,8 @@
     zone: z.string().min(1),
     callers: addressSchema,
     peers: addressSchema,
+    /** Where peers reach this daemon, if not where it listens. */
+    peers_advertised: addressSchema.optional(),
     operations: addressSchema,
   }),
   platform: z.strictObject({ address: addressSchema }),
--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -28,7 +28,7 @@
 
 /** One link: listens on a port of its own and passes on to one target. */
 export class FaultProxy {
-  readonly #target: string;
+  #target: string;
   readonly #server: Server;
   readonly #pairs = new Set<IPair>();
   #mode = LinkMode.Pass;
@@ -42,6 +42,11 @@
     );
   }
 
+  /** Passes new connections on to another address. */
+  retarget(target: string): void {
+    this.#target = target;
+  }
+
   listen(address: string): Promise<string> {
     return addressOfServer(this.#server, address);
   }
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -4,6 +4,9 @@
 import { join } from "node:path";
 import { parse, stringify } from "yaml";
 import { request } from "undici";
+import type { InstanceState, ServiceKind } from "../../src/common/types.ts";
+import { FaultProxy } from "../../src/stand_ins/fault_proxy/fault_proxy.ts";
+import { registerInstance } from "../../src/stand_ins/shared/register.ts";
 import { ProcessHandle, waitFor } from "./process_handle.ts";
 
 /** What is started, zone by zone. */
@@ -20,8 +23,6 @@
   /** Overrides for the settings' `groups` and `polling`. */
   readonly groups?: object;
   readonly polling?: object;
-  /** The platform's address as one daemon sees it, such as through a proxy. */
-  readonly platformAddress?: (daemon: string, direct: string) => string;
 }
 
 /** A daemon's status as its operations address gives it. */
@@ -43,11 +44,17 @@
   }[];
 }
 
-/** The running processes, by name. */
+/**
+ * The running processes, by name. Each daemon reaches the platform through a
+ * link of its own, `platform<DAEMON`, and is reached by its peers through
+ * `peers>DAEMON`; each target is reached through `target>TARGET`.
+ */
 export class Deployment {
   readonly #plan: IDeploymentPlan;
   readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-"));
   readonly #processes = new Map<string, ProcessHandle>();
+  readonly #links = new Map<string, FaultProxy>();
+  readonly #addresses = new Map<string, string>();
 
   private constructor(plan: IDeploymentPlan) {
     this.#plan = plan;
@@ -84,6 +91,15 @@
     return found;
   }
 
+  /** A link by name, to be cut, delayed or silenced. */
+  link(name: string): FaultProxy {
+    const found = this.#links.get(name);
+    if (found === undefined) {
+      throw new Error(`no link ${name}`);
+    }
+    return found;
+  }
+
   async status(daemon: string): Promise<IStatus> {
     const address = this.process(daemon).field("operations");
     const answer = await request(`http://${address}/status`);
@@ -101,35 +117,74 @@
   async startDaemon(name: string, zone: string): Promise<ProcessHandle> {
     const text = readFileSync(this.#example("entry.yaml"), "utf8");
     const settings = parse(text) as Record<string, object>;
-    const direct = this.platformAddress;
-    const platform = this.#plan.platformAddress?.(name, direct) ?? direct;
     const any = "127.0.0.1:0";
+    const platform = await this.#connect(`platform<${name}`);
+    this.link(`platform<${name}`).retarget(this.platformAddress);
+    const advertised = await this.#connect(`peers>${name}`);
     const path = join(this.#folder, `${name}.yaml`);
     const written = {
       ...settings,
-      daemon: { name, zone, callers: any, peers: any, operations: any },
+      daemon: {
+        name,
+        zone,
+        callers: any,
+        peers: any,
+        peers_advertised: advertised,
+        operations: any,
+      },
       platform: { address: platform },
       groups: { ...settings["groups"], spare_share: 0, ...this.#plan.groups },
       polling: { targets: "100ms", ...this.#plan.polling },
     };
     writeFileSync(path, stringify(written));
-    return this.#keep(name, "daemon/main.js", [path]);
+    const handle = await this.#keep(name, "daemon/main.js", [path]);
+    this.link(`peers>${name}`).retarget(handle.field("peers"));
+    return handle;
   }
 
+  /** Starts an engine and puts it on the platform's list. */
   async startEngine(name: string, zone: string): Promise<ProcessHandle> {
-    return this.#keep(name, "stand_ins/engine_member/main.js", [
-      ...this.#identity(name, zone),
+    const handle = await this.#keep(name, "stand_ins/engine_member/main.js", [
+      ...["--id", name],
       ...(this.#plan.engineArguments ?? []),
     ]);
+    await this.register(name, { zone, kind: "engine", service: "" });
+    return handle;
   }
 
+  /** Starts a plain service and puts it on the platform's list. */
   async startService(name: string, zone: string): Promise<ProcessHandle> {
-    return this.#keep(name, "stand_ins/plain_service/main.js", [
-      ...this.#identity(name, zone),
-      "--service",
-      this.#plan.plainService,
+    const handle = await this.#keep(name, "stand_ins/plain_service/main.js", [
+      ...["--id", name],
       ...(this.#plan.serviceArguments ?? []),
     ]);
+    const service = this.#plan.plainService;
+    await this.register(name, { zone, kind: "plain", service });
+    return handle;
+  }
+
+  /** Puts a target on the platform's list, or changes what it says of it. */
+  async register(
+    name: string,
+    entry: {
+      readonly zone: string;
+      readonly kind: "engine" | "plain";
+      readonly service: string;
+      readonly state?: "live" | "leaving";
+      readonly domain?: string;
+    },
+  ): Promise<void> {
+    const address = await this.#connect(`target>${name}`);
+    this.link(`target>${name}`).retarget(this.process(name).field("address"));
+    await registerInstance(this.platformAddress, {
+      id: name,
+      zone: entry.zone,
+      domain: entry.domain ?? `${entry.zone}-fabric`,
+      address,
+      state: (entry.state ?? "live") as InstanceState,
+      kind: entry.kind as ServiceKind,
+      service: entry.service,
+    });
   }
 
   /** Runs the command-line tool; resolves with its exit code and output. */
@@ -150,6 +205,8 @@
   async [Symbol.asyncDispose](): Promise<void> {
     const processes = [...this.#processes.values()];
     await Promise.all(processes.map((entry) => entry[Symbol.asyncDispose]()));
+    const links = [...this.#links.values()];
+    await Promise.all(links.map((link) => link[Symbol.asyncDispose]()));
     rmSync(this.#folder, { recursive: true });
   }
 
@@ -192,11 +249,17 @@
     }
   }
 
-  #identity(name: string, zone: string): string[] {
-    return [
-      ...["--platform", this.platformAddress],
-      ...["--id", name, "--zone", zone, "--domain", `${zone}-fabric`],
-    ];
+  /** The address of a link, made when first asked for. */
+  async #connect(name: string): Promise<string> {
+    const known = this.#addresses.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const link = new FaultProxy("");
+    const address = await link.listen("127.0.0.1:0");
+    this.#links.set(name, link);
+    this.#addresses.set(name, address);
+    return address;
   }
 
   #example(file: string): string {
