Serve callers and peers over TLS by settings

Cause: daemons spoke plain text to callers and to one another. Ruled out: a certificate read once at start, which would run out in place. Change: settings tls.callers and tls.peers, the latter checked on both sides; files are reread when they change. Before: no TLS.

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -1,6 +1,8 @@
 /** Callers' side: HTTP/1.1 with JSON bodies and server-sent events. */
 import { createHash } from "node:crypto";
 import { createServer } from "node:http";
+import { createServer as createSecureServer } from "node:https";
+import type { Server as SecureServer } from "node:https";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
@@ -21,6 +23,11 @@
   ServiceName,
 } from "../../common/types.ts";
 import { addressOfServer } from "../listen.ts";
+import {
+  CertificateReloader,
+  readCertificate,
+} from "../tls/certificate_reloader.ts";
+import type { ICertificateFiles } from "../tls/types.ts";
 import { readBody } from "./read_body.ts";
 import { sendAnswer, sendRefusal } from "./caller_answers.ts";
 
@@ -47,25 +54,39 @@
   readonly random: IRandom;
   readonly log: ILog;
   readonly metrics: IMetrics;
+  /** Files for TLS; null to listen without. */
+  readonly certificate: ICertificateFiles | null;
 }
 
 /** Accepts callers' requests and writes their answers. */
 export class HttpCallerServer {
   readonly #parts: ICallerParts;
-  readonly #server: Server;
+  readonly #server: Server | SecureServer;
+  readonly #reloader: CertificateReloader | null = null;
   #isStopping = false;
   #open = 0;
   #whenIdle: (() => void) | null = null;
 
   constructor(parts: ICallerParts) {
     this.#parts = parts;
-    this.#server = createServer(
-      {
-        maxHeaderSize: MAXIMUM_HEADER_BYTES,
-        headersTimeout: HEADERS_TIMEOUT,
-        requestTimeout: REQUEST_TIMEOUT,
-      },
-      (incoming, response) => void this.#serve(incoming, response),
+    const limits = {
+      maxHeaderSize: MAXIMUM_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT,
+      requestTimeout: REQUEST_TIMEOUT,
+    };
+    const serve = (incoming: IncomingMessage, response: ServerResponse) =>
+      void this.#serve(incoming, response);
+    if (parts.certificate === null) {
+      this.#server = createServer(limits, serve);
+      return;
+    }
+    const secure = { ...limits, ...readCertificate(parts.certificate) };
+    const server = createSecureServer(secure, serve);
+    this.#server = server;
+    this.#reloader = new CertificateReloader(
+      server,
+      parts.certificate,
+      parts.log,
     );
   }
 
@@ -77,6 +98,7 @@
   /** Lets everything in flight finish, then closes. */
   async stop(): Promise<void> {
     this.#isStopping = true;
+    this.#reloader?.dispose();
     this.#server.close();
     this.#server.closeIdleConnections();
     if (this.#open > 0) {
--- a/src/adapters/peers/grpc_peers.ts
+++ b/src/adapters/peers/grpc_peers.ts
@@ -1,10 +1,5 @@
 /** Calls between daemons over gRPC. */
-import {
-  credentials,
-  loadPackageDefinition,
-  Server,
-  ServerCredentials,
-} from "@grpc/grpc-js";
+import { loadPackageDefinition, Server } from "@grpc/grpc-js";
 import { fromJSON } from "@grpc/proto-loader";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
@@ -20,6 +15,7 @@
 import type { IListText } from "../../common/plans/types.ts";
 import type { IPeers, IPeerNews } from "../../common/services/peer_service.ts";
 import { CallFailureKind } from "../../common/types.ts";
+import type { IPeerCredentials } from "../tls/peer_credentials.ts";
 import type { ICallFailure } from "../../common/types.ts";
 
 /** How long a peer may take to answer, milliseconds. */
@@ -45,6 +41,11 @@
 /** Keeps one client for each peer address. */
 export class GrpcPeers implements IPeers {
   readonly #clients = new Map<string, PeerClient>();
+  readonly #credentials: IPeerCredentials;
+
+  constructor(credentials: IPeerCredentials) {
+    this.#credentials = credentials;
+  }
 
   exchange(
     address: string,
@@ -90,7 +91,7 @@
   #client(address: string): PeerClient {
     let client = this.#clients.get(address);
     if (client === undefined) {
-      const secrets = credentials.createInsecure();
+      const secrets = this.#credentials.forChannel();
       client = new api.cranberryledge.Peer(address, secrets, CHANNEL_OPTIONS);
       this.#clients.set(address, client);
     }
@@ -108,8 +109,10 @@
 /** The listening side. */
 export class GrpcPeerServer {
   readonly #server = new Server(CHANNEL_OPTIONS);
+  readonly #credentials: IPeerCredentials;
 
-  constructor(answers: IPeerAnswers) {
+  constructor(answers: IPeerAnswers, credentials: IPeerCredentials) {
+    this.#credentials = credentials;
     const handlers: PeerHandlers = {
       Exchange: (call, reply) => {
         const { daemon, zone, versions } = call.request;
@@ -131,7 +134,7 @@
   /** Listens and returns the port taken. */
   listen(address: string): Promise<number> {
     return new Promise((resolve, reject) => {
-      const secrets = ServerCredentials.createInsecure();
+      const secrets = this.#credentials.forServer();
       this.#server.bindAsync(address, secrets, (error, port) => {
         if (error) {
           reject(error);
--- /dev/null
+++ b/src/adapters/tls/certificate_reloader.ts
@@ -0,0 +1,80 @@
+/** Keeps a TLS server's certificate as its files say. */
+import { readFileSync, statSync } from "node:fs";
+import { createSecureContext } from "node:tls";
+import type { Server } from "node:tls";
+import type { IDisposable } from "../../common/disposable.ts";
+import type { ILog } from "../../common/services/services.ts";
+import type { ICertificateFiles } from "./types.ts";
+
+/** How often the files are looked at, milliseconds. */
+const LOOK_EVERY = 5_000;
+
+/** A certificate with its key, as texts in PEM form. */
+export interface ICertificate {
+  readonly cert: string;
+  readonly key: string;
+}
+
+/** Reads both files; throws when one is missing. */
+export function readCertificate(files: ICertificateFiles): ICertificate {
+  return {
+    cert: readFileSync(files.certificate, "utf8"),
+    key: readFileSync(files.key, "utf8"),
+  };
+}
+
+/**
+ * Rereads a server's certificate when its files change. A pair that does not
+ * fit together, as while only one file has been replaced, is logged and the
+ * last good one stays in use.
+ */
+export class CertificateReloader implements IDisposable {
+  readonly #files: ICertificateFiles;
+  readonly #server: Pick<Server, "setSecureContext">;
+  readonly #log: ILog;
+  readonly #timer: NodeJS.Timeout;
+  #changedAt: string;
+
+  constructor(
+    server: Pick<Server, "setSecureContext">,
+    files: ICertificateFiles,
+    log: ILog,
+  ) {
+    this.#server = server;
+    this.#files = files;
+    this.#log = log;
+    this.#changedAt = changeTimes(files);
+    this.#timer = setInterval(() => this.reread(), LOOK_EVERY);
+    this.#timer.unref();
+  }
+
+  /** Takes the files' content if they have changed. */
+  reread(): void {
+    try {
+      const changedAt = changeTimes(this.#files);
+      if (changedAt === this.#changedAt) {
+        return;
+      }
+      const certificate = readCertificate(this.#files);
+      createSecureContext(certificate);
+      this.#server.setSecureContext(certificate);
+      this.#changedAt = changedAt;
+      this.#log.info("certificate_reread", { file: this.#files.certificate });
+    } catch (error) {
+      const file = this.#files.certificate;
+      const detail = String(error);
+      this.#log.warn("certificate_unusable", { file, detail });
+    }
+  }
+
+  dispose(): void {
+    clearInterval(this.#timer);
+  }
+}
+
+function changeTimes(files: ICertificateFiles): string {
+  const times = [files.certificate, files.key].map(
+    (file) => statSync(file).mtimeMs,
+  );
+  return times.join("/");
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -5,6 +5,11 @@
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { GrpcPeers, GrpcPeerServer } from "../adapters/peers/grpc_peers.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
+import {
+  MutualPeerCredentials,
+  PlainPeerCredentials,
+} from "../adapters/tls/peer_credentials.ts";
+import type { IPeerCredentials } from "../adapters/tls/peer_credentials.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
@@ -12,6 +17,8 @@
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
 import { PeerService } from "../common/services/peer_service.ts";
+import type { IPeerNews } from "../common/services/peer_service.ts";
+import type { PlanListName } from "../common/plans/types.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
 import { ServiceRunner } from "../common/services/service_runner.ts";
@@ -41,7 +48,8 @@
   readonly #id: string;
   readonly #platform: HttpPlatform;
   readonly #targets = new HttpTargets();
-  readonly #peers = new GrpcPeers();
+  readonly #credentials: IPeerCredentials;
+  readonly #peers: GrpcPeers;
   readonly #lists: PlanListService;
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
@@ -57,6 +65,10 @@
     this.#settings = settings;
     this.#log = log;
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
+    this.#credentials = settings.tls.peers
+      ? new MutualPeerCredentials(settings.tls.peers)
+      : new PlainPeerCredentials();
+    this.#peers = new GrpcPeers(this.#credentials);
     this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
     this.#lists = new PlanListService(this.#platform, this.#clock, log);
     this.#directory = this.#createDirectory();
@@ -231,23 +243,25 @@
       random: this.#random,
       log: this.#log,
       metrics: this.#metrics,
+      certificate: this.#settings.tls.callers ?? null,
     });
   }
 
   #createPeerServer(): GrpcPeerServer {
-    return new GrpcPeerServer({
+    const answers = {
       news: () => ({
         daemon: this.#id,
         zone: this.#settings.daemon.zone,
         versions: this.#lists.versions,
       }),
-      learn: (news) => {
+      learn: (news: IPeerNews) => {
         const address = this.#peerService?.addressOf(news.daemon);
         if (address) {
           void this.#peerService?.learn(news, address);
         }
       },
-      text: (list) => this.#lists.book.text(list),
-    });
+      text: (list: PlanListName) => this.#lists.book.text(list),
+    };
+    return new GrpcPeerServer(answers, this.#credentials);
   }
 }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -52,6 +52,18 @@
   domains: durationSchema.default(1_000),
 });
 
+const certificateSchema = z.strictObject({
+  certificate: z.string().min(1),
+  key: z.string().min(1),
+});
+
+const tlsSchema = z.strictObject({
+  /** What callers are shown; without it they speak plain HTTP. */
+  callers: certificateSchema.optional(),
+  /** What daemons show one another and check; without it, no TLS. */
+  peers: certificateSchema.extend({ authority: z.string().min(1) }).optional(),
+});
+
 const settingsSchema = z.strictObject({
   daemon: z.strictObject({
     name: z.string().min(1),
@@ -66,6 +78,7 @@
   services: z.record(z.string().min(1), serviceSchema),
   groups: groupsSchema.prefault({}),
   polling: pollingSchema.prefault({}),
+  tls: tlsSchema.prefault({}),
 });
 
 /** Settings as checked; durations are milliseconds. */
--- /dev/null
+++ b/test/support/certificates.ts
@@ -0,0 +1,62 @@
+/** Certificates for tests, made anew each time so that none runs out. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { generate } from "selfsigned";
+
+/** Names differ, or the signed one would be taken for self-signed. */
+const AUTHORITY_NAME = [{ name: "commonName", value: "test authority" }];
+const SUBJECT_NAME = [{ name: "commonName", value: "test daemon" }];
+const KEY = { keyType: "ec", curve: "P-256", algorithm: "sha256" } as const;
+
+/** A certificate authority with a folder for what it signs. */
+export class TestAuthority {
+  readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-tls-"));
+  #own = { key: "", cert: "" };
+
+  /** Makes an authority with a key of its own. */
+  static async create(): Promise<TestAuthority> {
+    const authority = new TestAuthority();
+    const made = await generate(AUTHORITY_NAME, {
+      ...KEY,
+      extensions: [
+        { name: "basicConstraints", cA: true },
+        { name: "keyUsage", keyCertSign: true, digitalSignature: true },
+      ],
+    });
+    authority.#own = { key: made.private, cert: made.cert };
+    writeFileSync(authority.file("authority.pem"), made.cert);
+    return authority;
+  }
+
+  file(name: string): string {
+    return join(this.#folder, name);
+  }
+
+  get certificate(): string {
+    return this.#own.cert;
+  }
+
+  /** Signs a certificate for 127.0.0.1 and writes it with its key. */
+  async sign(name: string): Promise<{ certificate: string; key: string }> {
+    const made = await generate(SUBJECT_NAME, {
+      ...KEY,
+      ca: this.#own,
+      extensions: [
+        { name: "basicConstraints", cA: false },
+        { name: "keyUsage", digitalSignature: true },
+        { name: "extKeyUsage", serverAuth: true, clientAuth: true },
+        { name: "subjectAltName", altNames: [{ type: 7, ip: "127.0.0.1" }] },
+      ],
+    });
+    const certificate = this.file(`${name}.pem`);
+    const key = this.file(`${name}.key`);
+    writeFileSync(certificate, made.cert);
+    writeFileSync(key, made.private);
+    return { certificate, key };
+  }
+
+  [Symbol.dispose](): void {
+    rmSync(this.#folder, { recursive: true });
+  }
+}
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -23,6 +23,8 @@
   /** Overrides for the settings' `groups` and `polling`. */
   readonly groups?: object;
   readonly polling?: object;
+  /** Further top-level settings of one daemon, such as `tls`. */
+  readonly settings?: (daemon: string) => object;
 }
 
 /** A daemon's status as its operations address gives it. */
@@ -135,6 +137,7 @@
       platform: { address: platform },
       groups: { ...settings["groups"], spare_share: 0, ...this.#plan.groups },
       polling: { targets: "100ms", ...this.#plan.polling },
+      ...this.#plan.settings?.(name),
     };
     writeFileSync(path, stringify(written));
     const handle = await this.#keep(name, "daemon/main.js", [path]);
