Say which daemons of the zone are live, and who takes a duty

Duties such as watching the plan lists or polling a target were taken by every daemon, so their cost grew with the fleet. For now the view comes from the platform's lagging list.

--- a/src/common/services/peer_service.ts
+++ b/src/common/services/peer_service.ts
@@ -2,6 +2,7 @@
 import type { Result } from "ts-results-es";
 import { DisposableStore } from "../disposable.ts";
 import type { IDisposable } from "../disposable.ts";
+import type { LiveDaemons } from "../membership/live_daemons.ts";
 import type { PlanListName } from "../plans/types.ts";
 import type { IListText } from "../plans/types.ts";
 import type { ICallFailure, ZoneName } from "../types.ts";
@@ -49,6 +50,7 @@
   readonly #clock: IClock;
   readonly #random: IRandom;
   readonly #lists: PlanListService;
+  readonly #live: LiveDaemons;
   readonly #self: IDaemonEntry;
   readonly #owned = new DisposableStore();
   #known: readonly IDaemonEntry[] = [];
@@ -60,6 +62,7 @@
       readonly clock: IClock;
       readonly random: IRandom;
       readonly lists: PlanListService;
+      readonly live: LiveDaemons;
     },
     self: IDaemonEntry,
   ) {
@@ -68,6 +71,7 @@
     this.#clock = ports.clock;
     this.#random = ports.random;
     this.#lists = ports.lists;
+    this.#live = ports.live;
     this.#self = self;
   }
 
@@ -146,6 +150,9 @@
     this.#known = listed.value.objects
       .map((object) => object.value as IDaemonEntry)
       .filter((entry) => entry.daemon !== this.#self.daemon);
+    const { zone } = this.#self;
+    const here = this.#known.filter((entry) => entry.zone === zone);
+    this.#live.update(here.map(({ daemon }) => daemon));
   }
 
   async #exchange(): Promise<void> {
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -4,8 +4,10 @@
  */
 import type { Option, Result } from "ts-results-es";
 import type { IDisposable } from "../disposable.ts";
+import type { EventSource } from "../emitter.ts";
 import type { PlanListName } from "../plans/types.ts";
 import type {
+  DaemonId,
   GroupId,
   ICallFailure,
   IFencingToken,
@@ -36,6 +38,29 @@
   identifier(): string;
 }
 
+/** A hash that every daemon computes alike. */
+export interface IHash {
+  /** A whole number in [0, 2^32), spread evenly. */
+  hash(text: string): number;
+}
+
+/**
+ * The daemons that this daemon believes live. A hint: another daemon may see
+ * others, so nothing that must be unique may rest on it.
+ */
+export interface ILiveDaemons {
+  readonly self: DaemonId;
+  /** Live daemons of this zone, this one always included, sorted. */
+  readonly inZone: readonly DaemonId[];
+  /**
+   * Whether this daemon is one of the `count` of its zone that take a duty.
+   * A daemon that sees no other takes every duty.
+   */
+  isChosen(duty: string, count: number): boolean;
+  /** Fires after the live daemons of the zone have changed. */
+  readonly onChanged: EventSource<void>;
+}
+
 /** The fields of a log line; values are encoded by the adapter. */
 export type LogFields = Readonly<
   Record<string, string | number | boolean | null | undefined>
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 /** Wires one daemon: adapters to services, and their starting and stopping. */
 import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
+import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { GrpcPeers, GrpcPeerServer } from "../adapters/peers/grpc_peers.ts";
@@ -8,6 +9,7 @@
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
@@ -42,6 +44,7 @@
   readonly #platform: HttpPlatform;
   readonly #targets = new HttpTargets();
   readonly #peers = new GrpcPeers();
+  readonly #live: LiveDaemons;
   readonly #lists: PlanListService;
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
@@ -53,10 +56,11 @@
   #peerService: PeerService | null = null;
   #isStopping = false;
 
-  private constructor(settings: Settings, log: LogfmtLog) {
+  private constructor(settings: Settings, log: LogfmtLog, hash: XxhashHash) {
     this.#settings = settings;
     this.#log = log;
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
+    this.#live = new LiveDaemons(this.#id, hash);
     this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
     this.#lists = new PlanListService(this.#platform, this.#clock, log);
     this.#directory = this.#createDirectory();
@@ -79,7 +83,7 @@
   static async start(settings: Settings): Promise<Daemon> {
     const { name, zone } = settings.daemon;
     const log = await LogfmtLog.create({ daemon: name, zone });
-    const daemon = new Daemon(settings, log);
+    const daemon = new Daemon(settings, log, await XxhashHash.create());
     await daemon.#start();
     return daemon;
   }
@@ -154,6 +158,7 @@
         clock: this.#clock,
         random: this.#random,
         lists: this.#lists,
+        live: this.#live,
       },
       {
         daemon: this.#id,
