Let a refused plan list no longer block the last good one

Cause: the book counted a refused version as seen.

The list object counts confirmed restorations of the platform, so that versions can go on rising after a restore. The platform is followed by list and watch with jittered back-off and a slow poll, by two daemons a zone, and callers are served only after platform and peers were both asked.

Ruled out: comparing texts or clocks to order versions, which two operators' edits or a restore would defeat.

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -42,6 +42,8 @@
 export interface ICallerParts {
   readonly dispatcher: CallDispatcher;
   readonly book: PlanBook;
+  /** Whether the plan lists may be acted by already. */
+  areListsReady(): boolean;
   readonly services: ReadonlyMap<ServiceName, IServiceDefinition>;
   readonly clock: IClock;
   readonly random: IRandom;
@@ -157,7 +159,7 @@
       const detail = "this daemon is shutting down";
       return Err(notRun(Reason.ShuttingDown, detail, SHUTDOWN_RETRY_AFTER));
     }
-    if (!book.isComplete) {
+    if (!this.#parts.areListsReady()) {
       const detail = "the plan lists are not known here yet";
       return Err(notRun(Reason.ListsUnknown, detail, LISTS_RETRY_AFTER));
     }
--- a/src/command_line/commands/get.ts
+++ b/src/command_line/commands/get.ts
@@ -1,6 +1,6 @@
 /** `cranberryledge get LIST`: the list and its version. */
 import { Option } from "clipanion";
-import { parseListObject } from "../../common/services/plan_list_service.ts";
+import { parseListObject } from "../../common/plans/list_object.ts";
 import { PLAN_LIST_KIND } from "../../common/plans/types.ts";
 import { ExitCode } from "../exit_code.ts";
 import { PlatformCommand } from "./platform_command.ts";
@@ -25,11 +25,16 @@
       this.context.stderr.write(`${found.error.detail}\n`);
       return ExitCode.Unreachable;
     }
-    const text = found.value.isSome()
-      ? parseListObject(found.value.value)
-      : null;
-    this.context.stdout.write(text?.text ?? "");
-    this.context.stderr.write(`version=${text?.version ?? 0}\n`);
+    if (found.value.isNone()) {
+      this.context.stderr.write("version=0\n");
+      return ExitCode.Done;
+    }
+    const text = parseListObject(found.value.value);
+    if (text.isErr()) {
+      return this.report(text.error);
+    }
+    this.context.stdout.write(text.value.text);
+    this.context.stderr.write(`version=${text.value.version}\n`);
     return ExitCode.Done;
   }
 }
--- a/src/command_line/commands/platform_command.ts
+++ b/src/command_line/commands/platform_command.ts
@@ -1,7 +1,10 @@
 /** What commands that speak to the platform share. */
 import { Command, Option } from "clipanion";
 import { HttpPlatform } from "../../adapters/platform/http_platform.ts";
+import { formatFinding } from "../../common/plans/findings.ts";
 import { PlanListName } from "../../common/plans/types.ts";
+import type { IFinding } from "../../common/plans/types.ts";
+import { ExitCode } from "../exit_code.ts";
 
 /** A command with the platform's address. */
 export abstract class PlatformCommand extends Command {
@@ -15,6 +18,14 @@
     return new HttpPlatform(`http://${this.platform}`);
   }
 
+  /** Writes findings to standard error. */
+  protected report(findings: readonly IFinding[]): ExitCode {
+    for (const finding of findings) {
+      this.context.stderr.write(`${formatFinding(finding)}\n`);
+    }
+    return ExitCode.Findings;
+  }
+
   protected parseList(name: string): PlanListName | null {
     const list = Object.values(PlanListName).find((known) => known === name);
     if (list === undefined) {
--- a/src/common/plans/duration.ts
+++ b/src/common/plans/duration.ts
@@ -8,20 +8,29 @@
   h: 3_600_000,
 };
 
-const DURATION_PATTERN = /^(\d+(?:\.\d+)?)(ms|s|m|h)$/;
+const DURATION_PATTERN = /^(\d{1,9}(?:\.\d{1,9})?)(ms|s|m|h)$/;
+
+/**
+ * The longest duration, milliseconds: a day. Host timers overflow at 24 days
+ * and would then fire at once, again and again.
+ */
+const LONGEST_DURATION = 86_400_000;
 
 /** Accepts a duration with its unit and yields milliseconds. */
 export const durationSchema = z
   .string({ error: "expected a duration with its unit, such as 250ms or 5s" })
   .transform((text, context) => {
     const match = DURATION_PATTERN.exec(text);
-    const unit = match?.[2] === undefined ? 0 : MILLISECONDS_PER_UNIT[match[2]];
-    if (match === null || unit === undefined) {
+    const unit = MILLISECONDS_PER_UNIT[match?.[2] ?? ""] ?? 0;
+    const duration = Number(match?.[1] ?? 0) * unit;
+    if (duration <= 0 || duration > LONGEST_DURATION) {
       context.addIssue({
         code: "custom",
-        message: `expected a duration such as 250ms, 5s, 2m; found ${text}`,
+        message:
+          "expected a duration above 0 and up to 24h, such as 250ms, 5s or " +
+          `2m; found ${text}`,
       });
       return z.NEVER;
     }
-    return Number(match[1]) * unit;
+    return duration;
   });
--- /dev/null
+++ b/src/common/plans/list_object.ts
@@ -0,0 +1,86 @@
+/**
+ * A plan list as an object of the platform, and the number that orders its
+ * versions.
+ *
+ * The platform's version alone orders them until the platform is restored from
+ * an older copy: its versions then start again below those in force, and every
+ * later edit would be taken for a stale read. The object therefore carries how
+ * many such restorations operators have confirmed (`apply --after-restore`),
+ * and that number goes before the platform's version. Both fit in one integer,
+ * so peers exchange and compare a single number.
+ */
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { z } from "zod";
+import type { IPlatformObject } from "../services/services.ts";
+import { wholeFileFinding } from "./findings.ts";
+import { PLAN_LIST_KIND, PlanListName } from "./types.ts";
+import type { IFinding, IListText } from "./types.ts";
+
+/**
+ * Above any platform version: at the platform's several hundred writes a
+ * second a trillion is passed after some fifty years.
+ */
+const RESTORATION_STEP = 1_000_000_000_000;
+
+/** Keeps the joined number exact in a double. */
+const MAXIMUM_RESTORATIONS = 1_000;
+
+/** The form of a list in the platform: its text as the operator wrote it. */
+export interface IListValue {
+  readonly text: string;
+  /** Restorations of the platform confirmed so far; absent means none. */
+  readonly restorations?: number;
+}
+
+const listValueSchema = z.strictObject({
+  text: z.string(),
+  restorations: z.number().int().min(0).max(MAXIMUM_RESTORATIONS).optional(),
+});
+
+/** The list that an object's name stands for, or null. */
+export function listNamed(name: string): PlanListName | null {
+  return Object.values(PlanListName).find((known) => known === name) ?? null;
+}
+
+/** Reads a list object; findings when it is not of that form. */
+export function parseListObject(
+  object: IPlatformObject,
+): Result<IListText, readonly IFinding[]> {
+  const source = `${PLAN_LIST_KIND}/${object.name}`;
+  const list = listNamed(object.name);
+  if (list === null) {
+    return Err([wholeFileFinding(source, "is not the name of a plan list")]);
+  }
+  const value = listValueSchema.safeParse(object.value);
+  if (!value.success) {
+    const findings = value.error.issues.map(({ path, message }) => ({
+      ...wholeFileFinding(source, message),
+      path: path.join("."),
+    }));
+    return Err(findings);
+  }
+  const { text, restorations = 0 } = value.data;
+  const version = restorations * RESTORATION_STEP + object.version;
+  return Ok({ list, version, text });
+}
+
+/** The platform's part of a list's version: what a write is conditional on. */
+export function platformVersionOf(version: number): number {
+  return version % RESTORATION_STEP;
+}
+
+/** How many restorations of the platform a list's version counts. */
+export function restorationsOf(version: number): number {
+  return Math.floor(version / RESTORATION_STEP);
+}
+
+/** A list's version from its two parts. */
+export function joinVersion(restorations: number, version: number): number {
+  return restorations * RESTORATION_STEP + version;
+}
+
+/** The object's value for a text. */
+export function toListValue(text: string, restorations: number): IListValue {
+  return restorations === 0 ? { text } : { text, restorations };
+}
--- a/src/common/plans/plan_book.ts
+++ b/src/common/plans/plan_book.ts
@@ -1,6 +1,10 @@
 /** The lists in force in this daemon. */
 import type { AccountName } from "../types.ts";
-import { checkCustomers, checkPlans } from "./plan_list_schema.ts";
+import {
+  checkCustomers,
+  checkPlans,
+  findMissingPlans,
+} from "./plan_list_schema.ts";
 import { PlanListName } from "./types.ts";
 import type {
   ICustomer,
@@ -19,36 +23,60 @@
   Refused = "refused",
 }
 
+/** A newer list that was not put in force. */
+export interface IRefusedList {
+  readonly version: number;
+  readonly findings: readonly IFinding[];
+}
+
 /**
  * Holds the newest good version of each list. Versions never go back: a stale
  * read or a late watch event would otherwise put an old plan in force again,
  * which a customer would notice as a limit that flips to and fro.
+ *
+ * A refused list does not raise the bar for good ones. A daemon that has just
+ * started may read a bad version from the platform before a peer offers the
+ * last good one; if the bad one counted as seen, the daemon would have no list
+ * at all until the operator's next edit.
  */
 export class PlanBook {
-  #texts = new Map<PlanListName, IListText>();
-  #seen = new Map<PlanListName, number>();
-  #findings = new Map<PlanListName, readonly IFinding[]>();
+  readonly #texts = new Map<PlanListName, IListText>();
+  readonly #refused = new Map<PlanListName, IRefusedList>();
   #customers: readonly ICustomer[] = [];
   #plans = new Map<string, IPlan>();
   #accounts = new Map<string, IEffectiveAccount>();
   #accountFindings: readonly IFinding[] = [];
 
-  /** Takes a list if it is newer and passes its checks. */
+  /** Takes a list if it is newer than the one in force and passes its checks. */
   offer(offered: IListText): Adoption {
-    if (offered.version <= (this.#seen.get(offered.list) ?? -1)) {
+    const { list, version } = offered;
+    const isNewer = version > (this.version(list) ?? 0);
+    if (!isNewer || this.#refused.get(list)?.version === version) {
       return Adoption.NotNewer;
     }
-    this.#seen.set(offered.list, offered.version);
     const findings = this.#takeContent(offered);
-    this.#findings.set(offered.list, findings);
     if (findings.length > 0) {
-      return Adoption.Refused;
+      return this.refuse(list, { version, findings });
+    }
+    this.#texts.set(list, offered);
+    if ((this.#refused.get(list)?.version ?? 0) < version) {
+      this.#refused.delete(list);
     }
-    this.#texts.set(offered.list, offered);
     this.#resolveAccounts();
     return Adoption.Adopted;
   }
 
+  /** Notes a list that cannot be put in force; only the newest is kept. */
+  refuse(list: PlanListName, refused: IRefusedList): Adoption {
+    const known = this.#refused.get(list)?.version ?? 0;
+    const least = Math.max(known, this.version(list) ?? 0);
+    if (refused.version <= least) {
+      return Adoption.NotNewer;
+    }
+    this.#refused.set(list, refused);
+    return Adoption.Refused;
+  }
+
   /** The version in force of a list, or null when there is none yet. */
   version(list: PlanListName): number | null {
     return this.#texts.get(list)?.version ?? null;
@@ -59,6 +87,11 @@
     return this.#texts.get(list) ?? null;
   }
 
+  /** The newest refused list that is newer than the one in force, or null. */
+  refused(list: PlanListName): IRefusedList | null {
+    return this.#refused.get(list) ?? null;
+  }
+
   /** True once both lists are in force. */
   get isComplete(): boolean {
     return this.#texts.size === Object.values(PlanListName).length;
@@ -66,7 +99,16 @@
 
   /** Everything wrong with the newest lists seen. */
   get findings(): readonly IFinding[] {
-    return [...[...this.#findings.values()].flat(), ...this.#accountFindings];
+    const refused = [...this.#refused.values()];
+    return [
+      ...refused.flatMap((entry) => entry.findings),
+      ...this.#accountFindings,
+    ];
+  }
+
+  /** Customers in force that name a plan which is not. */
+  get accountFindings(): readonly IFinding[] {
+    return this.#accountFindings;
   }
 
   /** The client account a credential belongs to, by the credential's digest. */
@@ -99,35 +141,38 @@
   /**
    * Joins customers to plans. A customer naming a plan that is missing keeps
    * its last good entry: the two lists are edited one after the other, and a
-   * customer must not lose service in between.
+   * customer must not lose service in between. A daemon that never saw a good
+   * entry has none to keep; the finding says so everywhere.
    */
   #resolveAccounts(): void {
     const lastGood = new Map<AccountName, IEffectiveAccount>();
     for (const entry of this.#accounts.values()) {
       lastGood.set(entry.customer.account, entry);
     }
-    const resolved = new Map<string, IEffectiveAccount>();
-    const findings: IFinding[] = [];
-    this.#customers.forEach((customer, index) => {
+    const kept: IEffectiveAccount[] = [];
+    const joined: IEffectiveAccount[] = [];
+    for (const customer of this.#customers) {
       const plan = this.#plans.get(customer.plan);
-      const entry =
-        plan === undefined
-          ? lastGood.get(customer.account)
-          : { customer, plan };
-      if (plan === undefined) {
-        findings.push({
-          source: PlanListName.Customers,
-          line: 1,
-          column: 1,
-          path: `customers[${index}].plan`,
-          message: `no plan is named ${customer.plan}`,
-        });
-      }
-      if (entry !== undefined) {
-        resolved.set(entry.customer.credentialDigest, entry);
+      const last = lastGood.get(customer.account);
+      if (plan !== undefined) {
+        joined.push({ customer, plan });
+      } else if (last !== undefined) {
+        kept.push(last);
       }
-    });
-    this.#accounts = resolved;
-    this.#accountFindings = findings;
+    }
+    // A kept entry's old credential gives way to an account that has it now.
+    this.#accounts = new Map(
+      [...kept, ...joined].map((entry) => [
+        entry.customer.credentialDigest,
+        entry,
+      ]),
+    );
+    this.#accountFindings = this.isComplete
+      ? findMissingPlans(
+          PlanListName.Customers,
+          this.#customers,
+          new Set(this.#plans.keys()),
+        )
+      : [];
   }
 }
--- a/src/common/plans/plan_list_schema.ts
+++ b/src/common/plans/plan_list_schema.ts
@@ -1,18 +1,28 @@
 /** The form of the two plan lists. */
-import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { z } from "zod";
 import { durationSchema } from "./duration.ts";
 import { checkDocument } from "./findings.ts";
+import type { IExtraIssue } from "./findings.ts";
 import type { ICustomer, IFinding, IPlan } from "./types.ts";
 
 const HIGHEST_PRIORITY = 9;
 
+/** Names stand in log lines, metrics and paths: no blanks, no controls. */
+const NAME_PATTERN = /^[\p{L}\p{N}][\p{L}\p{N}._-]{0,99}$/u;
+
+const nameSchema = z
+  .string()
+  .regex(
+    NAME_PATTERN,
+    "expected a name of at most 100 letters, digits, '.', '_' and '-'",
+  );
+
 const customersSchema = z.strictObject({
   customers: z.array(
     z.strictObject({
-      account: z.string().min(1),
-      plan: z.string().min(1),
+      account: nameSchema,
+      plan: nameSchema,
       credential_sha256: z
         .string()
         .regex(/^[0-9a-f]{64}$/, "expected 64 lower-case hexadecimal digits"),
@@ -23,8 +33,8 @@
 const plansSchema = z.strictObject({
   plans: z.array(
     z.strictObject({
-      plan: z.string().min(1),
-      services: z.array(z.string().min(1)),
+      plan: nameSchema,
+      services: z.array(nameSchema),
       priority: z.number().int().min(0).max(HIGHEST_PRIORITY),
       requests_per_second: z.number().positive(),
       tokens_per_minute: z.number().positive(),
@@ -34,31 +44,27 @@
   ),
 });
 
-/** Checks the customers list; an account may stand only once. */
+/**
+ * Checks the customers list. An account may stand only once, and so may a
+ * credential: two accounts with one would be billed for each other's calls.
+ */
 export function checkCustomers(
   source: string,
   text: string,
 ): Result<readonly ICustomer[], readonly IFinding[]> {
-  const unique = customersSchema.superRefine((content, context) => {
-    reportRepeats(
-      content.customers.map((customer) => customer.account),
-      (index, name) =>
-        context.addIssue({
-          code: "custom",
-          path: ["customers", index, "account"],
-          message: `client account ${name} stands more than once`,
-        }),
-    );
+  const checked = checkDocument(source, text, {
+    schema: customersSchema,
+    extra: (content) => [
+      ...repeats(content, "customers", "account"),
+      ...repeats(content, "customers", "credential_sha256"),
+    ],
   });
-  const checked = checkDocument(source, text, unique);
-  if (checked.isErr()) {
-    return Err(checked.error);
-  }
-  return Ok(
-    checked.value.customers.map((customer) => ({
+  return checked.map(({ content, placeOf }) =>
+    content.customers.map((customer, index) => ({
       account: customer.account,
       plan: customer.plan,
       credentialDigest: customer.credential_sha256,
+      planPlace: placeOf(["customers", index, "plan"]),
     })),
   );
 }
@@ -68,23 +74,12 @@
   source: string,
   text: string,
 ): Result<readonly IPlan[], readonly IFinding[]> {
-  const unique = plansSchema.superRefine((content, context) => {
-    reportRepeats(
-      content.plans.map((plan) => plan.plan),
-      (index, name) =>
-        context.addIssue({
-          code: "custom",
-          path: ["plans", index, "plan"],
-          message: `plan ${name} stands more than once`,
-        }),
-    );
+  const checked = checkDocument(source, text, {
+    schema: plansSchema,
+    extra: (content) => repeats(content, "plans", "plan"),
   });
-  const checked = checkDocument(source, text, unique);
-  if (checked.isErr()) {
-    return Err(checked.error);
-  }
-  return Ok(
-    checked.value.plans.map((plan) => ({
+  return checked.map(({ content }) =>
+    content.plans.map((plan) => ({
       name: plan.plan,
       services: plan.services,
       priority: plan.priority,
@@ -96,15 +91,45 @@
   );
 }
 
-function reportRepeats(
-  names: readonly string[],
-  report: (index: number, name: string) => void,
-): void {
-  const seen = new Set<string>();
-  names.forEach((name, index) => {
-    if (seen.has(name)) {
-      report(index, name);
+/** Customers that name a plan which is not in the list, with their place. */
+export function findMissingPlans(
+  source: string,
+  customers: readonly ICustomer[],
+  plans: ReadonlySet<string>,
+): readonly IFinding[] {
+  return customers.flatMap((customer, index) =>
+    plans.has(customer.plan)
+      ? []
+      : [
+          {
+            source,
+            ...customer.planPlace,
+            path: `customers[${index}].plan`,
+            message: `no plan is named ${customer.plan}`,
+          },
+        ],
+  );
+}
+
+/** Entries of a list whose value at a key has stood before. */
+function repeats(
+  content: unknown,
+  list: string,
+  key: string,
+): readonly IExtraIssue[] {
+  const entries = (content as Record<string, unknown> | null)?.[list];
+  if (!Array.isArray(entries)) {
+    return [];
+  }
+  const seen = new Set<unknown>();
+  const issues: IExtraIssue[] = [];
+  entries.forEach((entry: Record<string, unknown> | null, index) => {
+    const value = entry?.[key];
+    if (typeof value === "string" && seen.has(value)) {
+      const message = `${key} ${value} stands more than once`;
+      issues.push({ path: [list, index, key], message });
     }
-    seen.add(name);
+    seen.add(value);
   });
+  return issues;
 }
--- a/src/common/plans/types.ts
+++ b/src/common/plans/types.ts
@@ -18,6 +18,8 @@
   readonly plan: string;
   /** SHA-256 of the account's credential, as lower-case hexadecimal. */
   readonly credentialDigest: string;
+  /** Where the list names the account's plan. */
+  readonly planPlace: IPlace;
 }
 
 /** What a plan may use. */
@@ -33,23 +35,26 @@
   readonly deadline: number;
 }
 
+/** A place in a text; both from 1. */
+export interface IPlace {
+  readonly line: number;
+  readonly column: number;
+}
+
 /** One thing wrong with a list or a settings file, and where. */
-export interface IFinding {
+export interface IFinding extends IPlace {
   /** The file or list. */
   readonly source: string;
-  /** From 1. */
-  readonly line: number;
-  /** From 1. */
-  readonly column: number;
   /** Dotted path of the entry, such as `customers[2].plan`. */
   readonly path: string;
   /** What is wrong, and what was expected. */
   readonly message: string;
 }
 
-/** A list's text at a version of the platform. */
+/** A list's text at a version. */
 export interface IListText {
   readonly list: PlanListName;
+  /** Orders the list's texts; see list_object.ts. */
   readonly version: number;
   readonly text: string;
 }
--- a/src/common/services/peer_service.ts
+++ b/src/common/services/peer_service.ts
@@ -24,6 +24,9 @@
 /** How often the platform is asked who the peers are, milliseconds. */
 const DISCOVER_EVERY = 10_000;
 
+/** Peers asked before a daemon serves; one with the newest lists is enough. */
+const MAXIMUM_ASKED_AT_START = 12;
+
 /** What one daemon tells another. */
 export interface IPeerNews {
   readonly daemon: string;
@@ -53,6 +56,7 @@
   readonly #live: LiveDaemons;
   readonly #self: IDaemonEntry;
   readonly #owned = new DisposableStore();
+  readonly #seeds: readonly string[];
   #known: readonly IDaemonEntry[] = [];
 
   constructor(
@@ -63,6 +67,8 @@
       readonly random: IRandom;
       readonly lists: PlanListService;
       readonly live: LiveDaemons;
+      /** Addresses from the settings, for when the platform is away. */
+      readonly seeds: readonly string[];
     },
     self: IDaemonEntry,
   ) {
@@ -72,6 +78,7 @@
     this.#random = ports.random;
     this.#lists = ports.lists;
     this.#live = ports.live;
+    this.#seeds = ports.seeds;
     this.#self = self;
   }
 
@@ -86,7 +93,7 @@
   }
 
   start(): void {
-    void this.#register();
+    void this.#askAtStart();
     this.#every(DISCOVER_EVERY, () => void this.#discover());
     this.#every(EXCHANGE_EVERY, () => void this.#exchange());
   }
@@ -127,6 +134,22 @@
     this.#owned.add(this.#clock.every(period, callback));
   }
 
+  /**
+   * Asks peers for their lists before this daemon serves. By the platform's
+   * answer alone it could serve by a stale read; without the seeds a daemon
+   * started during an outage would know no one to ask.
+   */
+  async #askAtStart(): Promise<void> {
+    await this.#register();
+    const addresses = new Set([
+      ...this.#known.map((entry) => entry.peerAddress),
+      ...this.#seeds,
+    ]);
+    const some = [...addresses].slice(0, MAXIMUM_ASKED_AT_START);
+    await Promise.all(some.map((address) => this.#ask(address)));
+    this.#lists.notePeersAsked();
+  }
+
   async #register(): Promise<void> {
     const written = await this.#platform.write({
       kind: DAEMON_KIND,
@@ -156,14 +179,19 @@
   }
 
   async #exchange(): Promise<void> {
-    const index = Math.floor(this.#random.next() * this.#known.length);
-    const peer = this.#known[index];
-    if (peer === undefined) {
-      return;
+    const known = this.#known.map((entry) => entry.peerAddress);
+    const addresses = known.length > 0 ? known : this.#seeds;
+    const index = Math.floor(this.#random.next() * addresses.length);
+    const address = addresses[index];
+    if (address !== undefined) {
+      await this.#ask(address);
     }
-    const answer = await this.#peers.exchange(peer.peerAddress, this.news);
+  }
+
+  async #ask(address: string): Promise<void> {
+    const answer = await this.#peers.exchange(address, this.news);
     if (answer.isOk()) {
-      await this.learn(answer.value, peer.peerAddress);
+      await this.learn(answer.value, address);
     }
   }
 }
--- a/src/common/services/plan_list_service.ts
+++ b/src/common/services/plan_list_service.ts
@@ -1,69 +1,83 @@
-/** Follows the two plan lists by watch, by slow poll and by peers' news. */
+/** Keeps the plan lists in force: from the platform and from peers' news. */
 import type { IDisposable } from "../disposable.ts";
 import { DisposableStore } from "../disposable.ts";
 import { Emitter } from "../emitter.ts";
 import { formatFinding } from "../plans/findings.ts";
+import { listNamed, parseListObject } from "../plans/list_object.ts";
 import { Adoption, PlanBook } from "../plans/plan_book.ts";
-import { PLAN_LIST_KIND, PlanListName } from "../plans/types.ts";
-import type { IListText } from "../plans/types.ts";
+import { PlanListName } from "../plans/types.ts";
+import type { IFinding, IListText } from "../plans/types.ts";
 import type { MonotonicTime } from "../types.ts";
+import { AlarmName } from "./alarms.ts";
+import type { Alarms } from "./alarms.ts";
+import { PlanListFollower } from "./plan_list_follower.ts";
+import type { IFollowTiming } from "./plan_list_follower.ts";
 import type {
   IClock,
   IListVersion,
   ILog,
+  IMetrics,
   IPlatform,
   IPlatformObject,
+  IRandom,
 } from "./services.ts";
 
-/** How long a watch waits for news, milliseconds. */
-const WATCH_TIMEOUT = 20_000;
-
-/** Pause after a failed watch, so that an outage makes few calls. */
-const RETRY_PAUSE = 1_000;
-
-/** The form of a list in the platform: its text as the operator wrote it. */
-export interface IListValue {
-  readonly text: string;
+/** How often the age of the lists is written to the metrics, milliseconds. */
+const GAUGE_EVERY = 1_000;
+
+/** What the service needs. */
+export interface IPlanListPorts {
+  readonly platform: IPlatform;
+  readonly clock: IClock;
+  readonly random: IRandom;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  readonly alarms: Alarms;
 }
 
-/** Reads a list object; null when it is not of that form. */
-export function parseListObject(object: IPlatformObject): IListText | null {
-  const list = Object.values(PlanListName).find((name) => name === object.name);
-  const value = object.value as Partial<IListValue> | null;
-  if (list === undefined || typeof value?.text !== "string") {
-    return null;
-  }
-  return { list, version: object.version, text: value.text };
+/** Whether this daemon watches on behalf of its zone. */
+export interface IWatchDuty {
+  isWatcher(): boolean;
 }
 
 /** Keeps a {@link PlanBook} up to date. */
 export class PlanListService implements IDisposable {
-  readonly #platform: IPlatform;
-  readonly #clock: IClock;
-  readonly #log: ILog;
+  readonly #ports: IPlanListPorts;
   readonly #book = new PlanBook();
   readonly #owned = new DisposableStore();
-  readonly #stopping = new AbortController();
   readonly #adopted = this.#owned.add(new Emitter<IListText>());
+  readonly #unreadable = new Map<string, readonly IFinding[]>();
   #confirmedAt: MonotonicTime | null = null;
+  #hasAskedPlatform = false;
+  #hasAskedPeers = false;
 
   /** Fires each list that comes into force. */
   readonly onAdopted = this.#adopted.event;
 
-  constructor(platform: IPlatform, clock: IClock, log: ILog) {
-    this.#platform = platform;
-    this.#clock = clock;
-    this.#log = log;
+  constructor(ports: IPlanListPorts) {
+    this.#ports = ports;
   }
 
   get book(): PlanBook {
     return this.#book;
   }
 
+  /**
+   * Whether callers may be served by these lists: both are known, and platform
+   * and peers have been asked. A daemon that served by the first answer
+   * could serve by a stale read while its neighbours hold a newer list.
+   */
+  get isReady(): boolean {
+    return (
+      this.#book.isComplete && this.#hasAskedPlatform && this.#hasAskedPeers
+    );
+  }
+
   /** Milliseconds since the platform last confirmed the lists, or null. */
   get age(): number | null {
     const confirmedAt = this.#confirmedAt;
-    return confirmedAt === null ? null : this.#clock.now() - confirmedAt;
+    const now = this.#ports.clock.now();
+    return confirmedAt === null ? null : Math.round(now - confirmedAt);
   }
 
   /** Versions in force, for peers. */
@@ -74,67 +88,155 @@
     }));
   }
 
-  start(): void {
-    void this.#follow();
+  /** Everything wrong with the lists, and with objects of their kind. */
+  get findings(): readonly IFinding[] {
+    return [...this.#book.findings, ...[...this.#unreadable.values()].flat()];
+  }
+
+  /** Follows the platform until disposed. */
+  start(duty: IWatchDuty, timing: IFollowTiming): void {
+    const follower = new PlanListFollower(this.#ports, {
+      timing,
+      events: {
+        isWatcher: () => duty.isWatcher(),
+        changed: (object) => this.#take(object),
+        listed: (objects) => this.#takeAll(objects),
+        confirmed: () => this.#confirm(),
+        failed: (detail) => this.#noteFailure(detail),
+      },
+    });
+    this.#owned.add(follower);
+    this.#owned.add(
+      this.#ports.clock.every(GAUGE_EVERY, () => this.#writeGauges()),
+    );
+    this.#noteUnknown();
+    void follower.run();
+  }
+
+  /** Says that every peer in reach has been asked, or that there is none. */
+  notePeersAsked(): void {
+    this.#hasAskedPeers = true;
   }
 
   /** Takes a list from any source; older versions are ignored. */
   offer(text: IListText): Adoption {
+    const { list, version } = text;
     const adoption = this.#book.offer(text);
     if (adoption === Adoption.Adopted) {
-      const { list, version } = text;
-      this.#log.info("plan_list_adopted", { list, version });
+      this.#ports.log.info("plan_list_adopted", { list, version });
+      this.#noteUnknown();
+      this.#noteAccounts();
       this.#adopted.fire(text);
     }
-    if (adoption === Adoption.Refused) {
-      this.#reportFindings(text);
-    }
+    this.#noteRefusal(list, adoption);
     return adoption;
   }
 
   dispose(): void {
-    this.#stopping.abort();
     this.#owned.dispose();
   }
 
-  #reportFindings(text: IListText): void {
-    const { list, version } = text;
-    for (const finding of this.#book.findings) {
-      const detail = formatFinding(finding);
-      this.#log.warn("plan_list_refused", { list, version, finding: detail });
-    }
-  }
-
-  async #follow(): Promise<void> {
-    let after = 0;
-    while (!this.#stopping.signal.aborted) {
-      const found = await this.#platform.watch(PLAN_LIST_KIND, after, {
-        timeout: WATCH_TIMEOUT,
-        signal: this.#stopping.signal,
-      });
-      if (found.isErr()) {
-        await this.#pause(RETRY_PAUSE);
-        continue;
-      }
-      this.#confirmedAt = this.#clock.now();
-      after = found.value.version;
-      found.value.objects.forEach((object) => this.#take(object));
-    }
+  #takeAll(objects: readonly IPlatformObject[]): void {
+    this.#unreadable.clear();
+    objects.forEach((object) => this.#take(object));
+    this.#noteBehind(objects);
   }
 
   #take(object: IPlatformObject): void {
     const text = parseListObject(object);
-    if (text === null) {
-      this.#log.warn("plan_list_unreadable", { name: object.name });
+    if (text.isOk()) {
+      this.offer(text.value);
+      return;
+    }
+    const list = listNamed(object.name);
+    const { version } = object;
+    if (list === null) {
+      this.#unreadable.set(object.name, text.error);
       return;
     }
-    this.offer(text);
+    const refused = { version, findings: text.error };
+    this.#noteRefusal(list, this.#book.refuse(list, refused));
   }
 
-  #pause(duration: number): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = this.#clock.after(duration, resolve);
-      this.#owned.add(timer);
+  #confirm(): void {
+    this.#confirmedAt = this.#ports.clock.now();
+    this.#hasAskedPlatform = true;
+    this.#ports.alarms.set(AlarmName.PlanListsUnconfirmed, null);
+  }
+
+  #noteFailure(detail: string): void {
+    this.#hasAskedPlatform = true;
+    this.#ports.alarms.set(AlarmName.PlanListsUnconfirmed, detail);
+  }
+
+  /**
+   * Compares what the platform holds with what is in force. One stale read
+   * shows the same picture and passes; a platform restored from an older copy
+   * stays behind until an operator acts.
+   */
+  #noteBehind(objects: readonly IPlatformObject[]): void {
+    const behind = this.versions.filter(({ list, version }) => {
+      const object = objects.find(({ name }) => name === list);
+      const text = object ? parseListObject(object) : null;
+      const known = this.#book.text(list);
+      return text?.isOk()
+        ? text.value.version < version ||
+            (text.value.version === version && text.value.text !== known?.text)
+        : object === undefined && version > 0;
+    });
+    const names = behind.map(({ list, version }) => `${list}=${version}`);
+    const detail = `in force, not on the platform: ${names.join(" ")}`;
+    this.#ports.alarms.set(
+      AlarmName.PlatformBehind,
+      behind.length === 0 ? null : detail,
+    );
+  }
+
+  #noteUnknown(): void {
+    const missing = this.versions
+      .filter(({ version }) => version === 0)
+      .map(({ list }) => list);
+    const detail = `no good version known: ${missing.join(" ")}`;
+    this.#ports.alarms.set(
+      AlarmName.PlanListsUnknown,
+      missing.length === 0 ? null : detail,
+    );
+  }
+
+  #noteAccounts(): void {
+    const [first, ...rest] = this.#book.accountFindings;
+    const more = rest.length === 0 ? "" : ` and ${rest.length} more`;
+    const detail = first ? `${formatFinding(first)}${more}` : null;
+    this.#ports.alarms.set(AlarmName.CustomerWithoutPlan, detail);
+  }
+
+  #noteRefusal(list: PlanListName, adoption: Adoption): void {
+    const { alarms, log, metrics } = this.#ports;
+    const refused = Object.values(PlanListName).flatMap((name) => {
+      const entry = this.#book.refused(name);
+      return entry ? [`${name}=${entry.version}`] : [];
     });
+    const detail = refused.length === 0 ? null : refused.join(" ");
+    alarms.set(AlarmName.PlanListRefused, detail);
+    const newest = this.#book.refused(list);
+    if (adoption !== Adoption.Refused || newest === null) {
+      return;
+    }
+    metrics.count("plan_lists_refused", { list });
+    for (const finding of newest.findings) {
+      const { version } = newest;
+      const text = formatFinding(finding);
+      log.warn("plan_list_refused", { list, version, finding: text });
+    }
+  }
+
+  #writeGauges(): void {
+    const { metrics } = this.#ports;
+    for (const { list, version } of this.versions) {
+      metrics.gauge("plan_list_version", version, { list });
+    }
+    if (this.age !== null) {
+      metrics.gauge("plan_lists_age_milliseconds", this.age);
+    }
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -10,6 +10,7 @@
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
+import { Alarms } from "../common/services/alarms.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
@@ -26,6 +27,9 @@
 import type { Settings } from "./settings.ts";
 import { domainOptions } from "./domain_options.ts";
 
+/** The duty of watching the plan lists on behalf of the zone. */
+const WATCH_DUTY = "plan_lists";
+
 /** Where a running daemon listens. */
 export interface IDaemonAddresses {
   readonly callers: string;
@@ -45,6 +49,7 @@
   readonly #targets = new HttpTargets();
   readonly #peers = new GrpcPeers();
   readonly #live: LiveDaemons;
+  readonly #alarms: Alarms;
   readonly #lists: PlanListService;
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
@@ -62,7 +67,8 @@
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
     this.#live = new LiveDaemons(this.#id, hash);
     this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
-    this.#lists = new PlanListService(this.#platform, this.#clock, log);
+    this.#alarms = new Alarms(this.#clock, log, { metrics: this.#metrics });
+    this.#lists = this.#createLists();
     this.#directory = this.#createDirectory();
     this.#domains = this.#createDomains();
     this.#groups = new GroupDirectory(
@@ -89,7 +95,7 @@
   }
 
   get isReady(): boolean {
-    return !this.#isStopping && this.#lists.book.isComplete;
+    return !this.#isStopping && this.#lists.isReady;
   }
 
   /** Whether at least one replica group of the zone is complete. */
@@ -110,7 +116,8 @@
       in_flight: this.#dispatcher.inFlight,
       lists: this.#lists.versions,
       lists_age_ms: this.#lists.age,
-      findings: this.#lists.book.findings.map(formatFinding),
+      alarms: this.#alarms.raised,
+      findings: this.#lists.findings.map(formatFinding),
       domains: this.#domains.all.map((domain) => ({
         domain: domain.domain,
         holder: domain.record?.holder ?? null,
@@ -159,6 +166,7 @@
         random: this.#random,
         lists: this.#lists,
         live: this.#live,
+        seeds: daemon.seeds,
       },
       {
         daemon: this.#id,
@@ -168,13 +176,32 @@
         operationsAddress: operations,
       },
     );
-    this.#lists.start();
+    const { lists } = this.#settings;
+    this.#lists.start(
+      { isWatcher: () => this.#live.isChosen(WATCH_DUTY, lists.watchers) },
+      {
+        watch: lists.watch,
+        poll: lists.poll,
+        longestRetry: lists.longest_retry,
+      },
+    );
     this.#directory.start();
     this.#domains.start();
     this.#peerService.start();
     this.#log.info("listening", { callers, peers, operations });
   }
 
+  #createLists(): PlanListService {
+    return new PlanListService({
+      platform: this.#platform,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      metrics: this.#metrics,
+      alarms: this.#alarms,
+    });
+  }
+
   #createDirectory(): TargetDirectory {
     const { daemon, polling } = this.#settings;
     return new TargetDirectory(
@@ -231,6 +258,7 @@
     return new HttpCallerServer({
       dispatcher: this.#dispatcher,
       book: this.#lists.book,
+      areListsReady: () => this.#lists.isReady,
       services: serviceDefinitions(this.#settings),
       clock: this.#clock,
       random: this.#random,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -1,8 +1,7 @@
 /** A daemon's settings: a YAML file, checked whole before anything starts. */
-import { readFileSync } from "node:fs";
-import { Err } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { z } from "zod";
+import { readTextFile } from "../adapters/text_file.ts";
 import { durationSchema } from "../common/plans/duration.ts";
 import { checkDocument } from "../common/plans/findings.ts";
 import type { IFinding } from "../common/plans/types.ts";
@@ -45,6 +44,15 @@
   replace_after: durationSchema.default(4_000),
 });
 
+/** The plan lists: how they are followed on the platform. */
+const listsSchema = z.strictObject({
+  /** Daemons a zone that watch; the rest poll, and hear from their peers. */
+  watchers: z.number().int().positive().max(10).default(2),
+  watch: durationSchema.default(2_500),
+  poll: durationSchema.default(30_000),
+  longest_retry: durationSchema.default(2_500),
+});
+
 const pollingSchema = z.strictObject({
   targets: durationSchema.default(500),
   timeout: durationSchema.default(1_000),
@@ -61,11 +69,14 @@
     /** Where peers reach this daemon, if not where it listens. */
     peers_advertised: addressSchema.optional(),
     operations: addressSchema,
+    /** Peers to ask when the platform cannot say who they are. */
+    seeds: z.array(addressSchema).max(100).default([]),
   }),
   platform: z.strictObject({ address: addressSchema }),
   services: z.record(z.string().min(1), serviceSchema),
   groups: groupsSchema.prefault({}),
   polling: pollingSchema.prefault({}),
+  lists: listsSchema.prefault({}),
 });
 
 /** Settings as checked; durations are milliseconds. */
@@ -76,23 +87,15 @@
   source: string,
   text: string,
 ): Result<Settings, readonly IFinding[]> {
-  return checkDocument<Settings>(
-    source,
-    text,
-    settingsSchema as z.ZodType<Settings>,
-  );
+  const schema = settingsSchema as z.ZodType<Settings>;
+  return checkDocument(source, text, { schema }).map(({ content }) => content);
 }
 
 /** Reads and checks a settings file. */
 export function loadSettings(
   path: string,
 ): Result<Settings, readonly IFinding[]> {
-  try {
-    return checkSettings(path, readFileSync(path, "utf8"));
-  } catch (error) {
-    const message = `cannot be read: ${String(error)}`;
-    return Err([{ source: path, line: 1, column: 1, path: "", message }]);
-  }
+  return readTextFile(path).andThen((text) => checkSettings(path, text));
 }
 
 /** The services of the settings, as the rest of the program knows them. */
