--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,17 +1,27 @@
 /** Wires one daemon: adapters to services, and their starting and stopping. */
 import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
+import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { GrpcPeers, GrpcPeerServer } from "../adapters/peers/grpc_peers.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
+import {
+  MutualPeerCredentials,
+  PlainPeerCredentials,
+} from "../adapters/tls/peer_credentials.ts";
+import type { IPeerCredentials } from "../adapters/tls/peer_credentials.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import { LiveDaemons } from "../common/membership/live_daemons.ts";
+import { Alarms } from "../common/services/alarms.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
 import { PeerService } from "../common/services/peer_service.ts";
+import type { IPeerNews } from "../common/services/peer_service.ts";
+import type { PlanListName } from "../common/plans/types.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
 import { ServiceRunner } from "../common/services/service_runner.ts";
@@ -24,6 +34,9 @@
 import type { Settings } from "./settings.ts";
 import { domainOptions } from "./domain_options.ts";
 
+/** The duty of watching the plan lists on behalf of the zone. */
+const WATCH_DUTY = "plan_lists";
+
 /** Where a running daemon listens. */
 export interface IDaemonAddresses {
   readonly callers: string;
@@ -41,7 +54,10 @@
   readonly #id: string;
   readonly #platform: HttpPlatform;
   readonly #targets = new HttpTargets();
-  readonly #peers = new GrpcPeers();
+  readonly #credentials: IPeerCredentials;
+  readonly #peers: GrpcPeers;
+  readonly #live: LiveDaemons;
+  readonly #alarms: Alarms;
   readonly #lists: PlanListService;
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
@@ -53,12 +69,18 @@
   #peerService: PeerService | null = null;
   #isStopping = false;
 
-  private constructor(settings: Settings, log: LogfmtLog) {
+  private constructor(settings: Settings, log: LogfmtLog, hash: XxhashHash) {
     this.#settings = settings;
     this.#log = log;
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
+    this.#credentials = settings.tls.peers
+      ? new MutualPeerCredentials(settings.tls.peers)
+      : new PlainPeerCredentials();
+    this.#peers = new GrpcPeers(this.#credentials);
+    this.#live = new LiveDaemons(this.#id, hash);
     this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
-    this.#lists = new PlanListService(this.#platform, this.#clock, log);
+    this.#alarms = new Alarms(this.#clock, log, { metrics: this.#metrics });
+    this.#lists = this.#createLists();
     this.#directory = this.#createDirectory();
     this.#domains = this.#createDomains();
     this.#groups = new GroupDirectory(
@@ -79,13 +101,13 @@
   static async start(settings: Settings): Promise<Daemon> {
     const { name, zone } = settings.daemon;
     const log = await LogfmtLog.create({ daemon: name, zone });
-    const daemon = new Daemon(settings, log);
+    const daemon = new Daemon(settings, log, await XxhashHash.create());
     await daemon.#start();
     return daemon;
   }
 
   get isReady(): boolean {
-    return !this.#isStopping && this.#lists.book.isComplete;
+    return !this.#isStopping && this.#lists.isReady;
   }
 
   /** Whether at least one replica group of the zone is complete. */
@@ -106,7 +128,8 @@
       in_flight: this.#dispatcher.inFlight,
       lists: this.#lists.versions,
       lists_age_ms: this.#lists.age,
-      findings: this.#lists.book.findings.map(formatFinding),
+      alarms: this.#alarms.raised,
+      findings: this.#lists.findings.map(formatFinding),
       domains: this.#domains.all.map((domain) => ({
         domain: domain.domain,
         holder: domain.record?.holder ?? null,
@@ -154,6 +177,8 @@
         clock: this.#clock,
         random: this.#random,
         lists: this.#lists,
+        live: this.#live,
+        seeds: daemon.seeds,
       },
       {
         daemon: this.#id,
@@ -163,13 +188,32 @@
         operationsAddress: operations,
       },
     );
-    this.#lists.start();
+    const { lists } = this.#settings;
+    this.#lists.start(
+      { isWatcher: () => this.#live.isChosen(WATCH_DUTY, lists.watchers) },
+      {
+        watch: lists.watch,
+        poll: lists.poll,
+        longestRetry: lists.longest_retry,
+      },
+    );
     this.#directory.start();
     this.#domains.start();
     this.#peerService.start();
     this.#log.info("listening", { callers, peers, operations });
   }
 
+  #createLists(): PlanListService {
+    return new PlanListService({
+      platform: this.#platform,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      metrics: this.#metrics,
+      alarms: this.#alarms,
+    });
+  }
+
   #createDirectory(): TargetDirectory {
     const { daemon, polling } = this.#settings;
     return new TargetDirectory(
@@ -226,28 +270,31 @@
     return new HttpCallerServer({
       dispatcher: this.#dispatcher,
       book: this.#lists.book,
+      areListsReady: () => this.#lists.isReady,
       services: serviceDefinitions(this.#settings),
       clock: this.#clock,
       random: this.#random,
       log: this.#log,
       metrics: this.#metrics,
+      certificate: this.#settings.tls.callers ?? null,
     });
   }
 
   #createPeerServer(): GrpcPeerServer {
-    return new GrpcPeerServer({
+    const answers = {
       news: () => ({
         daemon: this.#id,
         zone: this.#settings.daemon.zone,
         versions: this.#lists.versions,
       }),
-      learn: (news) => {
+      learn: (news: IPeerNews) => {
         const address = this.#peerService?.addressOf(news.daemon);
         if (address) {
           void this.#peerService?.learn(news, address);
         }
       },
-      text: (list) => this.#lists.book.text(list),
-    });
+      text: (list: PlanListName) => this.#lists.book.text(list),
+    };
+    return new GrpcPeerServer(answers, this.#credentials);
   }
 }
