Keep groups through pauses, and hold flapping members out

Cause: a daemon that had just started or been paused took its own lack of reports for the members' silence and replaced healthy groups; an incomplete group without a spare was dissolved at once, so that a member's short pause cost two loads; a member restarted at its address counted as present; every missing load was ordered at once; a lease was given back with orders still on their way. Ruled out: a fixed wait after taking the lease (too long for a dark domain, too short after a pause); keeping the hold in the record (a write a flap). Change: silence counts from when the daemon began to watch without a gap; incomplete groups are kept, healed, or merged; records name each member's process run; loads are queued; losses hold a member out for longer each time; an order asks for the lease as its content is written out; a lease is given back once no order can land.

--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -1,4 +1,5 @@
 /** Calls to engines and plain services over HTTP. */
+import { Readable } from "node:stream";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { Agent, request } from "undici";
@@ -6,6 +7,7 @@
   IEngineCall,
   IEngineOrder,
   IEngineToken,
+  IOrderOptions,
   IServiceCall,
   ITargets,
 } from "../../common/services/services.ts";
@@ -49,12 +51,26 @@
   async order(
     address: string,
     order: IEngineOrder,
-    timeout: number,
+    options: IOrderOptions,
   ): Promise<Result<void, ICallFailure>> {
-    const answer = await this.#post(`http://${address}/orders`, order, {
-      timeout,
-    });
-    return answer.map(() => undefined);
+    const { timeout, isStillDue } = options;
+    let isWritten = false;
+    function* content(): Generator<Buffer> {
+      if (!isStillDue()) {
+        throw new Error("the lease no longer covers the order");
+      }
+      isWritten = true;
+      yield Buffer.from(JSON.stringify(order));
+    }
+    const url = `http://${address}/orders`;
+    const body = Readable.from(content(), { objectMode: false });
+    const answer = await this.#post(url, body, { timeout });
+    return answer
+      .map(() => undefined)
+      .mapErr(({ kind, detail }) => ({
+        kind: isWritten ? kind : CallFailureKind.NotSent,
+        detail,
+      }));
   }
 
   async call(
@@ -65,7 +81,7 @@
     const { requestId, operation, body, timeout } = call;
     const answer = await this.#post(
       `http://${address}/call`,
-      { requestId, operation, body },
+      JSON.stringify({ requestId, operation, body }),
       { timeout, signal },
     );
     return answer.andThen((value) => checkServiceAnswer(value, call));
@@ -121,7 +137,7 @@
 
   async #post(
     url: string,
-    content: unknown,
+    body: string | Readable,
     options: { readonly timeout: number; readonly signal?: AbortSignal },
   ): Promise<Result<unknown, ICallFailure>> {
     const attempted = `POST ${url}`;
@@ -130,7 +146,7 @@
         method: "POST",
         dispatcher: this.#agent,
         headers: { "content-type": "application/json" },
-        body: JSON.stringify(content),
+        body,
         headersTimeout: options.timeout,
         bodyTimeout: options.timeout,
         signal: options.signal,
--- a/src/common/groups/domain_record_schema.ts
+++ b/src/common/groups/domain_record_schema.ts
@@ -16,6 +16,7 @@
   generation: z.number().int().positive(),
   epoch: z.number().int().nonnegative(),
   members: z.array(z.string().min(1)).min(1),
+  incarnations: z.array(z.string()),
 });
 
 const recordSchema = z
@@ -30,6 +31,13 @@
   .superRefine((record, context) => {
     const seen = new Set<string>();
     record.groups.forEach((group, index) => {
+      if (group.incarnations.length !== group.members.length) {
+        context.addIssue({
+          code: "custom",
+          path: ["groups", index, "incarnations"],
+          message: "expected one for each member",
+        });
+      }
       for (const member of group.members) {
         if (seen.has(member)) {
           context.addIssue({
--- a/src/common/groups/formation.ts
+++ b/src/common/groups/formation.ts
@@ -1,10 +1,14 @@
 /**
  * Forms replica groups in one fabric domain. Pure: what is known goes in, the
- * wanted groups and the orders to engines come out.
+ * wanted groups come out.
  *
  * A group never spans domains and an instance stands in at most one group of
  * the record, so that "no instance in two groups" needs no agreement beyond
- * the one conditional write of the record.
+ * the one conditional write of the record. A complete group is never broken
+ * up; an incomplete one is kept as it is until it can be healed, since its
+ * lost member may only have paused, and a member's return then heals it
+ * without any write. Only where no instance is free is an incomplete group
+ * given up, and then so that its members heal the others.
  */
 import type {
   IInstance,
@@ -13,9 +17,8 @@
   MonotonicTime,
   ServiceName,
 } from "../types.ts";
-import { InstanceState, TargetState } from "../types.ts";
-import { OrderKind } from "../services/services.ts";
-import type { IEngineOrder } from "../services/services.ts";
+import { TargetState } from "../types.ts";
+import type { MemberWatch } from "./member_watch.ts";
 import type { IDomainRecord, IReplicaGroup } from "./types.ts";
 
 /** How many groups of which service a domain should have. */
@@ -29,6 +32,9 @@
 export interface IFormationView {
   readonly instances: readonly IInstance[];
   readonly reports: ReadonlyMap<InstanceId, ISeenReport>;
+  readonly watch: MemberWatch;
+  /** When an order to each instance was last answered or given up. */
+  readonly orderedAt: ReadonlyMap<InstanceId, MonotonicTime>;
   readonly now: MonotonicTime;
 }
 
@@ -37,18 +43,14 @@
   readonly membersPerGroup: number;
   /** A report older than this does not count as present, milliseconds. */
   readonly freshness: number;
-  /** How long a member may be silent before it is replaced, milliseconds. */
-  readonly replaceAfter: number;
   /** How long an engine may act on an order after receipt, milliseconds. */
   readonly orderValidity: number;
+  /** Engines of a domain that may load from the weight store at once. */
+  readonly concurrentLoads: number;
 }
 
-/** An order and the instance it goes to. */
-export interface IAddressedOrder {
-  readonly instance: InstanceId;
-  readonly address: string;
-  readonly order: IEngineOrder;
-}
+/** The part of a record that forming changes. */
+export type GroupChange = Pick<IDomainRecord, "groups" | "nextGroup">;
 
 /** The next groups of a record, or null when nothing is to change. */
 export function planGroups(
@@ -56,10 +58,11 @@
   wanted: readonly IWantedGroups[],
   view: IFormationView,
   policy: IFormationPolicy,
-): Pick<IDomainRecord, "groups" | "nextGroup"> | null {
+): GroupChange | null {
   const planner = new GroupPlanner(record, view, policy);
   planner.dropUnwanted(wanted);
-  planner.replaceLost();
+  planner.heal();
+  planner.consolidate();
   planner.formMissing(wanted);
   return planner.result();
 }
@@ -69,7 +72,7 @@
   readonly #record: IDomainRecord;
   readonly #view: IFormationView;
   readonly #policy: IFormationPolicy;
-  readonly #free: InstanceId[];
+  #free: InstanceId[];
   #groups: IReplicaGroup[];
   #nextGroup: number;
   #isChanged = false;
@@ -87,7 +90,11 @@
     this.#free = this.#findFree();
   }
 
-  /** Removes groups of services that are no longer served. */
+  /**
+   * Removes groups of services that are no longer served. A group beyond the
+   * wanted count stays: the count follows the platform's lagging list, and a
+   * short list must not break up complete groups.
+   */
   dropUnwanted(wanted: readonly IWantedGroups[]): void {
     const services = new Set(wanted.map((entry) => entry.service));
     const kept = this.#groups.filter((group) => services.has(group.service));
@@ -95,24 +102,32 @@
     this.#groups = kept;
   }
 
-  /** Replaces members that are lost or leaving, or dissolves the group. */
-  replaceLost(): void {
-    const kept: IReplicaGroup[] = [];
-    for (const group of this.#groups) {
-      const present = group.members.filter((member) => this.#isUsable(member));
-      const missing = group.members.length - present.length;
-      if (missing === 0) {
-        kept.push(group);
-        continue;
-      }
-      this.#isChanged ||= true;
-      if (missing <= this.#free.length) {
-        kept.push(this.#regenerate(group, present, missing));
-      } else {
-        this.#free.push(...present.filter((member) => this.#isHere(member)));
+  /** Replaces lost members by free instances, nearly whole groups first. */
+  heal(): void {
+    for (const group of this.#incomplete()) {
+      if (this.#absent(group).length <= this.#free.length) {
+        this.#regenerate(group);
       }
     }
-    this.#groups = kept;
+  }
+
+  /** Gives up the worst incomplete group while that heals another. */
+  consolidate(): void {
+    const incomplete = this.#incomplete();
+    const service = incomplete[0]?.service;
+    const worst = incomplete.findLast((group) => group.service === service);
+    const best = incomplete[0];
+    if (worst === undefined || best === undefined || worst === best) {
+      return;
+    }
+    const released = worst.members.filter((member) => this.#isFit(member));
+    if (this.#absent(best).length > this.#free.length + released.length) {
+      return;
+    }
+    this.#groups = this.#groups.filter((group) => group !== worst);
+    this.#free.push(...released);
+    this.heal();
+    this.consolidate();
   }
 
   /** Forms groups from free instances until the wanted counts are met. */
@@ -130,7 +145,7 @@
     }
   }
 
-  result(): Pick<IDomainRecord, "groups" | "nextGroup"> | null {
+  result(): GroupChange | null {
     if (!this.#isChanged) {
       return null;
     }
@@ -138,140 +153,100 @@
   }
 
   #form(service: ServiceName, model: string): void {
+    const members = this.#take(this.#policy.membersPerGroup, model);
     this.#groups.push({
       id: `${this.#record.domain}/${this.#nextGroup}`,
       service,
       model,
       generation: 1,
       epoch: this.#record.epoch,
-      members: this.#free.splice(0, this.#policy.membersPerGroup),
+      members,
+      incarnations: members.map((member) => this.#incarnation(member)),
     });
     this.#nextGroup += 1;
     this.#isChanged = true;
   }
 
-  #regenerate(
-    group: IReplicaGroup,
-    present: readonly InstanceId[],
-    missing: number,
-  ): IReplicaGroup {
-    return {
+  /** The same group in its next generation, the others keeping their rank. */
+  #regenerate(group: IReplicaGroup): void {
+    const absent = this.#absent(group);
+    const spares = this.#take(absent.length, group.model);
+    const members = group.members.map((member) =>
+      absent.includes(member) ? (spares.shift() ?? member) : member,
+    );
+    const next = {
       ...group,
       generation: group.generation + 1,
       epoch: this.#record.epoch,
-      members: [...present, ...this.#free.splice(0, missing)],
+      members,
+      incarnations: members.map((member) => this.#incarnation(member)),
     };
+    this.#groups = this.#groups.map((entry) =>
+      entry === group ? next : entry,
+    );
+    this.#isChanged = true;
+  }
+
+  /** Free instances, those that hold the model's weights first. */
+  #take(count: number, model: string): InstanceId[] {
+    const holds = (id: InstanceId) =>
+      this.#view.reports.get(id)?.report.model === model;
+    const ordered = [
+      ...this.#free.filter(holds),
+      ...this.#free.filter((id) => !holds(id)),
+    ];
+    const taken = ordered.slice(0, count);
+    this.#free = this.#free.filter((id) => !taken.includes(id));
+    return taken;
+  }
+
+  /** Groups with lost members, those that lack the fewest first. */
+  #incomplete(): readonly IReplicaGroup[] {
+    return this.#groups
+      .filter((group) => this.#lost(group).length > 0)
+      .sort(
+        (left, right) => this.#lost(left).length - this.#lost(right).length,
+      );
+  }
+
+  /** Members that are gone, or were restarted since the group was formed. */
+  #lost(group: IReplicaGroup): readonly InstanceId[] {
+    const { watch, now } = this.#view;
+    return group.members.filter((member, rank) => {
+      const known = this.#view.reports.get(member)?.report.incarnation;
+      const isRestarted =
+        known !== undefined && known !== group.incarnations[rank];
+      return isRestarted || watch.isLost(member, now);
+    });
+  }
+
+  /** Lost members that cannot take their own place again. */
+  #absent(group: IReplicaGroup): readonly InstanceId[] {
+    return this.#lost(group).filter((member) => !this.#isFit(member));
   }
 
   #findFree(): InstanceId[] {
     const taken = new Set(this.#groups.flatMap((group) => group.members));
     return this.#view.instances
-      .filter((instance) => instance.state === InstanceState.Live)
       .map((instance) => instance.id)
-      .filter((id) => !taken.has(id) && this.#isHere(id))
+      .filter((id) => !taken.has(id) && this.#isFit(id))
       .sort();
   }
 
-  /** Answered of late and not leaving. */
-  #isHere(id: InstanceId): boolean {
-    const seen = this.#view.reports.get(id);
+  /** Answered of late, not leaving, and not held out for flapping. */
+  #isFit(id: InstanceId): boolean {
+    const { reports, watch, now } = this.#view;
+    const seen = reports.get(id);
     return (
       seen !== undefined &&
-      this.#view.now - seen.seenAt <= this.#policy.freshness &&
-      seen.report.state !== TargetState.Leaving
+      now - seen.seenAt <= this.#policy.freshness &&
+      seen.report.state !== TargetState.Leaving &&
+      !watch.isLost(id, now) &&
+      !watch.isHeld(id, now)
     );
   }
 
-  /** Not yet given up: silent for less than the replacement bound. */
-  #isUsable(id: InstanceId): boolean {
-    const instance = this.#view.instances.find((entry) => entry.id === id);
-    if (instance?.state !== InstanceState.Live) {
-      return false;
-    }
-    const seen = this.#view.reports.get(id);
-    return (
-      seen !== undefined &&
-      this.#view.now - seen.seenAt <= this.#policy.replaceAfter &&
-      seen.report.state !== TargetState.Leaving
-    );
-  }
-}
-
-/** Orders that bring what engines report in line with the record. */
-export function planOrders(
-  record: IDomainRecord,
-  view: IFormationView,
-  policy: IFormationPolicy,
-): readonly IAddressedOrder[] {
-  const addresses = new Map(
-    view.instances.map((instance) => [instance.id, instance.address]),
-  );
-  const joins = record.groups.flatMap((group) =>
-    planJoins(group, record, { view, policy, addresses }),
-  );
-  return [...joins, ...planReleases(record, { view, policy, addresses })];
-}
-
-interface IOrderContext {
-  readonly view: IFormationView;
-  readonly policy: IFormationPolicy;
-  readonly addresses: ReadonlyMap<InstanceId, string>;
-}
-
-function planJoins(
-  group: IReplicaGroup,
-  record: IDomainRecord,
-  context: IOrderContext,
-): readonly IAddressedOrder[] {
-  const members = group.members.map((id) => context.addresses.get(id) ?? "");
-  const orders: IAddressedOrder[] = [];
-  group.members.forEach((instance, rank) => {
-    const membership = context.view.reports.get(instance)?.report.membership;
-    const isMember =
-      membership?.group === group.id &&
-      membership.generation === group.generation;
-    const address = context.addresses.get(instance);
-    if (isMember || address === undefined) {
-      return;
-    }
-    const order: IEngineOrder = {
-      kind: OrderKind.Join,
-      group: group.id,
-      rank,
-      model: group.model,
-      members,
-      epoch: record.epoch,
-      generation: group.generation,
-      validFor: context.policy.orderValidity,
-    };
-    orders.push({ instance, address, order });
-  });
-  return orders;
-}
-
-/** Engines that report a group the record does not give them. */
-function planReleases(
-  record: IDomainRecord,
-  context: IOrderContext,
-): readonly IAddressedOrder[] {
-  const taken = new Set(record.groups.flatMap((group) => group.members));
-  const orders: IAddressedOrder[] = [];
-  for (const [instance, address] of context.addresses) {
-    const membership = context.view.reports.get(instance)?.report.membership;
-    if (!membership || taken.has(instance)) {
-      continue;
-    }
-    const order: IEngineOrder = {
-      kind: OrderKind.Release,
-      group: membership.group,
-      rank: membership.rank,
-      model: "",
-      members: [],
-      epoch: record.epoch,
-      generation: membership.generation,
-      validFor: context.policy.orderValidity,
-    };
-    orders.push({ instance, address, order });
+  #incarnation(id: InstanceId): string {
+    return this.#view.reports.get(id)?.report.incarnation ?? "";
   }
-  return orders;
 }
--- a/src/common/groups/presence.ts
+++ b/src/common/groups/presence.ts
@@ -23,23 +23,25 @@
 
 /** Whether every member is present, ready and in this very generation. */
 export function isComplete(group: IReplicaGroup, view: IPresenceView): boolean {
-  return group.members.every((member) => isPresent(group, member, view));
+  return group.members.every((_, rank) => isPresent(group, rank, view));
 }
 
 function isPresent(
   group: IReplicaGroup,
-  member: InstanceId,
+  rank: number,
   view: IPresenceView,
 ): boolean {
+  const member = group.members[rank] ?? "";
   const seen = view.reports.get(member);
   const instance = view.instances.get(member);
   if (seen === undefined || instance?.state !== InstanceState.Live) {
     return false;
   }
-  const { membership, state } = seen.report;
+  const { incarnation, membership, state } = seen.report;
   return (
     view.now - seen.seenAt <= view.freshness &&
     state === TargetState.Ready &&
+    incarnation === group.incarnations[rank] &&
     membership?.group === group.id &&
     membership.generation === group.generation
   );
--- a/src/common/groups/types.ts
+++ b/src/common/groups/types.ts
@@ -18,6 +18,11 @@
   readonly epoch: number;
   /** In order of rank; the first takes requests. */
   readonly members: readonly InstanceId[];
+  /**
+   * The process run of each member when this generation was formed. A member
+   * restarted since then has lost its state and is no longer present.
+   */
+  readonly incarnations: readonly string[];
 }
 
 /** One object of the platform a fabric domain: its lease and its groups. */
--- a/src/common/services/domain_service.ts
+++ b/src/common/services/domain_service.ts
@@ -7,13 +7,16 @@
   DOMAIN_KIND,
 } from "../groups/domain_record_schema.ts";
 import { LeaseState } from "../groups/lease_machine.ts";
-import { planGroups, planOrders } from "../groups/formation.ts";
+import { planGroups } from "../groups/formation.ts";
 import type {
-  IAddressedOrder,
   IFormationPolicy,
   IFormationView,
   IWantedGroups,
 } from "../groups/formation.ts";
+import { MemberWatch } from "../groups/member_watch.ts";
+import type { IWatchPolicy } from "../groups/member_watch.ts";
+import { planOrders } from "../groups/orders.ts";
+import type { IAddressedOrder } from "../groups/orders.ts";
 import { LeaseActionKind } from "../groups/types.ts";
 import type {
   IDomainRecord,
@@ -22,7 +25,13 @@
   LeaseAction,
 } from "../groups/types.ts";
 import { formatFinding } from "../plans/findings.ts";
-import type { DaemonId, DomainName } from "../types.ts";
+import { CallFailureKind } from "../types.ts";
+import type {
+  DaemonId,
+  DomainName,
+  InstanceId,
+  MonotonicTime,
+} from "../types.ts";
 import { WriteFailureKind } from "./services.ts";
 import type {
   IClock,
@@ -36,9 +45,6 @@
 /** How often the lease is looked at, milliseconds. */
 const TICK = 100;
 
-/** How long an order may take, milliseconds. */
-const ORDER_TIMEOUT = 1_000;
-
 /** What a domain service works with. */
 export interface IDomainPorts {
   readonly platform: IPlatform;
@@ -54,6 +60,7 @@
   readonly domain: DomainName;
   readonly lease: ILeaseTiming;
   readonly formation: IFormationPolicy;
+  readonly watch: IWatchPolicy;
   /** How often an observer reads the record, milliseconds. */
   readonly observeEvery: number;
   readonly wanted: () => readonly IWantedGroups[];
@@ -65,7 +72,12 @@
   readonly #options: IDomainOptions;
   readonly #lease: DomainLease;
   readonly #owned = new DisposableStore();
-  readonly #ordering = new Set<string>();
+  readonly #watch: MemberWatch;
+  /** Orders on their way, by instance. */
+  readonly #ordering = new Map<InstanceId, Promise<void>>();
+  readonly #orderedAt = new Map<InstanceId, MonotonicTime>();
+  /** Until when an order whose answer was lost may still take effect. */
+  #ordersEndAt = Number.NEGATIVE_INFINITY;
   #lastRead = Number.NEGATIVE_INFINITY;
   #isReading = false;
   #isClosing = false;
@@ -78,6 +90,7 @@
       options.domain,
       options.lease,
     );
+    this.#watch = new MemberWatch(options.watch);
   }
 
   get domain(): DomainName {
@@ -88,6 +101,11 @@
     return this.#lease.state === LeaseState.Holding;
   }
 
+  /** Whether a member has come and gone so often that it is kept out. */
+  isHeldOut(instance: InstanceId): boolean {
+    return this.#watch.isHeld(instance, this.#ports.clock.now());
+  }
+
   /** The newest record seen, or null. */
   get record(): IDomainRecord | null {
     return this.#lease.seen?.record ?? null;
@@ -98,9 +116,16 @@
     this.#owned.add(this.#ports.clock.every(TICK, () => this.#tick()));
   }
 
-  /** Gives the lease back by a write, and stops. */
+  /**
+   * Gives the lease back by a write, and stops. The next holder need not wait
+   * for the lease's end, so no order of this one may be on its way any more:
+   * one that landed after the next holder's would undo it at an engine that
+   * ignores fencing numbers.
+   */
   async close(): Promise<void> {
     this.#isClosing = true;
+    await Promise.all(this.#ordering.values());
+    await this.#waitUntil(this.#ordersEndAt);
     this.#owned.dispose();
     const actions = this.#lease.giveBack(this.#ports.clock.now());
     await Promise.all(actions.map((action) => this.#perform(action)));
@@ -116,7 +141,9 @@
     if (now - this.#lastRead >= this.#options.observeEvery) {
       void this.#read();
     }
-    if (this.#lease.mayOrder(now)) {
+    const { instances, reports } = this.#view(now);
+    this.#watch.look(instances, reports, now);
+    if (!this.#isClosing && this.#lease.mayOrder(now)) {
       this.#govern(now);
     }
   }
@@ -135,7 +162,7 @@
       return;
     }
     for (const order of planOrders(record, view, policy)) {
-      void this.#send(order);
+      this.#send(order);
     }
   }
 
@@ -144,24 +171,46 @@
     const here = [...instances.values()].filter(
       (instance) => instance.domain === this.domain && instance.service === "",
     );
-    return { instances: here, reports, now };
+    const orderedAt = this.#orderedAt;
+    return { instances: here, reports, now, orderedAt, watch: this.#watch };
   }
 
-  async #send(addressed: IAddressedOrder): Promise<void> {
-    const { instance, address, order } = addressed;
-    const { clock, log, targets } = this.#ports;
-    if (this.#ordering.has(instance) || !this.#lease.mayOrder(clock.now())) {
+  #send(addressed: IAddressedOrder): void {
+    const { instance } = addressed;
+    if (this.#ordering.has(instance)) {
       return;
     }
-    this.#ordering.add(instance);
+    const sending = this.#order(addressed).finally(() => {
+      this.#ordering.delete(instance);
+    });
+    this.#ordering.set(instance, sending);
+  }
+
+  async #order({ instance, address, order }: IAddressedOrder): Promise<void> {
+    const { clock, log, targets } = this.#ports;
+    const answer = await targets.order(address, order, {
+      timeout: order.validFor,
+      isStillDue: () => this.#lease.mayOrder(clock.now()),
+    });
+    const now = clock.now();
+    this.#orderedAt.set(instance, now);
+    if (answer.isErr() && answer.error.kind === CallFailureKind.Unknown) {
+      this.#ordersEndAt = now + order.validFor;
+    }
     const { group, generation, epoch, kind } = order;
-    const answer = await targets.order(address, order, ORDER_TIMEOUT);
-    this.#ordering.delete(instance);
     const result = answer.isOk() ? "accepted" : answer.error.detail;
     const fields = { kind, instance, group, generation, epoch, result };
     log.info("engine_order", fields);
   }
 
+  #waitUntil(end: MonotonicTime): Promise<void> {
+    const { clock } = this.#ports;
+    const left = end - clock.now();
+    return left <= 0
+      ? Promise.resolve()
+      : new Promise((resolve) => void clock.after(left, resolve));
+  }
+
   #performAll(actions: readonly LeaseAction[]): void {
     for (const action of actions) {
       void this.#perform(action);
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -157,6 +157,18 @@
   readonly validFor: number;
 }
 
+/** How an order is sent. */
+export interface IOrderOptions {
+  /** Milliseconds. */
+  readonly timeout: number;
+  /**
+   * Asked at the last moment before the order's content is written out. A
+   * process may be paused while it connects; the lease it checked before is
+   * then over, and an engine that ignores fencing numbers would obey.
+   */
+  readonly isStillDue: () => boolean;
+}
+
 /** A request as sent to a replica group's first member. */
 export interface IEngineCall {
   readonly requestId: RequestId;
@@ -195,7 +207,7 @@
   order(
     address: string,
     order: IEngineOrder,
-    timeout: number,
+    options: IOrderOptions,
   ): Promise<Result<void, ICallFailure>>;
   /**
    * Streams tokens in batches as they arrive. Batches of one answer are in
--- a/src/daemon/domain_options.ts
+++ b/src/daemon/domain_options.ts
@@ -15,6 +15,9 @@
 /** A gap between ticks longer than this share of the lease is a pause. */
 const PAUSE_SHARE = 0.2;
 
+/** Losses are forgotten slower than the longest hold lasts. */
+const FORGET_SHARE = 2;
+
 /** Options for every domain of the daemon's zone. */
 export function domainOptions(
   settings: Settings,
@@ -33,8 +36,15 @@
     formation: {
       membersPerGroup: groups.members,
       freshness: groups.freshness,
-      replaceAfter: groups.replace_after,
       orderValidity: groups.takeover_margin * ORDER_VALIDITY_SHARE,
+      concurrentLoads: groups.concurrent_loads,
+    },
+    watch: {
+      pauseBound: groups.lease * PAUSE_SHARE,
+      replaceAfter: groups.replace_after,
+      holdAfterLoss: groups.hold_after_loss,
+      longestHold: groups.longest_hold,
+      forgetHalf: groups.longest_hold * FORGET_SHARE,
     },
     observeEvery: polling.domains,
     wanted: (engines) => wantedGroups(settings, engines),
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -42,6 +42,11 @@
   renew_every: durationSchema.default(1_500),
   freshness: durationSchema.default(2_000),
   replace_after: durationSchema.default(4_000),
+  /** Engines of one domain that may load from the weight store at once. */
+  concurrent_loads: z.number().int().positive().default(8),
+  /** How long a member that was lost twice is kept out of groups. */
+  hold_after_loss: durationSchema.default(15_000),
+  longest_hold: durationSchema.default(300_000),
 });
 
 /** The plan lists: how they are followed on the platform. */
--- a/src/stand_ins/embedded/main.ts
+++ b/src/stand_ins/embedded/main.ts
@@ -32,6 +32,8 @@
     tokenTime: 20,
     batchTime: 1,
     reportLag: 200,
+    orderDelay: 0,
+    honoursValidity: false,
   });
   const address = await member.listen(ANY_PORT);
   await registerInstance(platform, {
--- a/src/stand_ins/engine_member/engine_member.ts
+++ b/src/stand_ins/engine_member/engine_member.ts
@@ -106,7 +106,19 @@
     this.#reported = { running: this.#running, tokens: this.#tokens };
   }
 
-  #order(order: IEngineOrder): IJsonAnswer {
+  async #order(order: IEngineOrder): Promise<IJsonAnswer> {
+    const { orderDelay, honoursValidity } = this.#options;
+    if (orderDelay > 0) {
+      await sleep(orderDelay);
+    }
+    if (honoursValidity && orderDelay > order.validFor) {
+      this.#keep("expired", order, "");
+      return refuse(STATUS_REFUSED, `valid for ${order.validFor} ms only`);
+    }
+    return this.#obey(order);
+  }
+
+  #obey(order: IEngineOrder): IJsonAnswer {
     const isOld = order.epoch < this.#highestEpoch;
     if (isOld && this.#options.fencing === Fencing.Refuse) {
       this.#keep("refused", order, "");
--- a/src/stand_ins/engine_member/main.ts
+++ b/src/stand_ins/engine_member/main.ts
@@ -19,6 +19,8 @@
     "token-time": { type: "string", default: "5" },
     "batch-time": { type: "string", default: "1" },
     "report-lag": { type: "string", default: "200" },
+    "order-delay": { type: "string", default: "0" },
+    "honours-validity": { type: "boolean", default: false },
   },
 });
 
@@ -31,6 +33,8 @@
   tokenTime: Number(values["token-time"]),
   batchTime: Number(values["batch-time"]),
   reportLag: Number(values["report-lag"]),
+  orderDelay: Number(values["order-delay"]),
+  honoursValidity: values["honours-validity"],
 });
 const address = await member.listen(values.listen);
 if (values.platform !== "") {
--- a/src/stand_ins/engine_member/types.ts
+++ b/src/stand_ins/engine_member/types.ts
@@ -19,12 +19,22 @@
   readonly batchTime: number;
   /** How old the load figures of a report are. */
   readonly reportLag: number;
+  /** Time between the receipt of an order and acting on it. */
+  readonly orderDelay: number;
+  /** Whether an order is dropped once its validity has passed. */
+  readonly honoursValidity: boolean;
 }
 
 /** One thing an engine did, kept so that proofs can judge by it. */
 export interface IEngineDeed {
   readonly kind:
-    "joined" | "released" | "refused" | "began" | "worked" | "ended";
+    | "joined"
+    | "released"
+    | "refused"
+    | "expired"
+    | "began"
+    | "worked"
+    | "ended";
   readonly at: number;
   readonly group: string;
   readonly generation: number;
--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -20,10 +20,27 @@
   LoseAnswer = "lose_answer",
 }
 
+/** What happens to the next request that matches. */
+export enum RequestFault {
+  /** It is kept back, with its connection, until released. */
+  Hold = "hold",
+  /** It passes; its connection is reset in place of the answer. */
+  LoseAnswer = "lose_answer",
+}
+
+interface IRequestFault {
+  /** Text of the request, such as `POST /orders`. */
+  readonly text: string;
+  readonly fault: RequestFault;
+}
+
 interface IPair {
   readonly client: Socket;
   readonly target: Socket;
   isSilenced: boolean;
+  /** Bytes kept back; null while the connection is not held. */
+  held: Buffer[] | null;
+  losesAnswer: boolean;
 }
 
 /** One link: listens on a port of its own and passes on to one target. */
@@ -33,6 +50,7 @@
   readonly #pairs = new Set<IPair>();
   #mode = LinkMode.Pass;
   #delay = 0;
+  #nextFault: IRequestFault | null = null;
 
   /** @param target - `host:port` that connections are passed on to */
   constructor(target: string) {
@@ -66,6 +84,29 @@
     }
   }
 
+  /** Brings a fault about at the next request that contains a text. */
+  failNext(text: string, fault: RequestFault): void {
+    this.#nextFault = { text, fault };
+  }
+
+  /** Takes back a fault that has not come about yet. */
+  clearFault(): void {
+    this.#nextFault = null;
+  }
+
+  /** Whether a fault asked for has not come about yet. */
+  get isFaultDue(): boolean {
+    return this.#nextFault !== null;
+  }
+
+  /** Passes on what was kept back, late as it is. */
+  release(): void {
+    for (const pair of this.#pairs) {
+      pair.held?.forEach((bytes) => pair.target.write(bytes));
+      pair.held = null;
+    }
+  }
+
   /** Connections open through this link. */
   get connections(): number {
     return this.#pairs.size;
@@ -83,25 +124,53 @@
     }
     const { host, port } = splitAddress(this.#target);
     const target = connect({ host, port, allowHalfOpen: true });
-    const pair: IPair = { client, target, isSilenced: false };
+    const pair: IPair = {
+      client,
+      target,
+      isSilenced: false,
+      held: null,
+      losesAnswer: false,
+    };
     this.#pairs.add(pair);
     client.on("data", (bytes) => this.#toTarget(pair, bytes));
     target.on("data", (bytes) => this.#toClient(pair, bytes));
-    client.on("end", () => target.end());
+    client.on("end", () => pair.held ?? target.end());
     target.on("end", () => client.end());
     for (const socket of [client, target]) {
-      socket.on("error", () => reset(pair));
+      socket.on("error", () => pair.held ?? reset(pair));
       socket.on("close", () => this.#closed(pair));
     }
   }
 
   #toTarget(pair: IPair, bytes: Buffer): void {
+    this.#startFault(pair, bytes);
+    if (pair.held !== null) {
+      pair.held.push(bytes);
+      return;
+    }
     if (!this.#isSilent(pair) && this.#mode !== LinkMode.NoRequests) {
       this.#later(() => pair.target.write(bytes));
     }
   }
 
+  #startFault(pair: IPair, bytes: Buffer): void {
+    const next = this.#nextFault;
+    if (next === null || !bytes.includes(next.text)) {
+      return;
+    }
+    this.#nextFault = null;
+    if (next.fault === RequestFault.Hold) {
+      pair.held = [];
+    } else {
+      pair.losesAnswer = true;
+    }
+  }
+
   #toClient(pair: IPair, bytes: Buffer): void {
+    if (pair.losesAnswer) {
+      reset(pair);
+      return;
+    }
     if (this.#mode === LinkMode.LoseAnswer) {
       this.#mode = LinkMode.Pass;
       reset(pair);
@@ -125,6 +194,9 @@
   }
 
   #closed(pair: IPair): void {
+    if (pair.held !== null) {
+      return;
+    }
     this.#pairs.delete(pair);
     if (!pair.isSilenced) {
       reset(pair);
--- /dev/null
+++ b/test/groups_lease_test.ts
@@ -0,0 +1,166 @@
+/** Leases on a fabric domain under failures of their holders. */
+import { expect } from "chai";
+import { RequestFault } from "../src/stand_ins/fault_proxy/fault_proxy.ts";
+import { Deployment } from "./support/deployment.ts";
+import {
+  engineRecords,
+  findHolder,
+  groupPlan,
+  judgeEpochs,
+  judgeWhole,
+  readRecord,
+  SteadyCaller,
+  waitForGroups,
+} from "./support/group_proof.ts";
+import { waitFor } from "./support/process_handle.ts";
+
+const DOMAIN_WRITE = "PUT /objects/fabric_domains";
+
+describe("a domain's lease in real processes", () => {
+  // The entry instance that holds the lease is replaced without notice, and
+  // right after it an engine dies. Users see one group's requests turned away
+  // until another daemon has taken the lease and put a spare in place.
+  it("is taken over when its holder is killed, by one daemon only", async () => {
+    await using deployment = await Deployment.start(
+      groupPlan({ daemonsPerZone: 3, enginesPerZone: 6 }),
+    );
+    const { holder, others } = await findHolder(deployment);
+    const before = await readRecord(deployment);
+    const caller = new SteadyCaller(deployment, others);
+    await caller.completes(5);
+    // Both that are left take over at once, and each loses the answer.
+    for (const daemon of others) {
+      const link = deployment.link(`platform<${daemon}`);
+      link.failNext(DOMAIN_WRITE, RequestFault.LoseAnswer);
+    }
+    deployment.process(holder).signal("SIGKILL");
+    const lost = before.groups[0]?.members[1] ?? "";
+    deployment.process(lost).signal("SIGKILL");
+    await waitFor("both takeover answers were lost", () =>
+      others.every(
+        (daemon) => !deployment.link(`platform<${daemon}`).isFaultDue,
+      ),
+    );
+    for (const daemon of others) {
+      await waitForGroups(deployment, daemon, 1);
+    }
+    await caller.completes(5);
+    await caller.stop();
+    const after = await readRecord(deployment);
+    expect(after.epoch).to.be.greaterThan(before.epoch);
+    expect(after.groups[0]?.members).not.to.include(lost);
+    const records = await engineRecords(deployment);
+    judgeWhole(records, 1);
+    judgeEpochs(records);
+
+    // A daemon is stopped in an orderly way. Users notice nothing; the next
+    // holder is there before the lease could have run out.
+    const second = await findHolder(deployment);
+    const heir = second.others[0] ?? "";
+    const held = await readRecord(deployment);
+    deployment.process(second.holder).signal("SIGTERM");
+    await deployment.process(second.holder).exited();
+    expect(deployment.process(second.holder).output).to.include(
+      "event=lease_lost",
+    );
+    await waitFor("the next daemon holds", async () => {
+      const { domains } = await deployment.status(heir);
+      return domains.some(({ holding }) => holding);
+    });
+    expect((await readRecord(deployment)).epoch).to.equal(held.epoch + 1);
+  });
+
+  // A daemon is told to stop. Were its lease left to run out, the domain
+  // could not heal for as long; here that would be ten minutes.
+  it("is given back by a write at shutdown", async () => {
+    await using deployment = await Deployment.start(
+      groupPlan({ enginesPerZone: 4, groups: { lease: "10m" } }),
+    );
+    const { holder, others } = await findHolder(deployment);
+    const { epoch } = await readRecord(deployment);
+    deployment.process(holder).signal("SIGTERM");
+    await waitFor("the other daemon holds the lease", async () => {
+      const { domains } = await deployment.status(others[0] ?? "");
+      return domains.some(({ holding }) => holding);
+    });
+    expect((await readRecord(deployment)).epoch).to.equal(epoch + 1);
+  });
+
+  for (const fencing of ["refuse", "ignore"] as const) {
+    // The holder is paused with an order on its way to an engine. Another
+    // daemon takes the lease and gives the engine another place; then the old
+    // order arrives and the old holder wakes. Users get whole answers or are
+    // turned away, whether or not engines look at fencing numbers.
+    it(`is over for a frozen holder; engines ${fencing} old orders`, async () => {
+      await using deployment = await Deployment.start(
+        groupPlan({
+          enginesPerZone: 6,
+          engineArguments: ["--load-time", "100", "--fencing", fencing],
+        }),
+      );
+      const { holder, others } = await findHolder(deployment);
+      const heir = others[0] ?? "";
+      const { epoch, groups } = await readRecord(deployment);
+      const members = groups[0]?.members ?? [];
+      const spares = deployment
+        .names("engine-")
+        .filter((engine) => !members.includes(engine));
+      const caller = new SteadyCaller(deployment, [heir]);
+      await caller.completes(5);
+
+      for (const spare of spares) {
+        const link = deployment.link(`target>${spare}`);
+        link.failNext("POST /orders", RequestFault.Hold);
+      }
+      deployment.process(members[1] ?? "").signal("SIGKILL");
+      let moved = "";
+      await waitFor("an order is on its way to a spare", () => {
+        moved =
+          spares.find(
+            (spare) => !deployment.link(`target>${spare}`).isFaultDue,
+          ) ?? "";
+        return moved !== "";
+      });
+      deployment.process(holder).signal("SIGSTOP");
+      spares.forEach((spare) =>
+        deployment.link(`target>${spare}`).clearFault(),
+      );
+      await waitForGroups(deployment, heir, 1);
+      deployment.process(members[2] ?? "").signal("SIGKILL");
+      await waitFor("the heir has formed a third generation", async () => {
+        const record = await readRecord(deployment);
+        return record.groups[0]?.generation === 3;
+      });
+      await waitForGroups(deployment, heir, 1);
+      deployment.link(`target>${moved}`).release();
+      deployment.process(holder).signal("SIGCONT");
+      await waitFor("the old order has reached the engine", async () => {
+        const records = await engineRecords(deployment);
+        const deeds = records.find(({ engine }) => engine === moved)?.deeds;
+        const last = deeds?.findLastIndex((deed) => deed.epoch === epoch) ?? -1;
+        return last > 0;
+      });
+      await waitForGroups(deployment, heir, 1);
+      await waitForGroups(deployment, holder, 1);
+      await caller.completes(5);
+      await caller.stop();
+
+      const records = await engineRecords(deployment);
+      judgeWhole(records, 2);
+      const deeds = records.find(({ engine }) => engine === moved)?.deeds ?? [];
+      const orders = deeds.filter(({ kind }) =>
+        ["joined", "released", "refused"].includes(kind),
+      );
+      const old = orders.findIndex((deed) => deed.epoch === epoch);
+      expect(orders[old]?.kind).to.equal(
+        fencing === "refuse" ? "refused" : "joined",
+      );
+      expect(orders.at(-1)?.epoch, "the heir's order is the last").to.equal(
+        fencing === "refuse" ? epoch : epoch + 1,
+      );
+      const others1 = records.filter(({ engine }) => engine !== moved);
+      judgeEpochs(others1);
+      expect((await readRecord(deployment)).epoch).to.equal(epoch + 1);
+    });
+  }
+});
--- /dev/null
+++ b/test/support/group_proof.ts
@@ -0,0 +1,208 @@
+/** What the proofs about replica groups share: quick leases, and the judge. */
+import { expect } from "chai";
+import { request } from "undici";
+import type { IDomainRecord } from "../../src/common/groups/types.ts";
+import type { IEngineDeed } from "../../src/stand_ins/engine_member/types.ts";
+import { wholeText } from "../../src/stand_ins/engine_member/text.ts";
+import { ask } from "./caller.ts";
+import type { Deployment, IDeploymentPlan } from "./deployment.ts";
+import { waitFor } from "./process_handle.ts";
+
+const MEMBERS = 4;
+const TOKENS = 12;
+const PAUSE_BETWEEN_CALLS = 20;
+
+/** The one zone of these proofs, and its fabric domain. */
+export const ZONE = "vn-north-a";
+export const DOMAIN = "vn-north-a-fabric";
+
+/** Short leases, so that takeovers come within a second or two. */
+export const QUICK_GROUPS = {
+  lease: "1500ms",
+  takeover_margin: "600ms",
+  renew_every: "400ms",
+  freshness: "700ms",
+  replace_after: "1s",
+  hold_after_loss: "1s",
+};
+const QUICK_POLLING = {
+  targets: "100ms",
+  instances: "300ms",
+  domains: "200ms",
+};
+
+/** A deployment of one zone with a number of engines. */
+export function groupPlan(
+  change: Partial<IDeploymentPlan> & { readonly enginesPerZone: number },
+): IDeploymentPlan {
+  return {
+    example: "song_lam",
+    zones: [ZONE],
+    daemonsPerZone: 2,
+    plainService: "delivery-api",
+    engineArguments: ["--load-time", "100"],
+    groups: QUICK_GROUPS,
+    polling: QUICK_POLLING,
+    ...change,
+  };
+}
+
+/** The daemon that holds the domain's lease, and those that do not. */
+export async function findHolder(
+  deployment: Deployment,
+): Promise<{ readonly holder: string; readonly others: readonly string[] }> {
+  const daemons = deployment
+    .names("daemon-")
+    .filter((name) => !deployment.process(name).hasExited);
+  let holder: string | undefined;
+  await waitFor("one daemon holds the lease", async () => {
+    const statuses = await Promise.all(
+      daemons.map((daemon) => deployment.status(daemon)),
+    );
+    holder = daemons.find((_, index) =>
+      statuses[index]?.domains.some(({ holding }) => holding),
+    );
+    return holder !== undefined;
+  });
+  const others = daemons.filter((daemon) => daemon !== holder);
+  return { holder: holder ?? "", others };
+}
+
+/** The domain's record as the platform holds it. */
+export async function readRecord(
+  deployment: Deployment,
+): Promise<IDomainRecord> {
+  const url = `http://${deployment.platformAddress}/objects/fabric_domains/${DOMAIN}`;
+  const answer = await request(url);
+  return ((await answer.body.json()) as { value: IDomainRecord }).value;
+}
+
+/** Waits until a daemon sees a number of complete groups. */
+export function waitForGroups(
+  deployment: Deployment,
+  daemon: string,
+  count: number,
+): Promise<void> {
+  return waitFor(`${daemon} sees ${count} complete groups`, async () => {
+    const { groups } = await deployment.status(daemon);
+    return groups.filter((group) => group.complete).length === count;
+  });
+}
+
+/** Calls one daemon after another until stopped, and judges each answer. */
+export class SteadyCaller {
+  readonly #deployment: Deployment;
+  readonly #ended: Promise<void>;
+  #isStopped = false;
+  completed = 0;
+  readonly turnedAway: string[] = [];
+
+  constructor(deployment: Deployment, daemons: readonly string[]) {
+    this.#deployment = deployment;
+    const callers = daemons.map((daemon) => this.#call(daemon));
+    this.#ended = Promise.all(callers).then(() => undefined);
+  }
+
+  /** Waits until that many more requests have been completed. */
+  async completes(count: number): Promise<void> {
+    const wanted = this.completed + count;
+    await waitFor(`${count} more answers`, () => this.completed >= wanted);
+  }
+
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    await this.#ended;
+  }
+
+  async #call(daemon: string): Promise<void> {
+    const address = this.#deployment.process(daemon).field("callers");
+    for (let index = 0; !this.#isStopped; index++) {
+      const prompt = `${daemon} ${index}`;
+      const reply = await ask({
+        address,
+        credential: "editor-desk-secret",
+        operation: "summarizer/headline",
+        body: { prompt, maximum_tokens: TOKENS },
+      }).catch(() => null);
+      if (reply?.body.outcome === "completed") {
+        const text = wholeText(prompt, TOKENS);
+        expect(reply.body.answer).to.deep.equal({ text, tokens: TOKENS });
+        this.completed += 1;
+      } else {
+        this.turnedAway.push(reply?.body.reason ?? "no answer");
+        await new Promise((done) => setTimeout(done, PAUSE_BETWEEN_CALLS));
+      }
+    }
+  }
+}
+
+/** What one engine did, with its name. */
+export interface IEngineRecord {
+  readonly engine: string;
+  readonly deeds: readonly IEngineDeed[];
+}
+
+/** The records of the engines that can still be asked. */
+export async function engineRecords(
+  deployment: Deployment,
+): Promise<readonly IEngineRecord[]> {
+  const engines = deployment
+    .names("engine-")
+    .filter((name) => !deployment.process(name).hasExited);
+  return Promise.all(
+    engines.map(async (engine) => {
+      const { deeds } = await deployment.record<{ deeds: IEngineDeed[] }>(
+        engine,
+      );
+      return { engine, deeds };
+    }),
+  );
+}
+
+/**
+ * Judges by the engines' own records: a request that ended was worked on by
+ * every member of one generation, and only one generation of a group ever
+ * ended it. Members that were killed took their records along.
+ */
+export function judgeWhole(
+  records: readonly IEngineRecord[],
+  lostMembers: number,
+): void {
+  const workers = new Map<string, Set<string>>();
+  for (const { engine, deeds } of records) {
+    for (const deed of deeds.filter(({ kind }) => kind === "worked")) {
+      const key = keyOf(deed);
+      workers.set(key, (workers.get(key) ?? new Set()).add(engine));
+    }
+  }
+  let ended = 0;
+  for (const { engine, deeds } of records) {
+    for (const deed of deeds.filter(({ kind }) => kind === "ended")) {
+      ended += 1;
+      const others = workers.get(keyOf(deed)) ?? new Set();
+      expect(others.has(engine), "the first member asks only others").to.equal(
+        false,
+      );
+      expect(others.size, `members of ${keyOf(deed)}`).to.be.within(
+        MEMBERS - 1 - lostMembers,
+        MEMBERS - 1,
+      );
+    }
+  }
+  expect(ended, "requests ended").to.be.greaterThan(0);
+}
+
+/** Judges that no engine obeyed an order of an older epoch after a newer. */
+export function judgeEpochs(records: readonly IEngineRecord[]): void {
+  for (const { engine, deeds } of records) {
+    const epochs = deeds
+      .filter(({ kind }) => kind === "joined" || kind === "released")
+      .map(({ epoch }) => epoch);
+    const sorted = [...epochs].sort((left, right) => left - right);
+    expect(epochs, `epochs obeyed by ${engine}`).to.deep.equal(sorted);
+  }
+}
+
+function keyOf(deed: IEngineDeed): string {
+  return `${deed.requestId} ${deed.group} ${deed.generation}`;
+}
