Find live daemons by membership, and share polls of targets

Every daemon polled every target and exchanged list versions with one random peer twice a second; daemons knew each other from the platform's lagging list only, so a dead one kept being asked, and its duties with it, until it was removed by hand.

Membership is now a state machine after SWIM, carried by gRPC.

Two daemons poll each target, chosen by rendezvous hashing, and the rest pull digests. Rows are pulled and never pushed, since only an asker's clock bounds the age of an answer from above. A report older than half the freshness bound is polled by whoever needs it, so a lone or cut daemon polls everything. The list of daemons is read by few and seldom after the start; failed readings back off with full jitter.

A client of a peer that failed is dropped with its connection: gRPC shares one connection among all clients of an address, so that a new client would have been given the silent one.

--- /dev/null
+++ b/src/adapters/peers/grpc_peer_server.ts
@@ -0,0 +1,106 @@
+/** The listening side of calls between daemons. */
+import { Server, ServerCredentials, status } from "@grpc/grpc-js";
+import type { sendUnaryData } from "@grpc/grpc-js";
+import type { IPeerAnswers } from "../../common/membership/peers.ts";
+import type { PlanListName } from "../../common/plans/types.ts";
+import type { PeerHandlers } from "../../generated/cranberryledge/Peer.ts";
+import type { ProbeRequest__Output } from "../../generated/cranberryledge/ProbeRequest.ts";
+import type { ProbeResponse } from "../../generated/cranberryledge/ProbeResponse.ts";
+import { peerApi } from "./peer_api.ts";
+import {
+  readProbe,
+  readQuestion,
+  writeNews,
+  writeProbe,
+  writeRow,
+  writeSummary,
+  writeVersions,
+} from "./peer_messages.ts";
+
+/** Answers peers. */
+export class GrpcPeerServer {
+  readonly #server = new Server();
+  readonly #answers: IPeerAnswers;
+
+  constructor(answers: IPeerAnswers) {
+    this.#answers = answers;
+    const handlers = this.#handlers();
+    this.#server.addService(peerApi.cranberryledge.Peer.service, {
+      ...handlers,
+    });
+  }
+
+  /** Listens and returns the port taken. */
+  listen(address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const secrets = ServerCredentials.createInsecure();
+      this.#server.bindAsync(address, secrets, (error, port) => {
+        if (error) {
+          reject(error);
+        } else {
+          resolve(port);
+        }
+      });
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.forceShutdown();
+  }
+
+  #handlers(): PeerHandlers {
+    const answers = this.#answers;
+    return {
+      Probe: (call, reply) =>
+        void answerWith(reply, () => this.#probe(call.request)),
+      Synchronize: (_, reply) =>
+        void answerWith(reply, () => ({ view: answers.view().map(writeNews) })),
+      PullDigests: (call, reply) =>
+        void answerWith(reply, () => ({
+          rows: answers.digests(call.request.held).map(writeRow),
+        })),
+      PullZones: (call, reply) =>
+        void answerWith(reply, () => {
+          const { zones, versions } = answers.zones(readQuestion(call.request));
+          return {
+            zones: zones.map(writeSummary),
+            versions: writeVersions(versions),
+          };
+        }),
+      FetchList: (call, reply) =>
+        void answerWith(reply, () => {
+          const { list } = call.request;
+          const text = answers.text(list as PlanListName);
+          return text ?? { list, version: 0, text: "" };
+        }),
+    };
+  }
+
+  async #probe(request: ProbeRequest__Output): Promise<ProbeResponse> {
+    const probe = readProbe(request);
+    const target = request.throughTo;
+    if (target === "") {
+      return writeProbe(this.#answers.probed(probe));
+    }
+    const answer = await this.#answers.probedThrough(probe, target);
+    if (answer.isErr()) {
+      throw new Error(answer.error.detail);
+    }
+    return writeProbe(answer.value);
+  }
+}
+
+/**
+ * Sends what the function makes, or its error. A message that lacks a part
+ * must fail its own call; thrown further it would end the process.
+ */
+async function answerWith<T>(
+  reply: sendUnaryData<T>,
+  make: () => T | Promise<T>,
+): Promise<void> {
+  try {
+    reply(null, await make());
+  } catch (error) {
+    reply({ code: status.UNAVAILABLE, details: String(error) });
+  }
+}
--- a/src/adapters/peers/grpc_peers.ts
+++ b/src/adapters/peers/grpc_peers.ts
@@ -1,163 +1,220 @@
-/** Calls between daemons over gRPC. */
-import {
-  credentials,
-  loadPackageDefinition,
-  Server,
-  ServerCredentials,
-} from "@grpc/grpc-js";
-import { fromJSON } from "@grpc/proto-loader";
+/** Calls to other daemons over gRPC. */
+import { credentials } from "@grpc/grpc-js";
+import type { ClientUnaryCall, ServiceError } from "@grpc/grpc-js";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import type { IListVersion } from "../../common/services/services.ts";
 import type {
-  PeerClient,
-  PeerHandlers,
-} from "../../generated/cranberryledge/Peer.ts";
-import type { ListVersion } from "../../generated/cranberryledge/ListVersion.ts";
-import { peerDescriptor } from "../../generated/peer_descriptor.ts";
-import type { ProtoGrpcType } from "../../generated/peer.ts";
-import type { PlanListName } from "../../common/plans/types.ts";
-import type { IListText } from "../../common/plans/types.ts";
-import type { IPeers, IPeerNews } from "../../common/services/peer_service.ts";
+  IDigestRow,
+  IHeldRow,
+} from "../../common/membership/digest_types.ts";
+import type {
+  IPeers,
+  IZonesAnswer,
+  IZonesQuestion,
+} from "../../common/membership/peers.ts";
+import type { IMemberNews, IProbe } from "../../common/membership/types.ts";
+import type { IListText, PlanListName } from "../../common/plans/types.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure } from "../../common/types.ts";
+import type { PeerClient } from "../../generated/cranberryledge/Peer.ts";
+import type { FetchListResponse__Output } from "../../generated/cranberryledge/FetchListResponse.ts";
+import type { PullDigestsResponse__Output } from "../../generated/cranberryledge/PullDigestsResponse.ts";
+import type { PullZonesResponse__Output } from "../../generated/cranberryledge/PullZonesResponse.ts";
+import type { SynchronizeResponse__Output } from "../../generated/cranberryledge/SynchronizeResponse.ts";
+import { peerApi } from "./peer_api.ts";
+import {
+  readNews,
+  readProbe,
+  readRow,
+  readSummary,
+  readVersions,
+  writeProbe,
+  writeVersions,
+} from "./peer_messages.ts";
 
 /** How long a peer may take to answer, milliseconds. */
 const CALL_TIMEOUT = 1_000;
 
-/** Heartbeats on open connections find those that have gone silent. */
+/** How long a client that is not used is kept, milliseconds. */
+const KEPT_UNUSED = 60_000;
+
+/**
+ * A pool of connections for each client: gRPC otherwise shares one among all
+ * clients of an address, and a new client would be given the connection that
+ * has gone silent. Heartbeats find those that go silent between calls.
+ */
 const CHANNEL_OPTIONS = {
-  "grpc.keepalive_time_ms": 5_000,
+  "grpc.use_local_subchannel_pool": 1,
+  "grpc.keepalive_time_ms": 20_000,
   "grpc.keepalive_timeout_ms": 2_000,
-  "grpc.keepalive_permit_without_calls": 1,
   "grpc.enable_http_proxy": 0,
+  "grpc.enable_retries": 0,
 };
 
-const descriptor = peerDescriptor as Parameters<typeof fromJSON>[0];
-const definition = fromJSON(descriptor, {
-  longs: Number,
-  enums: String,
-  defaults: true,
-  oneofs: true,
-});
-const api = loadPackageDefinition(definition) as unknown as ProtoGrpcType;
+type Reply<T> = (error: ServiceError | null, answer?: T) => void;
 
-/** Keeps one client for each peer address. */
+interface IKeptClient {
+  readonly client: PeerClient;
+  usedAt: number;
+}
+
+/**
+ * Keeps one client for each peer address. A client whose call fails is dropped
+ * with its connection: something between the two ends may have lost track of
+ * it, and then a new connection works at once where the old one never will.
+ */
 export class GrpcPeers implements IPeers {
-  readonly #clients = new Map<string, PeerClient>();
+  readonly #clients = new Map<string, IKeptClient>();
 
-  exchange(
+  async probe(
     address: string,
-    news: IPeerNews,
-  ): Promise<Result<IPeerNews, ICallFailure>> {
-    const request = {
-      daemon: news.daemon,
-      zone: news.zone,
-      versions: news.versions.map((entry) => ({ ...entry })),
-    };
-    return new Promise((resolve) => {
-      this.#client(address).exchange(request, deadline(), (error, answer) => {
-        if (error || !answer) {
-          resolve(Err(failure(address, error)));
-          return;
-        }
-        const { daemon, zone } = answer;
-        const versions = toVersions(answer.versions);
-        resolve(Ok({ daemon, zone, versions }));
-      });
-    });
+    probe: IProbe,
+    timeout: number,
+  ): Promise<Result<IProbe, ICallFailure>> {
+    return this.#call(
+      address,
+      timeout,
+      (client, options, reply) =>
+        client.probe(writeProbe(probe), options, reply),
+      readProbe,
+    );
   }
 
-  fetchList(
+  async probeThrough(
+    address: string,
+    probe: IProbe,
+    options: { readonly target: string; readonly timeout: number },
+  ): Promise<Result<IProbe, ICallFailure>> {
+    const request = { ...writeProbe(probe), throughTo: options.target };
+    return this.#call(
+      address,
+      options.timeout,
+      (client, deadline, reply) => client.probe(request, deadline, reply),
+      readProbe,
+    );
+  }
+
+  async synchronize(
+    address: string,
+  ): Promise<Result<readonly IMemberNews[], ICallFailure>> {
+    return this.#call(
+      address,
+      CALL_TIMEOUT,
+      (client, options, reply) => client.synchronize({}, options, reply),
+      ({ view }: SynchronizeResponse__Output) => view.map(readNews),
+    );
+  }
+
+  async pullDigests(
+    address: string,
+    held: readonly IHeldRow[],
+  ): Promise<Result<readonly IDigestRow[], ICallFailure>> {
+    return this.#call(
+      address,
+      CALL_TIMEOUT,
+      (client, options, reply) =>
+        client.pullDigests({ held: [...held] }, options, reply),
+      ({ rows }: PullDigestsResponse__Output) => rows.map(readRow),
+    );
+  }
+
+  async pullZones(
+    address: string,
+    question: IZonesQuestion,
+  ): Promise<Result<IZonesAnswer, ICallFailure>> {
+    const versions = writeVersions(question.versions);
+    const request = { from: { ...question.from }, versions };
+    return this.#call(
+      address,
+      CALL_TIMEOUT,
+      (client, options, reply) => client.pullZones(request, options, reply),
+      (answer: PullZonesResponse__Output) => ({
+        zones: answer.zones.map(readSummary),
+        versions: readVersions(answer.versions),
+      }),
+    );
+  }
+
+  async fetchList(
     address: string,
     list: PlanListName,
   ): Promise<Result<IListText, ICallFailure>> {
+    return this.#call(
+      address,
+      CALL_TIMEOUT,
+      (client, options, reply) => client.fetchList({ list }, options, reply),
+      ({ version, text }: FetchListResponse__Output) => ({
+        list,
+        version,
+        text,
+      }),
+    );
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#clients.forEach(({ client }) => client.close());
+    this.#clients.clear();
+  }
+
+  #call<Answer, Value>(
+    address: string,
+    timeout: number,
+    send: (
+      client: PeerClient,
+      options: { readonly deadline: number },
+      reply: Reply<Answer>,
+    ) => ClientUnaryCall,
+    read: (answer: Answer) => Value,
+  ): Promise<Result<Value, ICallFailure>> {
+    const client = this.#client(address);
+    const options = { deadline: Date.now() + timeout };
     return new Promise((resolve) => {
-      this.#client(address).fetchList({ list }, deadline(), (error, answer) => {
-        if (error || !answer) {
+      send(client, options, (error, answer) => {
+        if (error !== null || answer === undefined) {
+          this.#drop(address, client);
           resolve(Err(failure(address, error)));
           return;
         }
-        resolve(Ok({ list, version: answer.version, text: answer.text }));
+        try {
+          resolve(Ok(read(answer)));
+        } catch (fault) {
+          resolve(Err(failure(address, fault)));
+        }
       });
     });
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.#clients.forEach((client) => client.close());
-  }
-
   #client(address: string): PeerClient {
-    let client = this.#clients.get(address);
-    if (client === undefined) {
-      const secrets = credentials.createInsecure();
-      client = new api.cranberryledge.Peer(address, secrets, CHANNEL_OPTIONS);
-      this.#clients.set(address, client);
+    const kept = this.#clients.get(address);
+    if (kept !== undefined) {
+      kept.usedAt = Date.now();
+      return kept.client;
     }
+    this.#dropUnused();
+    const secrets = credentials.createInsecure();
+    const { Peer } = peerApi.cranberryledge;
+    const client = new Peer(address, secrets, CHANNEL_OPTIONS);
+    this.#clients.set(address, { client, usedAt: Date.now() });
     return client;
   }
-}
 
-/** What a daemon answers its peers. */
-export interface IPeerAnswers {
-  news(): IPeerNews;
-  learn(news: IPeerNews): void;
-  text(list: PlanListName): IListText | null;
-}
-
-/** The listening side. */
-export class GrpcPeerServer {
-  readonly #server = new Server(CHANNEL_OPTIONS);
-
-  constructor(answers: IPeerAnswers) {
-    const handlers: PeerHandlers = {
-      Exchange: (call, reply) => {
-        const { daemon, zone, versions } = call.request;
-        answers.learn({ daemon, zone, versions: toVersions(versions) });
-        const news = answers.news();
-        const known = news.versions.map((entry) => ({ ...entry }));
-        reply(null, { ...news, versions: known });
-      },
-      FetchList: (call, reply) => {
-        const text = answers.text(call.request.list as PlanListName);
-        reply(null, text ?? { list: call.request.list, version: 0, text: "" });
-      },
-    };
-    this.#server.addService(api.cranberryledge.Peer.service, {
-      ...handlers,
-    });
-  }
-
-  /** Listens and returns the port taken. */
-  listen(address: string): Promise<number> {
-    return new Promise((resolve, reject) => {
-      const secrets = ServerCredentials.createInsecure();
-      this.#server.bindAsync(address, secrets, (error, port) => {
-        if (error) {
-          reject(error);
-        } else {
-          resolve(port);
-        }
-      });
-    });
+  #drop(address: string, client: PeerClient): void {
+    if (this.#clients.get(address)?.client === client) {
+      this.#clients.delete(address);
+      client.close();
+    }
   }
 
-  async [Symbol.asyncDispose](): Promise<void> {
-    this.#server.forceShutdown();
+  #dropUnused(): void {
+    const before = Date.now() - KEPT_UNUSED;
+    for (const [address, { client, usedAt }] of this.#clients) {
+      if (usedAt < before) {
+        this.#drop(address, client);
+      }
+    }
   }
 }
 
-function deadline(): { deadline: number } {
-  return { deadline: Date.now() + CALL_TIMEOUT };
-}
-
-function toVersions(versions: readonly ListVersion[]): IListVersion[] {
-  return versions.map((entry) => ({
-    list: entry.list as PlanListName,
-    version: Number(entry.version),
-  }));
-}
-
 function failure(address: string, error: unknown): ICallFailure {
   const detail = `peer ${address}: ${String(error)}`;
   return { kind: CallFailureKind.Unknown, detail };
--- a/src/command_line/commands/status.ts
+++ b/src/command_line/commands/status.ts
@@ -1,7 +1,7 @@
 /** `cranberryledge status`: what every daemon says of itself. */
 import { Option } from "clipanion";
 import { request } from "undici";
-import { DAEMON_KIND } from "../../common/services/peer_service.ts";
+import { DAEMON_KIND } from "../../common/services/daemon_list.ts";
 import type { IDaemonEntry } from "../../common/services/services.ts";
 import { ExitCode } from "../exit_code.ts";
 import { PlatformCommand } from "./platform_command.ts";
--- /dev/null
+++ b/src/common/backoff_test.ts
@@ -0,0 +1,23 @@
+import { expect } from "chai";
+import { SeededRandom } from "../../test/support/seeded_random.ts";
+import { Backoff } from "./backoff.ts";
+
+describe("back-off", () => {
+  it("makes fewer calls the longer an outage lasts, and never in step", () => {
+    const bounds = { first: 1_000, largest: 60_000 };
+    const callers = Array.from(
+      { length: 100 },
+      (_, seed) => new Backoff(bounds, new SeededRandom(seed)),
+    );
+    const mean = () =>
+      callers.reduce((sum, caller) => sum + caller.next(), 0) / callers.length;
+    const means = Array.from({ length: 8 }, mean);
+    const last = callers.map((caller) => Math.round(caller.next()));
+    expect(means[0]).to.be.within(500, 1_000);
+    expect(means[4]).to.be.above(4 * means[0]!);
+    expect(Math.max(...means)).to.be.below(60_000);
+    expect(new Set(last).size).to.be.above(95);
+    callers[0]!.succeeded();
+    expect(callers[0]!.next()).to.be.at.most(1_000);
+  });
+});
--- /dev/null
+++ b/src/common/membership/digest_board.ts
@@ -0,0 +1,186 @@
+/**
+ * Reports of the zone's targets as each daemon polled them, one row a daemon.
+ * Rows are pulled, never pushed: the asker counts a row's age from the moment
+ * it asked, so a delayed answer makes a report look older than it is and never
+ * fresher. What the asker holds at the same version is not sent again; only
+ * its age is (a conditional fetch; measured by `bench digests`).
+ */
+import type { ISeenReport, ITargetReport, MonotonicTime } from "../types.ts";
+import type { IDigestRow, IHeldRow, TargetIdentity } from "./digest_types.ts";
+
+/** Load figures of a target in a row. */
+const LOADS_PER_TARGET = 4;
+
+/** Rows older than this are dropped: their daemon is gone, milliseconds. */
+const ROW_LIFE = 30_000;
+
+interface IRow {
+  readonly identityVersion: number;
+  readonly loadVersion: number;
+  readonly identities: readonly TargetIdentity[];
+  readonly loads: readonly number[];
+  /** When the oldest report in the row was asked for, or earlier. */
+  readonly seenAt: MonotonicTime;
+}
+
+/** Holds this daemon's row and the newest known row of each other. */
+export class DigestBoard {
+  readonly #self: number;
+  readonly #rows = new Map<number, IRow>();
+
+  /** @param self - hash of this daemon's identifier */
+  constructor(self: number) {
+    this.#self = self;
+  }
+
+  /** Replaces this daemon's own row by its fresh polls. */
+  publish(seen: readonly ISeenReport[]): void {
+    const before = this.#rows.get(this.#self);
+    if (seen.length === 0) {
+      this.#rows.delete(this.#self);
+      return;
+    }
+    const sorted = [...seen].sort((left, right) =>
+      left.report.instance < right.report.instance ? -1 : 1,
+    );
+    const identities = sorted.map(({ report }) => identityOf(report));
+    const loads = sorted.flatMap(({ report }) => loadsOf(report));
+    const identityVersion = nextVersion(
+      before?.identityVersion,
+      isSame(before?.identities, identities),
+    );
+    const isSameLoad =
+      identityVersion === before?.identityVersion &&
+      isSame(before.loads, loads);
+    this.#rows.set(this.#self, {
+      identityVersion,
+      loadVersion: nextVersion(before?.loadVersion, isSameLoad),
+      identities,
+      loads,
+      seenAt: Math.min(...seen.map(({ seenAt }) => seenAt)),
+    });
+  }
+
+  /** What this daemon holds, to be sent with a pull. */
+  held(now: MonotonicTime): readonly IHeldRow[] {
+    this.#dropOld(now);
+    return [...this.#rows].map(([poller, row]) => headerOf(poller, row, now));
+  }
+
+  /** When a daemon's row was seen, or null. */
+  seenAt(poller: number): MonotonicTime | null {
+    return this.#rows.get(poller)?.seenAt ?? null;
+  }
+
+  /** Rows that are fresher than the asker's. */
+  answer(held: readonly IHeldRow[], now: MonotonicTime): readonly IDigestRow[] {
+    const known = new Map(held.map((row) => [row.poller, row]));
+    const rows: IDigestRow[] = [];
+    for (const [poller, row] of this.#rows) {
+      const header = headerOf(poller, row, now);
+      const theirs = known.get(poller);
+      if (theirs === undefined || header.age < theirs.age) {
+        rows.push({ ...header, ...missing(row, theirs) });
+      }
+    }
+    return rows;
+  }
+
+  /**
+   * Takes an answer; returns the reports that it made fresher.
+   * @param askedAt - when it was asked for, on this daemon's clock
+   */
+  take(
+    rows: readonly IDigestRow[],
+    askedAt: MonotonicTime,
+  ): readonly ISeenReport[] {
+    return rows.flatMap((row) => this.#takeRow(row, askedAt - row.age));
+  }
+
+  #takeRow(row: IDigestRow, seenAt: MonotonicTime): readonly ISeenReport[] {
+    const before = this.#rows.get(row.poller);
+    const isOlder = before !== undefined && before.seenAt >= seenAt;
+    if (row.poller === this.#self || isOlder) {
+      return [];
+    }
+    const { identityVersion, loadVersion } = row;
+    const identities =
+      row.identities ??
+      (before?.identityVersion === identityVersion ? before.identities : null);
+    const loads =
+      row.loads ?? (before?.loadVersion === loadVersion ? before.loads : null);
+    if (
+      identities === null ||
+      loads?.length !== identities.length * LOADS_PER_TARGET
+    ) {
+      return [];
+    }
+    this.#rows.set(row.poller, {
+      identityVersion,
+      loadVersion,
+      identities,
+      loads,
+      seenAt,
+    });
+    return identities.map((identity, index) => ({
+      report: reportOf(identity, loads, index * LOADS_PER_TARGET),
+      seenAt,
+    }));
+  }
+
+  #dropOld(now: MonotonicTime): void {
+    for (const [poller, { seenAt }] of this.#rows) {
+      if (now - seenAt > ROW_LIFE) {
+        this.#rows.delete(poller);
+      }
+    }
+  }
+}
+
+function headerOf(poller: number, row: IRow, now: MonotonicTime): IHeldRow {
+  const { identityVersion, loadVersion, seenAt } = row;
+  const age = Math.ceil(now - seenAt);
+  return { poller, identityVersion, loadVersion, age };
+}
+
+function missing(
+  row: IRow,
+  theirs: IHeldRow | undefined,
+): Pick<IDigestRow, "identities" | "loads"> {
+  const hasIdentities = theirs?.identityVersion === row.identityVersion;
+  const hasLoads = theirs?.loadVersion === row.loadVersion;
+  return {
+    identities: hasIdentities ? null : row.identities,
+    loads: hasLoads ? null : row.loads,
+  };
+}
+
+function nextVersion(before: number | undefined, isSame: boolean): number {
+  return isSame ? (before ?? 0) : (before ?? 0) + 1;
+}
+
+function isSame(left: unknown, right: unknown): boolean {
+  return JSON.stringify(left) === JSON.stringify(right);
+}
+
+function identityOf(report: ITargetReport): TargetIdentity {
+  const { instance, incarnation, state, membership, model } = report;
+  return { instance, incarnation, state, membership, model };
+}
+
+function loadsOf(report: ITargetReport): readonly number[] {
+  const { running, queued, tokens, lag } = report;
+  return [running, queued, tokens, Math.ceil(lag)];
+}
+
+function reportOf(
+  identity: TargetIdentity,
+  loads: readonly number[],
+  from: number,
+): ITargetReport {
+  const [running = 0, queued = 0, tokens = 0, lag = 0] = loads.slice(
+    from,
+    from + LOADS_PER_TARGET,
+  );
+  return { ...identity, running, queued, tokens, lag };
+}
--- /dev/null
+++ b/src/common/membership/peers.ts
@@ -0,0 +1,64 @@
+/** The port to other daemons. */
+import type { Result } from "ts-results-es";
+import type { IListText, PlanListName } from "../plans/types.ts";
+import type { IListVersion } from "../services/services.ts";
+import type { ICallFailure } from "../types.ts";
+import type { IDigestRow, IHeldRow } from "./digest_types.ts";
+import type { IMember, IMemberNews, IProbe } from "./types.ts";
+import type { IZoneSummary } from "./zone_links.ts";
+
+/** What a delegate tells of the zones, with its plan list versions. */
+export interface IZonesAnswer {
+  readonly zones: readonly IZoneSummary[];
+  readonly versions: readonly IListVersion[];
+}
+
+/** What a daemon says when it asks about the zones. */
+export interface IZonesQuestion {
+  readonly from: IMember;
+  readonly versions: readonly IListVersion[];
+}
+
+/** Calls to other daemons, by `host:port`. */
+export interface IPeers {
+  probe(
+    address: string,
+    probe: IProbe,
+    timeout: number,
+  ): Promise<Result<IProbe, ICallFailure>>;
+  /** Probes a target through the daemon at the address. */
+  probeThrough(
+    address: string,
+    probe: IProbe,
+    options: { readonly target: string; readonly timeout: number },
+  ): Promise<Result<IProbe, ICallFailure>>;
+  synchronize(
+    address: string,
+  ): Promise<Result<readonly IMemberNews[], ICallFailure>>;
+  pullDigests(
+    address: string,
+    held: readonly IHeldRow[],
+  ): Promise<Result<readonly IDigestRow[], ICallFailure>>;
+  pullZones(
+    address: string,
+    question: IZonesQuestion,
+  ): Promise<Result<IZonesAnswer, ICallFailure>>;
+  fetchList(
+    address: string,
+    list: PlanListName,
+  ): Promise<Result<IListText, ICallFailure>>;
+}
+
+/** What a daemon answers its peers. */
+export interface IPeerAnswers {
+  probed(probe: IProbe): IProbe;
+  /** Passes a probe on; its answer, or why there is none. */
+  probedThrough(
+    probe: IProbe,
+    target: string,
+  ): Promise<Result<IProbe, ICallFailure>>;
+  view(): readonly IMemberNews[];
+  digests(held: readonly IHeldRow[]): readonly IDigestRow[];
+  zones(question: IZonesQuestion): IZonesAnswer;
+  text(list: PlanListName): IListText | null;
+}
--- /dev/null
+++ b/src/common/services/digest_service.ts
@@ -0,0 +1,101 @@
+/** Shares polled reports of targets between the daemons of a zone. */
+import { DisposableStore } from "../disposable.ts";
+import type { IDisposable } from "../disposable.ts";
+import { DigestBoard } from "../membership/digest_board.ts";
+import type { IDigestRow, IHeldRow } from "../membership/digest_types.ts";
+import type { IPeers } from "../membership/peers.ts";
+import type { IMember } from "../membership/types.ts";
+import type { IClock, IHash, IMetrics, IRandom } from "./services.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+
+/** Pulls from a chosen peer each period, and answers peers' pulls. */
+export class DigestService implements IDisposable {
+  readonly #ports: {
+    readonly peers: IPeers;
+    readonly clock: IClock;
+    readonly random: IRandom;
+    readonly hash: IHash;
+    readonly metrics: IMetrics;
+    readonly directory: TargetDirectory;
+    readonly members: () => readonly IMember[];
+  };
+  readonly #period: number;
+  readonly #board: DigestBoard;
+  readonly #owned = new DisposableStore();
+  #isPulling = false;
+  #pulls = 0;
+
+  /** @param options - this daemon, and the period in milliseconds */
+  constructor(
+    ports: {
+      readonly peers: IPeers;
+      readonly clock: IClock;
+      readonly random: IRandom;
+      readonly hash: IHash;
+      readonly metrics: IMetrics;
+      readonly directory: TargetDirectory;
+      readonly members: () => readonly IMember[];
+    },
+    options: { readonly self: string; readonly period: number },
+  ) {
+    this.#ports = ports;
+    this.#period = options.period;
+    this.#board = new DigestBoard(ports.hash.hash(options.self));
+  }
+
+  start(): void {
+    const { clock } = this.#ports;
+    this.#owned.add(clock.every(this.#period, () => void this.#pull()));
+  }
+
+  /** Answers a peer's pull with what is fresher here. */
+  answer(held: readonly IHeldRow[]): readonly IDigestRow[] {
+    const { clock, directory } = this.#ports;
+    this.#board.publish(directory.ownReports());
+    return this.#board.answer(held, clock.now());
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  async #pull(): Promise<void> {
+    const peer = this.#choosePeer();
+    if (this.#isPulling || peer === null) {
+      return;
+    }
+    const { clock, directory, metrics, peers } = this.#ports;
+    this.#isPulling = true;
+    metrics.count("peer_calls", { call: "digests" });
+    this.#board.publish(directory.ownReports());
+    const askedAt = clock.now();
+    const held = this.#board.held(askedAt);
+    const answer = await peers.pullDigests(peer.peerAddress, held);
+    this.#isPulling = false;
+    if (answer.isOk()) {
+      directory.offer(this.#board.take(answer.value, askedAt));
+    }
+  }
+
+  /**
+   * Every second pull goes to the daemon whose own row is the oldest here,
+   * which bounds how old any row gets; the others go to anyone, so that one
+   * silent daemon does not take all pulls.
+   */
+  #choosePeer(): IMember | null {
+    const { hash, members, random } = this.#ports;
+    const candidates = members();
+    this.#pulls += 1;
+    if (this.#pulls % 2 === 0) {
+      const index = Math.floor(random.next() * candidates.length);
+      return candidates[index] ?? null;
+    }
+    const seenAt = ({ daemon }: IMember) =>
+      this.#board.seenAt(hash.hash(daemon)) ?? Number.NEGATIVE_INFINITY;
+    return candidates.reduce<IMember | null>(
+      (oldest, member) =>
+        oldest === null || seenAt(member) < seenAt(oldest) ? member : oldest,
+      null,
+    );
+  }
+}
--- a/src/common/services/peer_service.ts
+++ b/src/common/services/peer_service.ts
@@ -1,169 +1,197 @@
-/** Tells peers which plan lists are in force here, and learns theirs. */
+/** This daemon among the others: who is live, plan lists, other zones. */
 import type { Result } from "ts-results-es";
 import { DisposableStore } from "../disposable.ts";
 import type { IDisposable } from "../disposable.ts";
-import type { LiveDaemons } from "../membership/live_daemons.ts";
+import type {
+  IPeers,
+  IZonesAnswer,
+  IZonesQuestion,
+} from "../membership/peers.ts";
+import type { IMember, IMemberNews, IProbe } from "../membership/types.ts";
+import { ZoneLinks } from "../membership/zone_links.ts";
+import type { IServiceLoad, IZoneSummary } from "../membership/zone_links.ts";
 import type { PlanListName } from "../plans/types.ts";
-import type { IListText } from "../plans/types.ts";
-import type { ICallFailure, ZoneName } from "../types.ts";
+import type { ICallFailure } from "../types.ts";
+import { DaemonList } from "./daemon_list.ts";
+import { MembershipService } from "./membership_service.ts";
+import type { IMembershipPorts } from "./membership_service.ts";
 import type { PlanListService } from "./plan_list_service.ts";
-import type {
-  IClock,
-  IDaemonEntry,
-  IListVersion,
-  IPlatform,
-  IRandom,
-} from "./services.ts";
-
-/** The platform's kind of object by which daemons find one another. */
-export const DAEMON_KIND = "daemons";
-
-/** How often news is exchanged with one peer, milliseconds. */
-const EXCHANGE_EVERY = 500;
-
-/** How often the platform is asked who the peers are, milliseconds. */
-const DISCOVER_EVERY = 10_000;
-
-/** What one daemon tells another. */
-export interface IPeerNews {
-  readonly daemon: string;
-  readonly zone: ZoneName;
-  readonly versions: readonly IListVersion[];
-}
+import type { IDaemonEntry, IListVersion, IPlatform } from "./services.ts";
 
-/** Calls to other daemons. */
-export interface IPeers {
-  exchange(
-    address: string,
-    news: IPeerNews,
-  ): Promise<Result<IPeerNews, ICallFailure>>;
-  fetchList(
-    address: string,
-    list: PlanListName,
-  ): Promise<Result<IListText, ICallFailure>>;
+/** How often zones are asked about, milliseconds; one call a time. */
+const ASK_ZONES_EVERY = 1_000;
+
+/** Members and zones told at once of a plan list that came into force. */
+const TOLD_OF_LIST = 3;
+
+/** What the service works with. */
+export interface IPeerServicePorts extends Omit<IMembershipPorts, "versions"> {
+  readonly platform: IPlatform;
+  readonly lists: PlanListService;
+  /** Load of this zone's services, for other zones. */
+  readonly loads: () => readonly IServiceLoad[];
 }
 
-/** Passes plan lists on between daemons. */
+/** Carries membership, plan list versions and zone summaries. */
 export class PeerService implements IDisposable {
+  readonly #ports: IPeerServicePorts;
   readonly #peers: IPeers;
-  readonly #platform: IPlatform;
-  readonly #clock: IClock;
-  readonly #random: IRandom;
   readonly #lists: PlanListService;
-  readonly #live: LiveDaemons;
-  readonly #self: IDaemonEntry;
+  readonly #self: IMember;
+  readonly #members: MembershipService;
+  readonly #zones: ZoneLinks;
+  readonly #list: DaemonList;
+  readonly #fetching = new Set<PlanListName>();
   readonly #owned = new DisposableStore();
-  #known: readonly IDaemonEntry[] = [];
-
-  constructor(
-    ports: {
-      readonly peers: IPeers;
-      readonly platform: IPlatform;
-      readonly clock: IClock;
-      readonly random: IRandom;
-      readonly lists: PlanListService;
-      readonly live: LiveDaemons;
-    },
-    self: IDaemonEntry,
-  ) {
+
+  constructor(ports: IPeerServicePorts, self: IDaemonEntry) {
+    const { daemon, zone, peerAddress } = self;
+    this.#ports = ports;
     this.#peers = ports.peers;
-    this.#platform = ports.platform;
-    this.#clock = ports.clock;
-    this.#random = ports.random;
     this.#lists = ports.lists;
-    this.#live = ports.live;
-    this.#self = self;
+    this.#self = { daemon, zone, peerAddress };
+    this.#members = new MembershipService(
+      { ...ports, versions: () => ports.lists.versions },
+      this.#self,
+      (versions, address) => void this.#learn(versions, address),
+    );
+    this.#zones = new ZoneLinks(this.#self, ports);
+    this.#list = new DaemonList(ports, self, {
+      isAlone: () => this.#members.live.length === 0,
+      isDelegate: () => this.#zones.isDelegate,
+      isLive: (entry) => ports.live.inZone.includes(entry.daemon),
+      learned: (entries) => this.#learned(entries),
+    });
+  }
+
+  /** Other live daemons of this zone. */
+  get live(): readonly IMember[] {
+    return this.#members.live;
   }
 
-  /** Other daemons, as last told by the platform. */
-  get known(): readonly IDaemonEntry[] {
-    return this.#known;
+  /** What is known of the other zones, each with its age. */
+  get zones(): readonly IZoneSummary[] {
+    return this.#zones.summaries(this.#ports.clock.now());
   }
 
-  get news(): IPeerNews {
-    const { daemon, zone } = this.#self;
-    return { daemon, zone, versions: this.#lists.versions };
+  get view(): readonly IMemberNews[] {
+    return this.#members.view;
   }
 
   start(): void {
-    void this.#register();
-    this.#every(DISCOVER_EVERY, () => void this.#discover());
-    this.#every(EXCHANGE_EVERY, () => void this.#exchange());
+    this.#members.start();
+    this.#list.start();
+    const ask = () => void this.#askNext();
+    this.#owned.add(this.#ports.clock.every(ASK_ZONES_EVERY, ask));
+    this.#owned.add(this.#lists.onAdopted(() => this.#spread()));
   }
 
-  /** Fetches whatever a peer has newer than this daemon. */
-  async learn(news: IPeerNews, address: string): Promise<void> {
-    for (const { list, version } of news.versions) {
-      if (version <= (this.#lists.book.version(list) ?? 0)) {
-        continue;
-      }
-      const fetched = await this.#peers.fetchList(address, list);
-      if (fetched.isOk() && fetched.value.version >= version) {
-        this.#lists.offer(fetched.value);
-      }
-    }
+  probed(probe: IProbe): IProbe {
+    return this.#members.probed(probe);
   }
 
-  /** The address of a known daemon. */
-  addressOf(daemon: string): string | null {
-    const entry = this.#known.find((known) => known.daemon === daemon);
-    return entry?.peerAddress ?? null;
+  probedThrough(
+    probe: IProbe,
+    target: string,
+  ): Promise<Result<IProbe, ICallFailure>> {
+    return this.#members.probedThrough(probe, target);
   }
 
-  dispose(): void {
-    this.#owned.dispose();
+  /** Answers a daemon of any zone. */
+  answerZones(question: IZonesQuestion): IZonesAnswer {
+    void this.#learn(question.versions, question.from.peerAddress);
+    const { versions } = this.#lists;
+    return { zones: [this.#ownSummary(), ...this.zones], versions };
   }
 
-  /** Takes this daemon off the platform's list of daemons. */
+  /** Tells peers of the departure, and leaves the platform's list. */
   async leave(): Promise<void> {
-    const found = await this.#platform.read(DAEMON_KIND, this.#self.daemon);
-    if (found.isOk() && found.value.isSome()) {
-      const { version } = found.value.value;
-      await this.#platform.remove(DAEMON_KIND, this.#self.daemon, version);
-    }
+    this.dispose();
+    await Promise.all([this.#members.leave(), this.#list.leave()]);
   }
 
-  #every(period: number, callback: () => void): void {
-    this.#owned.add(this.#clock.every(period, callback));
+  dispose(): void {
+    this.#owned.dispose();
+    this.#members.dispose();
+    this.#list.dispose();
   }
 
-  async #register(): Promise<void> {
-    const written = await this.#platform.write({
-      kind: DAEMON_KIND,
-      name: this.#self.daemon,
-      value: this.#self,
-      expectedVersion: null,
-    });
-    if (written.isErr()) {
-      this.#owned.add(
-        this.#clock.after(DISCOVER_EVERY, () => void this.#register()),
-      );
+  #learned(entries: readonly IDaemonEntry[]): void {
+    const members = entries.map(({ daemon, zone, peerAddress }) => ({
+      daemon,
+      zone,
+      peerAddress,
+    }));
+    this.#members.learned(members);
+    this.#zones.learned(members);
+  }
+
+  /** A list in force must be so everywhere within seconds: tell it on. */
+  #spread(): void {
+    this.#members.spread(TOLD_OF_LIST);
+    if (this.#zones.isDelegate) {
+      for (let told = 0; told < TOLD_OF_LIST; told++) {
+        void this.#askNext();
+      }
     }
-    await this.#discover();
   }
 
-  async #discover(): Promise<void> {
-    const listed = await this.#platform.list(DAEMON_KIND);
-    if (listed.isErr()) {
+  async #askNext(): Promise<void> {
+    const { clock, metrics } = this.#ports;
+    const askedAt = clock.now();
+    const other = this.#zones.next(this.#members.live, askedAt);
+    if (other === null) {
       return;
     }
-    this.#known = listed.value.objects
-      .map((object) => object.value as IDaemonEntry)
-      .filter((entry) => entry.daemon !== this.#self.daemon);
-    const { zone } = this.#self;
-    const here = this.#known.filter((entry) => entry.zone === zone);
-    this.#live.update(here.map(({ daemon }) => daemon));
-  }
-
-  async #exchange(): Promise<void> {
-    const index = Math.floor(this.#random.next() * this.#known.length);
-    const peer = this.#known[index];
-    if (peer === undefined) {
+    metrics.count("peer_calls", { call: "zones" });
+    const { versions } = this.#lists;
+    const question = { from: this.#self, versions };
+    const answer = await this.#peers.pullZones(other.peerAddress, question);
+    if (answer.isErr()) {
+      this.#zones.failed(other, clock.now());
       return;
     }
-    const answer = await this.#peers.exchange(peer.peerAddress, this.news);
-    if (answer.isOk()) {
-      await this.learn(answer.value, peer.peerAddress);
+    this.#zones.take(answer.value.zones, askedAt);
+    await this.#learn(answer.value.versions, other.peerAddress);
+  }
+
+  #ownSummary(): IZoneSummary {
+    const { live, loads } = this.#ports;
+    const names = this.#zones.delegates;
+    const members = [this.#self, ...this.#members.live];
+    return {
+      zone: this.#self.zone,
+      daemons: live.inZone.length,
+      delegates: members.filter(({ daemon }) => names.includes(daemon)),
+      loads: loads(),
+      age: 0,
+    };
+  }
+
+  /** Fetches whatever a peer has newer than this daemon, each list once. */
+  async #learn(
+    versions: readonly IListVersion[],
+    address: string,
+  ): Promise<void> {
+    for (const { list, version } of versions) {
+      const isNewer = version > (this.#lists.book.version(list) ?? 0);
+      if (isNewer && !this.#fetching.has(list)) {
+        await this.#fetch(list, version, address);
+      }
+    }
+  }
+
+  async #fetch(
+    list: PlanListName,
+    version: number,
+    address: string,
+  ): Promise<void> {
+    this.#fetching.add(list);
+    this.#ports.metrics.count("peer_calls", { call: "fetch_list" });
+    const fetched = await this.#peers.fetchList(address, list);
+    this.#fetching.delete(list);
+    if (fetched.isOk() && fetched.value.version >= version) {
+      this.#lists.offer(fetched.value);
     }
   }
 }
--- a/src/common/services/target_directory.ts
+++ b/src/common/services/target_directory.ts
@@ -1,19 +1,53 @@
-/** What is known of the instances in this zone, and how fresh it is. */
+/**
+ * What is known of the instances in this zone, and how fresh it is. Two daemons
+ * poll each target and share what they saw by digests; a daemon that hears
+ * nothing fresh of a target polls it itself.
+ */
+import { Backoff } from "../backoff.ts";
 import { DisposableStore } from "../disposable.ts";
 import type { IDisposable } from "../disposable.ts";
 import type { IInstance, InstanceId, ISeenReport, ZoneName } from "../types.ts";
-import type { IClock, IPlatform, ITargets } from "./services.ts";
+import type {
+  IClock,
+  ILiveDaemons,
+  IMetrics,
+  IPlatform,
+  IRandom,
+  ITargets,
+} from "./services.ts";
+
+/** Daemons that poll one target: one may die unnoticed for a few seconds. */
+const POLLERS = 2;
+
+/** Largest bound of the pause after a failed reading, milliseconds. */
+const LARGEST_RETRY_PAUSE = 15_000;
+
+/** Polls that a report may be old and still be shared as this daemon's. */
+const SHARED_FOR_POLLS = 3;
 
 /** How often and how long to ask, in milliseconds. */
 export interface IDirectoryTiming {
   readonly pollEvery: number;
   readonly pollTimeout: number;
   readonly instancesEvery: number;
+  /** Age of a report from which a daemon polls a target of others itself. */
+  readonly pollOthersAfter: number;
+}
+
+/** What the directory works with. */
+export interface IDirectoryPorts {
+  readonly platform: IPlatform;
+  readonly targets: ITargets;
+  readonly clock: IClock;
+  readonly random: IRandom;
+  readonly metrics: IMetrics;
+  readonly live: ILiveDaemons;
 }
 
 /**
- * Reads the platform's list of instances and polls each target of the zone.
- * The list lags, so a target's own silence or word counts for more.
+ * Reads the platform's list of instances and polls this daemon's share of the
+ * zone's targets. The list lags, so a target's own silence or word counts for
+ * more.
  */
 export class TargetDirectory implements IDisposable {
   readonly #platform: IPlatform;
@@ -22,18 +56,25 @@
   readonly #zone: ZoneName;
   readonly #timing: IDirectoryTiming;
   readonly #owned = new DisposableStore();
+  readonly #live: ILiveDaemons;
+  readonly #metrics: IMetrics;
+  readonly #retry: Backoff;
   readonly #asking = new Set<InstanceId>();
+  /** Whether a target is this daemon's to poll; empty after a change. */
+  readonly #shares = new Map<InstanceId, boolean>();
+  readonly #own = new Map<InstanceId, ISeenReport>();
   #instances = new Map<InstanceId, IInstance>();
   readonly #reports = new Map<InstanceId, ISeenReport>();
 
   constructor(
-    ports: {
-      readonly platform: IPlatform;
-      readonly targets: ITargets;
-      readonly clock: IClock;
-    },
+    ports: IDirectoryPorts,
     options: { readonly zone: ZoneName; readonly timing: IDirectoryTiming },
   ) {
+    const { instancesEvery } = options.timing;
+    const bounds = { first: instancesEvery, largest: LARGEST_RETRY_PAUSE };
+    this.#live = ports.live;
+    this.#metrics = ports.metrics;
+    this.#retry = new Backoff(bounds, ports.random);
     this.#platform = ports.platform;
     this.#targets = ports.targets;
     this.#clock = ports.clock;
@@ -51,53 +92,106 @@
     return this.#reports;
   }
 
+  /** Reports that this daemon polled itself lately, to be shared. */
+  ownReports(): readonly ISeenReport[] {
+    const { pollEvery, pollTimeout } = this.#timing;
+    const oldest =
+      this.#clock.now() - SHARED_FOR_POLLS * pollEvery - pollTimeout;
+    return [...this.#own.values()].filter(({ seenAt }) => seenAt >= oldest);
+  }
+
+  /** Takes reports that others polled; fresher ones stay. */
+  offer(reports: readonly ISeenReport[]): void {
+    for (const seen of reports) {
+      const id = seen.report.instance;
+      const held = this.#reports.get(id);
+      const isFresher = held === undefined || held.seenAt < seen.seenAt;
+      if (isFresher && this.#instances.has(id)) {
+        this.#reports.set(id, seen);
+      }
+    }
+  }
+
   start(): void {
-    void this.#readInstances();
-    const { instancesEvery, pollEvery } = this.#timing;
-    this.#owned.add(
-      this.#clock.every(instancesEvery, () => void this.#readInstances()),
-    );
+    void this.#follow();
+    const { pollEvery } = this.#timing;
     this.#owned.add(this.#clock.every(pollEvery, () => this.#pollAll()));
+    this.#owned.add(this.#live.onChanged(() => this.#shares.clear()));
   }
 
   dispose(): void {
     this.#owned.dispose();
   }
 
-  async #readInstances(): Promise<void> {
+  /** Reads the list each period; after failures ever less often. */
+  async #follow(): Promise<void> {
+    const isRead = await this.#readInstances();
+    if (isRead) {
+      this.#retry.succeeded();
+    }
+    const pause = isRead ? this.#timing.instancesEvery : this.#retry.next();
+    this.#owned.add(this.#clock.after(pause, () => void this.#follow()));
+  }
+
+  async #readInstances(): Promise<boolean> {
     const listed = await this.#platform.instances();
     if (listed.isErr()) {
-      return;
+      return false;
     }
     const here = listed.value.filter((entry) => entry.zone === this.#zone);
     this.#instances = new Map(here.map((entry) => [entry.id, entry]));
-    for (const id of this.#reports.keys()) {
-      if (!this.#instances.has(id)) {
-        this.#reports.delete(id);
+    for (const known of [this.#reports, this.#own, this.#shares]) {
+      for (const id of known.keys()) {
+        if (!this.#instances.has(id)) {
+          known.delete(id);
+        }
       }
     }
+    return true;
   }
 
   #pollAll(): void {
+    const now = this.#clock.now();
     for (const instance of this.#instances.values()) {
-      void this.#poll(instance);
+      if (this.#isOwn(instance.id) || this.#isStale(instance.id, now)) {
+        void this.#poll(instance);
+      }
     }
   }
 
+  #isOwn(id: InstanceId): boolean {
+    let isOwn = this.#shares.get(id);
+    if (isOwn === undefined) {
+      isOwn = this.#live.isChosen(`poll ${id}`, POLLERS);
+      this.#shares.set(id, isOwn);
+    }
+    return isOwn;
+  }
+
+  /**
+   * Others should poll this target, and nothing fresh of it came from them:
+   * they died, or the way to them is cut. Without polling it here a group would
+   * seem incomplete though it serves.
+   */
+  #isStale(id: InstanceId, now: number): boolean {
+    const seenAt = this.#reports.get(id)?.seenAt ?? Number.NEGATIVE_INFINITY;
+    return now - seenAt >= this.#timing.pollOthersAfter;
+  }
+
   async #poll(instance: IInstance): Promise<void> {
     if (this.#asking.has(instance.id)) {
       return;
     }
     this.#asking.add(instance.id);
+    this.#metrics.count("target_polls");
     const askedAt = this.#clock.now();
     const { pollTimeout } = this.#timing;
     const answer = await this.#targets.report(instance.address, pollTimeout);
     this.#asking.delete(instance.id);
     if (answer.isOk() && answer.value.instance === instance.id) {
-      this.#reports.set(instance.id, {
-        report: answer.value,
-        seenAt: askedAt,
-      });
+      const seen = { report: answer.value, seenAt: askedAt };
+      this.#own.set(instance.id, seen);
+      this.offer([seen]);
     }
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,13 +4,15 @@
 import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
-import { GrpcPeers, GrpcPeerServer } from "../adapters/peers/grpc_peers.ts";
+import { GrpcPeerServer } from "../adapters/peers/grpc_peer_server.ts";
+import { GrpcPeers } from "../adapters/peers/grpc_peers.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
+import { DigestService } from "../common/services/digest_service.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
 import { PeerService } from "../common/services/peer_service.ts";
@@ -19,7 +21,9 @@
 import { ServiceRunner } from "../common/services/service_runner.ts";
 import { TargetDirectory } from "../common/services/target_directory.ts";
 import { ZoneDomains } from "../common/services/zone_domains.ts";
+import { zoneLoads } from "../common/services/zone_loads.ts";
 import { formatFinding } from "../common/plans/findings.ts";
+import type { IDaemonEntry } from "../common/services/services.ts";
 import { OperationsServer } from "./operations_server.ts";
 import type { IStatusSource } from "./operations_server.ts";
 import { serviceDefinitions } from "./settings.ts";
@@ -44,6 +48,7 @@
   readonly #platform: HttpPlatform;
   readonly #targets = new HttpTargets();
   readonly #peers = new GrpcPeers();
+  readonly #hash: XxhashHash;
   readonly #live: LiveDaemons;
   readonly #lists: PlanListService;
   readonly #directory: TargetDirectory;
@@ -53,6 +58,7 @@
   readonly #callers: HttpCallerServer;
   readonly #operations: OperationsServer;
   readonly #peerServer: GrpcPeerServer;
+  readonly #digests: DigestService;
   #peerService: PeerService | null = null;
   #isStopping = false;
 
@@ -60,6 +66,7 @@
     this.#settings = settings;
     this.#log = log;
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
+    this.#hash = hash;
     this.#live = new LiveDaemons(this.#id, hash);
     this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
     this.#lists = new PlanListService(this.#platform, this.#clock, log);
@@ -76,6 +83,7 @@
     this.#dispatcher = this.#createDispatcher();
     this.#callers = this.#createCallerServer();
     this.#operations = new OperationsServer(this, this.#metrics);
+    this.#digests = this.#createDigests();
     this.#peerServer = this.#createPeerServer();
   }
 
@@ -110,6 +118,8 @@
       in_flight: this.#dispatcher.inFlight,
       lists: this.#lists.versions,
       lists_age_ms: this.#lists.age,
+      live_daemons: this.#live.inZone,
+      zones: this.#peerService?.zones ?? [],
       findings: this.#lists.book.findings.map(formatFinding),
       domains: this.#domains.all.map((domain) => ({
         domain: domain.domain,
@@ -134,8 +144,8 @@
     await this.#callers.stop();
     await this.#domains.close();
     this.#directory.dispose();
+    this.#digests.dispose();
     this.#lists.dispose();
-    this.#peerService?.dispose();
     await this.#peerService?.leave();
     await this.#peerServer[Symbol.asyncDispose]();
     await this.#peers[Symbol.asyncDispose]();
@@ -151,37 +161,31 @@
     const operations = await this.#operations.listen(daemon.operations);
     const port = await this.#peerServer.listen(daemon.peers);
     const peers = `${splitAddress(daemon.peers).host}:${port}`;
-    this.#peerService = new PeerService(
-      {
-        peers: this.#peers,
-        platform: this.#platform,
-        clock: this.#clock,
-        random: this.#random,
-        lists: this.#lists,
-        live: this.#live,
-      },
-      {
-        daemon: this.#id,
-        instance: daemon.name,
-        zone: daemon.zone,
-        peerAddress: daemon.peers_advertised ?? peers,
-        operationsAddress: operations,
-      },
-    );
+    this.#peerService = this.#createPeerService({
+      daemon: this.#id,
+      instance: daemon.name,
+      zone: daemon.zone,
+      peerAddress: daemon.peers_advertised ?? peers,
+      operationsAddress: operations,
+    });
     this.#lists.start();
     this.#directory.start();
     this.#domains.start();
     this.#peerService.start();
+    this.#digests.start();
     this.#log.info("listening", { callers, peers, operations });
   }
 
   #createDirectory(): TargetDirectory {
-    const { daemon, polling } = this.#settings;
+    const { daemon, groups, polling } = this.#settings;
     return new TargetDirectory(
       {
         platform: this.#platform,
         targets: this.#targets,
         clock: this.#clock,
+        random: this.#random,
+        metrics: this.#metrics,
+        live: this.#live,
       },
       {
         zone: daemon.zone,
@@ -189,6 +193,7 @@
           pollEvery: polling.targets,
           pollTimeout: polling.timeout,
           instancesEvery: polling.instances,
+          pollOthersAfter: groups.freshness / 2,
         },
       },
     );
@@ -239,19 +244,54 @@
     });
   }
 
+  #createPeerService(self: IDaemonEntry): PeerService {
+    return new PeerService(
+      {
+        peers: this.#peers,
+        platform: this.#platform,
+        clock: this.#clock,
+        random: this.#random,
+        hash: this.#hash,
+        log: this.#log,
+        metrics: this.#metrics,
+        lists: this.#lists,
+        live: this.#live,
+        loads: () => zoneLoads(this.#groups, this.#directory),
+      },
+      self,
+    );
+  }
+
+  #createDigests(): DigestService {
+    return new DigestService(
+      {
+        peers: this.#peers,
+        clock: this.#clock,
+        random: this.#random,
+        hash: this.#hash,
+        metrics: this.#metrics,
+        directory: this.#directory,
+        members: () => this.#peerService?.live ?? [],
+      },
+      { self: this.#id, period: this.#settings.polling.targets },
+    );
+  }
+
   #createPeerServer(): GrpcPeerServer {
+    const started = () => {
+      // The server listens before the service exists, since the service needs
+      // the port; a peer that calls in between gets an error and asks again.
+      if (this.#peerService === null) {
+        throw new Error("starting");
+      }
+      return this.#peerService;
+    };
     return new GrpcPeerServer({
-      news: () => ({
-        daemon: this.#id,
-        zone: this.#settings.daemon.zone,
-        versions: this.#lists.versions,
-      }),
-      learn: (news) => {
-        const address = this.#peerService?.addressOf(news.daemon);
-        if (address) {
-          void this.#peerService?.learn(news, address);
-        }
-      },
+      probed: (probe) => started().probed(probe),
+      probedThrough: (probe, target) => started().probedThrough(probe, target),
+      view: () => started().view,
+      digests: (held) => this.#digests.answer(held),
+      zones: (question) => started().answerZones(question),
       text: (list) => this.#lists.book.text(list),
     });
   }
