--- a/src/adapters/peers/grpc_peer_server.ts
+++ b/src/adapters/peers/grpc_peer_server.ts
@@ -1,11 +1,12 @@
 /** The listening side of calls between daemons. */
-import { Server, ServerCredentials, status } from "@grpc/grpc-js";
+import { Server, status } from "@grpc/grpc-js";
 import type { sendUnaryData } from "@grpc/grpc-js";
 import type { IPeerAnswers } from "../../common/membership/peers.ts";
 import type { PlanListName } from "../../common/plans/types.ts";
 import type { PeerHandlers } from "../../generated/cranberryledge/Peer.ts";
 import type { ProbeRequest__Output } from "../../generated/cranberryledge/ProbeRequest.ts";
 import type { ProbeResponse } from "../../generated/cranberryledge/ProbeResponse.ts";
+import type { IPeerCredentials } from "../tls/peer_credentials.ts";
 import { peerApi } from "./peer_api.ts";
 import {
   readProbe,
@@ -22,7 +23,10 @@
   readonly #server = new Server();
   readonly #answers: IPeerAnswers;
 
-  constructor(answers: IPeerAnswers) {
+  readonly #credentials: IPeerCredentials;
+
+  constructor(answers: IPeerAnswers, credentials: IPeerCredentials) {
+    this.#credentials = credentials;
     this.#answers = answers;
     const handlers = this.#handlers();
     this.#server.addService(peerApi.cranberryledge.Peer.service, {
@@ -33,7 +37,7 @@
   /** Listens and returns the port taken. */
   listen(address: string): Promise<number> {
     return new Promise((resolve, reject) => {
-      const secrets = ServerCredentials.createInsecure();
+      const secrets = this.#credentials.forServer();
       this.#server.bindAsync(address, secrets, (error, port) => {
         if (error) {
           reject(error);
--- a/src/adapters/peers/grpc_peers.ts
+++ b/src/adapters/peers/grpc_peers.ts
@@ -1,5 +1,4 @@
 /** Calls to other daemons over gRPC. */
-import { credentials } from "@grpc/grpc-js";
 import type { ClientUnaryCall, ServiceError } from "@grpc/grpc-js";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
@@ -21,6 +20,7 @@
 import type { PullDigestsResponse__Output } from "../../generated/cranberryledge/PullDigestsResponse.ts";
 import type { PullZonesResponse__Output } from "../../generated/cranberryledge/PullZonesResponse.ts";
 import type { SynchronizeResponse__Output } from "../../generated/cranberryledge/SynchronizeResponse.ts";
+import type { IPeerCredentials } from "../tls/peer_credentials.ts";
 import { peerApi } from "./peer_api.ts";
 import {
   readNews,
@@ -65,6 +65,11 @@
  */
 export class GrpcPeers implements IPeers {
   readonly #clients = new Map<string, IKeptClient>();
+  readonly #credentials: IPeerCredentials;
+
+  constructor(credentials: IPeerCredentials) {
+    this.#credentials = credentials;
+  }
 
   async probe(
     address: string,
@@ -191,7 +196,7 @@
       return kept.client;
     }
     this.#dropUnused();
-    const secrets = credentials.createInsecure();
+    const secrets = this.#credentials.forChannel();
     const { Peer } = peerApi.cranberryledge;
     const client = new Peer(address, secrets, CHANNEL_OPTIONS);
     this.#clients.set(address, { client, usedAt: Date.now() });
--- a/src/common/backoff.ts
+++ b/src/common/backoff.ts
@@ -1,37 +1,41 @@
-/**
- * Pauses between failed tries. Each failure doubles the bound up to a largest
- * one, so that a longer outage makes fewer calls; the pause is drawn from the
- * whole range below the bound ("full jitter"), so that daemons which failed
- * together do not come back together.
- */
+/** Pauses between tries that grow, with jitter. */
 import type { IRandom } from "./services/services.ts";
 
-/** Grows with failures, and starts over at a success. */
+/** Share of a pause that is left to chance. */
+const JITTER_SHARE = 0.5;
+
+/** Bounds on the pauses, milliseconds. */
+export interface IBackoffBounds {
+  readonly shortest: number;
+  readonly longest: number;
+}
+
+/**
+ * Doubles the pause on each failure up to a bound. Without growth an outage
+ * would be met by as many calls as the fleet can send; without jitter daemons
+ * that failed together would ask together, and the platform, just back, would
+ * see them all in one moment and fail again.
+ */
 export class Backoff {
-  readonly #first: number;
-  readonly #largest: number;
   readonly #random: IRandom;
-  #bound: number;
+  readonly #bounds: IBackoffBounds;
+  #failures = 0;
 
-  /** @param bounds - first and largest bound, milliseconds */
-  constructor(
-    bounds: { readonly first: number; readonly largest: number },
-    random: IRandom,
-  ) {
-    this.#first = bounds.first;
-    this.#largest = bounds.largest;
+  constructor(random: IRandom, bounds: IBackoffBounds) {
     this.#random = random;
-    this.#bound = bounds.first;
+    this.#bounds = bounds;
   }
 
-  /** Milliseconds to wait after one more failure; never under `first / 2`. */
+  /** The pause after one more failure, milliseconds. */
   next(): number {
-    const bound = this.#bound;
-    this.#bound = Math.min(this.#bound * 2, this.#largest);
-    return this.#first / 2 + this.#random.next() * (bound - this.#first / 2);
+    const { shortest, longest } = this.#bounds;
+    const pause = Math.min(shortest * 2 ** this.#failures, longest);
+    this.#failures = pause < longest ? this.#failures + 1 : this.#failures;
+    return pause * (1 - JITTER_SHARE * this.#random.next());
   }
 
-  succeeded(): void {
-    this.#bound = this.#first;
+  /** Starts over after a success. */
+  reset(): void {
+    this.#failures = 0;
   }
 }
--- a/src/common/services/daemon_list.ts
+++ b/src/common/services/daemon_list.ts
@@ -23,7 +23,7 @@
 const READ_OTHERWISE_EVERY = 600_000;
 
 /** Bounds of the pause after a failed call, milliseconds. */
-const RETRY_BOUNDS = { first: 1_000, largest: 60_000 };
+const RETRY_BOUNDS = { shortest: 1_000, longest: 60_000 };
 
 /** Readings that an entry must be missing from the zone before it goes. */
 const READINGS_BEFORE_REMOVAL = 3;
@@ -63,11 +63,12 @@
     this.#random = ports.random;
     this.#self = self;
     this.#needs = needs;
-    this.#retry = new Backoff(RETRY_BOUNDS, ports.random);
+    this.#retry = new Backoff(ports.random, RETRY_BOUNDS);
   }
 
-  start(): void {
-    void this.#turn();
+  /** Resolves after the first reading, whether or not it succeeded. */
+  async start(): Promise<void> {
+    await this.#turn();
   }
 
   dispose(): void {
@@ -87,7 +88,7 @@
   async #turn(): Promise<void> {
     const isRead = await this.#read();
     if (isRead) {
-      this.#retry.succeeded();
+      this.#retry.reset();
     }
     const pause = isRead ? this.#pause() : this.#retry.next();
     this.#owned.add(this.#clock.after(pause, () => void this.#turn()));
--- a/src/common/services/peer_service.ts
+++ b/src/common/services/peer_service.ts
@@ -24,10 +24,15 @@
 /** Members and zones told at once of a plan list that came into force. */
 const TOLD_OF_LIST = 3;
 
+/** Peers asked before a daemon serves; one with the newest lists is enough. */
+const MAXIMUM_ASKED_AT_START = 12;
+
 /** What the service works with. */
 export interface IPeerServicePorts extends Omit<IMembershipPorts, "versions"> {
   readonly platform: IPlatform;
   readonly lists: PlanListService;
+  /** Addresses from the settings, for when the platform is away. */
+  readonly seeds: readonly string[];
   /** Load of this zone's services, for other zones. */
   readonly loads: () => readonly IServiceLoad[];
 }
@@ -41,6 +46,8 @@
   readonly #members: MembershipService;
   readonly #zones: ZoneLinks;
   readonly #list: DaemonList;
+  /** Addresses of peers by the platform's list. */
+  #listed: readonly string[] = [];
   readonly #fetching = new Set<PlanListName>();
   readonly #owned = new DisposableStore();
 
@@ -80,7 +87,7 @@
 
   start(): void {
     this.#members.start();
-    this.#list.start();
+    void this.#askAtStart();
     const ask = () => void this.#askNext();
     this.#owned.add(this.#ports.clock.every(ASK_ZONES_EVERY, ask));
     this.#owned.add(this.#lists.onAdopted(() => this.#spread()));
@@ -116,12 +123,26 @@
     this.#list.dispose();
   }
 
+  /**
+   * Asks peers for their lists before this daemon serves. By the platform's
+   * answer alone it could serve by a stale read; without the seeds a daemon
+   * started during an outage would know no one to ask.
+   */
+  async #askAtStart(): Promise<void> {
+    await this.#list.start();
+    const addresses = new Set([...this.#listed, ...this.#ports.seeds]);
+    const some = [...addresses].slice(0, MAXIMUM_ASKED_AT_START);
+    await Promise.all(some.map((address) => this.#ask(address)));
+    this.#lists.notePeersAsked();
+  }
+
   #learned(entries: readonly IDaemonEntry[]): void {
     const members = entries.map(({ daemon, zone, peerAddress }) => ({
       daemon,
       zone,
       peerAddress,
     }));
+    this.#listed = members.map(({ peerAddress }) => peerAddress);
     this.#members.learned(members);
     this.#zones.learned(members);
   }
@@ -137,22 +158,42 @@
   }
 
   async #askNext(): Promise<void> {
-    const { clock, metrics } = this.#ports;
-    const askedAt = clock.now();
-    const other = this.#zones.next(this.#members.live, askedAt);
+    const { clock } = this.#ports;
+    const other = this.#zones.next(this.#members.live, clock.now());
     if (other === null) {
-      return;
+      return this.#askSeed();
+    }
+    const isAnswered = await this.#ask(other.peerAddress);
+    if (!isAnswered) {
+      this.#zones.failed(other, clock.now());
     }
+  }
+
+  /** Where neither platform nor peers told of anyone, the settings may. */
+  async #askSeed(): Promise<void> {
+    const { random, seeds } = this.#ports;
+    const seed = seeds[Math.floor(random.next() * seeds.length)];
+    if (seed !== undefined && this.#members.live.length === 0) {
+      await this.#ask(seed);
+    }
+  }
+
+  /** True when the peer at the address answered. */
+  async #ask(address: string): Promise<boolean> {
+    const { clock, metrics } = this.#ports;
     metrics.count("peer_calls", { call: "zones" });
+    const askedAt = clock.now();
     const { versions } = this.#lists;
     const question = { from: this.#self, versions };
-    const answer = await this.#peers.pullZones(other.peerAddress, question);
+    const answer = await this.#peers.pullZones(address, question);
     if (answer.isErr()) {
-      this.#zones.failed(other, clock.now());
-      return;
+      return false;
     }
-    this.#zones.take(answer.value.zones, askedAt);
-    await this.#learn(answer.value.versions, other.peerAddress);
+    const { zones } = answer.value;
+    this.#zones.take(zones, askedAt);
+    this.#members.learned(zones.flatMap(({ delegates }) => delegates));
+    await this.#learn(answer.value.versions, address);
+    return true;
   }
 
   #ownSummary(): IZoneSummary {
--- a/src/common/services/target_directory.ts
+++ b/src/common/services/target_directory.ts
@@ -19,8 +19,8 @@
 /** Daemons that poll one target: one may die unnoticed for a few seconds. */
 const POLLERS = 2;
 
-/** Largest bound of the pause after a failed reading, milliseconds. */
-const LARGEST_RETRY_PAUSE = 15_000;
+/** Longest pause after a failed reading, milliseconds. */
+const LONGEST_RETRY_PAUSE = 15_000;
 
 /** Polls that a report may be old and still be shared as this daemon's. */
 const SHARED_FOR_POLLS = 3;
@@ -71,10 +71,10 @@
     options: { readonly zone: ZoneName; readonly timing: IDirectoryTiming },
   ) {
     const { instancesEvery } = options.timing;
-    const bounds = { first: instancesEvery, largest: LARGEST_RETRY_PAUSE };
+    const bounds = { shortest: instancesEvery, longest: LONGEST_RETRY_PAUSE };
     this.#live = ports.live;
     this.#metrics = ports.metrics;
-    this.#retry = new Backoff(bounds, ports.random);
+    this.#retry = new Backoff(ports.random, bounds);
     this.#platform = ports.platform;
     this.#targets = ports.targets;
     this.#clock = ports.clock;
@@ -127,7 +127,7 @@
   async #follow(): Promise<void> {
     const isRead = await this.#readInstances();
     if (isRead) {
-      this.#retry.succeeded();
+      this.#retry.reset();
     }
     const pause = isRead ? this.#timing.instancesEvery : this.#retry.next();
     this.#owned.add(this.#clock.after(pause, () => void this.#follow()));
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -7,10 +7,17 @@
 import { GrpcPeerServer } from "../adapters/peers/grpc_peer_server.ts";
 import { GrpcPeers } from "../adapters/peers/grpc_peers.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
+import {
+  MutualPeerCredentials,
+  PlainPeerCredentials,
+} from "../adapters/tls/peer_credentials.ts";
+import type { IPeerCredentials } from "../adapters/tls/peer_credentials.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import type { IPeerAnswers } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
+import { Alarms } from "../common/services/alarms.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
 import { DigestService } from "../common/services/digest_service.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
@@ -30,6 +37,9 @@
 import type { Settings } from "./settings.ts";
 import { domainOptions } from "./domain_options.ts";
 
+/** The duty of watching the plan lists on behalf of the zone. */
+const WATCH_DUTY = "plan_lists";
+
 /** Where a running daemon listens. */
 export interface IDaemonAddresses {
   readonly callers: string;
@@ -47,9 +57,11 @@
   readonly #id: string;
   readonly #platform: HttpPlatform;
   readonly #targets = new HttpTargets();
-  readonly #peers = new GrpcPeers();
   readonly #hash: XxhashHash;
+  readonly #credentials: IPeerCredentials;
+  readonly #peers: GrpcPeers;
   readonly #live: LiveDaemons;
+  readonly #alarms: Alarms;
   readonly #lists: PlanListService;
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
@@ -67,9 +79,14 @@
     this.#log = log;
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
     this.#hash = hash;
+    this.#credentials = settings.tls.peers
+      ? new MutualPeerCredentials(settings.tls.peers)
+      : new PlainPeerCredentials();
+    this.#peers = new GrpcPeers(this.#credentials);
     this.#live = new LiveDaemons(this.#id, hash);
     this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
-    this.#lists = new PlanListService(this.#platform, this.#clock, log);
+    this.#alarms = new Alarms(this.#clock, log, { metrics: this.#metrics });
+    this.#lists = this.#createLists();
     this.#directory = this.#createDirectory();
     this.#domains = this.#createDomains();
     this.#groups = new GroupDirectory(
@@ -97,7 +114,7 @@
   }
 
   get isReady(): boolean {
-    return !this.#isStopping && this.#lists.book.isComplete;
+    return !this.#isStopping && this.#lists.isReady;
   }
 
   /** Whether at least one replica group of the zone is complete. */
@@ -120,7 +137,8 @@
       lists_age_ms: this.#lists.age,
       live_daemons: this.#live.inZone,
       zones: this.#peerService?.zones ?? [],
-      findings: this.#lists.book.findings.map(formatFinding),
+      alarms: this.#alarms.raised,
+      findings: this.#lists.findings.map(formatFinding),
       domains: this.#domains.all.map((domain) => ({
         domain: domain.domain,
         holder: domain.record?.holder ?? null,
@@ -168,7 +186,15 @@
       peerAddress: daemon.peers_advertised ?? peers,
       operationsAddress: operations,
     });
-    this.#lists.start();
+    const { lists } = this.#settings;
+    this.#lists.start(
+      { isWatcher: () => this.#live.isChosen(WATCH_DUTY, lists.watchers) },
+      {
+        watch: lists.watch,
+        poll: lists.poll,
+        longestRetry: lists.longest_retry,
+      },
+    );
     this.#directory.start();
     this.#domains.start();
     this.#peerService.start();
@@ -176,6 +202,17 @@
     this.#log.info("listening", { callers, peers, operations });
   }
 
+  #createLists(): PlanListService {
+    return new PlanListService({
+      platform: this.#platform,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      metrics: this.#metrics,
+      alarms: this.#alarms,
+    });
+  }
+
   #createDirectory(): TargetDirectory {
     const { daemon, groups, polling } = this.#settings;
     return new TargetDirectory(
@@ -236,11 +273,13 @@
     return new HttpCallerServer({
       dispatcher: this.#dispatcher,
       book: this.#lists.book,
+      areListsReady: () => this.#lists.isReady,
       services: serviceDefinitions(this.#settings),
       clock: this.#clock,
       random: this.#random,
       log: this.#log,
       metrics: this.#metrics,
+      certificate: this.#settings.tls.callers ?? null,
     });
   }
 
@@ -256,6 +295,7 @@
         metrics: this.#metrics,
         lists: this.#lists,
         live: this.#live,
+        seeds: this.#settings.daemon.seeds,
         loads: () => zoneLoads(this.#groups, this.#directory),
       },
       self,
@@ -286,13 +326,14 @@
       }
       return this.#peerService;
     };
-    return new GrpcPeerServer({
+    const answers: IPeerAnswers = {
       probed: (probe) => started().probed(probe),
       probedThrough: (probe, target) => started().probedThrough(probe, target),
       view: () => started().view,
       digests: (held) => this.#digests.answer(held),
       zones: (question) => started().answerZones(question),
       text: (list) => this.#lists.book.text(list),
-    });
+    };
+    return new GrpcPeerServer(answers, this.#credentials);
   }
 }
