Add a load tool that sends a profile and tells what callers got

Cause: nothing could put a mixed load on running daemons and say what share was whole and on time. Ruled out: sending the next request after an answer, which asks less of a slow system and hides the waits. Change: cranberryledge-load plans every arrival from a seed (exponential gaps, bursts, sizes) and sends each when due.

--- /dev/null
+++ b/src/load_tool/arrivals.ts
@@ -0,0 +1,102 @@
+/**
+ * Decides every request of a run beforehand, from the profile and its seed.
+ * Arrivals do not wait for answers: a tool that did would ask less of a slow
+ * system and so hide the very waits it is to measure.
+ */
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { IArrival, ILoadProfile, ILoadStream } from "./types.ts";
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Sizes are cut at this many times the ordinary one. */
+const LARGEST_SIZE_FACTOR = 8;
+
+const PREFIX_WORDS = 20;
+
+/** All requests of a profile, in order of time. */
+export function planArrivals(profile: ILoadProfile): readonly IArrival[] {
+  const arrivals = profile.streams.flatMap((stream, index) =>
+    new StreamPlanner(stream, profile.seed + index).plan(profile.duration),
+  );
+  return arrivals.sort((left, right) => left.at - right.at);
+}
+
+/** Plans one stream with chance of its own, so that streams do not interfere. */
+class StreamPlanner {
+  readonly #stream: ILoadStream;
+  readonly #generator;
+  readonly #seed: number;
+
+  constructor(stream: ILoadStream, seed: number) {
+    this.#stream = stream;
+    this.#seed = seed;
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  plan(duration: number): IArrival[] {
+    const arrivals: IArrival[] = [];
+    const fastest = this.#fastestRate();
+    let at = this.#wait(fastest);
+    while (at < duration) {
+      // Thinning: candidates come at the fastest rate and are kept in
+      // proportion to the rate at their moment.
+      if (this.#next() * fastest < this.#rateAt(at)) {
+        arrivals.push(this.#arrival(at, arrivals.length));
+      }
+      at += this.#wait(fastest);
+    }
+    return arrivals;
+  }
+
+  #arrival(at: number, index: number): IArrival {
+    const { hasKey, name } = this.#stream;
+    const key = hasKey ? `${name}-${this.#seed}-${index}` : null;
+    const maximumTokens = this.#size(this.#stream.maximumTokens);
+    const body = { prompt: this.#prompt(), maximum_tokens: maximumTokens };
+    return { stream: this.#stream, at, body, key };
+  }
+
+  #prompt(): string {
+    const { sharedPrefixes } = this.#stream;
+    const words = this.#size(this.#stream.promptWords);
+    const own = Array.from({ length: words }, () =>
+      Math.floor(this.#next() * 10_000).toString(36),
+    );
+    if (sharedPrefixes === 0) {
+      return own.join(" ");
+    }
+    const prefix = Math.floor(this.#next() * sharedPrefixes);
+    const shared = Array<string>(PREFIX_WORDS).fill(`prefix${prefix}`);
+    return [...shared, ...own].join(" ");
+  }
+
+  #rateAt(at: number): number {
+    const { bursts, rate } = this.#stream;
+    const burst = bursts.find(({ from, until }) => at >= from && at < until);
+    return rate * (burst?.factor ?? 1);
+  }
+
+  #fastestRate(): number {
+    const { bursts, rate } = this.#stream;
+    return rate * Math.max(1, ...bursts.map(({ factor }) => factor));
+  }
+
+  /** Time to the next candidate, exponentially distributed. */
+  #wait(rate: number): number {
+    return (this.#exponential() * MILLISECONDS_PER_SECOND) / rate;
+  }
+
+  #size(ordinary: number): number {
+    const factor = Math.min(this.#exponential(), LARGEST_SIZE_FACTOR);
+    return Math.max(1, Math.round(ordinary * factor));
+  }
+
+  #exponential(): number {
+    return -Math.log(1 - this.#next());
+  }
+
+  #next(): number {
+    return uniformFloat64(this.#generator);
+  }
+}
