--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,8 @@
 import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
-import { GrpcPeers, GrpcPeerServer } from "../adapters/peers/grpc_peers.ts";
+import { GrpcPeerServer } from "../adapters/peers/grpc_peer_server.ts";
+import { GrpcPeers } from "../adapters/peers/grpc_peers.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
 import {
   MutualPeerCredentials,
@@ -14,20 +15,22 @@
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import type { IPeerAnswers } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { Alarms } from "../common/services/alarms.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
+import { DigestService } from "../common/services/digest_service.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
 import { PeerService } from "../common/services/peer_service.ts";
-import type { IPeerNews } from "../common/services/peer_service.ts";
-import type { PlanListName } from "../common/plans/types.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
 import { ServiceRunner } from "../common/services/service_runner.ts";
 import { TargetDirectory } from "../common/services/target_directory.ts";
 import { ZoneDomains } from "../common/services/zone_domains.ts";
+import { zoneLoads } from "../common/services/zone_loads.ts";
 import { formatFinding } from "../common/plans/findings.ts";
+import type { IDaemonEntry } from "../common/services/services.ts";
 import { OperationsServer } from "./operations_server.ts";
 import type { IStatusSource } from "./operations_server.ts";
 import { serviceDefinitions } from "./settings.ts";
@@ -54,6 +57,7 @@
   readonly #id: string;
   readonly #platform: HttpPlatform;
   readonly #targets = new HttpTargets();
+  readonly #hash: XxhashHash;
   readonly #credentials: IPeerCredentials;
   readonly #peers: GrpcPeers;
   readonly #live: LiveDaemons;
@@ -66,6 +70,7 @@
   readonly #callers: HttpCallerServer;
   readonly #operations: OperationsServer;
   readonly #peerServer: GrpcPeerServer;
+  readonly #digests: DigestService;
   #peerService: PeerService | null = null;
   #isStopping = false;
 
@@ -73,6 +78,7 @@
     this.#settings = settings;
     this.#log = log;
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
+    this.#hash = hash;
     this.#credentials = settings.tls.peers
       ? new MutualPeerCredentials(settings.tls.peers)
       : new PlainPeerCredentials();
@@ -94,6 +100,7 @@
     this.#dispatcher = this.#createDispatcher();
     this.#callers = this.#createCallerServer();
     this.#operations = new OperationsServer(this, this.#metrics);
+    this.#digests = this.#createDigests();
     this.#peerServer = this.#createPeerServer();
   }
 
@@ -128,6 +135,8 @@
       in_flight: this.#dispatcher.inFlight,
       lists: this.#lists.versions,
       lists_age_ms: this.#lists.age,
+      live_daemons: this.#live.inZone,
+      zones: this.#peerService?.zones ?? [],
       alarms: this.#alarms.raised,
       findings: this.#lists.findings.map(formatFinding),
       domains: this.#domains.all.map((domain) => ({
@@ -153,8 +162,8 @@
     await this.#callers.stop();
     await this.#domains.close();
     this.#directory.dispose();
+    this.#digests.dispose();
     this.#lists.dispose();
-    this.#peerService?.dispose();
     await this.#peerService?.leave();
     await this.#peerServer[Symbol.asyncDispose]();
     await this.#peers[Symbol.asyncDispose]();
@@ -170,24 +179,13 @@
     const operations = await this.#operations.listen(daemon.operations);
     const port = await this.#peerServer.listen(daemon.peers);
     const peers = `${splitAddress(daemon.peers).host}:${port}`;
-    this.#peerService = new PeerService(
-      {
-        peers: this.#peers,
-        platform: this.#platform,
-        clock: this.#clock,
-        random: this.#random,
-        lists: this.#lists,
-        live: this.#live,
-        seeds: daemon.seeds,
-      },
-      {
-        daemon: this.#id,
-        instance: daemon.name,
-        zone: daemon.zone,
-        peerAddress: daemon.peers_advertised ?? peers,
-        operationsAddress: operations,
-      },
-    );
+    this.#peerService = this.#createPeerService({
+      daemon: this.#id,
+      instance: daemon.name,
+      zone: daemon.zone,
+      peerAddress: daemon.peers_advertised ?? peers,
+      operationsAddress: operations,
+    });
     const { lists } = this.#settings;
     this.#lists.start(
       { isWatcher: () => this.#live.isChosen(WATCH_DUTY, lists.watchers) },
@@ -200,6 +198,7 @@
     this.#directory.start();
     this.#domains.start();
     this.#peerService.start();
+    this.#digests.start();
     this.#log.info("listening", { callers, peers, operations });
   }
 
@@ -215,12 +214,15 @@
   }
 
   #createDirectory(): TargetDirectory {
-    const { daemon, polling } = this.#settings;
+    const { daemon, groups, polling } = this.#settings;
     return new TargetDirectory(
       {
         platform: this.#platform,
         targets: this.#targets,
         clock: this.#clock,
+        random: this.#random,
+        metrics: this.#metrics,
+        live: this.#live,
       },
       {
         zone: daemon.zone,
@@ -228,6 +230,7 @@
           pollEvery: polling.targets,
           pollTimeout: polling.timeout,
           instancesEvery: polling.instances,
+          pollOthersAfter: groups.freshness / 2,
         },
       },
     );
@@ -280,20 +283,56 @@
     });
   }
 
-  #createPeerServer(): GrpcPeerServer {
-    const answers = {
-      news: () => ({
-        daemon: this.#id,
-        zone: this.#settings.daemon.zone,
-        versions: this.#lists.versions,
-      }),
-      learn: (news: IPeerNews) => {
-        const address = this.#peerService?.addressOf(news.daemon);
-        if (address) {
-          void this.#peerService?.learn(news, address);
-        }
+  #createPeerService(self: IDaemonEntry): PeerService {
+    return new PeerService(
+      {
+        peers: this.#peers,
+        platform: this.#platform,
+        clock: this.#clock,
+        random: this.#random,
+        hash: this.#hash,
+        log: this.#log,
+        metrics: this.#metrics,
+        lists: this.#lists,
+        live: this.#live,
+        seeds: this.#settings.daemon.seeds,
+        loads: () => zoneLoads(this.#groups, this.#directory),
       },
-      text: (list: PlanListName) => this.#lists.book.text(list),
+      self,
+    );
+  }
+
+  #createDigests(): DigestService {
+    return new DigestService(
+      {
+        peers: this.#peers,
+        clock: this.#clock,
+        random: this.#random,
+        hash: this.#hash,
+        metrics: this.#metrics,
+        directory: this.#directory,
+        members: () => this.#peerService?.live ?? [],
+      },
+      { self: this.#id, period: this.#settings.polling.targets },
+    );
+  }
+
+  #createPeerServer(): GrpcPeerServer {
+    const started = () => {
+      // The server listens before the service exists, since the service needs
+      // the port; a peer that calls in between gets an error and asks again.
+      if (this.#peerService === null) {
+        throw new Error("starting");
+      }
+      return this.#peerService;
+    };
+    const answers: IPeerAnswers = {
+      probed: (probe) => started().probed(probe),
+      probedThrough: (probe, target) => started().probedThrough(probe, target),
+      view: () => started().view,
+      digests: (held) => this.#digests.answer(held),
+      zones: (question) => started().answerZones(question),
+      text: (list) => this.#lists.book.text(list),
     };
     return new GrpcPeerServer(answers, this.#credentials);
   }
