--- /dev/null
+++ b/bench/decisions/cases.ts
@@ -0,0 +1,126 @@
+/** The load cases, each with what happens and when. */
+import { Behaviour } from "./fake_target.ts";
+import type { IFlow, ITraceEntry } from "./trace.ts";
+import { makeTrace } from "./trace.ts";
+import type { IScenario, World } from "./world.ts";
+import { seeded } from "./world.ts";
+
+const TARGETS = 16;
+const DAEMONS = 2;
+const TRACE_SEED = 1;
+const RUN_SEED = 2;
+
+/** Length of most cases, milliseconds. */
+export const DURATION = 60_000;
+
+/** Short requests, as editors and subscribers make them. */
+export const HEADLINE: Omit<IFlow, "rate"> = {
+  account: "desk",
+  priority: 5,
+  promptTokens: 300,
+  askedTokens: 50,
+  deadline: 8_000,
+};
+
+/** Long requests. */
+export const BRIEF: Omit<IFlow, "rate"> = {
+  account: "briefs",
+  priority: 5,
+  promptTokens: 3_000,
+  askedTokens: 600,
+  deadline: 120_000,
+};
+
+/** A flow of headlines at a steady rate. */
+export function headlines(rate: number, account = "desk"): IFlow {
+  return { ...HEADLINE, account, rate: () => rate };
+}
+
+/** A scenario of the usual size. */
+export function scenario(
+  flows: readonly IFlow[],
+  rest: Partial<IScenario> = {},
+): IScenario {
+  const duration = rest.duration ?? DURATION;
+  const trace: readonly ITraceEntry[] = makeTrace(
+    flows,
+    duration,
+    seeded(TRACE_SEED),
+  );
+  return {
+    trace,
+    duration,
+    targets: TARGETS,
+    daemons: DAEMONS,
+    seed: RUN_SEED,
+    ...rest,
+  };
+}
+
+/** Ten times the usual rate for five seconds. */
+export function burst(rate: number): IScenario {
+  const isBurst = (time: number) => time >= 20_000 && time < 25_000;
+  return scenario([
+    { ...HEADLINE, rate: (time) => (isBurst(time) ? rate * 10 : rate) },
+  ]);
+}
+
+/** One account makes 80% of the load, four others the rest. */
+export function flood(rate: number): IScenario {
+  const others = [1, 2, 3, 4].map((index) =>
+    headlines(rate * 0.05, `steady-${index}`),
+  );
+  return scenario([headlines(rate * 0.8, "flood"), ...others]);
+}
+
+/** One request in twenty is a long brief. */
+export function longAmongShort(rate: number, withLong: boolean): IScenario {
+  const short = { ...headlines(rate * 0.95) };
+  const long = { ...BRIEF, rate: () => rate * 0.05 };
+  return scenario(withLong ? [short, long] : [short], { duration: 120_000 });
+}
+
+/** One prefix begins a fifth of the requests, a hundred others the rest. */
+export function hotPrefix(rate: number): IScenario {
+  const prompt = { promptTokens: 2_000 };
+  return scenario([
+    { ...headlines(rate * 0.2, "hot"), ...prompt, prefixes: 1 },
+    { ...headlines(rate * 0.8, "warm"), ...prompt, prefixes: 100 },
+  ]);
+}
+
+/** One target changes its ways at 10 s. */
+export function oneTarget(
+  rate: number,
+  change: (world: World) => void,
+): IScenario {
+  return scenario([headlines(rate)], {
+    prepare: (world) => world.events.at(10_000, () => change(world)),
+  });
+}
+
+/** The first target at a fifth of its speed. */
+export function fifthOfSpeed(world: World): void {
+  world.targets[0]?.slowDown(5);
+}
+
+/** The first target accepts and never answers. */
+export function goSilent(world: World): void {
+  world.targets[0]?.behave(Behaviour.Silent);
+}
+
+/** A share of the targets is away between two times. */
+export function outage(
+  rate: number,
+  span: { readonly from: number; readonly to: number; readonly share: number },
+): IScenario {
+  return scenario([headlines(rate)], {
+    prepare: (world) => {
+      const count = world.targets.length * span.share;
+      for (const target of world.targets.slice(0, count)) {
+        world.events.at(span.from, () => target.behave(Behaviour.Away));
+        world.events.at(span.to, () => target.behave(Behaviour.Serves));
+      }
+    },
+  });
+}
--- a/src/common/decisions/admission.ts
+++ b/src/common/decisions/admission.ts
@@ -1,15 +1,22 @@
 /**
  * Admission by plan. Pattern of load: an account sends more than its plan
- * allows. Without it, one account's burst fills every queue and the others'
- * answers come late. A refused request is told at once, and when to come back.
+ * allows. Without it one account's burst fills the queues up to their bounds,
+ * and its fair part is more than it has paid for. A refused request is told at
+ * once, and when to come back. What an answer will need is counted as asked
+ * when it is let in, and settled by what it took when it has ended: otherwise
+ * an account could have any number of long answers begun at the same moment.
  */
 import type { IPlan } from "../plans/types.ts";
 import { Reason } from "../types.ts";
 import type { MonotonicTime } from "../types.ts";
 
-/** Seconds of a plan's rate that may be spent in one burst. */
+/** Seconds of a plan's request rate that may be spent in one burst. */
 const BURST_SECONDS = 1;
 
+/** Seconds of a plan's token rate that may be spent in one burst. */
+const TOKEN_BURST_SECONDS = 60;
+
+const SECONDS_PER_MINUTE = 60;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** When to come back if all slots in flight are taken, milliseconds. */
@@ -22,44 +29,73 @@
   readonly retryAfter: number;
 }
 
+/** A rate that may be saved up to a capacity. */
+class Allowance {
+  #left: number | null = null;
+  #filledAt: MonotonicTime = 0;
+
+  /** Fills up for the time passed. */
+  refill(perSecond: number, capacity: number, now: MonotonicTime): void {
+    const elapsed = (now - this.#filledAt) / MILLISECONDS_PER_SECOND;
+    const filled = (this.#left ?? capacity) + elapsed * perSecond;
+    this.#left = Math.min(capacity, filled);
+    this.#filledAt = now;
+  }
+
+  /** Milliseconds until so much is there; 0 if it is. */
+  wait(amount: number, perSecond: number): number {
+    const missing = Math.max(0, amount - (this.#left ?? 0));
+    return Math.ceil((missing / perSecond) * MILLISECONDS_PER_SECOND);
+  }
+
+  take(amount: number): void {
+    this.#left = (this.#left ?? 0) - amount;
+  }
+}
+
 /** One account's use of its plan in this daemon. */
 export class AccountUse {
-  #tokens: number | null = null;
-  #filledAt: MonotonicTime = 0;
+  readonly #requests = new Allowance();
+  readonly #tokens = new Allowance();
   #inFlight = 0;
 
   get inFlight(): number {
     return this.#inFlight;
   }
 
-  /** Takes a slot, or says why not; each admission is ended by `finished`. */
-  admit(plan: IPlan, now: MonotonicTime): IPlanRefusal | null {
-    this.#refill(plan, now);
-    const tokens = this.#tokens ?? 0;
+  /**
+   * Takes a slot, or says why not; each admission is ended by `finished`.
+   *
+   * @param asked Tokens the answer may have at most; 0 for a plain call.
+   */
+  admit(plan: IPlan, asked: number, now: MonotonicTime): IPlanRefusal | null {
+    const reason = Reason.OverLimit;
+    const tokenRate = plan.tokensPerMinute / SECONDS_PER_MINUTE;
+    const tokenCapacity = tokenRate * TOKEN_BURST_SECONDS;
+    const burst = Math.max(1, plan.requestsPerSecond * BURST_SECONDS);
+    this.#requests.refill(plan.requestsPerSecond, burst, now);
+    this.#tokens.refill(tokenRate, tokenCapacity, now);
     if (this.#inFlight >= plan.requestsInFlight) {
-      return { reason: Reason.OverLimit, retryAfter: BUSY_RETRY_AFTER };
+      return { reason, retryAfter: BUSY_RETRY_AFTER };
     }
-    if (tokens < 1) {
-      const wait = (1 - tokens) / plan.requestsPerSecond;
-      const retryAfter = Math.ceil(wait * MILLISECONDS_PER_SECOND);
-      return { reason: Reason.OverLimit, retryAfter };
+    // An answer larger than the whole allowance is let in when it is full.
+    const needed = Math.min(asked, tokenCapacity);
+    const retryAfter = Math.max(
+      this.#requests.wait(1, plan.requestsPerSecond),
+      this.#tokens.wait(needed, tokenRate),
+    );
+    if (retryAfter > 0) {
+      return { reason, retryAfter };
     }
-    this.#tokens = tokens - 1;
+    this.#requests.take(1);
+    this.#tokens.take(asked);
     this.#inFlight += 1;
     return null;
   }
 
   /** An admitted request has had its final answer. */
-  finished(): void {
+  finished(asked: number, used: number): void {
     this.#inFlight -= 1;
-  }
-
-  #refill(plan: IPlan, now: MonotonicTime): void {
-    const capacity = Math.max(1, plan.requestsPerSecond * BURST_SECONDS);
-    const elapsed = (now - this.#filledAt) / MILLISECONDS_PER_SECOND;
-    const filled =
-      (this.#tokens ?? capacity) + elapsed * plan.requestsPerSecond;
-    this.#tokens = Math.min(capacity, filled);
-    this.#filledAt = now;
+    this.#tokens.take(used - asked);
   }
 }
--- /dev/null
+++ b/src/common/decisions/admission_test.ts
@@ -0,0 +1,45 @@
+/** Admission by plan, on a fake clock. */
+import { expect } from "chai";
+import type { IPlan } from "../plans/types.ts";
+import { AccountUse } from "./admission.ts";
+
+const PLAN: IPlan = {
+  name: "newsroom",
+  services: ["summarizer"],
+  priority: 5,
+  requestsPerSecond: 10,
+  tokensPerMinute: 6_000,
+  requestsInFlight: 5,
+  deadline: 5_000,
+};
+
+describe("admission by plan", () => {
+  it("says when the next request will be within the plan's rate", () => {
+    const use = new AccountUse();
+    for (let index = 0; index < PLAN.requestsPerSecond; index++) {
+      expect(use.admit(PLAN, 1, 0)).to.equal(null);
+      use.finished(1, 1);
+    }
+    const refused = use.admit(PLAN, 1, 0);
+    expect(refused?.retryAfter).to.equal(100);
+    expect(use.admit(PLAN, 1, refused?.retryAfter ?? 0)).to.equal(null);
+  });
+
+  it("bounds requests in flight", () => {
+    const use = new AccountUse();
+    for (let index = 0; index < PLAN.requestsInFlight; index++) {
+      expect(use.admit(PLAN, 1, 0)).to.equal(null);
+    }
+    expect(use.admit(PLAN, 1, 0)).to.not.equal(null);
+    use.finished(1, 1);
+    expect(use.admit(PLAN, 1, 0)).to.equal(null);
+  });
+
+  it("counts tokens as asked, and settles what was not made", () => {
+    const use = new AccountUse();
+    expect(use.admit(PLAN, 5_000, 0)).to.equal(null);
+    expect(use.admit(PLAN, 2_000, 0)?.retryAfter).to.equal(10_000);
+    use.finished(5_000, 1_000);
+    expect(use.admit(PLAN, 2_000, 0)).to.equal(null);
+  });
+});
--- /dev/null
+++ b/src/common/decisions/fair_queue_test.ts
@@ -0,0 +1,89 @@
+/** Properties of waiting by account. */
+import { expect } from "chai";
+import fc from "fast-check";
+import { FairQueue, MAXIMUM_WAITING } from "./fair_queue.ts";
+import { costOf } from "./work.ts";
+import type { IWork } from "./work.ts";
+
+const SEED = 20_261;
+const ROOM = { forShort: true, forLong: true };
+
+function makeWork(index: number, rest: Partial<IWork> = {}): IWork {
+  return {
+    id: `request-${index}`,
+    account: "desk",
+    priority: 5,
+    promptTokens: 0,
+    askedTokens: 10,
+    isCall: false,
+    prefix: "",
+    arrivedAt: 0,
+    deadline: 1_000,
+    ...rest,
+  };
+}
+
+describe("fair queue", () => {
+  it("gives backlogged accounts equal cost, whatever each asks for", () => {
+    const sizes = fc.array(fc.integer({ min: 1, max: 400 }), {
+      minLength: 60,
+      maxLength: 60,
+    });
+    fc.assert(
+      fc.property(sizes, sizes, (ones, others) => {
+        const queue = new FairQueue();
+        const given = new Map<string, number>();
+        for (const [account, asked] of [
+          ["one", ones],
+          ["other", others],
+        ] as const) {
+          asked.forEach((askedTokens, index) =>
+            queue.add(makeWork(index, { account, askedTokens })),
+          );
+        }
+        const left = { one: ones.length, other: others.length };
+        while (left.one > 0 && left.other > 0) {
+          const work = queue.take(ROOM) as IWork;
+          left[work.account as "one" | "other"] -= 1;
+          const before = given.get(work.account) ?? 0;
+          given.set(work.account, before + costOf(work));
+          const one = given.get("one") ?? 0;
+          const other = given.get("other") ?? 0;
+          expect(Math.abs(one - other)).to.be.at.most(400);
+        }
+      }),
+      { seed: SEED, numRuns: 50 },
+    );
+  });
+
+  it("takes the earliest deadline of an account, and priorities in order", () => {
+    const queue = new FairQueue();
+    queue.add(makeWork(1, { deadline: 900 }));
+    queue.add(makeWork(2, { deadline: 300 }));
+    queue.add(makeWork(3, { account: "radio", priority: 8 }));
+    const order = [1, 2, 3].map(() => queue.take(ROOM)?.id);
+    expect(order).to.deep.equal(["request-3", "request-2", "request-1"]);
+  });
+
+  // A flood fills the queue. The account that has only one request waiting
+  // would notice if it were the one to leave.
+  it("pushes out the account with the most cost waiting", () => {
+    const queue = new FairQueue();
+    queue.add(makeWork(-1, { account: "radio" }));
+    for (let index = 1; index < MAXIMUM_WAITING; index++) {
+      expect(queue.add(makeWork(index, { deadline: index }))).to.equal(null);
+    }
+    const pushedOut = queue.add(makeWork(0, { account: "clinic" }));
+    expect(pushedOut?.id).to.equal(`request-${MAXIMUM_WAITING - 1}`);
+    expect(queue.size).to.equal(MAXIMUM_WAITING);
+  });
+
+  it("lets short work pass while there is room for short work only", () => {
+    const queue = new FairQueue();
+    queue.add(makeWork(1, { askedTokens: 5_000, deadline: 100 }));
+    queue.add(makeWork(2));
+    const room = { forShort: true, forLong: false };
+    expect(queue.take(room)?.id).to.equal("request-2");
+    expect(queue.take(room)).to.equal(null);
+  });
+});
--- a/src/common/decisions/routing.ts
+++ b/src/common/decisions/routing.ts
@@ -1,35 +1,146 @@
 /**
- * Routing between the complete replica groups of a service. Pattern of load:
- * reports lag, so every daemon sees the same group as the idlest. Without
- * counting its own work in flight, a daemon would send a whole burst there.
+ * Routing between the targets of a service. Pattern of load: reports lag, so
+ * every daemon sees the same target as the idlest. Without sampling they all
+ * send there until the next report; one would notice by first tokens that are
+ * late in waves as long as the lag. Each daemon therefore compares a few
+ * targets picked at random, and adds its own work in flight
+ * ({@link TargetLoad}).
+ *
+ * Long among short: a long brief makes the time between tokens longer for all
+ * that run beside it. Long work is therefore packed on the same few targets,
+ * in an order that all daemons share, and short work finds the others emptier.
+ *
+ * A target that served the same prefix lately need not read it again. It is
+ * preferred only while its load is bounded, so that one hot prefix does not
+ * bury one target. What is remembered here may be wrong, as when the engine
+ * has dropped the prefix: then it costs time, never correctness.
+ *
+ * Thresholds measured by `bench/decisions`, see docs/DECISIONS.md.
  */
+import { isLong } from "./work.ts";
+import type { IWork } from "./work.ts";
 
-/** A place that can take a request. */
+/**
+ * Targets compared for one request by all daemons together, and by each at
+ * least. One daemon may compare all: it knows what it sent. Of many, each
+ * that compares many picks what the others pick: among 37 daemons and 64
+ * targets the 95th first token took 10 times an oracle's with 8 targets
+ * compared, 1.8 times with 2.
+ */
+const COMPARED_TOGETHER = 16;
+const LEAST_COMPARED = 2;
+
+/** Long work fills a target up to this share of its limit. */
+const LONG_FILL_SHARE = 0.9;
+
+/** A target with the prefix may have this many times the sampled mean load. */
+const PREFIX_LOAD_BOUND = 1.25;
+
+/** Requests above the mean that a prefix always makes good for. */
+const PREFIX_LOAD_ALLOWANCE = 2;
+
+/** A target that can take a request. */
 export interface ICandidate {
   readonly id: string;
-  /** Requests running and queued there by its last report. */
-  readonly reported: number;
-  /** Requests this daemon has sent there and not seen finished. */
-  readonly inFlight: number;
+  /** Requests expected to be there now. */
+  readonly load: number;
+  /**
+   * Cost of the prompts sent from here that it has not finished reading. They
+   * are read one after another and before any new one, so a target with few
+   * requests that have all just come is a worse choice than its load says.
+   */
+  readonly unread: number;
+  /** Requests it may have in all, by {@link GroupLimit}. */
+  readonly limit: number;
+  /** Requests this daemon may send there now. */
+  readonly room: number;
+  /** Its time between tokens as a multiple of its peers' median. */
+  readonly pace: number;
 }
 
-/** The candidate with the least expected work; null when there is none. */
+/** Where, for what, and where not. */
+export interface IRoutingChoice {
+  readonly work: IWork;
+  /** Targets that failed this request already. */
+  readonly avoid: ReadonlySet<string>;
+  /** Targets that this daemon sent the work's prefix to lately. */
+  readonly holders: readonly string[];
+  /** Daemons that send to these targets, this one included. */
+  readonly daemons: number;
+}
+
+/** The target with the least expected wait; null when there is none. */
 export function chooseCandidate<T extends ICandidate>(
   candidates: readonly T[],
-  avoid: ReadonlySet<string>,
+  choice: IRoutingChoice,
+  random: () => number,
 ): T | null {
-  let best: T | null = null;
-  for (const candidate of candidates) {
-    if (avoid.has(candidate.id)) {
-      continue;
+  const { work, avoid, holders } = choice;
+  const usable = candidates.filter(({ id }) => !avoid.has(id));
+  const roomy = usable.filter(({ room }) => room > 0);
+  if (isLong(work)) {
+    const packed = chooseForLong(roomy);
+    if (packed !== null) {
+      return packed;
     }
-    if (best === null || load(candidate) < load(best)) {
+  }
+  const share = Math.round(COMPARED_TOGETHER / choice.daemons);
+  const count = Math.max(LEAST_COMPARED, share);
+  const sampled = sample(roomy.length > 0 ? roomy : usable, count, random);
+  const best = leastWait(sampled);
+  const holding = roomy.filter(({ id }) => holders.includes(id));
+  const holder = holders.length > 0 ? leastWait(holding) : null;
+  const isNear = holder !== null && isBounded(holder, sampled);
+  return isNear ? holder : best;
+}
+
+function chooseForLong<T extends ICandidate>(roomy: readonly T[]): T | null {
+  let first: T | null = null;
+  for (const candidate of roomy) {
+    const isFilled = candidate.load >= candidate.limit * LONG_FILL_SHARE;
+    const isEarlier = first === null || candidate.id < first.id;
+    if (!isFilled && isEarlier && candidate.pace <= 1.5) {
+      first = candidate;
+    }
+  }
+  return first;
+}
+
+function isBounded(holder: ICandidate, sampled: readonly ICandidate[]) {
+  const total = sampled.reduce((sum, { load }) => sum + load, 0);
+  const mean = total / sampled.length;
+  return holder.load <= mean * PREFIX_LOAD_BOUND + PREFIX_LOAD_ALLOWANCE;
+}
+
+function leastWait<T extends ICandidate>(sampled: readonly T[]): T | null {
+  let best: T | null = null;
+  for (const candidate of sampled) {
+    if (best === null || waitAt(candidate) < waitAt(best)) {
       best = candidate;
     }
   }
   return best;
 }
 
-function load(candidate: ICandidate): number {
-  return Math.max(candidate.reported, candidate.inFlight);
+/** Expected wait at the target's pace; only its order matters. */
+function waitAt(candidate: ICandidate): number {
+  const { load, unread, pace } = candidate;
+  return (load + 1 + unread) * pace;
+}
+
+/** Up to so many of the candidates, in random order. */
+function sample<T>(
+  candidates: readonly T[],
+  wanted: number,
+  random: () => number,
+): T[] {
+  const pool = [...candidates];
+  const count = Math.min(wanted, pool.length);
+  for (let index = 0; index < count; index++) {
+    const other = index + Math.floor(random() * (pool.length - index));
+    const picked = pool[other] as T;
+    pool[other] = pool[index] as T;
+    pool[index] = picked;
+  }
+  return pool.slice(0, count);
 }
--- /dev/null
+++ b/src/common/decisions/service_scheduler.ts
@@ -0,0 +1,201 @@
+/**
+ * The decisions of one service put together: what is let in, what waits, what
+ * is turned away and where work goes. Pure: events and the time go in, actions
+ * come out; chance is handed in. One in each daemon for each service.
+ */
+import type { MonotonicTime } from "../types.ts";
+import { Reason } from "../types.ts";
+import { FairQueue } from "./fair_queue.ts";
+import type { IRoom } from "./fair_queue.ts";
+import { RunTime } from "./run_time.ts";
+import { TargetBook } from "./target_book.ts";
+import type { ITargetReports } from "./target_book.ts";
+import { costOf, isLong } from "./work.ts";
+import type { IWork } from "./work.ts";
+
+/**
+ * Share of the slots within this daemon's reach that long work may hold. The
+ * rest is kept for short work, which would otherwise wait for a long brief to
+ * end. Measured by the case "long among short" of `bench/decisions`.
+ */
+export const LONG_SLOT_SHARE = 0.75;
+
+/**
+ * A queue that was never empty for this long is no burst, milliseconds. It
+ * only makes everything late by its length without serving any more, so from
+ * then on work is let in only if it need not wait long.
+ */
+const STANDING_AFTER = 5_000;
+
+/** The longest wait let in while a queue is standing, milliseconds. */
+const LONGEST_STANDING_WAIT = 500;
+
+/** Shortest and longest "come back in", milliseconds. */
+const SHORTEST_RETRY_AFTER = 200;
+const LONGEST_RETRY_AFTER = 30_000;
+
+/** What is to be done with work. */
+export enum ScheduleActionKind {
+  /** Send it now. */
+  Start = "start",
+  /** Tell its caller at once that it did not run. */
+  Refuse = "refuse",
+}
+
+/** One thing to be done. */
+export type ScheduleAction =
+  | { readonly kind: ScheduleActionKind.Start; readonly work: IWork }
+  | {
+      readonly kind: ScheduleActionKind.Refuse;
+      readonly work: IWork;
+      readonly reason: Reason;
+      /** When asking again makes sense, milliseconds. */
+      readonly retryAfter: number;
+    };
+
+/** Admission, waiting and routing of one service in one daemon. */
+export class ServiceScheduler {
+  readonly #queue = new FairQueue();
+  readonly #runTime = new RunTime();
+  readonly #targets = new TargetBook(this.#runTime);
+  /** Work started and not finished. */
+  readonly #started = new Set<IWork>();
+  #longStarted = 0;
+  /** Since when some work has always been waiting. */
+  #backlogSince: MonotonicTime | null = null;
+
+  /** What is known of the targets; times of tokens are told to it. */
+  get targets(): TargetBook {
+    return this.#targets;
+  }
+
+  get waiting(): number {
+    return this.#queue.size;
+  }
+
+  /** Milliseconds from sending work to its whole answer, with a margin. */
+  runTime(work: IWork): number {
+    return this.#runTime.of(work);
+  }
+
+  /** Work arrives. It is started, kept waiting (no action) or refused. */
+  offer(work: IWork, now: MonotonicTime): readonly ScheduleAction[] {
+    if (this.#started.size === 0) {
+      this.#runTime.forget();
+    }
+    const late = this.#lateness(work, now);
+    if (late > 0) {
+      return [refuse(work, Reason.DeadlineTooNear, late)];
+    }
+    const pushedOut = this.#queue.add(work);
+    const refused =
+      pushedOut === null
+        ? []
+        : [refuse(pushedOut, Reason.QueueFull, this.#wait(pushedOut))];
+    return [...refused, ...this.advance(now)];
+  }
+
+  /**
+   * Work that was started has ended.
+   *
+   * @param tokens Tokens of the whole answer; null if there is none.
+   */
+  finished(
+    work: IWork,
+    tokens: number | null,
+    now: MonotonicTime,
+  ): readonly ScheduleAction[] {
+    if (tokens !== null) {
+      this.#runTime.answered(tokens, work.askedTokens);
+    }
+    if (this.#started.delete(work) && isLong(work)) {
+      this.#longStarted -= 1;
+    }
+    return this.advance(now);
+  }
+
+  /** The caller of waiting work is gone. */
+  withdraw(work: IWork): boolean {
+    return this.#queue.remove(work);
+  }
+
+  /** The targets in service and their reports. */
+  report(
+    reports: ITargetReports,
+    now: MonotonicTime,
+  ): readonly ScheduleAction[] {
+    this.#targets.report(reports, now);
+    return this.advance(now);
+  }
+
+  /** Time passed: starts what there is room for, refuses what has expired. */
+  advance(now: MonotonicTime): readonly ScheduleAction[] {
+    const actions: ScheduleAction[] = [];
+    const expired = this.#queue.removeWhere(
+      (work) => now + this.#runTime.of(work) > work.deadline,
+    );
+    for (const work of expired) {
+      const late = now + this.#runTime.of(work) - work.deadline;
+      actions.push(refuse(work, Reason.DeadlinePassed, late));
+    }
+    for (;;) {
+      const work = this.#queue.take(this.#room());
+      if (work === null) {
+        this.#noteBacklog(now);
+        return actions;
+      }
+      this.#started.add(work);
+      this.#longStarted += isLong(work) ? 1 : 0;
+      actions.push({ kind: ScheduleActionKind.Start, work });
+    }
+  }
+
+  #room(): IRoom {
+    const reach = this.#targets.reach;
+    const isFree = this.#started.size < reach;
+    const longSlots = Math.max(1, reach * LONG_SLOT_SHARE);
+    return {
+      forShort: isFree,
+      forLong: isFree && this.#longStarted < longSlots,
+    };
+  }
+
+  /** By how many milliseconds work would wait too long; 0 if it would not. */
+  #lateness(work: IWork, now: MonotonicTime): number {
+    const wait = this.#wait(work);
+    const late = now + wait + this.#runTime.of(work) - work.deadline;
+    const isStanding =
+      this.#backlogSince !== null && now - this.#backlogSince > STANDING_AFTER;
+    const tooLong = isStanding ? wait - LONGEST_STANDING_WAIT : 0;
+    return Math.max(0, late, tooLong);
+  }
+
+  #noteBacklog(now: MonotonicTime): void {
+    if (this.#queue.size === 0) {
+      this.#backlogSince = null;
+    } else {
+      this.#backlogSince ??= now;
+    }
+  }
+
+  /**
+   * Expected wait before work starts, milliseconds: the cost that goes first,
+   * over what the slots in reach get done (Little's law). A measured rate was
+   * tried and is wrong just when it matters, at the start of a burst.
+   */
+  #wait(work: IWork): number {
+    const slots = this.#targets.reach;
+    const rate = (slots * costOf(work)) / this.#runTime.expected(work);
+    const ahead = this.#queue.size === 0 ? 0 : this.#queue.costAhead(work);
+    return rate > 0 ? ahead / rate : 0;
+  }
+}
+
+function refuse(work: IWork, reason: Reason, late: number): ScheduleAction {
+  const bounded = Math.min(
+    LONGEST_RETRY_AFTER,
+    Math.max(SHORTEST_RETRY_AFTER, late),
+  );
+  const retryAfter = Math.ceil(bounded);
+  return { kind: ScheduleActionKind.Refuse, work, reason, retryAfter };
+}
--- /dev/null
+++ b/src/common/decisions/target_book.ts
@@ -0,0 +1,238 @@
+/**
+ * What a daemon knows of a service's targets: loads between reports, limits,
+ * paces and prefixes; and from these where one request goes.
+ */
+import type { MonotonicTime } from "../types.ts";
+import { FIRST_TOKEN_BOUND, firstTokenBound } from "./group_limit.ts";
+import { KnownTarget } from "./known_target.ts";
+import { PrefixMemory } from "./prefix_memory.ts";
+import { chooseCandidate } from "./routing.ts";
+import type { RunTime } from "./run_time.ts";
+import { SlowTargets } from "./slow_target.ts";
+import type { ISentRequest, Standing } from "./slow_target.ts";
+import { PROMPT_TOKEN_COST } from "./work.ts";
+import type { IWork } from "./work.ts";
+
+/** How often targets are compared with one another, milliseconds. */
+const COMPARE_EVERY = 500;
+
+/** Share of a prompt taken to be read already where its prefix is held. */
+const PREFIX_SHARE = 0.5;
+
+/** A target as its last report shows it. */
+export interface ITargetState {
+  readonly id: string;
+  /** Requests running and queued there. */
+  readonly reported: number;
+  /** The moment, on this daemon's clock, the report describes. */
+  readonly describes: MonotonicTime;
+}
+
+/** What is known of a service's targets at one moment. */
+export interface ITargetReports {
+  /** Those that can serve now. */
+  readonly targets: readonly ITargetState[];
+  /** Daemons that send to them, this one included. */
+  readonly daemons: number;
+}
+
+/** One request at one target. */
+export interface ITargetUse extends ISentRequest {
+  /** Cost of reading the prompt, in generated tokens. */
+  readonly promptCost: number;
+  /** Milliseconds the first token may take. */
+  readonly firstTokenBound: number;
+  /** Whether it was counted as late before it came. */
+  isOverdue: boolean;
+  /** Null until the first token. */
+  lastTokenAt: MonotonicTime | null;
+  isEnded: boolean;
+}
+
+/** A request to find a target for. */
+export interface ITargetChoice {
+  readonly work: IWork;
+  /** Targets that failed this request already. */
+  readonly avoid: ReadonlySet<string>;
+}
+
+/** The targets of one service. */
+export class TargetBook {
+  readonly #runTime: RunTime;
+  readonly #known = new Map<string, KnownTarget>();
+  readonly #slow = new SlowTargets();
+  readonly #prefixes = new PrefixMemory();
+  /** Requests without a first token, in the order they were sent. */
+  readonly #unanswered = new Set<ITargetUse>();
+  #present: readonly KnownTarget[] = [];
+  #daemons = 1;
+  #comparedAt: MonotonicTime = 0;
+
+  constructor(runTime: RunTime) {
+    this.#runTime = runTime;
+  }
+
+  /** Requests this daemon may have in flight, with what others have there. */
+  get reach(): number {
+    let reach = 0;
+    for (const { own, room } of this.#present) {
+      reach += own + Math.max(0, room);
+    }
+    return reach;
+  }
+
+  standing(target: string): Standing {
+    return this.#slow.standing(target);
+  }
+
+  /** Takes in the targets that can serve now, with their reports. */
+  report(reports: ITargetReports, now: MonotonicTime): void {
+    const { targets, daemons } = reports;
+    this.#daemons = daemons;
+    this.#present = targets.map(({ id }) => this.#knownOf(id));
+    for (const { id, reported, describes } of targets) {
+      this.#knownOf(id).report(reported, describes, daemons);
+    }
+    this.#noteOverdue(now);
+    if (now - this.#comparedAt >= COMPARE_EVERY) {
+      this.#comparedAt = now;
+      const present = targets.map(({ id }) => id);
+      this.#slow.compare(present, now);
+    }
+    if (this.#known.size > this.#present.length) {
+      this.#forgetIdle();
+    }
+  }
+
+  /** Where a request goes; null when no target is left to try. */
+  choose(choice: ITargetChoice, random: () => number): string | null {
+    const { work, avoid } = choice;
+    const holders = this.#prefixes.holders(work.prefix);
+    const chosen = chooseCandidate(
+      this.#present,
+      { work, avoid, holders, daemons: this.#daemons },
+      random,
+    );
+    if (chosen === null) {
+      return null;
+    }
+    this.#prefixes.note(work.prefix, chosen.id);
+    return chosen.id;
+  }
+
+  /** A request is sent to a target. */
+  begin(target: string, work: IWork, now: MonotonicTime): ITargetUse {
+    const cost = work.promptTokens * PROMPT_TOKEN_COST;
+    const holders = this.#prefixes.holders(work.prefix);
+    const isHeld = holders.includes(target);
+    const use: ITargetUse = {
+      target,
+      sentAt: now,
+      promptCost: isHeld ? cost * (1 - PREFIX_SHARE) : cost,
+      firstTokenBound: boundOf(work, now),
+      isOverdue: false,
+      lastTokenAt: null,
+      isEnded: false,
+    };
+    this.#knownOf(target).begin(use.promptCost, now);
+    this.#slow.sent(use);
+    this.#unanswered.add(use);
+    return use;
+  }
+
+  /** Tokens came for a request. */
+  tokens(use: ITargetUse, count: number, now: MonotonicTime): void {
+    const { limits } = this.#knownOf(use.target);
+    if (use.lastTokenAt === null) {
+      const time = now - use.sentAt;
+      this.#answered(use);
+      this.#slow.firstToken(use.target, time, now);
+      this.#runTime.firstToken(time);
+      if (!use.isOverdue) {
+        const isLate = time > use.firstTokenBound;
+        limits.firstToken(isLate, use.sentAt, now);
+      }
+    } else {
+      const gap = (now - use.lastTokenAt) / count;
+      this.#slow.tokenGap(use.target, gap, now);
+      this.#runTime.tokenGap(gap);
+      limits.tokenGap(gap, now);
+    }
+    use.lastTokenAt = now;
+  }
+
+  /**
+   * The caller has taken what came and more is read from now on: the time it
+   * took is its own, not the target's.
+   */
+  resumed(use: ITargetUse, now: MonotonicTime): void {
+    if (use.lastTokenAt !== null) {
+      use.lastTokenAt = now;
+    }
+  }
+
+  /** A request has ended at its target. */
+  end(use: ITargetUse, now: MonotonicTime): void {
+    if (use.isEnded) {
+      return;
+    }
+    use.isEnded = true;
+    this.#knownOf(use.target).end(now);
+    if (use.lastTokenAt === null) {
+      this.#answered(use);
+    }
+  }
+
+  #answered(use: ITargetUse): void {
+    this.#knownOf(use.target).read(use.promptCost);
+    this.#slow.answered(use);
+    this.#unanswered.delete(use);
+  }
+
+  /**
+   * Counts first tokens that are late before they have come. Waiting for them
+   * would tell of a queue inside the target only when it has worked it off.
+   */
+  #noteOverdue(now: MonotonicTime): void {
+    for (const use of this.#unanswered) {
+      const age = now - use.sentAt;
+      if (age <= FIRST_TOKEN_BOUND) {
+        return;
+      }
+      if (!use.isOverdue && age > use.firstTokenBound) {
+        use.isOverdue = true;
+        const { limits } = this.#knownOf(use.target);
+        limits.firstToken(true, use.sentAt, now);
+      }
+    }
+  }
+
+  #knownOf(target: string): KnownTarget {
+    let known = this.#known.get(target);
+    if (known === undefined) {
+      known = new KnownTarget(target, this.#slow);
+      this.#known.set(target, known);
+    }
+    return known;
+  }
+
+  /** Forgets targets that left, once nothing of this daemon runs there. */
+  #forgetIdle(): void {
+    const present = new Set(this.#present);
+    for (const [id, known] of this.#known) {
+      if (!present.has(known) && known.own === 0) {
+        this.#known.delete(id);
+      }
+    }
+  }
+}
+
+/**
+ * Milliseconds until the first token is late. How long a plain call takes is
+ * the service's own affair: it may take half of what it has.
+ */
+function boundOf(work: IWork, now: MonotonicTime): number {
+  return work.isCall
+    ? (work.deadline - now) / 2
+    : firstTokenBound(work.promptTokens);
+}
--- /dev/null
+++ b/src/common/services/admission_service.ts
@@ -0,0 +1,155 @@
+/**
+ * Lets requests in by plan, deadline and room, and keeps the others waiting or
+ * turns them away at once. The decisions are made by {@link AccountUse} and
+ * {@link ServiceScheduler}; this turns their actions into answers.
+ */
+import { AccountUse } from "../decisions/admission.ts";
+import { ScheduleActionKind } from "../decisions/service_scheduler.ts";
+import type { ScheduleAction } from "../decisions/service_scheduler.ts";
+import type { IWork } from "../decisions/work.ts";
+import { Reason } from "../types.ts";
+import type { AccountName, IRefusal, ServiceName } from "../types.ts";
+import type { GroupDirectory } from "./group_directory.ts";
+import { notRun } from "./refusal.ts";
+import type { IClock, IMetrics } from "./services.ts";
+import type { ICallerRequest } from "./types.ts";
+import { workOf } from "./work_of.ts";
+
+/** How often waiting work is looked at, milliseconds. */
+const TICK = 50;
+
+/** When to come back if no target can serve, milliseconds. */
+const NO_REPLICA_RETRY_AFTER = 2_000;
+
+/** What the service works with. */
+export interface IAdmissionParts {
+  readonly groups: GroupDirectory;
+  readonly clock: IClock;
+  readonly metrics: IMetrics;
+}
+
+/** A request that was let in. */
+export interface IAdmitted {
+  /**
+   * It has had its final answer; calling it again does nothing.
+   *
+   * @param tokens Tokens of a whole answer; null if there is none.
+   */
+  finish(tokens: number | null): void;
+}
+
+/** Decides which requests run, which wait and which are turned away. */
+export class AdmissionService {
+  readonly #parts: IAdmissionParts;
+  readonly #uses = new Map<AccountName, AccountUse>();
+  readonly #waiting = new Map<IWork, (refusal: IRefusal | null) => void>();
+  readonly #ticking = new Set<ServiceName>();
+
+  constructor(parts: IAdmissionParts) {
+    this.#parts = parts;
+  }
+
+  /** Resolves when the request may run, or with the final word. */
+  async enter(request: ICallerRequest): Promise<IAdmitted | IRefusal> {
+    const work = workOf(request);
+    const asked = work.isCall ? 0 : work.askedTokens;
+    const { plan } = request.account;
+    const use = this.#useOf(work.account);
+    const refused = use.admit(plan, asked, this.#parts.clock.now());
+    if (refused !== null) {
+      const detail = `plan ${plan.name} is used up`;
+      return this.#count(notRun(refused.reason, detail, refused.retryAfter));
+    }
+    const refusal = await this.#wait(request, work);
+    if (refusal !== null) {
+      use.finished(asked, 0);
+      return this.#count(refusal);
+    }
+    let isFinished = false;
+    const finish = (tokens: number | null) => {
+      if (!isFinished) {
+        isFinished = true;
+        use.finished(asked, Math.min(asked, tokens ?? 0));
+        this.#leave(request, work, tokens);
+      }
+    };
+    return { finish };
+  }
+
+  /** Resolves with null when there is room for the work. */
+  #wait(request: ICallerRequest, work: IWork): Promise<IRefusal | null> {
+    const { clock, groups } = this.#parts;
+    const { name } = request.service;
+    if (!groups.refresh(name)) {
+      const detail = `nothing in this zone can serve ${name} now`;
+      const refusal = notRun(Reason.NoReplica, detail, NO_REPLICA_RETRY_AFTER);
+      return Promise.resolve(refusal);
+    }
+    return new Promise((resolve) => {
+      const scheduler = groups.schedulerOf(name);
+      const leave = () => {
+        if (scheduler.withdraw(work)) {
+          this.#settle(work, notRun(Reason.CallerLeft, "the caller is gone"));
+        }
+      };
+      this.#waiting.set(work, (refusal) => {
+        request.signal.removeEventListener("abort", leave);
+        resolve(refusal);
+      });
+      request.signal.addEventListener("abort", leave);
+      this.#apply(scheduler.offer(work, clock.now()));
+      this.#tick(name);
+    });
+  }
+
+  #leave(request: ICallerRequest, work: IWork, tokens: number | null): void {
+    const { clock, groups } = this.#parts;
+    const scheduler = groups.schedulerOf(request.service.name);
+    this.#apply(scheduler.finished(work, tokens, clock.now()));
+  }
+
+  #apply(actions: readonly ScheduleAction[]): void {
+    for (const action of actions) {
+      if (action.kind === ScheduleActionKind.Start) {
+        this.#settle(action.work, null);
+      } else {
+        const { reason, retryAfter } = action;
+        const detail = "it could not be answered in time";
+        this.#settle(action.work, notRun(reason, detail, retryAfter));
+      }
+    }
+  }
+
+  #settle(work: IWork, refusal: IRefusal | null): void {
+    this.#waiting.get(work)?.(refusal);
+    this.#waiting.delete(work);
+  }
+
+  /** Looks at the service again and again while some of its work waits. */
+  #tick(service: ServiceName): void {
+    const { clock, groups, metrics } = this.#parts;
+    const scheduler = groups.schedulerOf(service);
+    metrics.gauge("waiting", scheduler.waiting, { service });
+    if (scheduler.waiting === 0 || this.#ticking.has(service)) {
+      return;
+    }
+    this.#ticking.add(service);
+    clock.after(TICK, () => {
+      this.#ticking.delete(service);
+      groups.refresh(service);
+      this.#apply(scheduler.advance(clock.now()));
+      this.#tick(service);
+    });
+  }
+
+  #count(refusal: IRefusal): IRefusal {
+    this.#parts.metrics.count("refusals", { reason: refusal.reason });
+    return refusal;
+  }
+
+  #useOf(account: AccountName): AccountUse {
+    const use = this.#uses.get(account) ?? new AccountUse();
+    this.#uses.set(account, use);
+    return use;
+  }
+}
--- a/src/common/services/call_dispatcher.ts
+++ b/src/common/services/call_dispatcher.ts
@@ -1,10 +1,9 @@
 /** Admits callers' requests and sends each to the runner that answers it. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { AccountUse } from "../decisions/admission.ts";
-import type { IEffectiveAccount } from "../plans/types.ts";
 import { AnswerKind, Reason, ServiceKind } from "../types.ts";
-import type { AccountName, IRefusal } from "../types.ts";
+import type { IRefusal } from "../types.ts";
+import type { AdmissionService, IAdmitted } from "./admission_service.ts";
 import type { EngineRunner } from "./engine_runner.ts";
 import { notRun } from "./refusal.ts";
 import type { ServiceRunner } from "./service_runner.ts";
@@ -15,26 +14,28 @@
 
 /** The one way from a checked request to its answer. */
 export class CallDispatcher {
+  readonly #admission: AdmissionService;
   readonly #engines: EngineRunner;
   readonly #services: ServiceRunner;
   readonly #clock: IClock;
   readonly #metrics: IMetrics;
-  readonly #uses = new Map<AccountName, AccountUse>();
   #inFlight = 0;
 
   constructor(parts: {
+    readonly admission: AdmissionService;
     readonly engines: EngineRunner;
     readonly services: ServiceRunner;
     readonly clock: IClock;
     readonly metrics: IMetrics;
   }) {
+    this.#admission = parts.admission;
     this.#engines = parts.engines;
     this.#services = parts.services;
     this.#clock = parts.clock;
     this.#metrics = parts.metrics;
   }
 
-  /** Requests admitted and not yet finally answered. */
+  /** Requests let in or waiting, and not yet finally answered. */
   get inFlight(): number {
     return this.#inFlight;
   }
@@ -48,63 +49,75 @@
       const detail = `plan ${plan.name} has no ${request.service.name}`;
       return Err(notRun(Reason.NotInPlan, detail));
     }
-    const use = this.#useOf(request.account);
-    const refusal = use.admit(plan, this.#clock.now());
-    if (refusal !== null) {
-      const detail = `plan ${plan.name} is used up`;
-      return Err(notRun(refusal.reason, detail, refusal.retryAfter));
-    }
     this.#inFlight += 1;
-    const finish = () => this.#finish(request, use);
-    if (request.operation.answer === AnswerKind.Stream) {
-      const tokens = this.#finishing(this.#engines.stream(request), finish);
-      return Ok({ kind: "stream", answer: { tokens } });
+    const admitted = await this.#admission.enter(request);
+    if ("outcome" in admitted) {
+      this.#inFlight -= 1;
+      return Err(admitted);
     }
-    try {
-      return await this.#buffered(request);
-    } finally {
-      finish();
+    if (request.operation.answer === AnswerKind.Stream) {
+      return Ok({
+        kind: "stream",
+        answer: { tokens: this.#stream(request, admitted) },
+      });
     }
+    return this.#buffered(request, admitted);
   }
 
   async #buffered(
     request: ICallerRequest,
+    admitted: IAdmitted,
   ): Promise<Result<CallerAnswer, IRefusal>> {
     const isEngine = request.service.kind === ServiceKind.Engine;
     const runner = isEngine ? this.#engines : this.#services;
-    const answer = await runner.run(request);
-    return answer.map((body) => ({ kind: "buffered", answer: body }) as const);
+    let tokens: number | null = null;
+    try {
+      const answer = await runner.run(request);
+      if (answer.isOk()) {
+        tokens = isEngine ? tokensOf(answer.value.body) : 1;
+      }
+      return answer.map((body) => ({ kind: "buffered", answer: body }));
+    } finally {
+      this.#finish(request, admitted, tokens);
+    }
   }
 
   /** Ends the accounting of a stream when its consumer is done with it. */
-  async *#finishing(
-    tokens: AsyncIterable<TokenBatch>,
-    finish: () => void,
+  async *#stream(
+    request: ICallerRequest,
+    admitted: IAdmitted,
   ): AsyncIterable<TokenBatch> {
+    let tokens = 0;
+    let isWhole = false;
     try {
-      yield* tokens;
+      for await (const batch of this.#engines.stream(request)) {
+        if (batch.isOk()) {
+          tokens += batch.value.length;
+          isWhole = batch.value.at(-1)?.isEnd ?? false;
+        }
+        yield batch;
+      }
     } finally {
-      finish();
+      this.#finish(request, admitted, isWhole ? tokens : null);
     }
   }
 
-  #finish(request: ICallerRequest, use: AccountUse): void {
+  #finish(
+    request: ICallerRequest,
+    admitted: IAdmitted,
+    tokens: number | null,
+  ): void {
     this.#inFlight -= 1;
-    use.finished();
+    admitted.finish(tokens);
     const duration = this.#clock.now() - request.arrivedAt;
     this.#metrics.observe("request_duration", duration, {
       service: request.service.name,
       account: request.account.customer.account,
     });
   }
+}
 
-  #useOf(account: IEffectiveAccount): AccountUse {
-    const name = account.customer.account;
-    let use = this.#uses.get(name);
-    if (use === undefined) {
-      use = new AccountUse();
-      this.#uses.set(name, use);
-    }
-    return use;
-  }
+function tokensOf(body: unknown): number {
+  const { tokens } = (body ?? {}) as { tokens?: unknown };
+  return typeof tokens === "number" ? tokens : 1;
 }
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -77,7 +77,7 @@
     let position = 0;
     const avoid = new Set<string>();
     for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
-      const place = this.#groups.chooseGroup(request.service.name, avoid);
+      const place = this.#groups.chooseGroup(request, avoid);
       if (place === null) {
         break;
       }
@@ -87,8 +87,10 @@
           this.#note(request, place, batch.error);
           break;
         }
+        this.#groups.heard(place, batch.value.length);
         position += batch.value.filter((token) => !token.isEnd).length;
         yield Ok(batch.value);
+        this.#groups.resumed(place);
         if (batch.value.at(-1)?.isEnd) {
           return;
         }
--- a/src/common/services/group_directory.ts
+++ b/src/common/services/group_directory.ts
@@ -1,53 +1,71 @@
 /** The replica groups of this zone, and which of them may serve now. */
-import { chooseCandidate } from "../decisions/routing.ts";
-import type { ICandidate } from "../decisions/routing.ts";
+import { ServiceScheduler } from "../decisions/service_scheduler.ts";
+import type {
+  ITargetReports,
+  ITargetState,
+  ITargetUse,
+} from "../decisions/target_book.ts";
+import type { IWork } from "../decisions/work.ts";
 import { isComplete } from "../groups/presence.ts";
 import type { IReplicaGroup } from "../groups/types.ts";
-import { InstanceState, TargetState } from "../types.ts";
+import { InstanceState, ServiceKind, TargetState } from "../types.ts";
 import type { IInstance, ISeenReport, ServiceName } from "../types.ts";
 import type { DomainService } from "./domain_service.ts";
-import type { IClock } from "./services.ts";
+import type { IClock, ILiveDaemons, IRandom } from "./services.ts";
 import type { TargetDirectory } from "./target_directory.ts";
+import type { ICallerRequest } from "./types.ts";
+import { workOf } from "./work_of.ts";
 
 /** A replica group or plain target that a request can be sent to. */
-export interface IPlace extends ICandidate {
+export interface IPlace {
+  /** Of the group, or of the plain target's instance. */
+  readonly id: string;
   readonly address: string;
   /** Null for a plain target. */
   readonly group: IReplicaGroup | null;
+  readonly service: ServiceName;
+  /** What it was chosen for. */
+  readonly work: IWork;
 }
 
-/** Finds places to send requests to, and counts what is in flight there. */
+/** What the directory reads. */
+export interface IGroupSources {
+  readonly targets: TargetDirectory;
+  readonly domains: () => Iterable<DomainService>;
+  readonly clock: IClock;
+  readonly random: IRandom;
+  readonly live: ILiveDaemons;
+}
+
+/** Where a service can be served now. */
+interface IServed {
+  readonly instance: IInstance;
+  readonly group: IReplicaGroup | null;
+}
+
+/** Finds places to send requests to, and tells the decisions of them. */
 export class GroupDirectory {
-  readonly #targets: TargetDirectory;
-  readonly #domains: () => Iterable<DomainService>;
-  readonly #clock: IClock;
+  readonly #sources: IGroupSources;
   readonly #freshness: number;
-  readonly #inFlight = new Map<string, number>();
-
-  constructor(
-    sources: {
-      readonly targets: TargetDirectory;
-      readonly domains: () => Iterable<DomainService>;
-      readonly clock: IClock;
-    },
-    freshness: number,
-  ) {
-    this.#targets = sources.targets;
-    this.#domains = sources.domains;
-    this.#clock = sources.clock;
+  readonly #schedulers = new Map<ServiceName, ServiceScheduler>();
+  readonly #uses = new Map<IPlace, ITargetUse>();
+
+  constructor(sources: IGroupSources, freshness: number) {
+    this.#sources = sources;
     this.#freshness = freshness;
   }
 
   /** Every group of the zone with whether it may serve now. */
   groups(): readonly { group: IReplicaGroup; isComplete: boolean }[] {
+    const { clock, domains, targets } = this.#sources;
     const view = {
-      instances: this.#targets.instances,
-      reports: this.#targets.reports,
-      now: this.#clock.now(),
+      instances: targets.instances,
+      reports: targets.reports,
+      now: clock.now(),
       freshness: this.#freshness,
     };
     const found = [];
-    for (const domain of this.#domains()) {
+    for (const domain of domains()) {
       for (const group of domain.record?.groups ?? []) {
         found.push({ group, isComplete: isComplete(group, view) });
       }
@@ -55,53 +73,114 @@
     return found;
   }
 
-  /** The best group for a request of the service, or null. */
-  chooseGroup(service: ServiceName, avoid: ReadonlySet<string>): IPlace | null {
-    const places: IPlace[] = [];
-    for (const { group, isComplete } of this.groups()) {
-      const leader = this.#targets.instances.get(group.members[0] ?? "");
-      if (group.service === service && isComplete && leader) {
-        places.push(this.#place(group.id, leader, group));
-      }
-    }
-    return chooseCandidate(places, avoid);
+  /** The decisions of a service; its waiting work is kept there. */
+  schedulerOf(service: ServiceName): ServiceScheduler {
+    const known = this.#schedulers.get(service) ?? new ServiceScheduler();
+    this.#schedulers.set(service, known);
+    return known;
   }
 
-  /** The best plain target of the service, or null. */
-  choosePlain(service: ServiceName, avoid: ReadonlySet<string>): IPlace | null {
-    const places: IPlace[] = [];
-    for (const instance of this.#targets.instances.values()) {
-      const seen = this.#targets.reports.get(instance.id);
-      if (instance.service === service && this.#isReady(instance, seen)) {
-        places.push(this.#place(instance.id, instance, null));
-      }
-    }
-    return chooseCandidate(places, avoid);
+  /** Tells a service's decisions what can serve now; false if nothing can. */
+  refresh(service: ServiceName): boolean {
+    return this.#refresh(service, this.#servedBy(service)) > 0;
+  }
+
+  /** The best group for a request, or null. */
+  chooseGroup(
+    request: ICallerRequest,
+    avoid: ReadonlySet<string>,
+  ): IPlace | null {
+    return this.#choose(request, avoid);
+  }
+
+  /** The best plain target for a request, or null. */
+  choosePlain(
+    request: ICallerRequest,
+    avoid: ReadonlySet<string>,
+  ): IPlace | null {
+    return this.#choose(request, avoid);
   }
 
   /** Counts a request in flight at a place until the result is called. */
   begin(place: IPlace): () => void {
-    const change = (by: number) =>
-      this.#inFlight.set(place.id, (this.#inFlight.get(place.id) ?? 0) + by);
-    change(1);
-    let isEnded = false;
+    const { clock } = this.#sources;
+    const { targets } = this.schedulerOf(place.service);
+    const use = targets.begin(place.id, place.work, clock.now());
+    this.#uses.set(place, use);
     return () => {
-      if (!isEnded) {
-        isEnded = true;
-        change(-1);
-      }
+      targets.end(use, clock.now());
+      this.#uses.delete(place);
     };
   }
 
-  #place(id: string, instance: IInstance, group: IReplicaGroup | null): IPlace {
-    const report = this.#targets.reports.get(instance.id)?.report;
-    return {
-      id,
-      address: instance.address,
-      group,
-      reported: (report?.running ?? 0) + (report?.queued ?? 0),
-      inFlight: this.#inFlight.get(id) ?? 0,
-    };
+  /** Tokens, or the answer of a plain call, came from a place in use. */
+  heard(place: IPlace, tokens: number): void {
+    const use = this.#uses.get(place);
+    if (use !== undefined && tokens > 0) {
+      const { targets } = this.schedulerOf(place.service);
+      targets.tokens(use, tokens, this.#sources.clock.now());
+    }
+  }
+
+  /** The caller has taken what came; more is read from now on. */
+  resumed(place: IPlace): void {
+    const use = this.#uses.get(place);
+    if (use !== undefined) {
+      const { targets } = this.schedulerOf(place.service);
+      targets.resumed(use, this.#sources.clock.now());
+    }
+  }
+
+  #choose(request: ICallerRequest, avoid: ReadonlySet<string>): IPlace | null {
+    const { name } = request.service;
+    const served = this.#servedBy(name);
+    this.#refresh(name, served);
+    const work = workOf(request);
+    const { targets } = this.schedulerOf(name);
+    const random = () => this.#sources.random.next();
+    const id = targets.choose({ work, avoid }, random);
+    const chosen = id === null ? undefined : served.get(id);
+    if (id === null || chosen === undefined) {
+      return null;
+    }
+    const { instance, group } = chosen;
+    return { id, address: instance.address, group, service: name, work };
+  }
+
+  #refresh(service: ServiceName, served: ReadonlyMap<string, IServed>): number {
+    const { clock, live } = this.#sources;
+    const targets: ITargetState[] = [];
+    for (const [id, { instance }] of served) {
+      const seen = this.#sources.targets.reports.get(instance.id);
+      if (seen !== undefined) {
+        const { running, queued, lag } = seen.report;
+        const describes = seen.seenAt - lag;
+        targets.push({ id, reported: running + queued, describes });
+      }
+    }
+    const reports: ITargetReports = { targets, daemons: live.inZone.length };
+    this.schedulerOf(service).targets.report(reports, clock.now());
+    return targets.length;
+  }
+
+  /** Groups and plain targets that serve it now, by the id of the place. */
+  #servedBy(service: ServiceName): ReadonlyMap<string, IServed> {
+    const served = new Map<string, IServed>();
+    const { instances, reports } = this.#sources.targets;
+    for (const { group, isComplete } of this.groups()) {
+      const instance = instances.get(group.members[0] ?? "");
+      if (group.service === service && isComplete && instance) {
+        served.set(group.id, { instance, group });
+      }
+    }
+    for (const instance of instances.values()) {
+      const isPlain = instance.kind === ServiceKind.Plain;
+      const isOurs = isPlain && instance.service === service;
+      if (isOurs && this.#isReady(instance, reports.get(instance.id))) {
+        served.set(instance.id, { instance, group: null });
+      }
+    }
+    return served;
   }
 
   #isReady(instance: IInstance, seen: ISeenReport | undefined): boolean {
@@ -109,7 +188,7 @@
       seen !== undefined &&
       instance.state === InstanceState.Live &&
       seen.report.state === TargetState.Ready &&
-      this.#clock.now() - seen.seenAt <= this.#freshness
+      this.#sources.clock.now() - seen.seenAt <= this.#freshness
     );
   }
 }
--- a/src/common/services/service_runner.ts
+++ b/src/common/services/service_runner.ts
@@ -49,7 +49,7 @@
   ): Promise<Result<IBufferedAnswer, IRefusal>> {
     const avoid = new Set<string>();
     for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
-      const place = this.#groups.choosePlain(request.service.name, avoid);
+      const place = this.#groups.choosePlain(request, avoid);
       if (place === null) {
         break;
       }
@@ -73,7 +73,7 @@
       const detail = "this operation needs an Idempotency-Key header";
       return Err(notRun(Reason.KeyRequired, detail));
     }
-    const place = this.#groups.choosePlain(request.service.name, new Set());
+    const place = this.#groups.choosePlain(request, new Set());
     if (place === null) {
       return Err(this.#noTarget(request));
     }
@@ -109,7 +109,7 @@
     const end = this.#groups.begin(place);
     try {
       const timeout = request.deadline - this.#clock.now();
-      return await this.#targets.call(
+      const answer = await this.#targets.call(
         place.address,
         {
           requestId: request.requestId,
@@ -119,6 +119,8 @@
         },
         request.signal,
       );
+      this.#groups.heard(place, answer.isOk() ? 1 : 0);
+      return answer;
     } finally {
       end();
     }
--- /dev/null
+++ b/src/common/services/work_of.ts
@@ -0,0 +1,44 @@
+/** What a caller's request costs, as far as its body tells. */
+import type { IWork } from "../decisions/work.ts";
+import { ServiceKind } from "../types.ts";
+import type { ICallerRequest } from "./types.ts";
+
+/** Characters of a prompt that make a token, about. */
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Characters that prompts must begin alike with to share a prefix. */
+const PREFIX_CHARACTERS = 256;
+
+/** Tokens an engine makes when the caller asks for no number. */
+export const DEFAULT_MAXIMUM_TOKENS = 256;
+
+/** The request as the decisions see it. */
+export function workOf(request: ICallerRequest): IWork {
+  const { account, arrivedAt, deadline, requestId, service } = request;
+  const isCall = service.kind === ServiceKind.Plain;
+  const size = isCall ? CALL_SIZE : sizeOf(request.body);
+  return {
+    id: requestId,
+    account: account.customer.account,
+    priority: account.plan.priority,
+    arrivedAt,
+    deadline,
+    isCall,
+    ...size,
+  };
+}
+
+/** A plain call is answered at once, as if by a single token. */
+const CALL_SIZE = { promptTokens: 0, askedTokens: 1, prefix: "" };
+
+function sizeOf(body: unknown) {
+  const { prompt, maximum_tokens } = (body ?? {}) as Record<string, unknown>;
+  const text = typeof prompt === "string" ? prompt : "";
+  const isNumber = typeof maximum_tokens === "number" && maximum_tokens > 0;
+  return {
+    promptTokens: Math.ceil(text.length / CHARACTERS_PER_TOKEN),
+    askedTokens: isNumber ? maximum_tokens : DEFAULT_MAXIMUM_TOKENS,
+    prefix:
+      text.length > PREFIX_CHARACTERS ? text.slice(0, PREFIX_CHARACTERS) : "",
+  };
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,6 +18,7 @@
 import type { IPeerAnswers } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { Alarms } from "../common/services/alarms.ts";
+import { AdmissionService } from "../common/services/admission_service.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
 import { DigestService } from "../common/services/digest_service.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
@@ -94,6 +95,8 @@
         targets: this.#directory,
         domains: () => this.#domains.all,
         clock: this.#clock,
+        random: this.#random,
+        live: this.#live,
       },
       settings.groups.freshness,
     );
@@ -256,7 +259,13 @@
       random: this.#random,
       log: this.#log,
     });
+    const admission = new AdmissionService({
+      groups: this.#groups,
+      clock: this.#clock,
+      metrics: this.#metrics,
+    });
     return new CallDispatcher({
+      admission,
       engines: new EngineRunner(this.#groups, this.#targets, this.#log),
       services: new ServiceRunner({
         groups: this.#groups,
