Keep a target's batch small enough for its work's deadlines

Cause: through the real processes an account with nothing waiting was refused while another flooded. The one group was filled until a token took so long that no request of sixty tokens could be whole within its four seconds, so every estimate was past the deadline.

Ruled out: the queue's order; with one queue for all accounts the test fails at the first request of the quiet account, with accounts kept apart at the third.

Change: a token is late for the limit when work at that pace would spend more than 0.7 of its time running.

--- a/src/common/decisions/group_limit.ts
+++ b/src/common/decisions/group_limit.ts
@@ -15,6 +15,7 @@
  * `bench/decisions`.
  */
 import type { MonotonicTime } from "../types.ts";
+import type { IWork } from "./work.ts";
 
 /** Time to a first token that is still good, milliseconds. */
 export const FIRST_TOKEN_AIM = 820;
@@ -38,6 +39,9 @@
 export const FIRST_TOKEN_BOUND = FIRST_TOKEN_AIM / 2;
 const BOUND_PER_PROMPT_TOKEN = 0.2;
 
+/** Share of the time to its deadline that work may spend running. */
+const RUN_SHARE = 0.7;
+
 /** Share of late tokens above which the limit falls. */
 const LATE_GAP_SHARE = 0.05;
 
@@ -74,6 +78,17 @@
   return FIRST_TOKEN_BOUND + promptTokens * BOUND_PER_PROMPT_TOKEN;
 }
 
+/**
+ * Milliseconds a later token may take: a batch in which work cannot be whole
+ * by its deadline is too large for it. Without this a target filled up until
+ * even an account with nothing waiting was refused, since no request could
+ * have been answered in time any more.
+ */
+export function tokenGapBound(work: IWork): number {
+  const available = (work.deadline - work.arrivedAt) * RUN_SHARE;
+  return Math.min(TOKEN_GAP_BOUND, available / work.askedTokens);
+}
+
 /** The limit of one target. */
 export class GroupLimit {
   #limit = STARTING_LIMIT;
@@ -102,9 +117,9 @@
   }
 
   /** A later token came. */
-  tokenGap(milliseconds: number, now: MonotonicTime): void {
+  tokenGap(isLate: boolean, now: MonotonicTime): void {
     this.#gaps.samples += 1;
-    this.#gaps.late += milliseconds > TOKEN_GAP_BOUND ? 1 : 0;
+    this.#gaps.late += isLate ? 1 : 0;
     this.#endWindow(now);
   }
 
--- a/src/common/decisions/target_book.ts
+++ b/src/common/decisions/target_book.ts
@@ -3,7 +3,11 @@
  * paces and prefixes; and from these where one request goes.
  */
 import type { MonotonicTime } from "../types.ts";
-import { FIRST_TOKEN_BOUND, firstTokenBound } from "./group_limit.ts";
+import {
+  FIRST_TOKEN_BOUND,
+  firstTokenBound,
+  tokenGapBound,
+} from "./group_limit.ts";
 import { KnownTarget } from "./known_target.ts";
 import { PrefixMemory } from "./prefix_memory.ts";
 import { chooseCandidate } from "./routing.ts";
@@ -42,6 +46,8 @@
   readonly promptCost: number;
   /** Milliseconds the first token may take. */
   readonly firstTokenBound: number;
+  /** Milliseconds a later token may take. */
+  readonly tokenGapBound: number;
   /** Whether it was counted as late before it came. */
   isOverdue: boolean;
   /** Null until the first token. */
@@ -130,6 +136,7 @@
       sentAt: now,
       promptCost: isHeld ? cost * (1 - PREFIX_SHARE) : cost,
       firstTokenBound: boundOf(work, now),
+      tokenGapBound: tokenGapBound(work),
       isOverdue: false,
       lastTokenAt: null,
       isEnded: false,
@@ -156,7 +163,7 @@
       const gap = (now - use.lastTokenAt) / count;
       this.#slow.tokenGap(use.target, gap, now);
       this.#runTime.tokenGap(gap);
-      limits.tokenGap(gap, now);
+      limits.tokenGap(gap > use.tokenGapBound, now);
     }
     use.lastTokenAt = now;
   }
