--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -18,7 +18,9 @@
 import type { IPeerAnswers } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { Alarms } from "../common/services/alarms.ts";
+import { AdmissionService } from "../common/services/admission_service.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
+import type { IDaemonStatus } from "../common/services/daemon_status.ts";
 import { DigestService } from "../common/services/digest_service.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
@@ -94,6 +96,8 @@
         targets: this.#directory,
         domains: () => this.#domains.all,
         clock: this.#clock,
+        random: this.#random,
+        live: this.#live,
       },
       settings.groups.freshness,
     );
@@ -124,7 +128,7 @@
   }
 
   /** The daemon's own account of itself, for `cranberryledge status`. */
-  status(): object {
+  status(): IDaemonStatus {
     const { name, zone } = this.#settings.daemon;
     return {
       daemon: name,
@@ -138,7 +142,10 @@
       live_daemons: this.#live.inZone,
       zones: this.#peerService?.zones ?? [],
       alarms: this.#alarms.raised,
-      findings: this.#lists.findings.map(formatFinding),
+      findings: [
+        ...this.#lists.findings,
+        ...(this.#peerService?.findings ?? []),
+      ].map(formatFinding),
       domains: this.#domains.all.map((domain) => ({
         domain: domain.domain,
         holder: domain.record?.holder ?? null,
@@ -256,7 +263,13 @@
       random: this.#random,
       log: this.#log,
     });
+    const admission = new AdmissionService({
+      groups: this.#groups,
+      clock: this.#clock,
+      metrics: this.#metrics,
+    });
     return new CallDispatcher({
+      admission,
       engines: new EngineRunner(this.#groups, this.#targets, this.#log),
       services: new ServiceRunner({
         groups: this.#groups,
