Derive warm spares from the weights, and tell of groups that are down

Cause: a fixed share of spares says nothing of what it costs or saves; a daemon told nothing of groups that cannot serve, nor since when. Ruled out: one share a deployment (wrong as soon as repair times change). Change: the number of groups follows from the two weights and from measured failure, return and heal times; a share in the settings still fixes it. An alarm, log lines, gauges and status fields tell of groups down, stranded instances and spares. Figures: six cases by table; with 20 engines, a return time of eight hours and weights 100 to 1 four spares, with 1 to 1 none.

--- /dev/null
+++ b/src/common/groups/spare_count_test.ts
@@ -0,0 +1,80 @@
+/** How many warm spares follow from the two weights. */
+import { expect } from "chai";
+import { chooseGroupCount } from "./spare_count.ts";
+
+const HOUR = 3_600_000;
+const FIGURES = {
+  timeBetweenFailures: 55 * 24 * HOUR,
+  returnTime: 8 * HOUR,
+  healTime: 60_000,
+};
+
+interface ICase {
+  readonly title: string;
+  readonly engines: number;
+  readonly weights: [number, number];
+  readonly returnTime?: number;
+  readonly groups: number;
+  readonly spares: number;
+}
+
+const CASES: readonly ICase[] = [
+  {
+    title: "an unattended night with downtime weighed high",
+    engines: 20,
+    weights: [100, 1],
+    groups: 4,
+    spares: 4,
+  },
+  {
+    title: "every idle instance paid for",
+    engines: 20,
+    weights: [1, 1],
+    groups: 5,
+    spares: 0,
+  },
+  {
+    title: "downtime weighed high but instances soon replaced",
+    engines: 20,
+    weights: [100, 1],
+    returnTime: HOUR / 4,
+    groups: 5,
+    spares: 0,
+  },
+  {
+    title: "engines that are left over anyway",
+    engines: 21,
+    weights: [100, 1],
+    groups: 5,
+    spares: 1,
+  },
+  {
+    title: "a domain of one group",
+    engines: 4,
+    weights: [1_000_000, 1],
+    groups: 1,
+    spares: 0,
+  },
+  {
+    title: "too few engines for a group",
+    engines: 3,
+    weights: [100, 1],
+    groups: 0,
+    spares: 3,
+  },
+];
+
+describe("warm spares", () => {
+  for (const { title, engines, groups, spares, ...entry } of CASES) {
+    it(`are ${spares} of ${engines} with ${title}`, () => {
+      const [groupDowntime, strandedAccelerators] = entry.weights;
+      const weights = { groupDowntime, strandedAccelerators };
+      const returnTime = entry.returnTime ?? FIGURES.returnTime;
+      const chosen = chooseGroupCount(engines, 4, weights, {
+        ...FIGURES,
+        returnTime,
+      });
+      expect(chosen).to.include({ groups, spares });
+    });
+  }
+});
--- a/src/common/services/alarms.ts
+++ b/src/common/services/alarms.ts
@@ -22,6 +22,8 @@
   PlanListRefused = "plan_list_refused",
   /** Customers in force name a plan that is not in the list. */
   CustomerWithoutPlan = "customer_without_plan",
+  /** Replica groups of the zone cannot serve: members are missing. */
+  GroupsDown = "groups_down",
 }
 
 /** Raised alarms; each is logged when it is raised and when it is cleared. */
--- a/src/common/services/daemon_status.ts
+++ b/src/common/services/daemon_status.ts
@@ -30,7 +30,16 @@
   readonly alarms: readonly IAlarm[];
   readonly findings: readonly string[];
   readonly domains: readonly IDomainStatus[];
-  readonly groups: readonly (IReplicaGroup & { readonly complete: boolean })[];
+  /** Live engines of the zone in no group. */
+  readonly spares: readonly string[];
+  readonly groups: readonly IGroupStatus[];
+}
+
+/** A replica group as a daemon sees it. */
+export interface IGroupStatus extends IReplicaGroup {
+  readonly complete: boolean;
+  /** Milliseconds for which it could not serve; 0 when it can. */
+  readonly down_ms: number;
 }
 
 /** A fabric domain as a daemon sees it. */
--- /dev/null
+++ b/src/common/services/group_health.ts
@@ -0,0 +1,131 @@
+/** Which replica groups cannot serve, since when, and what that strands. */
+import { DisposableStore } from "../disposable.ts";
+import type { IDisposable } from "../disposable.ts";
+import type { IReplicaGroup } from "../groups/types.ts";
+import { InstanceState, ServiceKind } from "../types.ts";
+import type { GroupId, MonotonicTime, ServiceName } from "../types.ts";
+import { AlarmName } from "./alarms.ts";
+import type { Alarms } from "./alarms.ts";
+import type { GroupDirectory } from "./group_directory.ts";
+import type { IClock, ILog, IMetrics } from "./services.ts";
+import type { TargetDirectory } from "./target_directory.ts";
+
+/** How often groups are looked at, milliseconds. */
+const LOOK_EVERY = 200;
+
+const MILLISECONDS = 1_000;
+
+/** What the health of groups is told by and to. */
+export interface IGroupHealthPorts {
+  readonly groups: GroupDirectory;
+  readonly directory: TargetDirectory;
+  readonly clock: IClock;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  readonly alarms: Alarms;
+}
+
+/** Follows the groups of one zone, as this daemon sees them. */
+export class GroupHealth implements IDisposable {
+  readonly #ports: IGroupHealthPorts;
+  readonly #owned = new DisposableStore();
+  readonly #downSince = new Map<GroupId, MonotonicTime>();
+  readonly #downtime = new Map<ServiceName, number>();
+  #lastLook: MonotonicTime;
+
+  constructor(ports: IGroupHealthPorts) {
+    this.#ports = ports;
+    this.#lastLook = ports.clock.now();
+  }
+
+  start(): void {
+    this.#owned.add(this.#ports.clock.every(LOOK_EVERY, () => this.#look()));
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  /** Milliseconds for which a group could not serve; 0 when it can. */
+  downFor(group: GroupId): number {
+    const since = this.#downSince.get(group);
+    return since === undefined ? 0 : this.#ports.clock.now() - since;
+  }
+
+  /** Live engines that stand in no group. */
+  get spares(): readonly string[] {
+    const taken = new Set(
+      this.#ports.groups.groups().flatMap(({ group }) => group.members),
+    );
+    return this.#liveEngines().filter((engine) => !taken.has(engine));
+  }
+
+  #look(): void {
+    const { clock } = this.#ports;
+    const now = clock.now();
+    const elapsed = now - this.#lastLook;
+    this.#lastLook = now;
+    const groups = this.#ports.groups.groups();
+    for (const { group, isComplete } of groups) {
+      this.#follow(group, isComplete, elapsed);
+    }
+    const known = new Set(groups.map(({ group }) => group.id));
+    for (const id of this.#downSince.keys()) {
+      if (!known.has(id)) {
+        this.#downSince.delete(id);
+      }
+    }
+    this.#tell(groups);
+  }
+
+  #follow(group: IReplicaGroup, isComplete: boolean, elapsed: number): void {
+    const { clock, log } = this.#ports;
+    const since = this.#downSince.get(group.id);
+    const { id, service, generation } = group;
+    if (!isComplete) {
+      const total = (this.#downtime.get(service) ?? 0) + elapsed;
+      this.#downtime.set(service, total);
+    }
+    if (!isComplete && since === undefined) {
+      this.#downSince.set(id, clock.now());
+      log.warn("group_down", { group: id, service, generation });
+    }
+    if (isComplete && since !== undefined) {
+      const down = Math.round(clock.now() - since);
+      this.#downSince.delete(id);
+      log.info("group_up", { group: id, service, generation, down_ms: down });
+    }
+  }
+
+  #tell(
+    groups: readonly { group: IReplicaGroup; isComplete: boolean }[],
+  ): void {
+    const { alarms, metrics } = this.#ports;
+    for (const [service, downtime] of this.#downtime) {
+      const seconds = downtime / MILLISECONDS;
+      metrics.gauge("group_downtime_seconds", seconds, { service });
+    }
+    const serving = new Set(
+      groups
+        .filter(({ isComplete }) => isComplete)
+        .flatMap(({ group }) => group.members),
+    );
+    const stranded = this.#liveEngines().filter(
+      (engine) => !serving.has(engine),
+    );
+    metrics.gauge("stranded_instances", stranded.length);
+    metrics.gauge("groups_down", this.#downSince.size);
+    const down = [...this.#downSince.keys()].join(" ");
+    const detail = `cannot serve: ${down}`;
+    alarms.set(AlarmName.GroupsDown, down === "" ? null : detail);
+  }
+
+  #liveEngines(): readonly string[] {
+    return [...this.#ports.directory.instances.values()]
+      .filter(
+        ({ kind, state }) =>
+          kind === ServiceKind.Engine && state === InstanceState.Live,
+      )
+      .map(({ id }) => id);
+  }
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -24,6 +24,7 @@
 import { DigestService } from "../common/services/digest_service.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
+import { GroupHealth } from "../common/services/group_health.ts";
 import { PeerService } from "../common/services/peer_service.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
@@ -68,6 +69,7 @@
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
   readonly #groups: GroupDirectory;
+  readonly #health: GroupHealth;
   readonly #dispatcher: CallDispatcher;
   readonly #callers: HttpCallerServer;
   readonly #operations: OperationsServer;
@@ -101,6 +103,14 @@
       },
       settings.groups.freshness,
     );
+    this.#health = new GroupHealth({
+      groups: this.#groups,
+      directory: this.#directory,
+      clock: this.#clock,
+      log,
+      metrics: this.#metrics,
+      alarms: this.#alarms,
+    });
     this.#dispatcher = this.#createDispatcher();
     this.#callers = this.#createCallerServer();
     this.#operations = new OperationsServer(this, this.#metrics);
@@ -152,9 +162,11 @@
         epoch: domain.record?.epoch ?? 0,
         holding: domain.isHolding,
       })),
+      spares: this.#health.spares,
       groups: this.#groups.groups().map(({ group, isComplete }) => ({
         ...group,
         complete: isComplete,
+        down_ms: Math.round(this.#health.downFor(group.id)),
       })),
     };
   }
@@ -168,6 +180,7 @@
     this.#log.info("stopping", { in_flight: this.#dispatcher.inFlight });
     await this.#callers.stop();
     await this.#domains.close();
+    this.#health.dispose();
     this.#directory.dispose();
     this.#digests.dispose();
     this.#lists.dispose();
@@ -204,6 +217,7 @@
     );
     this.#directory.start();
     this.#domains.start();
+    this.#health.start();
     this.#peerService.start();
     this.#digests.start();
     this.#log.info("listening", { callers, peers, operations });
--- a/src/daemon/domain_options.ts
+++ b/src/daemon/domain_options.ts
@@ -1,5 +1,6 @@
 /** What the settings say about leases and replica groups. */
 import type { IWantedGroups } from "../common/groups/formation.ts";
+import { chooseGroupCount } from "../common/groups/spare_count.ts";
 import type { IZoneDomainOptions } from "../common/services/zone_domains.ts";
 import { ServiceKind } from "../common/types.ts";
 import type { DaemonId } from "../common/types.ts";
@@ -18,6 +19,8 @@
 /** Losses are forgotten slower than the longest hold lasts. */
 const FORGET_SHARE = 2;
 
+const DAY = 24 * 3_600_000;
+
 /** Options for every domain of the daemon's zone. */
 export function domainOptions(
   settings: Settings,
@@ -59,12 +62,33 @@
   const services = [...serviceDefinitions(settings).values()].filter(
     (service) => service.kind === ServiceKind.Engine,
   );
-  const { members, spare_share: spareShare } = settings.groups;
-  const spares = Math.floor(engines * spareShare);
-  const total = Math.floor((engines - spares) / members);
+  const total = groupCount(settings.groups, engines);
   return services.map(({ name, model }, index) => ({
     service: name,
     model,
     count: Math.floor((total + services.length - 1 - index) / services.length),
   }));
 }
+
+/** Groups that a domain should form of its engines, the rest being spares. */
+function groupCount(groups: Settings["groups"], engines: number): number {
+  const { members, weights, spare_share: fixedShare } = groups;
+  if (fixedShare !== undefined) {
+    const spares = Math.floor(engines * fixedShare);
+    return Math.floor((engines - spares) / members);
+  }
+  const chosen = chooseGroupCount(
+    engines,
+    members,
+    {
+      groupDowntime: weights.group_downtime,
+      strandedAccelerators: weights.stranded_accelerators,
+    },
+    {
+      timeBetweenFailures: DAY / groups.failures_a_day,
+      returnTime: groups.return_time,
+      healTime: groups.heal_time,
+    },
+  );
+  return chosen.groups;
+}
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -35,8 +35,21 @@
 
 const groupsSchema = z.strictObject({
   members: z.number().int().positive().default(4),
-  /** Share of each domain's engines held back as spares, 0 to 0.5. */
-  spare_share: z.number().min(0).max(0.5).default(0),
+  /** What a group's downtime and a stranded instance cost, each to the other. */
+  weights: z
+    .strictObject({
+      group_downtime: z.number().positive().default(1),
+      stranded_accelerators: z.number().positive().default(1),
+    })
+    .prefault({}),
+  /** Failures of one instance a day; 42 of 2,300 at the target size. */
+  failures_a_day: z.number().positive().default(0.018),
+  /** From an instance's failure until the platform has brought another. */
+  return_time: durationSchema.default(30 * 60_000),
+  /** From a failure until a group with a spare serves again. */
+  heal_time: durationSchema.default(60_000),
+  /** Fixes the share of engines held back, instead of what follows above. */
+  spare_share: z.number().min(0).max(0.5).optional(),
   lease: durationSchema.default(5_000),
   takeover_margin: durationSchema.default(2_000),
   renew_every: durationSchema.default(1_500),
