Settle run records in doubt and prove that keyed calls run at most once

Cause: a create in doubt whose read-back failed too was answered as not run and left an open record that nobody ran, so that each repeat was told "in progress" for ever; a finish that failed for 12 s was given up; a caller that left cancelled its call and lost the answer; answers over the platform's megabyte were refused and left the record open; records were never removed.

The plain service stand-in meets faults on order and keeps its record in a file; the fault proxy loses one answer or holds one request by its text.

Ruled out: a second record per attempt (one more write a call), comparing calendar clocks for the right to run.

--- a/src/adapters/callers/caller_answers.ts
+++ b/src/adapters/callers/caller_answers.ts
@@ -5,6 +5,7 @@
   IStreamedAnswer,
 } from "../../common/services/types.ts";
 import { Outcome, Reason } from "../../common/types.ts";
+import type { OmittedAnswer } from "../../common/runs/run_record.ts";
 import type { IRefusal } from "../../common/types.ts";
 
 const STATUS_OK = 200;
@@ -16,6 +17,7 @@
   [Reason.KeyRequired]: 400,
   [Reason.KeyReused]: 422,
   [Reason.InProgress]: 409,
+  [Reason.OutcomeUnknown]: 409,
   [Reason.OverLimit]: 429,
   [Reason.DeadlineTooNear]: 429,
   [Reason.QueueFull]: 429,
@@ -69,6 +71,7 @@
     request_id: requestId,
     outcome: Outcome.Completed,
     answer: answer.answer.body,
+    ...omittedFields(answer.answer.omitted),
   });
   response.writeHead(STATUS_OK, {
     "content-type": "application/json",
@@ -78,6 +81,15 @@
   return Outcome.Completed;
 }
 
+/** Says of a repeated call that its recorded answer was too large to keep. */
+function omittedFields(omitted: OmittedAnswer | null | undefined): object {
+  if (!omitted) {
+    return {};
+  }
+  const { digest, bytes } = omitted;
+  return { answer_omitted: { sha256: digest, bytes } };
+}
+
 /**
  * Streams tokens as server-sent events. Nothing is written before the first
  * token, so that an early failure is still an ordinary refusal; a later one
--- a/src/common/runs/run_record.ts
+++ b/src/common/runs/run_record.ts
@@ -4,10 +4,6 @@
  */
 import { z } from "zod";
 import type { AccountName, RequestId } from "../types.ts";
-import { Outcome } from "../types.ts";
-
-/** The platform's kind of object that holds run records. */
-export const RUN_KIND = "runs";
 
 /** How far a recorded call has come. */
 export enum RunState {
@@ -32,13 +28,27 @@
   requestId: z.string(),
   state: z.enum(RunState),
   answer: z.unknown(),
+  /** Set when the answer is too large for the platform and is not kept. */
+  omitted: z
+    .strictObject({ digest: z.string(), bytes: z.number() })
+    .nullable()
+    .default(null),
   /** Calendar time of creation, milliseconds since 1970. */
   createdAt: z.number(),
+  /**
+   * Calendar time after which an open record has been left behind by a daemon
+   * that died. It changes only what a caller is told, never who may run, so
+   * clocks that disagree do no harm.
+   */
+  openUntil: z.number(),
 });
 
 /** A run record as kept by the platform. */
 export type RunRecord = z.infer<typeof runRecordSchema>;
 
+/** What stands for an answer that is too large to keep. */
+export type OmittedAnswer = NonNullable<RunRecord["omitted"]>;
+
 /** Reads a record back; null when it is not one. */
 export function parseRunRecord(value: unknown): RunRecord | null {
   const checked = runRecordSchema.safeParse(value);
@@ -53,21 +63,25 @@
   readonly key: string;
 }
 
+/** What the first try puts into a record besides its key. */
+export interface IRunDetails {
+  readonly bodyDigest: string;
+  readonly attempt: string;
+  readonly requestId: RequestId;
+  readonly createdAt: number;
+  readonly openUntil: number;
+}
+
 /** A new record for a first try. */
-export function openRecord(
-  run: IRunKey,
-  details: {
-    readonly bodyDigest: string;
-    readonly attempt: string;
-    readonly requestId: RequestId;
-    readonly createdAt: number;
-  },
-): RunRecord {
-  return { ...run, ...details, state: RunState.Open, answer: null };
+export function openRecord(run: IRunKey, details: IRunDetails): RunRecord {
+  const state = RunState.Open;
+  return { ...run, ...details, state, answer: null, omitted: null };
 }
 
 /** What a found record means for the caller that found it. */
 export enum Finding {
+  /** This very try created it: its answer was lost on the way. */
+  Mine = "mine",
   /** The same key was used with another body. */
   BodyDiffers = "body_differs",
   Recorded = "recorded",
@@ -77,9 +91,18 @@
   Unknown = "unknown",
 }
 
-/** Judges a record found under the key of a call. */
-export function judgeFound(record: RunRecord, bodyDigest: string): Finding {
-  if (record.bodyDigest !== bodyDigest) {
+/**
+ * Judges a record found under the key of a call.
+ *
+ * @param mine - the record this try wants to stand there
+ * @param now - calendar time, milliseconds since 1970
+ */
+export function judgeFound(
+  record: RunRecord,
+  mine: RunRecord,
+  now: number,
+): Finding {
+  if (record.bodyDigest !== mine.bodyDigest) {
     return Finding.BodyDiffers;
   }
   switch (record.state) {
@@ -90,18 +113,41 @@
     case RunState.Unknown:
       return Finding.Unknown;
     case RunState.Open:
-      return Finding.InProgress;
+      if (record.attempt === mine.attempt) {
+        return Finding.Mine;
+      }
+      return now <= record.openUntil ? Finding.InProgress : Finding.Unknown;
   }
 }
 
-/** The outcome that a finished state tells a caller. */
-export function outcomeOf(state: RunState): Outcome {
-  switch (state) {
-    case RunState.Completed:
-      return Outcome.Completed;
-    case RunState.NotRun:
-      return Outcome.NotRun;
-    default:
-      return Outcome.Unknown;
+/** What is to be written to withdraw a try whose write is in doubt. */
+export interface IWithdrawal {
+  readonly record: RunRecord;
+  readonly expectedVersion: number | null;
+}
+
+/**
+ * How to withdraw a try that was answered "not run" while its write may have
+ * landed or may land yet. Left alone, the record would stand open with nobody
+ * running it, and each repeat by the caller would be told "in progress".
+ * Writing over the version that the delayed write expects keeps it from ever
+ * taking effect; null when nothing of this try stands or can land any more.
+ */
+export function withdrawalOf(
+  mine: RunRecord,
+  found: { readonly record: RunRecord; readonly version: number } | null,
+): IWithdrawal | null {
+  const withdrawn = { ...mine, state: RunState.NotRun };
+  if (found === null) {
+    return { record: withdrawn, expectedVersion: null };
+  }
+  const { record, version } = found;
+  if (record.attempt === mine.attempt) {
+    return record.state === RunState.Open
+      ? { record: withdrawn, expectedVersion: version }
+      : null;
   }
+  return record.state === RunState.NotRun
+    ? { record, expectedVersion: version }
+    : null;
 }
--- a/src/common/services/run_record_service.ts
+++ b/src/common/services/run_record_service.ts
@@ -1,19 +1,32 @@
 /** Keeps run records in the platform, so that a call runs at most once. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import { locationOf } from "../runs/run_location.ts";
 import {
   Finding,
   judgeFound,
   openRecord,
   parseRunRecord,
-  RUN_KIND,
 } from "../runs/run_record.ts";
-import type { IRunKey, RunRecord, RunState } from "../runs/run_record.ts";
+import type {
+  IRunKey,
+  OmittedAnswer,
+  RunRecord,
+  RunState,
+} from "../runs/run_record.ts";
 import { Reason } from "../types.ts";
-import type { IRefusal, RequestId } from "../types.ts";
+import type { ICallFailure, IRefusal, RequestId } from "../types.ts";
 import { notRun, unknown } from "./refusal.ts";
+import { RunSettler } from "./run_settler.ts";
 import { WriteFailureKind } from "./services.ts";
-import type { IClock, ILog, IPlatform, IRandom } from "./services.ts";
+import type {
+  IClock,
+  ILog,
+  IMetrics,
+  IPlatform,
+  IRandom,
+  IWriteFailure,
+} from "./services.ts";
 
 /** When to come back while the platform is away, milliseconds. */
 const PLATFORM_RETRY_AFTER = 2_000;
@@ -21,11 +34,20 @@
 /** When to ask again for a call in progress, milliseconds. */
 const IN_PROGRESS_RETRY_AFTER = 1_000;
 
-/** Tries to record how a call ended before leaving it open. */
-const FINISH_TRIES = 5;
+/**
+ * Writes tried for one right to run. A lost answer takes one more, another
+ * caller's withdrawn try one more; beyond that the caller is told to come back.
+ */
+const BEGIN_TRIES = 3;
+
+/**
+ * Largest answer kept, bytes: the platform's megabyte less the record's other
+ * fields, whose key, account and digests stay below 10 KB.
+ */
+const LARGEST_KEPT_ANSWER = 980_000;
 
-/** Pause between two such tries, milliseconds. */
-const FINISH_PAUSE = 500;
+/** How long a stopping daemon waits for records to settle, milliseconds. */
+const DRAIN_BOUND = 10_000;
 
 /** The right to run a call once. */
 export interface IRunPermit {
@@ -36,154 +58,206 @@
 /** Either the right to run, or the answer recorded earlier. */
 export type RunStart =
   | { readonly kind: "run"; readonly permit: IRunPermit }
-  | { readonly kind: "recorded"; readonly answer: unknown };
+  | {
+      readonly kind: "recorded";
+      readonly answer: unknown;
+      readonly omitted: OmittedAnswer | null;
+    };
+
+/** What is asked to run once. */
+export interface IRunRequest {
+  readonly bodyDigest: string;
+  readonly requestId: RequestId;
+  /** Milliseconds after which a record still open was left behind. */
+  readonly openFor: number;
+}
+
+/** What the record service works with. */
+export interface IRunRecordPorts {
+  readonly platform: IPlatform;
+  readonly clock: IClock;
+  readonly random: IRandom;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  /** Digest of a text, for answers that are too large to keep. */
+  readonly digest: (text: string) => string;
+}
+
+type Found = { readonly record: RunRecord; readonly version: number } | null;
+
+/** What one write and the reading after it came to. */
+type Step =
+  | { readonly kind: "start"; readonly start: Result<RunStart, IRefusal> }
+  | { readonly kind: "again"; readonly expectedVersion: number | null }
+  | { readonly kind: "stuck"; readonly detail: string };
 
 /** Creates, finds and finishes run records. */
 export class RunRecordService {
-  readonly #platform: IPlatform;
-  readonly #clock: IClock;
-  readonly #random: IRandom;
-  readonly #log: ILog;
-
-  constructor(ports: {
-    readonly platform: IPlatform;
-    readonly clock: IClock;
-    readonly random: IRandom;
-    readonly log: ILog;
-  }) {
-    this.#platform = ports.platform;
-    this.#clock = ports.clock;
-    this.#random = ports.random;
-    this.#log = ports.log;
+  readonly #ports: IRunRecordPorts;
+  readonly #settler: RunSettler;
+
+  constructor(ports: IRunRecordPorts) {
+    this.#ports = ports;
+    this.#settler = new RunSettler(ports);
   }
 
-  /** Asks for the right to run; given to at most one try for each key. */
+  /**
+   * Asks for the right to run; given to at most one try for each key. A try
+   * that ends "not run" while a write of it may still land is withdrawn in
+   * the background, so that the key is not blocked by a run nobody makes.
+   */
   async begin(
     run: IRunKey,
-    bodyDigest: string,
-    requestId: RequestId,
+    request: IRunRequest,
   ): Promise<Result<RunStart, IRefusal>> {
-    const record = openRecord(run, {
-      bodyDigest,
-      requestId,
-      attempt: this.#random.identifier(),
-      createdAt: this.#clock.calendar(),
-    });
-    const written = await this.#platform.write({
-      kind: RUN_KIND,
-      name: nameOf(run),
-      value: record,
-      expectedVersion: null,
-    });
-    if (written.isOk()) {
-      const permit = { record, version: written.value };
-      return Ok({ kind: "run", permit });
+    const mine = this.#open(run, request);
+    let expectedVersion: number | null = null;
+    let isInDoubt = false;
+    let detail = "the run record could not be created";
+    for (let tries = 0; tries < BEGIN_TRIES; tries++) {
+      const written = await this.#write(mine, expectedVersion);
+      if (written.isOk()) {
+        const permit = { record: mine, version: written.value };
+        return Ok({ kind: "run", permit });
+      }
+      isInDoubt ||= written.error.kind === WriteFailureKind.Unknown;
+      const step = await this.#afterFailure(mine, written.error);
+      if (step.kind === "start") {
+        return step.start;
+      }
+      if (step.kind === "stuck") {
+        detail = step.detail;
+        break;
+      }
+      expectedVersion = step.expectedVersion;
     }
-    if (written.error.kind === WriteFailureKind.NotApplied) {
-      return Err(platformAway(written.error.detail));
+    if (isInDoubt) {
+      this.#settler.withdraw(mine);
     }
-    return this.#judge(run, record);
+    return Err(platformAway(detail));
   }
 
-  /** Records how the call ended. */
+  /**
+   * Records how the call ended. One write is waited for; if it fails, the
+   * caller is not kept waiting and the rest is done in the background.
+   */
   async finish(
     permit: IRunPermit,
     state: RunState,
     answer: unknown,
   ): Promise<void> {
-    const record: RunRecord = { ...permit.record, state, answer };
-    for (let tries = 0; tries < FINISH_TRIES; tries++) {
-      const written = await this.#platform.write({
-        kind: RUN_KIND,
-        name: nameOf(record),
-        value: record,
-        expectedVersion: permit.version,
-      });
-      if (written.isOk() || written.error.kind === WriteFailureKind.Conflict) {
-        return;
-      }
-      await new Promise<void>((resolve) => {
-        this.#clock.after(FINISH_PAUSE, resolve);
-      });
+    const kept = this.#keepable(answer);
+    const record: RunRecord = { ...permit.record, state, ...kept };
+    const written = await this.#write(record, permit.version);
+    if (written.isErr() && written.error.kind !== WriteFailureKind.Conflict) {
+      this.#settler.finish(record, permit.version);
     }
-    const { operation, requestId } = record;
-    const fields = { operation, request: requestId, state };
-    this.#log.error("run_record_left_open", fields);
   }
 
-  /** Reads back what stands under the key. */
-  async #judge(
-    run: IRunKey,
-    mine: RunRecord,
-  ): Promise<Result<RunStart, IRefusal>> {
-    const found = await this.#platform.read(RUN_KIND, nameOf(run));
+  /** Waits, within a bound, until all that is known is recorded. */
+  async close(): Promise<void> {
+    await this.#settler.drain(DRAIN_BOUND);
+  }
+
+  #open(run: IRunKey, request: IRunRequest): RunRecord {
+    const { clock, random } = this.#ports;
+    const { bodyDigest, requestId, openFor } = request;
+    const createdAt = clock.calendar();
+    return openRecord(run, {
+      bodyDigest,
+      requestId,
+      attempt: random.identifier(),
+      createdAt,
+      openUntil: createdAt + openFor,
+    });
+  }
+
+  async #afterFailure(mine: RunRecord, failure: IWriteFailure): Promise<Step> {
+    if (failure.kind === WriteFailureKind.NotApplied) {
+      return { kind: "stuck", detail: failure.detail };
+    }
+    const found = await this.#find(mine);
     if (found.isErr()) {
-      return Err(platformAway(found.error.detail));
+      return { kind: "stuck", detail: found.error.detail };
     }
-    if (found.value.isNone()) {
-      return Err(platformAway("the run record could not be created"));
+    if (found.value === null) {
+      return { kind: "again", expectedVersion: null };
     }
-    const { version, value } = found.value.value;
-    const record = parseRunRecord(value);
-    if (record === null) {
+    if (found.value === "unreadable") {
       const detail = "the run record under this key does not parse";
-      return Err(unknown(Reason.InProgress, detail));
-    }
-    if (record.attempt === mine.attempt) {
-      return Ok({ kind: "run", permit: { record, version } });
+      const start = Err(unknown(Reason.OutcomeUnknown, detail));
+      return { kind: "start", start };
     }
-    return this.#answerFound(record, version, mine);
+    const { record, version } = found.value;
+    const finding = judgeFound(record, mine, this.#ports.clock.calendar());
+    return finding === Finding.MayTakeOver
+      ? { kind: "again", expectedVersion: version }
+      : { kind: "start", start: answerFound(finding, { record, version }) };
   }
 
-  async #answerFound(
-    record: RunRecord,
-    version: number,
+  /** Reads back what stands under the key. */
+  async #find(
     mine: RunRecord,
-  ): Promise<Result<RunStart, IRefusal>> {
-    switch (judgeFound(record, mine.bodyDigest)) {
-      case Finding.Recorded:
-        return Ok({ kind: "recorded", answer: record.answer });
-      case Finding.BodyDiffers: {
-        const detail = "the Idempotency-Key was used with another body";
-        return Err(notRun(Reason.KeyReused, detail));
+  ): Promise<Result<Found | "unreadable", ICallFailure>> {
+    const { kind, name } = locationOf(mine);
+    const read = await this.#ports.platform.read(kind, name);
+    return read.map((object) => {
+      if (object.isNone()) {
+        return null;
       }
-      case Finding.InProgress: {
-        const detail = "a call with this key is in progress";
-        const retryAfter = IN_PROGRESS_RETRY_AFTER;
-        return Err(unknown(Reason.InProgress, detail, retryAfter));
-      }
-      case Finding.Unknown: {
-        const detail = "a call with this key may have run";
-        return Err(unknown(Reason.TargetLost, detail));
-      }
-      case Finding.MayTakeOver:
-        return this.#takeOver(mine, version);
-    }
+      const { value, version } = object.value;
+      const record = parseRunRecord(value);
+      return record === null ? "unreadable" : { record, version };
+    });
   }
 
-  async #takeOver(
-    mine: RunRecord,
-    version: number,
-  ): Promise<Result<RunStart, IRefusal>> {
-    const written = await this.#platform.write({
-      kind: RUN_KIND,
-      name: nameOf(mine),
-      value: mine,
-      expectedVersion: version,
-    });
-    if (written.isErr()) {
-      return Err(platformAway(written.error.detail));
+  #write(
+    record: RunRecord,
+    expectedVersion: number | null,
+  ): Promise<Result<number, IWriteFailure>> {
+    const place = locationOf(record);
+    const write = { ...place, value: record, expectedVersion };
+    return this.#ports.platform.write(write);
+  }
+
+  /** The answer, or what stands for one that the platform cannot hold. */
+  #keepable(answer: unknown): Pick<RunRecord, "answer" | "omitted"> {
+    const text = JSON.stringify(answer) ?? "null";
+    const bytes = new TextEncoder().encode(text).length;
+    if (bytes <= LARGEST_KEPT_ANSWER) {
+      return { answer, omitted: null };
     }
-    const permit = { record: mine, version: written.value };
-    return Ok({ kind: "run", permit });
+    const digest = this.#ports.digest(text);
+    return { answer: null, omitted: { digest, bytes } };
   }
 }
 
-/** The name of a record; parts are encoded so that they cannot run together. */
-function nameOf(run: IRunKey): string {
-  return [run.account, run.operation, run.key]
-    .map((part) => encodeURIComponent(part))
-    .join(":");
+function answerFound(
+  finding: Exclude<Finding, Finding.MayTakeOver>,
+  permit: IRunPermit,
+): Result<RunStart, IRefusal> {
+  const { answer, omitted } = permit.record;
+  switch (finding) {
+    case Finding.Mine:
+      return Ok({ kind: "run", permit });
+    case Finding.Recorded:
+      return Ok({ kind: "recorded", answer, omitted });
+    case Finding.BodyDiffers: {
+      const detail = "the Idempotency-Key was used with another body";
+      return Err(notRun(Reason.KeyReused, detail));
+    }
+    case Finding.InProgress: {
+      const detail = "a call with this key is in progress; ask again for it";
+      const retryAfter = IN_PROGRESS_RETRY_AFTER;
+      return Err(unknown(Reason.InProgress, detail, retryAfter));
+    }
+    case Finding.Unknown: {
+      const detail =
+        "a call with this key may have run; look at the service whether it " +
+        "did, and use a new key only if it did not";
+      return Err(unknown(Reason.OutcomeUnknown, detail));
+    }
+  }
 }
 
 function platformAway(detail: string): IRefusal {
--- a/src/common/services/service_runner.ts
+++ b/src/common/services/service_runner.ts
@@ -1,13 +1,12 @@
 /** Runs calls on plain services; those that may not be repeated, once. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { RunState } from "../runs/run_record.ts";
-import { CallFailureKind, Reason } from "../types.ts";
+import { Reason } from "../types.ts";
 import type { ICallFailure, IRefusal } from "../types.ts";
-import type { GroupDirectory, IPlace } from "./group_directory.ts";
+import type { IPlace } from "./group_directory.ts";
+import { noTarget, OnceRunner } from "./once_runner.ts";
+import type { IOnceParts } from "./once_runner.ts";
 import { notRun, unknown } from "./refusal.ts";
-import type { RunRecordService } from "./run_record_service.ts";
-import type { IClock, ITargets } from "./services.ts";
 import type { IBufferedAnswer, ICallerRequest } from "./types.ts";
 
 /** Targets tried for one repeatable call before it is given up. */
@@ -18,21 +17,12 @@
 
 /** Runs calls on plain services of this zone. */
 export class ServiceRunner {
-  readonly #groups: GroupDirectory;
-  readonly #targets: ITargets;
-  readonly #records: RunRecordService;
-  readonly #clock: IClock;
+  readonly #parts: IOnceParts;
+  readonly #once: OnceRunner;
 
-  constructor(parts: {
-    readonly groups: GroupDirectory;
-    readonly targets: ITargets;
-    readonly records: RunRecordService;
-    readonly clock: IClock;
-  }) {
-    this.#groups = parts.groups;
-    this.#targets = parts.targets;
-    this.#records = parts.records;
-    this.#clock = parts.clock;
+  constructor(parts: IOnceParts) {
+    this.#parts = parts;
+    this.#once = new OnceRunner(parts);
   }
 
   /** The whole answer, or why there is none. */
@@ -41,99 +31,65 @@
   ): Promise<Result<IBufferedAnswer, IRefusal>> {
     return request.operation.repeatable
       ? this.#runRepeatable(request)
-      : this.#runOnce(request);
+      : this.#once.run(request);
+  }
+
+  /** Waits for runs that go on without their callers, and their records. */
+  async close(): Promise<void> {
+    await this.#once.drain();
+    await this.#parts.records.close();
   }
 
   async #runRepeatable(
     request: ICallerRequest,
   ): Promise<Result<IBufferedAnswer, IRefusal>> {
+    const { clock, groups } = this.#parts;
     const avoid = new Set<string>();
     for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
-      const place = this.#groups.choosePlain(request.service.name, avoid);
-      if (place === null) {
+      const place = groups.choosePlain(request.service.name, avoid);
+      if (place === null || clock.now() >= request.deadline) {
         break;
       }
       const answer = await this.#call(request, place);
       if (answer.isOk()) {
         return Ok({ body: answer.value });
       }
+      if (request.signal.aborted) {
+        return Err(unknown(Reason.CallerLeft, "the caller is gone"));
+      }
       avoid.add(place.id);
     }
-    if (avoid.size === 0) {
-      return Err(this.#noTarget(request));
-    }
-    const detail = `no target of ${request.service.name} answered`;
-    return Err(unknown(Reason.TargetLost, detail, NO_TARGET_RETRY_AFTER));
-  }
-
-  async #runOnce(
-    request: ICallerRequest,
-  ): Promise<Result<IBufferedAnswer, IRefusal>> {
-    if (request.key === null) {
-      const detail = "this operation needs an Idempotency-Key header";
-      return Err(notRun(Reason.KeyRequired, detail));
-    }
-    const place = this.#groups.choosePlain(request.service.name, new Set());
-    if (place === null) {
-      return Err(this.#noTarget(request));
-    }
-    const run = {
-      account: request.account.customer.account,
-      operation: `${request.service.name}/${request.operation.name}`,
-      key: request.key,
-    };
-    const { bodyDigest, requestId } = request;
-    const start = await this.#records.begin(run, bodyDigest, requestId);
-    if (start.isErr()) {
-      return Err(start.error);
-    }
-    if (start.value.kind === "recorded") {
-      return Ok({ body: start.value.answer });
-    }
-    const { permit } = start.value;
-    const answer = await this.#call(request, place);
-    if (answer.isOk()) {
-      await this.#records.finish(permit, RunState.Completed, answer.value);
-      return Ok({ body: answer.value });
-    }
-    const didRun = answer.error.kind === CallFailureKind.Unknown;
-    const state = didRun ? RunState.Unknown : RunState.NotRun;
-    await this.#records.finish(permit, state, null);
-    return Err(this.#explain(answer.error));
+    return Err(this.#giveUp(request, avoid.size > 0));
   }
 
   async #call(
     request: ICallerRequest,
     place: IPlace,
   ): Promise<Result<unknown, ICallFailure>> {
-    const end = this.#groups.begin(place);
+    const { clock, groups, targets } = this.#parts;
+    const end = groups.begin(place);
+    const { requestId, operation, body } = request;
+    const timeout = request.deadline - clock.now();
+    const call = { requestId, operation: operation.name, body, timeout };
     try {
-      const timeout = request.deadline - this.#clock.now();
-      return await this.#targets.call(
-        place.address,
-        {
-          requestId: request.requestId,
-          operation: request.operation.name,
-          body: request.body,
-          timeout,
-        },
-        request.signal,
-      );
+      return await targets.call(place.address, call, request.signal);
     } finally {
       end();
     }
   }
 
-  #explain(failure: ICallFailure): IRefusal {
-    if (failure.kind === CallFailureKind.Unknown) {
-      return unknown(Reason.TargetLost, failure.detail);
+  #giveUp(request: ICallerRequest, wasTried: boolean): IRefusal {
+    const isLate = this.#parts.clock.now() >= request.deadline;
+    if (isLate) {
+      const detail = "no answer by the deadline";
+      return wasTried
+        ? unknown(Reason.DeadlinePassed, detail)
+        : notRun(Reason.DeadlinePassed, detail);
     }
-    const { detail } = failure;
-    return notRun(Reason.TargetRefused, detail, NO_TARGET_RETRY_AFTER);
-  }
-
-  #noTarget(request: ICallerRequest): IRefusal {
-    const detail = `no target of ${request.service.name} in this zone`;
-    return notRun(Reason.NoReplica, detail, NO_TARGET_RETRY_AFTER);
+    if (!wasTried) {
+      return noTarget(request);
+    }
+    const detail = `no target of ${request.service.name} answered`;
+    return unknown(Reason.TargetLost, detail, NO_TARGET_RETRY_AFTER);
   }
 }
--- a/src/common/services/types.ts
+++ b/src/common/services/types.ts
@@ -1,6 +1,7 @@
 /** What passes between the caller's side and the services that answer. */
 import type { Result } from "ts-results-es";
 import type { IEffectiveAccount } from "../plans/types.ts";
+import type { OmittedAnswer } from "../runs/run_record.ts";
 import type {
   IOperationDefinition,
   IRefusal,
@@ -31,6 +32,8 @@
 /** A whole answer. */
 export interface IBufferedAnswer {
   readonly body: unknown;
+  /** Stands for a recorded answer that was too large to keep. */
+  readonly omitted?: OmittedAnswer | null;
 }
 
 /** An answer sent as it comes. */
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -41,6 +41,7 @@
   KeyRequired = "idempotency_key_required",
   KeyReused = "idempotency_key_reused",
   InProgress = "in_progress",
+  OutcomeUnknown = "outcome_unknown",
   OverLimit = "over_limit",
   DeadlineTooNear = "deadline_too_near",
   QueueFull = "queue_full",
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,8 @@
 /** Wires one daemon: adapters to services, and their starting and stopping. */
-import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
+import {
+  digestOf,
+  HttpCallerServer,
+} from "../adapters/callers/http_caller_server.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
@@ -14,6 +17,7 @@
 import { PeerService } from "../common/services/peer_service.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
+import { RunSweeper } from "../common/services/run_sweeper.ts";
 import { ServiceRunner } from "../common/services/service_runner.ts";
 import { TargetDirectory } from "../common/services/target_directory.ts";
 import { ZoneDomains } from "../common/services/zone_domains.ts";
@@ -46,6 +50,8 @@
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
   readonly #groups: GroupDirectory;
+  readonly #services: ServiceRunner;
+  readonly #sweeper: RunSweeper;
   readonly #dispatcher: CallDispatcher;
   readonly #callers: HttpCallerServer;
   readonly #operations: OperationsServer;
@@ -69,6 +75,8 @@
       },
       settings.groups.freshness,
     );
+    this.#services = this.#createServices();
+    this.#sweeper = this.#createSweeper();
     this.#dispatcher = this.#createDispatcher();
     this.#callers = this.#createCallerServer();
     this.#operations = new OperationsServer(this, this.#metrics);
@@ -128,6 +136,8 @@
     this.#isStopping = true;
     this.#log.info("stopping", { in_flight: this.#dispatcher.inFlight });
     await this.#callers.stop();
+    await this.#services.close();
+    this.#sweeper.dispose();
     await this.#domains.close();
     this.#directory.dispose();
     this.#lists.dispose();
@@ -167,6 +177,7 @@
     this.#directory.start();
     this.#domains.start();
     this.#peerService.start();
+    this.#sweeper.start();
     this.#log.info("listening", { callers, peers, operations });
   }
 
@@ -202,21 +213,37 @@
     );
   }
 
-  #createDispatcher(): CallDispatcher {
+  #createServices(): ServiceRunner {
     const records = new RunRecordService({
       platform: this.#platform,
       clock: this.#clock,
       random: this.#random,
       log: this.#log,
+      metrics: this.#metrics,
+      digest: digestOf,
     });
+    return new ServiceRunner({
+      groups: this.#groups,
+      targets: this.#targets,
+      records,
+      clock: this.#clock,
+    });
+  }
+
+  #createSweeper(): RunSweeper {
+    return new RunSweeper({
+      platform: this.#platform,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      daemons: () => (this.#peerService?.known.length ?? 0) + 1,
+    });
+  }
+
+  #createDispatcher(): CallDispatcher {
     return new CallDispatcher({
       engines: new EngineRunner(this.#groups, this.#targets, this.#log),
-      services: new ServiceRunner({
-        groups: this.#groups,
-        targets: this.#targets,
-        records,
-        clock: this.#clock,
-      }),
+      services: this.#services,
       clock: this.#clock,
       metrics: this.#metrics,
     });
--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -2,6 +2,7 @@
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { addressOfServer, splitAddress } from "../../adapters/listen.ts";
+import { HeldRequest } from "./held_request.ts";
 
 /** What happens to the bytes of a link. */
 export enum LinkMode {
@@ -24,6 +25,10 @@
   readonly client: Socket;
   readonly target: Socket;
   isSilenced: boolean;
+  /** Its next answer is lost. */
+  losesAnswer: boolean;
+  /** A request held back on this pair, or null. */
+  held: HeldRequest | null;
 }
 
 /** One link: listens on a port of its own and passes on to one target. */
@@ -33,6 +38,8 @@
   readonly #pairs = new Set<IPair>();
   #mode = LinkMode.Pass;
   #delay = 0;
+  #lostTo: string | null = null;
+  #toHold: HeldRequest | null = null;
 
   /** @param target - `host:port` that connections are passed on to */
   constructor(target: string) {
@@ -66,6 +73,20 @@
     }
   }
 
+  /**
+   * Loses the answer to the next request whose bytes contain a text: it takes
+   * effect, and the connection is reset in place of the answer.
+   */
+  loseAnswerTo(text: string): void {
+    this.#lostTo = text;
+  }
+
+  /** Holds back the next request whose bytes contain a text. */
+  holdRequest(text: string): HeldRequest {
+    this.#toHold = new HeldRequest(text);
+    return this.#toHold;
+  }
+
   /** Connections open through this link. */
   get connections(): number {
     return this.#pairs.size;
@@ -83,11 +104,21 @@
     }
     const { host, port } = splitAddress(this.#target);
     const target = connect({ host, port, allowHalfOpen: true });
-    const pair: IPair = { client, target, isSilenced: false };
+    const pair: IPair = {
+      client,
+      target,
+      isSilenced: false,
+      losesAnswer: false,
+      held: null,
+    };
     this.#pairs.add(pair);
     client.on("data", (bytes) => this.#toTarget(pair, bytes));
     target.on("data", (bytes) => this.#toClient(pair, bytes));
-    client.on("end", () => target.end());
+    client.on("end", () => {
+      if (!pair.held?.isHolding) {
+        target.end();
+      }
+    });
     target.on("end", () => client.end());
     for (const socket of [client, target]) {
       socket.on("error", () => reset(pair));
@@ -96,14 +127,24 @@
   }
 
   #toTarget(pair: IPair, bytes: Buffer): void {
+    if (this.#lostTo !== null && bytes.includes(this.#lostTo)) {
+      this.#lostTo = null;
+      pair.losesAnswer = true;
+    }
+    if (this.#toHold !== null && bytes.includes(this.#toHold.text)) {
+      pair.held = this.#toHold;
+      this.#toHold = null;
+      pair.held.take(pair.target, bytes);
+      return;
+    }
     if (!this.#isSilent(pair) && this.#mode !== LinkMode.NoRequests) {
       this.#later(() => pair.target.write(bytes));
     }
   }
 
   #toClient(pair: IPair, bytes: Buffer): void {
-    if (this.#mode === LinkMode.LoseAnswer) {
-      this.#mode = LinkMode.Pass;
+    if (pair.losesAnswer || this.#mode === LinkMode.LoseAnswer) {
+      this.#mode = pair.losesAnswer ? this.#mode : LinkMode.Pass;
       reset(pair);
       return;
     }
@@ -132,7 +173,10 @@
   }
 }
 
+/** Resets both sides, but for a target that a held request is yet to reach. */
 function reset(pair: IPair): void {
   pair.client.resetAndDestroy();
-  pair.target.resetAndDestroy();
+  if (!pair.held?.isHolding) {
+    pair.target.resetAndDestroy();
+  }
 }
--- a/src/stand_ins/plain_service/main.ts
+++ b/src/stand_ins/plain_service/main.ts
@@ -13,6 +13,7 @@
     zone: { type: "string", default: "zone" },
     domain: { type: "string", default: "domain" },
     service: { type: "string", default: "delivery-api" },
+    record: { type: "string", default: "" },
     "work-time": { type: "string", default: "5" },
   },
 });
@@ -21,6 +22,7 @@
 const service = new PlainService({
   id: values.id,
   workTime: Number(values["work-time"]),
+  recordFile: values.record,
 });
 const address = await service.listen(values.listen);
 if (values.platform !== "") {
--- a/src/stand_ins/plain_service/plain_service.ts
+++ b/src/stand_ins/plain_service/plain_service.ts
@@ -1,10 +1,13 @@
 /** A plain service, as a stand-in that keeps a record of what it ran. */
 import { randomUUID } from "node:crypto";
+import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { TargetState } from "../../common/types.ts";
 import type { ITargetReport } from "../../common/types.ts";
 import { JsonServer, ok, refuse } from "../shared/json_server.ts";
 import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
+import { RunLog } from "./run_log.ts";
+import { CallFault, CallFaults, CallPoint } from "./call_fault.ts";
 
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
@@ -13,14 +16,8 @@
 export interface IPlainServiceOptions {
   readonly id: string;
   readonly workTime: number;
-}
-
-/** One run, kept so that proofs can judge by it. */
-export interface IRunDeed {
-  readonly requestId: string;
-  readonly operation: string;
-  readonly body: unknown;
-  readonly at: number;
+  /** File that keeps the record beyond the process; empty for none. */
+  readonly recordFile?: string;
 }
 
 interface IWantedRun {
@@ -33,13 +30,15 @@
 export class PlainService {
   readonly #options: IPlainServiceOptions;
   readonly #incarnation = randomUUID();
-  readonly #runs: IRunDeed[] = [];
+  readonly #runs: RunLog;
   readonly #server = new JsonServer((request) => this.#handle(request));
+  readonly #faults = new CallFaults();
   #state = TargetState.Ready;
   #running = 0;
 
   constructor(options: IPlainServiceOptions) {
     this.#options = options;
+    this.#runs = new RunLog(options.recordFile ?? "");
   }
 
   listen(address: string): Promise<string> {
@@ -50,34 +49,54 @@
     await this.#server[Symbol.asyncDispose]();
   }
 
-  #handle(request: IJsonRequest): Promise<IJsonAnswer> | IJsonAnswer {
+  #handle(request: IJsonRequest): Promise<IJsonAnswer | null> | IJsonAnswer {
     switch (request.parts[0]) {
       case "report":
         return ok(this.#report());
       case "call":
-        return this.#call(request.body as IWantedRun);
+        return this.#call(request.body as IWantedRun, request.response);
+      case "fault":
+        this.#faults.set((request.body as { fault?: unknown }).fault);
+        return ok({});
       case "leave":
         this.#state = TargetState.Leaving;
         return ok({});
       case "record":
-        return ok({ runs: this.#runs });
+        return ok({ runs: this.#runs.all, paused: this.#faults.paused });
       default:
         return refuse(STATUS_NOT_FOUND, "no such path");
     }
   }
 
-  async #call(wanted: IWantedRun): Promise<IJsonAnswer> {
-    if (this.#state === TargetState.Leaving) {
+  async #call(
+    wanted: IWantedRun,
+    response: ServerResponse,
+  ): Promise<IJsonAnswer | null> {
+    const isRefusing = this.#faults.fault === CallFault.Refuse;
+    if (this.#state === TargetState.Leaving || isRefusing) {
       return refuse(STATUS_UNAVAILABLE, "leaving");
     }
-    const { requestId, operation, body } = wanted;
     this.#running += 1;
+    await this.#faults.meet(CallPoint.BeforeActing);
     await sleep(this.#options.workTime);
-    this.#runs.push({ requestId, operation, body, at: Date.now() });
+    const number = this.#act(wanted);
+    await this.#faults.meet(CallPoint.AfterActing);
     this.#running -= 1;
-    const number = this.#runs.length;
+    if (this.#faults.fault === CallFault.LoseAnswer) {
+      response.destroy();
+      return null;
+    }
+    const { requestId, operation, body } = wanted;
     const answer = { operation, done: true, by: this.#options.id, number };
-    return ok({ requestId, answer });
+    const isCrossed = this.#faults.fault === CallFault.CrossAnswer;
+    const named = isCrossed ? randomUUID() : requestId;
+    return ok({ requestId: named, answer: { ...answer, ...paddingOf(body) } });
+  }
+
+  /** Runs the call; returns how many have run. */
+  #act({ requestId, operation, body }: IWantedRun): number {
+    this.#runs.add({ requestId, operation, body, at: Date.now() });
+    return this.#runs.all.length;
   }
 
   #report(): ITargetReport {
@@ -94,3 +113,9 @@
     };
   }
 }
+
+/** A body may ask for an answer of a size, as `{pad: BYTES}`. */
+function paddingOf(body: unknown): object {
+  const { pad } = (body ?? {}) as { pad?: unknown };
+  return typeof pad === "number" ? { padding: "x".repeat(pad) } : {};
+}
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -11,6 +11,8 @@
   readonly body: unknown;
   readonly key?: string;
   readonly requestId?: string;
+  /** Aborted when the caller goes away. */
+  readonly signal?: AbortSignal;
 }
 
 /** A buffered answer or a refusal, as the caller sees it. */
@@ -21,6 +23,10 @@
     readonly outcome: string;
     readonly reason?: string;
     readonly answer?: unknown;
+    readonly answer_omitted?: {
+      readonly sha256: string;
+      readonly bytes: number;
+    };
     readonly retry_after_ms?: number;
   };
 }
@@ -78,5 +84,6 @@
         : { "x-request-id": call.requestId }),
     },
     body: JSON.stringify(call.body),
+    signal: call.signal,
   });
 }
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -113,6 +113,22 @@
     return (await answer.body.json()) as T;
   }
 
+  /** Tells a stand-in which fault to meet, by its name. */
+  async setFault(target: string, fault: string): Promise<void> {
+    const address = this.process(target).field("address");
+    const answer = await request(`http://${address}/fault`, {
+      method: "PUT",
+      body: JSON.stringify({ fault }),
+    });
+    await answer.body.dump();
+  }
+
+  /** Kills a process without warning and waits until it is gone. */
+  async kill(name: string): Promise<void> {
+    this.process(name).signal("SIGKILL");
+    await this.process(name).exited();
+  }
+
   /** Starts one more daemon, or one again after it was stopped. */
   async startDaemon(name: string, zone: string): Promise<ProcessHandle> {
     const text = readFileSync(this.#example("entry.yaml"), "utf8");
@@ -156,6 +172,7 @@
   async startService(name: string, zone: string): Promise<ProcessHandle> {
     const handle = await this.#keep(name, "stand_ins/plain_service/main.js", [
       ...["--id", name],
+      ...["--record", join(this.#folder, `${name}.runs`)],
       ...(this.#plan.serviceArguments ?? []),
     ]);
     const service = this.#plan.plainService;
@@ -233,7 +250,8 @@
     for (const daemon of this.names("daemon-")) {
       await waitFor(`${daemon} sees complete groups`, async () => {
         const { ready, groups } = await this.status(daemon);
-        return ready && groups.length > 0 && groups.every((g) => g.complete);
+        const hasGroups = groups.length > 0 || this.#plan.enginesPerZone === 0;
+        return ready && hasGroups && groups.every((g) => g.complete);
       });
     }
   }
