Resume broken streams on other groups or new connections, proved on engines

Cause: a group whose connection broke or fell silent was avoided for good, so a zone with one group gave up; pools kept silent connections; nothing bounded a stream by its deadline.

Change: silence retires the address's pool (TargetConnections); another group is preferred, the same one asked once more on a new connection; a stream already begun waits up to 10 s for a group; deadlines cancel. Engine stand-ins meet faults of their stream on order.

--- a/src/adapters/http_failure.ts
+++ b/src/adapters/http_failure.ts
@@ -23,6 +23,17 @@
   return { kind, detail: `${attempted}: ${code} ${message}` };
 }
 
+/** Errors by which a connection was silent for longer than it may be. */
+const SILENCE_CODES: ReadonlySet<string> = new Set([
+  "UND_ERR_HEADERS_TIMEOUT",
+  "UND_ERR_BODY_TIMEOUT",
+]);
+
+/** Whether a call failed by silence on a connection that seemed open. */
+export function isSilence(error: unknown): boolean {
+  return SILENCE_CODES.has(codeOf(error));
+}
+
 function codeOf(error: unknown): string {
   if (typeof error === "object" && error !== null && "code" in error) {
     return String(error.code);
--- a/src/adapters/targets/engine_stream_reader.ts
+++ b/src/adapters/targets/engine_stream_reader.ts
@@ -22,7 +22,8 @@
 /**
  * Turns chunks into tokens. An event that names another request, another
  * group or generation, or leaves a gap, ends the stream with a failure: a late
- * or crossed answer would otherwise reach the wrong caller.
+ * or crossed answer would otherwise reach the wrong caller. An event that
+ * comes twice is dropped.
  */
 export class EngineStreamReader {
   readonly #call: IEngineCall;
@@ -54,7 +55,10 @@
       this.#fail(`an event names ${event.requestId} in ${event.group}`);
       return;
     }
-    if (event.sequence !== this.#expected) {
+    if (event.sequence < this.#expected) {
+      return;
+    }
+    if (event.sequence > this.#expected) {
       this.#fail(`token ${event.sequence} where ${this.#expected} was due`);
       return;
     }
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -1,48 +1,61 @@
 /** Calls to engines and plain services over HTTP. */
+import { performance } from "node:perf_hooks";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { Agent, request } from "undici";
+import { request } from "undici";
+import type { Dispatcher } from "undici";
 import type {
   IEngineCall,
   IEngineOrder,
   IEngineToken,
+  IGenerateOptions,
   IServiceCall,
   ITargets,
 } from "../../common/services/services.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
-import { failureOf } from "../http_failure.ts";
+import { failureOf, isSilence } from "../http_failure.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
+import { checkServiceAnswer, refusalOf } from "./target_answers.ts";
+import { TargetConnections } from "./target_connections.ts";
 
+/** Longest wait for a new connection to a target of the zone, milliseconds. */
 const CONNECT_TIMEOUT = 500;
 
-/** Longest wait for a first token and between tokens, milliseconds. */
-const FIRST_TOKEN_TIMEOUT = 10_000;
-const INTER_TOKEN_TIMEOUT = 2_000;
+/** Shortest bound handed to the HTTP library, for which 0 means none. */
+const SHORTEST_TIMEOUT = 1;
 
 const STATUS_OK = 200;
 
-/** Statuses by which a target says that it has not acted. */
-const REFUSALS: ReadonlySet<number> = new Set([400, 404, 409, 413, 429, 503]);
+/** How one call is sent. */
+interface ISending {
+  readonly timeout: number;
+  readonly signal?: AbortSignal;
+  /** Sent on a connection of its own. */
+  readonly isSingle?: boolean;
+}
 
 /** Speaks to targets; every call bounds how long silence may last. */
 export class HttpTargets implements ITargets {
-  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT } });
+  readonly #connections = new TargetConnections(CONNECT_TIMEOUT, () =>
+    performance.now(),
+  );
 
   async report(
     address: string,
     timeout: number,
   ): Promise<Result<ITargetReport, ICallFailure>> {
-    const attempted = `report of ${address}`;
+    const dispatcher = this.#connections.pool(address);
     try {
       const answer = await request(`http://${address}/report`, {
-        dispatcher: this.#agent,
+        dispatcher,
         headersTimeout: timeout,
         bodyTimeout: timeout,
       });
       return Ok((await answer.body.json()) as ITargetReport);
     } catch (error) {
-      return Err(failureOf(attempted, error));
+      const attempted = `report of ${address}`;
+      return Err(this.#failed(error, { attempted, address, dispatcher }));
     }
   }
 
@@ -51,9 +64,7 @@
     order: IEngineOrder,
     timeout: number,
   ): Promise<Result<void, ICallFailure>> {
-    const answer = await this.#post(`http://${address}/orders`, order, {
-      timeout,
-    });
+    const answer = await this.#post(address, "/orders", order, { timeout });
     return answer.map(() => undefined);
   }
 
@@ -62,30 +73,31 @@
     call: IServiceCall,
     signal: AbortSignal,
   ): Promise<Result<unknown, ICallFailure>> {
-    const { requestId, operation, body, timeout } = call;
-    const answer = await this.#post(
-      `http://${address}/call`,
-      { requestId, operation, body },
-      { timeout, signal },
-    );
+    const { requestId, operation, body } = call;
+    const content = { requestId, operation, body };
+    const timeout = Math.max(SHORTEST_TIMEOUT, call.timeout);
+    const isSingle = call.onNewConnection;
+    const sending = { timeout, signal, isSingle };
+    const answer = await this.#post(address, "/call", content, sending);
     return answer.andThen((value) => checkServiceAnswer(value, call));
   }
 
   async *generate(
     address: string,
     call: IEngineCall,
-    signal: AbortSignal,
+    options: IGenerateOptions,
   ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>> {
     const attempted = `generate on ${address}`;
+    const dispatcher = this.#connections.pool(address);
     try {
       const answer = await request(`http://${address}/generate`, {
         method: "POST",
-        dispatcher: this.#agent,
+        dispatcher,
         headers: { "content-type": "application/json" },
         body: JSON.stringify(call),
-        headersTimeout: FIRST_TOKEN_TIMEOUT,
-        bodyTimeout: INTER_TOKEN_TIMEOUT,
-        signal,
+        headersTimeout: Math.max(SHORTEST_TIMEOUT, options.firstTokenWithin),
+        bodyTimeout: options.nextTokenWithin,
+        signal: options.signal,
       });
       if (answer.statusCode !== STATUS_OK) {
         const text = await answer.body.text();
@@ -97,43 +109,44 @@
       for await (const chunk of answer.body) {
         const text = decoder.decode(chunk as Buffer, { stream: true });
         const batch = reader.feed(text);
-        if (batch.isErr()) {
+        if (batch.isErr() || batch.value.length > 0) {
           yield batch;
-          return;
         }
-        if (batch.value.length > 0) {
-          yield batch;
-        }
-        if (batch.value.at(-1)?.isEnd) {
+        if (batch.isErr() || batch.value.at(-1)?.isEnd) {
           return;
         }
       }
       const detail = `${attempted}: the stream ended without its end mark`;
       yield Err({ kind: CallFailureKind.Unknown, detail });
     } catch (error) {
-      yield Err(failureOf(attempted, error));
+      yield Err(this.#failed(error, { attempted, address, dispatcher }));
     }
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    await this.#agent.destroy();
+    await this.#connections[Symbol.asyncDispose]();
   }
 
   async #post(
-    url: string,
+    address: string,
+    path: string,
     content: unknown,
-    options: { readonly timeout: number; readonly signal?: AbortSignal },
+    sending: ISending,
   ): Promise<Result<unknown, ICallFailure>> {
-    const attempted = `POST ${url}`;
+    const { timeout, signal, isSingle = false } = sending;
+    const attempted = `POST ${path} to ${address}`;
+    const dispatcher = isSingle
+      ? this.#connections.single(address)
+      : this.#connections.pool(address);
     try {
-      const answer = await request(url, {
+      const answer = await request(`http://${address}${path}`, {
         method: "POST",
-        dispatcher: this.#agent,
+        dispatcher,
         headers: { "content-type": "application/json" },
         body: JSON.stringify(content),
-        headersTimeout: options.timeout,
-        bodyTimeout: options.timeout,
-        signal: options.signal,
+        headersTimeout: timeout,
+        bodyTimeout: timeout,
+        signal,
       });
       const text = await answer.body.text();
       if (answer.statusCode === STATUS_OK) {
@@ -141,31 +154,26 @@
       }
       return Err(refusalOf(attempted, answer.statusCode, text));
     } catch (error) {
-      return Err(failureOf(attempted, error));
+      return Err(this.#failed(error, { attempted, address, dispatcher }));
+    } finally {
+      if (isSingle) {
+        void dispatcher.destroy();
+      }
     }
   }
-}
 
-/** An answer to another request must never reach this caller. */
-function checkServiceAnswer(
-  value: unknown,
-  call: IServiceCall,
-): Result<unknown, ICallFailure> {
-  const answer = value as { requestId?: unknown; answer?: unknown } | null;
-  if (answer?.requestId !== call.requestId) {
-    const detail = `the answer names request ${String(answer?.requestId)}`;
-    return Err({ kind: CallFailureKind.Unknown, detail });
+  /** Names a failure; after silence the next call takes a new connection. */
+  #failed(
+    error: unknown,
+    call: {
+      readonly attempted: string;
+      readonly address: string;
+      readonly dispatcher: Dispatcher;
+    },
+  ): ICallFailure {
+    if (isSilence(error)) {
+      this.#connections.suspect(call.address, call.dispatcher);
+    }
+    return failureOf(call.attempted, error);
   }
-  return Ok(answer.answer);
-}
-
-function refusalOf(
-  attempted: string,
-  status: number,
-  text: string,
-): ICallFailure {
-  const kind = REFUSALS.has(status)
-    ? CallFailureKind.Refused
-    : CallFailureKind.Unknown;
-  return { kind, detail: `${attempted}: answered ${status} ${text}` };
 }
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -4,17 +4,29 @@
 import { z } from "zod";
 import { CallFailureKind, Reason } from "../types.ts";
 import type { ICallFailure, IRefusal } from "../types.ts";
+import { EngineEffort } from "./engine_effort.ts";
 import type { GroupDirectory, IPlace } from "./group_directory.ts";
 import { notRun, unknown } from "./refusal.ts";
-import type { IEngineToken, ILog, ITargets } from "./services.ts";
+import type {
+  IClock,
+  IEngineToken,
+  ILog,
+  IMetrics,
+  ITargets,
+} from "./services.ts";
 import type { IBufferedAnswer, ICallerRequest } from "./types.ts";
 
-/** Groups tried for one request before it is given up. */
-const MAXIMUM_TRIES = 3;
-
 /** When to come back if no replica group can serve, milliseconds. */
 const NO_REPLICA_RETRY_AFTER = 2_000;
 
+/**
+ * How long a broken stream waits for a group to go on with, milliseconds: a
+ * group that has lost a member serves again within seconds if there is a
+ * spare, and the caller keeps what it has.
+ */
+const LONGEST_WAIT_FOR_GROUP = 10_000;
+const WAIT_STEP = 100;
+
 const DEFAULT_MAXIMUM_TOKENS = 256;
 const LARGEST_MAXIMUM_TOKENS = 32_768;
 
@@ -31,16 +43,29 @@
 type GenerateBody = z.infer<typeof generateSchema>;
 type TokenBatch = Result<readonly IEngineToken[], IRefusal>;
 
+/** What the runner works with. */
+export interface IEngineParts {
+  readonly groups: GroupDirectory;
+  readonly targets: ITargets;
+  readonly clock: IClock;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+}
+
+/** Longest silences of an engine, milliseconds. */
+export interface IEngineBounds {
+  readonly firstToken: number;
+  readonly nextToken: number;
+}
+
 /** Runs a request for tokens on replica groups of this zone. */
 export class EngineRunner {
-  readonly #groups: GroupDirectory;
-  readonly #targets: ITargets;
-  readonly #log: ILog;
+  readonly #parts: IEngineParts;
+  readonly #bounds: IEngineBounds;
 
-  constructor(groups: GroupDirectory, targets: ITargets, log: ILog) {
-    this.#groups = groups;
-    this.#targets = targets;
-    this.#log = log;
+  constructor(parts: IEngineParts, bounds: IEngineBounds) {
+    this.#parts = parts;
+    this.#bounds = bounds;
   }
 
   /** The whole answer, or why there is none. */
@@ -64,8 +89,9 @@
 
   /**
    * Tokens in order without gaps. A stream that breaks goes on from the last
-   * position on another connection; if that cannot be, it ends with an error
-   * so that the caller never takes a part for the whole.
+   * position, on another group or on a new connection to the same; if that
+   * cannot be, it ends with an error so that the caller never takes a part for
+   * the whole.
    */
   async *stream(request: ICallerRequest): AsyncIterable<TokenBatch> {
     const body = generateSchema.safeParse(request.body);
@@ -74,60 +100,79 @@
       yield Err(notRun(Reason.BadRequest, detail));
       return;
     }
-    let position = 0;
-    const avoid = new Set<string>();
-    for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
-      const place = this.#groups.chooseGroup(request.service.name, avoid);
+    using effort = new EngineEffort(request, this.#parts.clock);
+    while (effort.mayTry) {
+      const place = await this.#choose(request, effort);
       if (place === null) {
         break;
       }
-      const attempt = this.#attempt(request, body.data, { place, position });
-      for await (const batch of attempt) {
+      for await (const batch of this.#attempt(body.data, { place, effort })) {
         if (batch.isErr()) {
+          effort.failed(place.id, batch.error);
           this.#note(request, place, batch.error);
           break;
         }
-        position += batch.value.filter((token) => !token.isEnd).length;
+        effort.passed(batch.value);
         yield Ok(batch.value);
-        if (batch.value.at(-1)?.isEnd) {
+        if (effort.isWhole) {
           return;
         }
       }
-      avoid.add(place.id);
-      if (request.signal.aborted) {
-        yield Err(unknown(Reason.CallerLeft, "the caller is gone"));
-        return;
+    }
+    yield Err(this.#giveUp(effort));
+  }
+
+  /** A group to go on with; a stream already begun waits for one a while. */
+  async #choose(
+    request: ICallerRequest,
+    effort: EngineEffort,
+  ): Promise<IPlace | null> {
+    const { clock, groups } = this.#parts;
+    const { name } = request.service;
+    const until = clock.now() + LONGEST_WAIT_FOR_GROUP;
+    for (;;) {
+      const place =
+        groups.chooseGroup(name, effort.suspects) ??
+        groups.chooseGroup(name, effort.givenUp);
+      const mayWait = effort.position > 0 && clock.now() < until;
+      if (place !== null || !mayWait || effort.signal.aborted) {
+        return place;
       }
+      await new Promise<void>((resolve) => {
+        clock.after(WAIT_STEP, resolve);
+      });
     }
-    yield Err(this.#giveUp(request, avoid.size > 0));
   }
 
   async *#attempt(
-    request: ICallerRequest,
     body: GenerateBody,
-    from: { readonly place: IPlace; readonly position: number },
+    on: { readonly place: IPlace; readonly effort: EngineEffort },
   ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>> {
-    const { place, position } = from;
+    const { place, effort } = on;
+    const { groups, targets } = this.#parts;
     if (place.group === null) {
       const kind = CallFailureKind.NotSent;
       yield Err({ kind, detail: `${place.id} is no replica group` });
       return;
     }
-    const end = this.#groups.begin(place);
+    const { request } = effort;
+    const call = {
+      requestId: request.requestId,
+      group: place.group.id,
+      generation: place.group.generation,
+      prompt: body.prompt,
+      maximumTokens: body.maximum_tokens,
+      priority: request.account.plan.priority,
+      resumeFrom: effort.position,
+    };
+    const options = {
+      firstTokenWithin: this.#bounds.firstToken,
+      nextTokenWithin: this.#bounds.nextToken,
+      signal: effort.signal,
+    };
+    const end = groups.begin(place);
     try {
-      yield* this.#targets.generate(
-        place.address,
-        {
-          requestId: request.requestId,
-          group: place.group.id,
-          generation: place.group.generation,
-          prompt: body.prompt,
-          maximumTokens: body.maximum_tokens,
-          priority: request.account.plan.priority,
-          resumeFrom: position,
-        },
-        request.signal,
-      );
+      yield* targets.generate(place.address, call, options);
     } finally {
       end();
     }
@@ -135,7 +180,8 @@
 
   #note(request: ICallerRequest, place: IPlace, failure: ICallFailure): void {
     const { kind, detail } = failure;
-    this.#log.warn("engine_attempt_failed", {
+    this.#parts.metrics.count("engine_attempts_failed", { kind });
+    this.#parts.log.warn("engine_attempt_failed", {
       request: request.requestId,
       group: place.id,
       kind,
@@ -143,10 +189,19 @@
     });
   }
 
-  #giveUp(request: ICallerRequest, wasTried: boolean): IRefusal {
+  #giveUp(effort: EngineEffort): IRefusal {
+    const { request, mayHaveRun } = effort;
     const { name } = request.service;
-    if (!wasTried) {
-      const detail = `no complete replica group of ${name} in this zone`;
+    if (request.signal.aborted) {
+      return unknown(Reason.CallerLeft, "the caller is gone");
+    }
+    if (effort.isLate) {
+      const detail = "the answer was not whole by its deadline";
+      const say = mayHaveRun ? unknown : notRun;
+      return say(Reason.DeadlinePassed, detail);
+    }
+    if (!mayHaveRun) {
+      const detail = `no complete replica group of ${name} took the request`;
       return notRun(Reason.NoReplica, detail, NO_REPLICA_RETRY_AFTER);
     }
     const detail = `the replica groups of ${name} broke off`;
--- a/src/common/services/once_runner.ts
+++ b/src/common/services/once_runner.ts
@@ -137,7 +137,13 @@
     const end = groups.begin(place);
     const { requestId, operation, body } = request;
     const timeout = request.deadline - clock.now() + LISTENING_GRACE;
-    const call = { requestId, operation: operation.name, body, timeout };
+    const call = {
+      requestId,
+      operation: operation.name,
+      body,
+      timeout,
+      onNewConnection: true,
+    };
     try {
       const nobodyCancels = new AbortController().signal;
       return await targets.call(place.address, call, nobodyCancels);
--- a/src/common/services/service_runner.ts
+++ b/src/common/services/service_runner.ts
@@ -12,6 +12,12 @@
 /** Targets tried for one repeatable call before it is given up. */
 const MAXIMUM_TRIES = 3;
 
+/**
+ * Silence after which a repeatable call is sent again, milliseconds. Without
+ * it a connection that has gone silent would cost a caller its whole deadline.
+ */
+const LONGEST_SILENCE = 2_000;
+
 /** When to come back if no target can serve, milliseconds. */
 const NO_TARGET_RETRY_AFTER = 2_000;
 
@@ -69,8 +75,14 @@
     const { clock, groups, targets } = this.#parts;
     const end = groups.begin(place);
     const { requestId, operation, body } = request;
-    const timeout = request.deadline - clock.now();
-    const call = { requestId, operation: operation.name, body, timeout };
+    const left = request.deadline - clock.now();
+    const call = {
+      requestId,
+      operation: operation.name,
+      body,
+      timeout: Math.min(left, LONGEST_SILENCE),
+      onNewConnection: false,
+    };
     try {
       return await targets.call(place.address, call, request.signal);
     } finally {
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -182,8 +182,22 @@
   readonly requestId: RequestId;
   readonly operation: string;
   readonly body: unknown;
-  /** Milliseconds until the answer is worth nothing. */
+  /** Milliseconds of silence after which the call is given up. */
   readonly timeout: number;
+  /**
+   * Whether a new connection is made for it: an old one may have gone silent,
+   * and what cannot be sent twice must not be sent into silence.
+   */
+  readonly onNewConnection: boolean;
+}
+
+/** Bounds on an engine's answer, and what cancels it. */
+export interface IGenerateOptions {
+  /** Milliseconds. */
+  readonly firstTokenWithin: number;
+  /** Longest time between two tokens, milliseconds. */
+  readonly nextTokenWithin: number;
+  readonly signal: AbortSignal;
 }
 
 /** Calls to targets: engine members and plain services. */
@@ -205,7 +219,7 @@
   generate(
     address: string,
     call: IEngineCall,
-    signal: AbortSignal,
+    options: IGenerateOptions,
   ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>>;
   call(
     address: string,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -262,6 +262,20 @@
     });
   }
 
+  #createEngines(): EngineRunner {
+    const { first_token, next_token } = this.#settings.calls;
+    return new EngineRunner(
+      {
+        groups: this.#groups,
+        targets: this.#targets,
+        clock: this.#clock,
+        log: this.#log,
+        metrics: this.#metrics,
+      },
+      { firstToken: first_token, nextToken: next_token },
+    );
+  }
+
   #createSweeper(): RunSweeper {
     return new RunSweeper({
       platform: this.#platform,
@@ -274,7 +288,7 @@
 
   #createDispatcher(): CallDispatcher {
     return new CallDispatcher({
-      engines: new EngineRunner(this.#groups, this.#targets, this.#log),
+      engines: this.#createEngines(),
       services: this.#services,
       clock: this.#clock,
       metrics: this.#metrics,
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -60,6 +60,12 @@
   domains: durationSchema.default(1_000),
 });
 
+/** Longest silences of an engine before its connection is doubted. */
+const callsSchema = z.strictObject({
+  first_token: durationSchema.default(5_000),
+  next_token: durationSchema.default(1_000),
+});
+
 const settingsSchema = z.strictObject({
   daemon: z.strictObject({
     name: z.string().min(1),
@@ -76,6 +82,7 @@
   services: z.record(z.string().min(1), serviceSchema),
   groups: groupsSchema.prefault({}),
   polling: pollingSchema.prefault({}),
+  calls: callsSchema.prefault({}),
   lists: listsSchema.prefault({}),
 });
 
--- a/src/stand_ins/engine_member/engine_member.ts
+++ b/src/stand_ins/engine_member/engine_member.ts
@@ -12,6 +12,7 @@
 import type { IGroupMembership, ITargetReport } from "../../common/types.ts";
 import { JsonServer, ok, refuse } from "../shared/json_server.ts";
 import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
+import { StreamFaults } from "./stream_fault.ts";
 import { tokenText } from "./text.ts";
 import { Fencing } from "./types.ts";
 import type { IEngineDeed, IEngineOptions } from "./types.ts";
@@ -41,6 +42,7 @@
   readonly #incarnation = randomUUID();
   readonly #deeds: IEngineDeed[] = [];
   readonly #server = new JsonServer((request) => this.#handle(request));
+  readonly #faults = new StreamFaults();
   #state = TargetState.Free;
   #membership: IMembership | null = null;
   #model = "";
@@ -75,6 +77,9 @@
       case "leave":
         this.#state = TargetState.Leaving;
         return ok({});
+      case "fault":
+        this.#faults.set((request.body as { fault?: unknown }).fault);
+        return ok({});
       case "record":
         return ok({ deeds: this.#deeds });
       default:
@@ -206,10 +211,17 @@
     while (
       sequence < wanted.maximumTokens &&
       !isBroken &&
-      !response.destroyed
+      !response.destroyed &&
+      !response.writableEnded
     ) {
       const text = tokenText(wanted.prompt, sequence);
-      response.write(eventOf(wanted, membership, { sequence, text }));
+      const event = eventOf(wanted, membership, { sequence, text });
+      const { requestId } = wanted;
+      const struck = this.#faults.strike(event, sequence, requestId);
+      response.write(struck.text);
+      if (struck.breaks !== "no") {
+        breakOff(response, struck.breaks);
+      }
       sequence += 1;
       this.#tokens += 1;
       await sleep(this.#tokenTime);
@@ -217,6 +229,10 @@
     clearInterval(check);
     this.#running -= 1;
     this.#tokens -= sequence - wanted.resumeFrom;
+    if (response.destroyed || response.writableEnded) {
+      this.#keep("cancelled", membership, wanted.requestId);
+      return;
+    }
     if (isBroken) {
       response.destroy();
       return;
@@ -256,6 +272,14 @@
   }
 }
 
+function breakOff(response: ServerResponse, how: "reset" | "end"): void {
+  if (how === "end") {
+    response.end();
+  } else {
+    response.destroy();
+  }
+}
+
 async function askMember(address: string, body: string): Promise<boolean> {
   try {
     const answer = await call(`http://${address}/work`, {
--- a/src/stand_ins/engine_member/types.ts
+++ b/src/stand_ins/engine_member/types.ts
@@ -24,7 +24,13 @@
 /** One thing an engine did, kept so that proofs can judge by it. */
 export interface IEngineDeed {
   readonly kind:
-    "joined" | "released" | "refused" | "began" | "worked" | "ended";
+    | "joined"
+    | "released"
+    | "refused"
+    | "began"
+    | "worked"
+    | "ended"
+    | "cancelled";
   readonly at: number;
   readonly group: string;
   readonly generation: number;
