Keep connections warm only, and ask again groups that refused

Cause, seen in a run of the silent connections' proof: a pool hands a call a connection that went silent while idle, and the call waits its whole bound for a first token (6.3 s until whole); and a stream gave both groups up since each had refused once while its member checks were silent.

--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -16,6 +16,7 @@
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
 import { failureOf, isSilence } from "../http_failure.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
+import { Cancel } from "./cancel.ts";
 import { checkServiceAnswer, refusalOf } from "./target_answers.ts";
 import { TargetConnections } from "./target_connections.ts";
 
@@ -45,14 +46,16 @@
     address: string,
     timeout: number,
   ): Promise<Result<ITargetReport, ICallFailure>> {
-    const dispatcher = this.#connections.pool(address);
+    const { dispatcher } = this.#connections.pool(address);
     try {
       const answer = await request(`http://${address}/report`, {
         dispatcher,
         headersTimeout: timeout,
         bodyTimeout: timeout,
       });
-      return Ok((await answer.body.json()) as ITargetReport);
+      const report = (await answer.body.json()) as ITargetReport;
+      this.#connections.proved(address);
+      return Ok(report);
     } catch (error) {
       const attempted = `report of ${address}`;
       return Err(this.#failed(error, { attempted, address, dispatcher }));
@@ -88,7 +91,8 @@
     options: IGenerateOptions,
   ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>> {
     const attempted = `generate on ${address}`;
-    const dispatcher = this.#connections.pool(address);
+    const { dispatcher, doubted } = this.#connections.pool(address);
+    using cancel = new Cancel([options.signal, doubted]);
     try {
       const answer = await request(`http://${address}/generate`, {
         method: "POST",
@@ -97,8 +101,9 @@
         body: JSON.stringify(call),
         headersTimeout: Math.max(SHORTEST_TIMEOUT, options.firstTokenWithin),
         bodyTimeout: options.nextTokenWithin,
-        signal: options.signal,
+        signal: cancel.signal,
       });
+      cancel.ignore(doubted);
       if (answer.statusCode !== STATUS_OK) {
         const text = await answer.body.text();
         yield Err(refusalOf(attempted, answer.statusCode, text));
@@ -137,7 +142,7 @@
     const attempted = `POST ${path} to ${address}`;
     const dispatcher = isSingle
       ? this.#connections.single(address)
-      : this.#connections.pool(address);
+      : this.#connections.pool(address).dispatcher;
     try {
       const answer = await request(`http://${address}${path}`, {
         method: "POST",
--- a/src/common/services/engine_effort.ts
+++ b/src/common/services/engine_effort.ts
@@ -5,7 +5,7 @@
 import type { ICallerRequest } from "./types.ts";
 
 /** Attempts for one request before it is given up. */
-const MAXIMUM_TRIES = 4;
+const MAXIMUM_TRIES = 6;
 
 /**
  * Keeps position, attempts and suspects of one request. Silence or a broken
@@ -84,6 +84,11 @@
     this.suspects.add(group);
   }
 
+  /** Lets groups be asked again that have failed this request. */
+  forgive(): void {
+    this.givenUp.clear();
+  }
+
   [Symbol.dispose](): void {
     this.#endOfTime.dispose();
     this.request.signal.removeEventListener("abort", this.#end);
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -27,6 +27,12 @@
 const LONGEST_WAIT_FOR_GROUP = 10_000;
 const WAIT_STEP = 100;
 
+/**
+ * Wait after which groups that failed this request are asked again,
+ * milliseconds: a refusal such as "a member is missing" may be over.
+ */
+const FORGIVE_AFTER = 1_000;
+
 const DEFAULT_MAXIMUM_TOKENS = 256;
 const LARGEST_MAXIMUM_TOKENS = 32_768;
 
@@ -129,12 +135,16 @@
   ): Promise<IPlace | null> {
     const { clock, groups } = this.#parts;
     const { name } = request.service;
-    const until = clock.now() + LONGEST_WAIT_FOR_GROUP;
+    const since = clock.now();
     for (;;) {
+      const waited = clock.now() - since;
+      if (waited >= FORGIVE_AFTER) {
+        effort.forgive();
+      }
       const place =
         groups.chooseGroup(name, effort.suspects) ??
         groups.chooseGroup(name, effort.givenUp);
-      const mayWait = effort.position > 0 && clock.now() < until;
+      const mayWait = effort.position > 0 && waited < LONGEST_WAIT_FOR_GROUP;
       if (place !== null || !mayWait || effort.signal.aborted) {
         return place;
       }
--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -115,13 +115,17 @@
     client.on("data", (bytes) => this.#toTarget(pair, bytes));
     target.on("data", (bytes) => this.#toClient(pair, bytes));
     client.on("end", () => {
-      if (!pair.held?.isHolding) {
+      if (!pair.held?.isHolding && !this.#isSilent(pair)) {
         target.end();
       }
     });
-    target.on("end", () => client.end());
+    target.on("end", () => {
+      if (!this.#isSilent(pair)) {
+        client.end();
+      }
+    });
     for (const socket of [client, target]) {
-      socket.on("error", () => reset(pair));
+      socket.on("error", () => undefined);
       socket.on("close", () => this.#closed(pair));
     }
   }
@@ -167,7 +171,7 @@
 
   #closed(pair: IPair): void {
     this.#pairs.delete(pair);
-    if (!pair.isSilenced) {
+    if (!this.#isSilent(pair)) {
       reset(pair);
     }
   }
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -11,6 +11,8 @@
   readonly body: unknown;
   readonly key?: string;
   readonly requestId?: string;
+  /** Called when the first text of a stream has come. */
+  readonly onFirstText?: () => void;
   /** Aborted when the caller goes away. */
   readonly signal?: AbortSignal;
 }
@@ -57,6 +59,7 @@
         isWhole = true;
       } else {
         text += (JSON.parse(event.data) as { text: string }).text;
+        call.onFirstText?.();
       }
     },
   });
--- a/test/whole_answers_test.ts
+++ b/test/whole_answers_test.ts
@@ -95,6 +95,19 @@
     return leader;
   }
 
+  /** Starts a stream and waits until its first text has come. */
+  async function begin(
+    id: string,
+  ): Promise<{ reply: Promise<IStreamReply>; leader: string }> {
+    let hasText = false;
+    const onFirstText = () => {
+      hasText = true;
+    };
+    const reply = askStream({ ...caller(id), onFirstText });
+    await waitFor(`${id} has text`, () => hasText);
+    return { reply, leader: await leaderOf(id) };
+  }
+
   /** The members of the group that an engine is in. */
   async function groupOf(engine: string): Promise<readonly string[]> {
     const { groups } = await deployment.status(DAEMON);
@@ -158,8 +171,7 @@
   // with an answer that has long been finished by another group.
   it("are sent though the engine is paused, and later wakes", async () => {
     const id = freshId();
-    const reply = askStream(caller(id));
-    const leader = await leaderOf(id);
+    const { reply, leader } = await begin(id);
     deployment.process(leader).signal("SIGSTOP");
     check(await reply, id);
     deployment.process(leader).signal("SIGCONT");
@@ -171,8 +183,7 @@
   // A member other than the one that streams dies: the rest cannot go on.
   it("are sent though a member is lost during the stream", async () => {
     const id = freshId();
-    const reply = askStream(caller(id));
-    const leader = await leaderOf(id);
+    const { reply, leader } = await begin(id);
     const other = (await groupOf(leader)).find((name) => name !== leader)!;
     deployment.process(other).signal("SIGSTOP");
     check(await reply, id);
@@ -186,8 +197,7 @@
   // open now: they stay silent for good, while new ones work.
   it("are sent though open connections go silent", async () => {
     const id = freshId();
-    const reply = askStream(caller(id));
-    await leaderOf(id);
+    const { reply } = await begin(id);
     for (const engine of deployment.names("engine-")) {
       deployment.link(`target>${engine}`).setMode(LinkMode.SilentOld);
     }
@@ -200,8 +210,7 @@
   // The way to one engine goes silent, also for new connections.
   it("are sent though the way to the engine goes silent", async () => {
     const id = freshId();
-    const reply = askStream(caller(id));
-    const leader = await leaderOf(id);
+    const { reply, leader } = await begin(id);
     deployment.link(`target>${leader}`).setMode(LinkMode.Silent);
     check(await reply, id);
   });
