--- a/src/common/services/run_sweeper.ts
+++ b/src/common/services/run_sweeper.ts
@@ -16,8 +16,8 @@
 const RETENTION = 172_800_000;
 
 /**
- * How often one bucket is looked at by the whole fleet, milliseconds: all
- * 1,024 buckets in about an hour, 0.3 lists a second however many daemons.
+ * How often one bucket is looked at by each zone, milliseconds: all 1,024
+ * buckets in about an hour, 0.3 lists a second a zone however many daemons.
  */
 const SWEEP_EVERY = 3_500;
 
@@ -30,8 +30,8 @@
   readonly clock: IClock;
   readonly random: IRandom;
   readonly log: ILog;
-  /** Daemons believed live, this one among them. */
-  readonly daemons: () => number;
+  /** Whether this daemon has the duty; two at once do no harm. */
+  readonly isChosen: () => boolean;
 }
 
 /** Looks at one random bucket at a time. */
@@ -74,9 +74,8 @@
   }
 
   #tick(): void {
-    const { daemons, random } = this.#ports;
-    const isMyTurn = random.next() * daemons() < 1;
-    if (isMyTurn && !this.#isSweeping) {
+    const { isChosen, random } = this.#ports;
+    if (isChosen() && !this.#isSweeping) {
       void this.#sweepOne(Math.floor(random.next() * RUN_BUCKETS));
     }
   }
--- a/src/common/services/run_sweeper_test.ts
+++ b/src/common/services/run_sweeper_test.ts
@@ -39,7 +39,7 @@
       },
       random: { next: () => 0, identifier: () => "" },
       log: NO_LOG,
-      daemons: () => 1,
+      isChosen: () => true,
     });
     expect(await sweeper.sweep(7)).to.equal(removed.length);
     return removed;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -66,6 +66,18 @@
   next_token: durationSchema.default(1_000),
 });
 
+const certificateSchema = z.strictObject({
+  certificate: z.string().min(1),
+  key: z.string().min(1),
+});
+
+const tlsSchema = z.strictObject({
+  /** What callers are shown; without it they speak plain HTTP. */
+  callers: certificateSchema.optional(),
+  /** What daemons show one another and check; without it, no TLS. */
+  peers: certificateSchema.extend({ authority: z.string().min(1) }).optional(),
+});
+
 const settingsSchema = z.strictObject({
   daemon: z.strictObject({
     name: z.string().min(1),
@@ -83,6 +95,7 @@
   groups: groupsSchema.prefault({}),
   polling: pollingSchema.prefault({}),
   calls: callsSchema.prefault({}),
+  tls: tlsSchema.prefault({}),
   lists: listsSchema.prefault({}),
 });
 
