--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -1,5 +1,6 @@
 /** Calls to engines and plain services over HTTP. */
 import { performance } from "node:perf_hooks";
+import { Readable } from "node:stream";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { request } from "undici";
@@ -9,6 +10,7 @@
   IEngineOrder,
   IEngineToken,
   IGenerateOptions,
+  IOrderOptions,
   IServiceCall,
   ITargets,
 } from "../../common/services/services.ts";
@@ -30,6 +32,7 @@
 
 /** How one call is sent. */
 interface ISending {
+  readonly body: string | Readable;
   readonly timeout: number;
   readonly signal?: AbortSignal;
   /** Sent on a connection of its own. */
@@ -65,10 +68,25 @@
   async order(
     address: string,
     order: IEngineOrder,
-    timeout: number,
+    options: IOrderOptions,
   ): Promise<Result<void, ICallFailure>> {
-    const answer = await this.#post(address, "/orders", order, { timeout });
-    return answer.map(() => undefined);
+    const { timeout, isStillDue } = options;
+    let isWritten = false;
+    function* content(): Generator<Buffer> {
+      if (!isStillDue()) {
+        throw new Error("the lease no longer covers the order");
+      }
+      isWritten = true;
+      yield Buffer.from(JSON.stringify(order));
+    }
+    const body = Readable.from(content(), { objectMode: false });
+    const answer = await this.#post(address, "/orders", { body, timeout });
+    return answer
+      .map(() => undefined)
+      .mapErr(({ kind, detail }) => ({
+        kind: isWritten ? kind : CallFailureKind.NotSent,
+        detail,
+      }));
   }
 
   async call(
@@ -77,11 +95,11 @@
     signal: AbortSignal,
   ): Promise<Result<unknown, ICallFailure>> {
     const { requestId, operation, body } = call;
-    const content = { requestId, operation, body };
+    const content = JSON.stringify({ requestId, operation, body });
     const timeout = Math.max(SHORTEST_TIMEOUT, call.timeout);
     const isSingle = call.onNewConnection;
-    const sending = { timeout, signal, isSingle };
-    const answer = await this.#post(address, "/call", content, sending);
+    const sending = { body: content, timeout, signal, isSingle };
+    const answer = await this.#post(address, "/call", sending);
     return answer.andThen((value) => checkServiceAnswer(value, call));
   }
 
@@ -135,10 +153,9 @@
   async #post(
     address: string,
     path: string,
-    content: unknown,
     sending: ISending,
   ): Promise<Result<unknown, ICallFailure>> {
-    const { timeout, signal, isSingle = false } = sending;
+    const { body, timeout, signal, isSingle = false } = sending;
     const attempted = `POST ${path} to ${address}`;
     const dispatcher = isSingle
       ? this.#connections.single(address)
@@ -148,7 +165,7 @@
         method: "POST",
         dispatcher,
         headers: { "content-type": "application/json" },
-        body: JSON.stringify(content),
+        body,
         headersTimeout: timeout,
         bodyTimeout: timeout,
         signal,
--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -2,7 +2,6 @@
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { addressOfServer, splitAddress } from "../../adapters/listen.ts";
-import { HeldRequest } from "./held_request.ts";
 
 /** What happens to the bytes of a link. */
 export enum LinkMode {
@@ -21,14 +20,27 @@
   LoseAnswer = "lose_answer",
 }
 
+/** What happens to the next request that matches. */
+export enum RequestFault {
+  /** It is kept back, with its connection, until released. */
+  Hold = "hold",
+  /** It passes; its connection is reset in place of the answer. */
+  LoseAnswer = "lose_answer",
+}
+
+interface IRequestFault {
+  /** Text of the request, such as `POST /orders`. */
+  readonly text: string;
+  readonly fault: RequestFault;
+}
+
 interface IPair {
   readonly client: Socket;
   readonly target: Socket;
   isSilenced: boolean;
-  /** Its next answer is lost. */
+  /** Bytes kept back; null while the connection is not held. */
+  held: Buffer[] | null;
   losesAnswer: boolean;
-  /** A request held back on this pair, or null. */
-  held: HeldRequest | null;
 }
 
 /** One link: listens on a port of its own and passes on to one target. */
@@ -38,8 +50,7 @@
   readonly #pairs = new Set<IPair>();
   #mode = LinkMode.Pass;
   #delay = 0;
-  #lostTo: string | null = null;
-  #toHold: HeldRequest | null = null;
+  #nextFault: IRequestFault | null = null;
 
   /** @param target - `host:port` that connections are passed on to */
   constructor(target: string) {
@@ -73,18 +84,27 @@
     }
   }
 
-  /**
-   * Loses the answer to the next request whose bytes contain a text: it takes
-   * effect, and the connection is reset in place of the answer.
-   */
-  loseAnswerTo(text: string): void {
-    this.#lostTo = text;
+  /** Brings a fault about at the next request that contains a text. */
+  failNext(text: string, fault: RequestFault): void {
+    this.#nextFault = { text, fault };
+  }
+
+  /** Takes back a fault that has not come about yet. */
+  clearFault(): void {
+    this.#nextFault = null;
   }
 
-  /** Holds back the next request whose bytes contain a text. */
-  holdRequest(text: string): HeldRequest {
-    this.#toHold = new HeldRequest(text);
-    return this.#toHold;
+  /** Whether a fault asked for has not come about yet. */
+  get isFaultDue(): boolean {
+    return this.#nextFault !== null;
+  }
+
+  /** Passes on what was kept back, late as it is. */
+  release(): void {
+    for (const pair of this.#pairs) {
+      pair.held?.forEach((bytes) => pair.target.write(bytes));
+      pair.held = null;
+    }
   }
 
   /** Connections open through this link. */
@@ -108,14 +128,14 @@
       client,
       target,
       isSilenced: false,
-      losesAnswer: false,
       held: null,
+      losesAnswer: false,
     };
     this.#pairs.add(pair);
     client.on("data", (bytes) => this.#toTarget(pair, bytes));
     target.on("data", (bytes) => this.#toClient(pair, bytes));
     client.on("end", () => {
-      if (!pair.held?.isHolding && !this.#isSilent(pair)) {
+      if (pair.held === null && !this.#isSilent(pair)) {
         target.end();
       }
     });
@@ -125,20 +145,15 @@
       }
     });
     for (const socket of [client, target]) {
-      socket.on("error", () => undefined);
+      socket.on("error", () => this.#closed(pair));
       socket.on("close", () => this.#closed(pair));
     }
   }
 
   #toTarget(pair: IPair, bytes: Buffer): void {
-    if (this.#lostTo !== null && bytes.includes(this.#lostTo)) {
-      this.#lostTo = null;
-      pair.losesAnswer = true;
-    }
-    if (this.#toHold !== null && bytes.includes(this.#toHold.text)) {
-      pair.held = this.#toHold;
-      this.#toHold = null;
-      pair.held.take(pair.target, bytes);
+    this.#startFault(pair, bytes);
+    if (pair.held !== null) {
+      pair.held.push(bytes);
       return;
     }
     if (!this.#isSilent(pair) && this.#mode !== LinkMode.NoRequests) {
@@ -146,9 +161,26 @@
     }
   }
 
+  #startFault(pair: IPair, bytes: Buffer): void {
+    const next = this.#nextFault;
+    if (next === null || !bytes.includes(next.text)) {
+      return;
+    }
+    this.#nextFault = null;
+    if (next.fault === RequestFault.Hold) {
+      pair.held = [];
+    } else {
+      pair.losesAnswer = true;
+    }
+  }
+
   #toClient(pair: IPair, bytes: Buffer): void {
-    if (pair.losesAnswer || this.#mode === LinkMode.LoseAnswer) {
-      this.#mode = pair.losesAnswer ? this.#mode : LinkMode.Pass;
+    if (pair.losesAnswer) {
+      reset(pair);
+      return;
+    }
+    if (this.#mode === LinkMode.LoseAnswer) {
+      this.#mode = LinkMode.Pass;
       reset(pair);
       return;
     }
@@ -170,6 +202,9 @@
   }
 
   #closed(pair: IPair): void {
+    if (pair.held !== null) {
+      return;
+    }
     this.#pairs.delete(pair);
     if (!this.#isSilent(pair)) {
       reset(pair);
@@ -177,10 +212,7 @@
   }
 }
 
-/** Resets both sides, but for a target that a held request is yet to reach. */
 function reset(pair: IPair): void {
   pair.client.resetAndDestroy();
-  if (!pair.held?.isHolding) {
-    pair.target.resetAndDestroy();
-  }
+  pair.target.resetAndDestroy();
 }
--- a/test/at_most_once_test.ts
+++ b/test/at_most_once_test.ts
@@ -6,7 +6,10 @@
 import { expect } from "chai";
 import { request } from "undici";
 import { locationOf } from "../src/common/runs/run_location.ts";
-import { LinkMode } from "../src/stand_ins/fault_proxy/fault_proxy.ts";
+import {
+  LinkMode,
+  RequestFault,
+} from "../src/stand_ins/fault_proxy/fault_proxy.ts";
 import { CallFault } from "../src/stand_ins/plain_service/call_fault.ts";
 import { ask } from "./support/caller.ts";
 import type { IReply } from "./support/caller.ts";
@@ -128,14 +131,15 @@
   // The entry instance is replaced just as it asks for the right to run; the
   // caller's connection breaks, and it repeats the call in another zone.
   it("runs once if the daemon dies before its record is made", async () => {
-    const held = deployment.link(LINK_A).holdRequest(RECORD_WRITE);
+    const link = deployment.link(LINK_A);
+    link.failNext(RECORD_WRITE, RequestFault.Hold);
     const first = publishCutOff();
-    await waitFor("the record's write is under way", () => held.isHolding);
+    await waitFor("the record's write is under way", () => !link.isFaultDue);
     await deployment.kill(DAEMON_A);
     expect(await first).to.equal("cut off");
     const second = await publish(ZONE_B);
     expect(second.outcome).to.equal("completed");
-    held.release();
+    link.release();
     expect((await publish(ZONE_B)).answer).to.deep.equal(second.answer);
     expect(await runs()).to.equal(1);
   });
@@ -173,13 +177,14 @@
     await deployment.setFault(SERVICE_A, CallFault.PauseAfter);
     const first = publishCutOff();
     await pausedAtService();
-    const held = deployment.link(LINK_A).holdRequest(RECORD_WRITE);
+    const link = deployment.link(LINK_A);
+    link.failNext(RECORD_WRITE, RequestFault.Hold);
     await deployment.setFault(SERVICE_A, CallFault.None);
-    await waitFor("the finish is under way", () => held.isHolding);
+    await waitFor("the finish is under way", () => !link.isFaultDue);
     await deployment.kill(DAEMON_A);
     expect(await first).to.equal("cut off");
     expect((await publish(ZONE_B)).outcome).to.equal("unknown");
-    held.release();
+    link.release();
     await waitFor("the late finish counts", async () => {
       return (await publish(ZONE_B)).outcome === "completed";
     });
@@ -189,7 +194,8 @@
   // The platform takes the record and its answer is lost on the way. Without
   // reading back, the daemon would take its own record for another's.
   it("runs once if the answer of the record's write is lost", async () => {
-    deployment.link(LINK_A).loseAnswerTo(RECORD_WRITE);
+    const link = deployment.link(LINK_A);
+    link.failNext(RECORD_WRITE, RequestFault.LoseAnswer);
     const first = await publish(ZONE_A);
     expect(first.outcome).to.equal("completed");
     expect((await publish(ZONE_B)).answer).to.deep.equal(first.answer);
@@ -214,12 +220,13 @@
   // The write of the record is delayed in the network, and arrives after the
   // caller was told "not run" and has had its call run elsewhere.
   it("runs once if a delayed record arrives after a repeat", async () => {
-    const held = deployment.link(LINK_A).holdRequest(RECORD_WRITE);
+    const link = deployment.link(LINK_A);
+    link.failNext(RECORD_WRITE, RequestFault.Hold);
     const first = publish(ZONE_A);
-    await waitFor("the record's write is under way", () => held.isHolding);
+    await waitFor("the record's write is under way", () => !link.isFaultDue);
     const second = await publish(ZONE_B);
     expect(second.outcome).to.equal("completed");
-    held.release();
+    link.release();
     expect((await first).answer).to.deep.equal(second.answer);
     expect(await runs()).to.equal(1);
   });
