--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -106,6 +106,7 @@
       yield Err(notRun(Reason.BadRequest, detail));
       return;
     }
+    const { groups } = this.#parts;
     using effort = new EngineEffort(request, this.#parts.clock);
     while (effort.mayTry) {
       const place = await this.#choose(request, effort);
@@ -119,7 +120,9 @@
           break;
         }
         effort.passed(batch.value);
+        groups.heard(place, batch.value.length);
         yield Ok(batch.value);
+        groups.resumed(place);
         if (effort.isWhole) {
           return;
         }
@@ -134,7 +137,6 @@
     effort: EngineEffort,
   ): Promise<IPlace | null> {
     const { clock, groups } = this.#parts;
-    const { name } = request.service;
     const since = clock.now();
     for (;;) {
       const waited = clock.now() - since;
@@ -142,8 +144,8 @@
         effort.forgive();
       }
       const place =
-        groups.chooseGroup(name, effort.suspects) ??
-        groups.chooseGroup(name, effort.givenUp);
+        groups.chooseGroup(request, effort.suspects) ??
+        groups.chooseGroup(request, effort.givenUp);
       const mayWait = effort.position > 0 && waited < LONGEST_WAIT_FOR_GROUP;
       if (place !== null || !mayWait || effort.signal.aborted) {
         return place;
--- a/src/common/services/once_runner.ts
+++ b/src/common/services/once_runner.ts
@@ -146,7 +146,9 @@
     };
     try {
       const nobodyCancels = new AbortController().signal;
-      return await targets.call(place.address, call, nobodyCancels);
+      const answer = await targets.call(place.address, call, nobodyCancels);
+      groups.heard(place, answer.isOk() ? 1 : 0);
+      return answer;
     } finally {
       end();
     }
@@ -174,7 +176,7 @@
   }
 
   #choose(request: ICallerRequest, avoid: ReadonlySet<string>): IPlace | null {
-    return this.#parts.groups.choosePlain(request.service.name, avoid);
+    return this.#parts.groups.choosePlain(request, avoid);
   }
 }
 
--- a/src/common/services/service_runner.ts
+++ b/src/common/services/service_runner.ts
@@ -52,7 +52,7 @@
     const { clock, groups } = this.#parts;
     const avoid = new Set<string>();
     for (let tries = 0; tries < MAXIMUM_TRIES; tries++) {
-      const place = groups.choosePlain(request.service.name, avoid);
+      const place = groups.choosePlain(request, avoid);
       if (place === null || clock.now() >= request.deadline) {
         break;
       }
@@ -84,7 +84,10 @@
       onNewConnection: false,
     };
     try {
-      return await targets.call(place.address, call, request.signal);
+      const { signal } = request;
+      const answer = await targets.call(place.address, call, signal);
+      groups.heard(place, answer.isOk() ? 1 : 0);
+      return answer;
     } finally {
       end();
     }
