--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,8 @@
 /** Wires one daemon: adapters to services, and their starting and stopping. */
-import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
+import {
+  digestOf,
+  HttpCallerServer,
+} from "../adapters/callers/http_caller_server.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
@@ -28,6 +31,7 @@
 import { PeerService } from "../common/services/peer_service.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
+import { RunSweeper } from "../common/services/run_sweeper.ts";
 import { ServiceRunner } from "../common/services/service_runner.ts";
 import { TargetDirectory } from "../common/services/target_directory.ts";
 import { ZoneDomains } from "../common/services/zone_domains.ts";
@@ -43,6 +47,9 @@
 /** The duty of watching the plan lists on behalf of the zone. */
 const WATCH_DUTY = "plan_lists";
 
+/** The duty of removing old run records on behalf of the zone. */
+const SWEEP_DUTY = "run_records";
+
 /** Where a running daemon listens. */
 export interface IDaemonAddresses {
   readonly callers: string;
@@ -70,6 +77,8 @@
   readonly #domains: ZoneDomains;
   readonly #groups: GroupDirectory;
   readonly #health: GroupHealth;
+  readonly #services: ServiceRunner;
+  readonly #sweeper: RunSweeper;
   readonly #dispatcher: CallDispatcher;
   readonly #callers: HttpCallerServer;
   readonly #operations: OperationsServer;
@@ -103,14 +112,9 @@
       },
       settings.groups.freshness,
     );
-    this.#health = new GroupHealth({
-      groups: this.#groups,
-      directory: this.#directory,
-      clock: this.#clock,
-      log,
-      metrics: this.#metrics,
-      alarms: this.#alarms,
-    });
+    this.#health = this.#createHealth();
+    this.#services = this.#createServices();
+    this.#sweeper = this.#createSweeper();
     this.#dispatcher = this.#createDispatcher();
     this.#callers = this.#createCallerServer();
     this.#operations = new OperationsServer(this, this.#metrics);
@@ -179,6 +183,8 @@
     this.#isStopping = true;
     this.#log.info("stopping", { in_flight: this.#dispatcher.inFlight });
     await this.#callers.stop();
+    await this.#services.close();
+    this.#sweeper.dispose();
     await this.#domains.close();
     this.#health.dispose();
     this.#directory.dispose();
@@ -219,6 +225,7 @@
     this.#domains.start();
     this.#health.start();
     this.#peerService.start();
+    this.#sweeper.start();
     this.#digests.start();
     this.#log.info("listening", { callers, peers, operations });
   }
@@ -270,13 +277,59 @@
     );
   }
 
-  #createDispatcher(): CallDispatcher {
+  #createServices(): ServiceRunner {
     const records = new RunRecordService({
       platform: this.#platform,
       clock: this.#clock,
       random: this.#random,
       log: this.#log,
+      metrics: this.#metrics,
+      digest: digestOf,
     });
+    return new ServiceRunner({
+      groups: this.#groups,
+      targets: this.#targets,
+      records,
+      clock: this.#clock,
+    });
+  }
+
+  #createEngines(): EngineRunner {
+    const { first_token, next_token } = this.#settings.calls;
+    return new EngineRunner(
+      {
+        groups: this.#groups,
+        targets: this.#targets,
+        clock: this.#clock,
+        log: this.#log,
+        metrics: this.#metrics,
+      },
+      { firstToken: first_token, nextToken: next_token },
+    );
+  }
+
+  #createSweeper(): RunSweeper {
+    return new RunSweeper({
+      platform: this.#platform,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      isChosen: () => this.#live.isChosen(SWEEP_DUTY, 1),
+    });
+  }
+
+  #createHealth(): GroupHealth {
+    return new GroupHealth({
+      groups: this.#groups,
+      directory: this.#directory,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      alarms: this.#alarms,
+    });
+  }
+
+  #createDispatcher(): CallDispatcher {
     const admission = new AdmissionService({
       groups: this.#groups,
       clock: this.#clock,
@@ -284,13 +337,8 @@
     });
     return new CallDispatcher({
       admission,
-      engines: new EngineRunner(this.#groups, this.#targets, this.#log),
-      services: new ServiceRunner({
-        groups: this.#groups,
-        targets: this.#targets,
-        records,
-        clock: this.#clock,
-      }),
+      engines: this.#createEngines(),
+      services: this.#services,
       clock: this.#clock,
       metrics: this.#metrics,
     });
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -78,6 +78,12 @@
   domains: durationSchema.default(1_000),
 });
 
+/** Longest silences of an engine before its connection is doubted. */
+const callsSchema = z.strictObject({
+  first_token: durationSchema.default(5_000),
+  next_token: durationSchema.default(1_000),
+});
+
 const certificateSchema = z.strictObject({
   certificate: z.string().min(1),
   key: z.string().min(1),
@@ -106,6 +112,7 @@
   services: z.record(z.string().min(1), serviceSchema),
   groups: groupsSchema.prefault({}),
   polling: pollingSchema.prefault({}),
+  calls: callsSchema.prefault({}),
   tls: tlsSchema.prefault({}),
   lists: listsSchema.prefault({}),
 });
--- a/src/stand_ins/engine_member/types.ts
+++ b/src/stand_ins/engine_member/types.ts
@@ -34,7 +34,8 @@
     | "expired"
     | "began"
     | "worked"
-    | "ended";
+    | "ended"
+    | "cancelled";
   readonly at: number;
   readonly group: string;
   readonly generation: number;
