--- a/src/stand_ins/engine_member/types.ts
+++ b/src/stand_ins/engine_member/types.ts
@@ -34,10 +34,13 @@
     | "expired"
     | "began"
     | "worked"
-    | "ended";
+    | "ended"
+    | "cancelled";
   readonly at: number;
   readonly group: string;
   readonly generation: number;
   readonly epoch: number;
   readonly requestId: string;
+  /** Addresses of the group's members, of a request begun or ended. */
+  readonly members: readonly string[];
 }
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -11,6 +11,10 @@
   readonly body: unknown;
   readonly key?: string;
   readonly requestId?: string;
+  /** Called when the first text of a stream has come. */
+  readonly onFirstText?: () => void;
+  /** Aborted when the caller goes away. */
+  readonly signal?: AbortSignal;
 }
 
 /** A buffered answer or a refusal, as the caller sees it. */
@@ -21,6 +25,10 @@
     readonly outcome: string;
     readonly reason?: string;
     readonly answer?: unknown;
+    readonly answer_omitted?: {
+      readonly sha256: string;
+      readonly bytes: number;
+    };
     readonly retry_after_ms?: number;
   };
 }
@@ -51,6 +59,7 @@
         isWhole = true;
       } else {
         text += (JSON.parse(event.data) as { text: string }).text;
+        call.onFirstText?.();
       }
     },
   });
@@ -78,5 +87,6 @@
         : { "x-request-id": call.requestId }),
     },
     body: JSON.stringify(call.body),
+    signal: call.signal,
   });
 }
