--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -157,6 +157,18 @@
   readonly validFor: number;
 }
 
+/** How an order is sent. */
+export interface IOrderOptions {
+  /** Milliseconds. */
+  readonly timeout: number;
+  /**
+   * Asked at the last moment before the order's content is written out. A
+   * process may be paused while it connects; the lease it checked before is
+   * then over, and an engine that ignores fencing numbers would obey.
+   */
+  readonly isStillDue: () => boolean;
+}
+
 /** A request as sent to a replica group's first member. */
 export interface IEngineCall {
   readonly requestId: RequestId;
@@ -182,8 +194,22 @@
   readonly requestId: RequestId;
   readonly operation: string;
   readonly body: unknown;
-  /** Milliseconds until the answer is worth nothing. */
+  /** Milliseconds of silence after which the call is given up. */
   readonly timeout: number;
+  /**
+   * Whether a new connection is made for it: an old one may have gone silent,
+   * and what cannot be sent twice must not be sent into silence.
+   */
+  readonly onNewConnection: boolean;
+}
+
+/** Bounds on an engine's answer, and what cancels it. */
+export interface IGenerateOptions {
+  /** Milliseconds. */
+  readonly firstTokenWithin: number;
+  /** Longest time between two tokens, milliseconds. */
+  readonly nextTokenWithin: number;
+  readonly signal: AbortSignal;
 }
 
 /** Calls to targets: engine members and plain services. */
@@ -195,7 +221,7 @@
   order(
     address: string,
     order: IEngineOrder,
-    timeout: number,
+    options: IOrderOptions,
   ): Promise<Result<void, ICallFailure>>;
   /**
    * Streams tokens in batches as they arrive. Batches of one answer are in
@@ -205,7 +231,7 @@
   generate(
     address: string,
     call: IEngineCall,
-    signal: AbortSignal,
+    options: IGenerateOptions,
   ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>>;
   call(
     address: string,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,8 @@
 /** Wires one daemon: adapters to services, and their starting and stopping. */
-import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
+import {
+  digestOf,
+  HttpCallerServer,
+} from "../adapters/callers/http_caller_server.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
@@ -18,13 +21,17 @@
 import type { IPeerAnswers } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { Alarms } from "../common/services/alarms.ts";
+import { AdmissionService } from "../common/services/admission_service.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
+import type { IDaemonStatus } from "../common/services/daemon_status.ts";
 import { DigestService } from "../common/services/digest_service.ts";
 import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
+import { GroupHealth } from "../common/services/group_health.ts";
 import { PeerService } from "../common/services/peer_service.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
+import { RunSweeper } from "../common/services/run_sweeper.ts";
 import { ServiceRunner } from "../common/services/service_runner.ts";
 import { TargetDirectory } from "../common/services/target_directory.ts";
 import { ZoneDomains } from "../common/services/zone_domains.ts";
@@ -40,6 +47,9 @@
 /** The duty of watching the plan lists on behalf of the zone. */
 const WATCH_DUTY = "plan_lists";
 
+/** The duty of removing old run records on behalf of the zone. */
+const SWEEP_DUTY = "run_records";
+
 /** Where a running daemon listens. */
 export interface IDaemonAddresses {
   readonly callers: string;
@@ -66,6 +76,9 @@
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
   readonly #groups: GroupDirectory;
+  readonly #health: GroupHealth;
+  readonly #services: ServiceRunner;
+  readonly #sweeper: RunSweeper;
   readonly #dispatcher: CallDispatcher;
   readonly #callers: HttpCallerServer;
   readonly #operations: OperationsServer;
@@ -94,9 +107,14 @@
         targets: this.#directory,
         domains: () => this.#domains.all,
         clock: this.#clock,
+        random: this.#random,
+        live: this.#live,
       },
       settings.groups.freshness,
     );
+    this.#health = this.#createHealth();
+    this.#services = this.#createServices();
+    this.#sweeper = this.#createSweeper();
     this.#dispatcher = this.#createDispatcher();
     this.#callers = this.#createCallerServer();
     this.#operations = new OperationsServer(this, this.#metrics);
@@ -124,7 +142,7 @@
   }
 
   /** The daemon's own account of itself, for `cranberryledge status`. */
-  status(): object {
+  status(): IDaemonStatus {
     const { name, zone } = this.#settings.daemon;
     return {
       daemon: name,
@@ -138,16 +156,21 @@
       live_daemons: this.#live.inZone,
       zones: this.#peerService?.zones ?? [],
       alarms: this.#alarms.raised,
-      findings: this.#lists.findings.map(formatFinding),
+      findings: [
+        ...this.#lists.findings,
+        ...(this.#peerService?.findings ?? []),
+      ].map(formatFinding),
       domains: this.#domains.all.map((domain) => ({
         domain: domain.domain,
         holder: domain.record?.holder ?? null,
         epoch: domain.record?.epoch ?? 0,
         holding: domain.isHolding,
       })),
+      spares: this.#health.spares,
       groups: this.#groups.groups().map(({ group, isComplete }) => ({
         ...group,
         complete: isComplete,
+        down_ms: Math.round(this.#health.downFor(group.id)),
       })),
     };
   }
@@ -160,7 +183,10 @@
     this.#isStopping = true;
     this.#log.info("stopping", { in_flight: this.#dispatcher.inFlight });
     await this.#callers.stop();
+    await this.#services.close();
+    this.#sweeper.dispose();
     await this.#domains.close();
+    this.#health.dispose();
     this.#directory.dispose();
     this.#digests.dispose();
     this.#lists.dispose();
@@ -197,7 +223,9 @@
     );
     this.#directory.start();
     this.#domains.start();
+    this.#health.start();
     this.#peerService.start();
+    this.#sweeper.start();
     this.#digests.start();
     this.#log.info("listening", { callers, peers, operations });
   }
@@ -249,21 +277,68 @@
     );
   }
 
-  #createDispatcher(): CallDispatcher {
+  #createServices(): ServiceRunner {
     const records = new RunRecordService({
       platform: this.#platform,
       clock: this.#clock,
       random: this.#random,
       log: this.#log,
+      metrics: this.#metrics,
+      digest: digestOf,
     });
-    return new CallDispatcher({
-      engines: new EngineRunner(this.#groups, this.#targets, this.#log),
-      services: new ServiceRunner({
+    return new ServiceRunner({
+      groups: this.#groups,
+      targets: this.#targets,
+      records,
+      clock: this.#clock,
+    });
+  }
+
+  #createEngines(): EngineRunner {
+    const { first_token, next_token } = this.#settings.calls;
+    return new EngineRunner(
+      {
         groups: this.#groups,
         targets: this.#targets,
-        records,
         clock: this.#clock,
-      }),
+        log: this.#log,
+        metrics: this.#metrics,
+      },
+      { firstToken: first_token, nextToken: next_token },
+    );
+  }
+
+  #createSweeper(): RunSweeper {
+    return new RunSweeper({
+      platform: this.#platform,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+      isChosen: () => this.#live.isChosen(SWEEP_DUTY, 1),
+    });
+  }
+
+  #createHealth(): GroupHealth {
+    return new GroupHealth({
+      groups: this.#groups,
+      directory: this.#directory,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      alarms: this.#alarms,
+    });
+  }
+
+  #createDispatcher(): CallDispatcher {
+    const admission = new AdmissionService({
+      groups: this.#groups,
+      clock: this.#clock,
+      metrics: this.#metrics,
+    });
+    return new CallDispatcher({
+      admission,
+      engines: this.#createEngines(),
+      services: this.#services,
       clock: this.#clock,
       metrics: this.#metrics,
     });
