--- /dev/null
+++ b/src/adapters/peers/forward_handlers.ts
@@ -0,0 +1,50 @@
+/** The listening side of requests handed over by daemons of other zones. */
+import type { ServerWritableStream } from "@grpc/grpc-js";
+import { once } from "node:events";
+import type {
+  IForwardedRequest,
+  TokenBatch,
+} from "../../common/services/forwarding.ts";
+import type { ForwardHandlers } from "../../generated/cranberryledge/Forward.ts";
+import type { ForwardReply } from "../../generated/cranberryledge/ForwardReply.ts";
+import type { ForwardRequest__Output } from "../../generated/cranberryledge/ForwardRequest.ts";
+
+type ForwardCall = ServerWritableStream<ForwardRequest__Output, ForwardReply>;
+
+/** Answers a request handed over. */
+export type ForwardAnswer = (
+  request: IForwardedRequest,
+  signal: AbortSignal,
+) => AsyncIterable<TokenBatch>;
+
+/** Handlers for a gRPC server. */
+export function forwardHandlers(answer: ForwardAnswer): ForwardHandlers {
+  return { Generate: (call) => void serve(call, answer) };
+}
+
+async function serve(call: ForwardCall, answer: ForwardAnswer): Promise<void> {
+  const leaving = new AbortController();
+  call.on("cancelled", () => leaving.abort());
+  try {
+    const { body, ...fields } = call.request;
+    const request = { ...fields, body: JSON.parse(body) as unknown };
+    for await (const batch of answer(request, leaving.signal)) {
+      const hasRoom = call.write(writeBatch(batch));
+      if (leaving.signal.aborted) {
+        return;
+      }
+      if (!hasRoom) {
+        await once(call, "drain", { signal: leaving.signal });
+      }
+    }
+    call.end();
+  } catch (error) {
+    call.destroy(error instanceof Error ? error : new Error(String(error)));
+  }
+}
+
+function writeBatch(batch: TokenBatch): ForwardReply {
+  return batch.isErr()
+    ? { refusal: { ...batch.error } }
+    : { tokens: [...batch.value] };
+}
--- /dev/null
+++ b/src/adapters/peers/grpc_forwarder.ts
@@ -0,0 +1,107 @@
+/** Hands requests to daemons of other zones over gRPC. */
+import { Err, Ok } from "ts-results-es";
+import type { ClientReadableStream } from "@grpc/grpc-js";
+import type {
+  IForwardedRequest,
+  IForwarder,
+  TokenBatch,
+} from "../../common/services/forwarding.ts";
+import { notRun, unknown } from "../../common/services/refusal.ts";
+import { Outcome, Reason } from "../../common/types.ts";
+import type { IRefusal } from "../../common/types.ts";
+import type { ForwardClient } from "../../generated/cranberryledge/Forward.ts";
+import type { ForwardRefusal__Output } from "../../generated/cranberryledge/ForwardRefusal.ts";
+import type { ForwardReply__Output } from "../../generated/cranberryledge/ForwardReply.ts";
+import type { IPeerCredentials } from "../tls/peer_credentials.ts";
+import { forwardApi } from "./forward_api.ts";
+
+/** Heartbeats find a connection that goes silent while a stream is open. */
+const CHANNEL_OPTIONS = {
+  "grpc.use_local_subchannel_pool": 1,
+  "grpc.keepalive_time_ms": 2_000,
+  "grpc.keepalive_timeout_ms": 1_000,
+  "grpc.enable_http_proxy": 0,
+  "grpc.enable_retries": 0,
+};
+
+/**
+ * Keeps one client for each peer address; a client whose stream fails is
+ * dropped with its connection, since a new one may work where it never will.
+ */
+export class GrpcForwarder implements IForwarder {
+  readonly #clients = new Map<string, ForwardClient>();
+  readonly #credentials: IPeerCredentials;
+
+  constructor(credentials: IPeerCredentials) {
+    this.#credentials = credentials;
+  }
+
+  async *generate(
+    address: string,
+    request: IForwardedRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<TokenBatch> {
+    const client = this.#client(address);
+    const deadline = Date.now() + request.remaining;
+    const message = { ...request, body: JSON.stringify(request.body) };
+    const stream = client.generate(message, { deadline });
+    const cancel = () => stream.cancel();
+    signal.addEventListener("abort", cancel, { once: true });
+    try {
+      yield* readStream(stream);
+    } catch (error) {
+      this.#drop(address, client);
+      const detail = `peer ${address}: ${String(error)}`;
+      yield Err(unknown(Reason.TargetLost, detail));
+    } finally {
+      signal.removeEventListener("abort", cancel);
+      stream.cancel();
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#clients.forEach((client) => client.close());
+    this.#clients.clear();
+  }
+
+  #client(address: string): ForwardClient {
+    let client = this.#clients.get(address);
+    if (client === undefined) {
+      const { Forward } = forwardApi.cranberryledge;
+      const secrets = this.#credentials.forChannel();
+      client = new Forward(address, secrets, CHANNEL_OPTIONS);
+      this.#clients.set(address, client);
+    }
+    return client;
+  }
+
+  #drop(address: string, client: ForwardClient): void {
+    if (this.#clients.get(address) === client) {
+      this.#clients.delete(address);
+    }
+    client.close();
+  }
+}
+
+async function* readStream(
+  stream: ClientReadableStream<ForwardReply__Output>,
+): AsyncIterable<TokenBatch> {
+  for await (const item of stream) {
+    const reply = item as ForwardReply__Output;
+    if (reply.refusal !== null) {
+      yield Err(readRefusal(reply.refusal));
+      return;
+    }
+    yield Ok(reply.tokens);
+  }
+}
+
+/** An outcome or reason that is not known is taken for the unsure one. */
+function readRefusal(refusal: ForwardRefusal__Output): IRefusal {
+  const { detail, outcome, retryAfter } = refusal;
+  const reasons = Object.values(Reason);
+  const reason =
+    reasons.find((known) => known === refusal.reason) ?? Reason.TargetLost;
+  const say = outcome === Outcome.NotRun ? notRun : unknown;
+  return say(reason, detail, retryAfter);
+}
--- /dev/null
+++ b/src/common/services/collect_answer.ts
@@ -0,0 +1,27 @@
+/** Puts a stream of tokens together to a whole answer. */
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { Reason } from "../types.ts";
+import type { IRefusal } from "../types.ts";
+import type { TokenBatch } from "./forwarding.ts";
+import { unknown } from "./refusal.ts";
+import type { IBufferedAnswer } from "./types.ts";
+
+/** The whole answer, or why there is none; never a part of it. */
+export async function collectAnswer(
+  batches: AsyncIterable<TokenBatch>,
+): Promise<Result<IBufferedAnswer, IRefusal>> {
+  const parts: string[] = [];
+  for await (const batch of batches) {
+    if (batch.isErr()) {
+      return Err(batch.error);
+    }
+    for (const token of batch.value) {
+      if (token.isEnd) {
+        return Ok({ body: { text: parts.join(""), tokens: parts.length } });
+      }
+      parts.push(token.text);
+    }
+  }
+  return Err(unknown(Reason.TargetLost, "the answer ended early"));
+}
--- /dev/null
+++ b/src/common/services/forward_service.ts
@@ -0,0 +1,101 @@
+/** Runs requests handed over by daemons of other zones. */
+import { Err } from "ts-results-es";
+import type { PlanBook } from "../plans/plan_book.ts";
+import { Reason } from "../types.ts";
+import type { IServiceDefinition, ServiceName } from "../types.ts";
+import type { EngineRunner } from "./engine_runner.ts";
+import type { IForwardedRequest, TokenBatch } from "./forwarding.ts";
+import { notRun } from "./refusal.ts";
+import type { IClock } from "./services.ts";
+import type { ICallerRequest } from "./types.ts";
+
+/** When to come back to a daemon that is shutting down, milliseconds. */
+const SHUTDOWN_RETRY_AFTER = 500;
+
+/**
+ * Serves from this zone's own groups only: a request is handed over once. A
+ * second hop could send it round in circles between two full zones, which one
+ * would notice as load that rises in both without any new caller.
+ */
+export class ForwardService {
+  readonly #engines: EngineRunner;
+  readonly #book: PlanBook;
+  readonly #services: ReadonlyMap<ServiceName, IServiceDefinition>;
+  readonly #clock: IClock;
+  #open = 0;
+  #isStopping = false;
+  #whenIdle: (() => void) | null = null;
+
+  constructor(parts: {
+    readonly engines: EngineRunner;
+    readonly book: PlanBook;
+    readonly services: ReadonlyMap<ServiceName, IServiceDefinition>;
+    readonly clock: IClock;
+  }) {
+    this.#engines = parts.engines;
+    this.#book = parts.book;
+    this.#services = parts.services;
+    this.#clock = parts.clock;
+  }
+
+  /** Answers a request handed over by another zone. */
+  async *answer(
+    forwarded: IForwardedRequest,
+    signal: AbortSignal,
+  ): AsyncIterable<TokenBatch> {
+    if (this.#isStopping) {
+      const detail = "this daemon is shutting down";
+      yield Err(notRun(Reason.ShuttingDown, detail, SHUTDOWN_RETRY_AFTER));
+      return;
+    }
+    const request = this.#find(forwarded, signal);
+    if (request === null) {
+      const detail = "the account, service or operation is not known here";
+      yield Err(notRun(Reason.NoSuchOperation, detail));
+      return;
+    }
+    this.#open += 1;
+    try {
+      yield* this.#engines.stream(request);
+    } finally {
+      this.#open -= 1;
+      if (this.#open === 0) {
+        this.#whenIdle?.();
+      }
+    }
+  }
+
+  /** Refuses new requests; resolves when those in flight are done. */
+  async stop(): Promise<void> {
+    this.#isStopping = true;
+    if (this.#open > 0) {
+      await new Promise<void>((resolve) => {
+        this.#whenIdle = resolve;
+      });
+    }
+  }
+
+  #find(
+    forwarded: IForwardedRequest,
+    signal: AbortSignal,
+  ): ICallerRequest | null {
+    const { body, requestId, resumeFrom } = forwarded;
+    const account = this.#book.accounts.find(
+      ({ customer }) => customer.account === forwarded.account,
+    );
+    const service = this.#services.get(forwarded.service);
+    const operation = service?.operations.get(forwarded.operation);
+    if (!account || !service || !operation) {
+      return null;
+    }
+    const arrivedAt = this.#clock.now();
+    const deadline = arrivedAt + forwarded.remaining;
+    const unused = { bodyDigest: "", key: null };
+    const parties = { account, service, operation };
+    const times = { arrivedAt, deadline };
+    return {
+      ...{ requestId, body, signal, resumeFrom },
+      ...{ ...parties, ...times, ...unused },
+    };
+  }
+}
