--- a/src/common/services/daemon_list.ts
+++ b/src/common/services/daemon_list.ts
@@ -6,6 +6,8 @@
 import { Backoff } from "../backoff.ts";
 import { DisposableStore } from "../disposable.ts";
 import type { IDisposable } from "../disposable.ts";
+import type { IFinding } from "../plans/types.ts";
+import { parseDaemonEntry, readDaemonEntries } from "./daemon_status.ts";
 import type {
   IClock,
   IDaemonEntry,
@@ -48,6 +50,7 @@
   readonly #retry: Backoff;
   readonly #owned = new DisposableStore();
   readonly #missing = new Map<string, number>();
+  #findings: readonly IFinding[] = [];
 
   constructor(
     ports: {
@@ -66,6 +69,11 @@
     this.#retry = new Backoff(ports.random, RETRY_BOUNDS);
   }
 
+  /** Entries of the last reading that are not those of a daemon. */
+  get findings(): readonly IFinding[] {
+    return this.#findings;
+  }
+
   /** Resolves after the first reading, whether or not it succeeded. */
   async start(): Promise<void> {
     await this.#turn();
@@ -100,7 +108,8 @@
       return false;
     }
     const { objects } = listed.value;
-    const entries = objects.map(({ value }) => value as IDaemonEntry);
+    const { entries, findings } = readDaemonEntries(objects);
+    this.#findings = findings;
     const { daemon } = this.#self;
     this.#needs.learned(entries.filter((entry) => entry.daemon !== daemon));
     if (!entries.some((entry) => entry.daemon === daemon)) {
@@ -128,9 +137,9 @@
    */
   async #removeGone(objects: readonly IPlatformObject[]): Promise<void> {
     for (const object of objects) {
-      const entry = object.value as IDaemonEntry;
+      const entry = parseDaemonEntry(object).unwrapOr(null);
       const isGone =
-        entry.zone === this.#self.zone &&
+        entry?.zone === this.#self.zone &&
         entry.daemon !== this.#self.daemon &&
         !this.#needs.isLive(entry);
       const readings = isGone ? (this.#missing.get(object.name) ?? 0) + 1 : 0;
--- a/src/common/services/peer_service.ts
+++ b/src/common/services/peer_service.ts
@@ -10,7 +10,7 @@
 import type { IMember, IMemberNews, IProbe } from "../membership/types.ts";
 import { ZoneLinks } from "../membership/zone_links.ts";
 import type { IServiceLoad, IZoneSummary } from "../membership/zone_links.ts";
-import type { PlanListName } from "../plans/types.ts";
+import type { IFinding, PlanListName } from "../plans/types.ts";
 import type { ICallFailure } from "../types.ts";
 import { DaemonList } from "./daemon_list.ts";
 import { MembershipService } from "./membership_service.ts";
@@ -76,6 +76,11 @@
     return this.#members.live;
   }
 
+  /** Entries on the platform that are not those of a daemon. */
+  get findings(): readonly IFinding[] {
+    return this.#list.findings;
+  }
+
   /** What is known of the other zones, each with its age. */
   get zones(): readonly IZoneSummary[] {
     return this.#zones.summaries(this.#ports.clock.now());
