--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -212,6 +212,7 @@
       arrivedAt,
       deadline: arrivedAt + account.plan.deadline,
       signal,
+      resumeFrom: 0,
     });
   }
 }
--- a/src/adapters/peers/grpc_forwarder.ts
+++ b/src/adapters/peers/grpc_forwarder.ts
@@ -15,6 +15,9 @@
 import type { IPeerCredentials } from "../tls/peer_credentials.ts";
 import { forwardApi } from "./forward_api.ts";
 
+/** When to come back after a peer was lost, milliseconds. */
+const LOST_RETRY_AFTER = 2_000;
+
 /** Heartbeats find a connection that goes silent while a stream is open. */
 const CHANNEL_OPTIONS = {
   "grpc.use_local_subchannel_pool": 1,
@@ -52,7 +55,7 @@
     } catch (error) {
       this.#drop(address, client);
       const detail = `peer ${address}: ${String(error)}`;
-      yield Err(unknown(Reason.TargetLost, detail));
+      yield Err(unknown(Reason.TargetLost, detail, LOST_RETRY_AFTER));
     } finally {
       signal.removeEventListener("abort", cancel);
       stream.cancel();
--- a/src/adapters/peers/grpc_peer_server.ts
+++ b/src/adapters/peers/grpc_peer_server.ts
@@ -7,6 +7,9 @@
 import type { ProbeRequest__Output } from "../../generated/cranberryledge/ProbeRequest.ts";
 import type { ProbeResponse } from "../../generated/cranberryledge/ProbeResponse.ts";
 import type { IPeerCredentials } from "../tls/peer_credentials.ts";
+import { forwardApi } from "./forward_api.ts";
+import { forwardHandlers } from "./forward_handlers.ts";
+import type { ForwardAnswer } from "./forward_handlers.ts";
 import { peerApi } from "./peer_api.ts";
 import {
   readProbe,
@@ -18,6 +21,12 @@
   writeVersions,
 } from "./peer_messages.ts";
 
+/** How a peer server is secured, and who runs what peers hand over. */
+export interface IPeerServerOptions {
+  readonly credentials: IPeerCredentials;
+  readonly forwarded: ForwardAnswer;
+}
+
 /** Answers peers. */
 export class GrpcPeerServer {
   readonly #server = new Server();
@@ -25,13 +34,16 @@
 
   readonly #credentials: IPeerCredentials;
 
-  constructor(answers: IPeerAnswers, credentials: IPeerCredentials) {
-    this.#credentials = credentials;
+  constructor(answers: IPeerAnswers, options: IPeerServerOptions) {
+    this.#credentials = options.credentials;
     this.#answers = answers;
     const handlers = this.#handlers();
     this.#server.addService(peerApi.cranberryledge.Peer.service, {
       ...handlers,
     });
+    this.#server.addService(forwardApi.cranberryledge.Forward.service, {
+      ...forwardHandlers(options.forwarded),
+    });
   }
 
   /** Listens and returns the port taken. */
--- a/src/common/services/admission_service.ts
+++ b/src/common/services/admission_service.ts
@@ -26,6 +26,8 @@
   readonly groups: GroupDirectory;
   readonly clock: IClock;
   readonly metrics: IMetrics;
+  /** Whether another zone can serve a service that this one cannot. */
+  readonly isServedElsewhere: (service: ServiceName) => boolean;
 }
 
 /** A request that was let in. */
@@ -60,20 +62,45 @@
       const detail = `plan ${plan.name} is used up`;
       return this.#count(notRun(refused.reason, detail, refused.retryAfter));
     }
-    const refusal = await this.#wait(request, work);
-    if (refusal !== null) {
+    const admitted = await this.#enterZone(request, work);
+    if ("outcome" in admitted) {
       use.finished(asked, 0);
-      return this.#count(refusal);
+      return admitted;
     }
-    let isFinished = false;
-    const finish = (tokens: number | null) => {
-      if (!isFinished) {
-        isFinished = true;
-        use.finished(asked, Math.min(asked, tokens ?? 0));
-        this.#leave(request, work, tokens);
-      }
-    };
-    return { finish };
+    return once((tokens) => {
+      use.finished(asked, Math.min(asked, tokens ?? 0));
+      admitted.finish(tokens);
+    });
+  }
+
+  /**
+   * Resolves when a request handed over by another zone may run here, or with
+   * the final word. Its plan was looked at where the caller asked.
+   */
+  async enterHandedOver(
+    request: ICallerRequest,
+  ): Promise<IAdmitted | IRefusal> {
+    const work = workOf(request);
+    const refusal = await this.#wait(request, work);
+    return refusal === null
+      ? once((tokens) => this.#leave(request, work, tokens))
+      : this.#count(refusal);
+  }
+
+  /** Work that only another zone can do does not wait for room in this one. */
+  async #enterZone(
+    request: ICallerRequest,
+    work: IWork,
+  ): Promise<IAdmitted | IRefusal> {
+    const { groups, isServedElsewhere } = this.#parts;
+    const { name } = request.service;
+    if (!groups.refresh(name) && isServedElsewhere(name)) {
+      return { finish: () => undefined };
+    }
+    const refusal = await this.#wait(request, work);
+    return refusal === null
+      ? { finish: (tokens) => this.#leave(request, work, tokens) }
+      : this.#count(refusal);
   }
 
   /** Resolves with null when there is room for the work. */
@@ -153,3 +180,15 @@
     return use;
   }
 }
+
+/** An admission whose end counts only the first time. */
+function once(end: (tokens: number | null) => void): IAdmitted {
+  let isFinished = false;
+  const finish = (tokens: number | null) => {
+    if (!isFinished) {
+      isFinished = true;
+      end(tokens);
+    }
+  };
+  return { finish };
+}
--- a/src/common/services/call_dispatcher.ts
+++ b/src/common/services/call_dispatcher.ts
@@ -4,18 +4,18 @@
 import { AnswerKind, Reason, ServiceKind } from "../types.ts";
 import type { IRefusal } from "../types.ts";
 import type { AdmissionService, IAdmitted } from "./admission_service.ts";
-import type { EngineRunner } from "./engine_runner.ts";
+import { collectAnswer } from "./collect_answer.ts";
+import type { TokenBatch } from "./forwarding.ts";
 import { notRun } from "./refusal.ts";
 import type { ServiceRunner } from "./service_runner.ts";
-import type { IEngineToken, IClock, IMetrics } from "./services.ts";
+import type { IClock, IMetrics } from "./services.ts";
+import type { SpillingEngineRunner } from "./spilling_engine_runner.ts";
 import type { CallerAnswer, ICallerRequest } from "./types.ts";
 
-type TokenBatch = Result<readonly IEngineToken[], IRefusal>;
-
 /** The one way from a checked request to its answer. */
 export class CallDispatcher {
   readonly #admission: AdmissionService;
-  readonly #engines: EngineRunner;
+  readonly #engines: SpillingEngineRunner;
   readonly #services: ServiceRunner;
   readonly #clock: IClock;
   readonly #metrics: IMetrics;
@@ -23,7 +23,7 @@
 
   constructor(parts: {
     readonly admission: AdmissionService;
-    readonly engines: EngineRunner;
+    readonly engines: SpillingEngineRunner;
     readonly services: ServiceRunner;
     readonly clock: IClock;
     readonly metrics: IMetrics;
@@ -69,10 +69,11 @@
     admitted: IAdmitted,
   ): Promise<Result<CallerAnswer, IRefusal>> {
     const isEngine = request.service.kind === ServiceKind.Engine;
-    const runner = isEngine ? this.#engines : this.#services;
     let tokens: number | null = null;
     try {
-      const answer = await runner.run(request);
+      const answer = isEngine
+        ? await collectAnswer(this.#engines.stream(request))
+        : await this.#services.run(request);
       if (answer.isOk()) {
         tokens = isEngine ? tokensOf(answer.value.body) : 1;
       }
--- a/src/common/services/engine_effort.ts
+++ b/src/common/services/engine_effort.ts
@@ -21,13 +21,14 @@
   readonly #endOfTime: { dispose(): void };
   readonly #end = () => this.#ending.abort();
   #tries = 0;
-  #position = 0;
+  #position: number;
   #isWhole = false;
   #isLate = false;
   #mayHaveRun = false;
 
   constructor(request: ICallerRequest, clock: IClock) {
     this.request = request;
+    this.#position = request.resumeFrom;
     const left = Math.max(0, request.deadline - clock.now());
     this.#endOfTime = clock.after(left, () => {
       this.#isLate = true;
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -3,9 +3,10 @@
 import type { Result } from "ts-results-es";
 import { z } from "zod";
 import { CallFailureKind, Reason } from "../types.ts";
-import type { ICallFailure, IRefusal } from "../types.ts";
+import type { ICallFailure, IRefusal, ServiceName } from "../types.ts";
 import { EngineEffort } from "./engine_effort.ts";
 import type { GroupDirectory, IPlace } from "./group_directory.ts";
+import type { TokenBatch } from "./forwarding.ts";
 import { notRun, unknown } from "./refusal.ts";
 import type {
   IClock,
@@ -14,7 +15,7 @@
   IMetrics,
   ITargets,
 } from "./services.ts";
-import type { IBufferedAnswer, ICallerRequest } from "./types.ts";
+import type { ICallerRequest } from "./types.ts";
 
 /** When to come back if no replica group can serve, milliseconds. */
 const NO_REPLICA_RETRY_AFTER = 2_000;
@@ -47,7 +48,6 @@
 });
 
 type GenerateBody = z.infer<typeof generateSchema>;
-type TokenBatch = Result<readonly IEngineToken[], IRefusal>;
 
 /** What the runner works with. */
 export interface IEngineParts {
@@ -56,6 +56,8 @@
   readonly clock: IClock;
   readonly log: ILog;
   readonly metrics: IMetrics;
+  /** Whether another zone could go on with a service's broken streams. */
+  readonly isServedElsewhere: (service: ServiceName) => boolean;
 }
 
 /** Longest silences of an engine, milliseconds. */
@@ -74,25 +76,6 @@
     this.#bounds = bounds;
   }
 
-  /** The whole answer, or why there is none. */
-  async run(
-    request: ICallerRequest,
-  ): Promise<Result<IBufferedAnswer, IRefusal>> {
-    const parts: string[] = [];
-    for await (const batch of this.stream(request)) {
-      if (batch.isErr()) {
-        return Err(batch.error);
-      }
-      for (const token of batch.value) {
-        if (token.isEnd) {
-          return Ok({ body: { text: parts.join(""), tokens: parts.length } });
-        }
-        parts.push(token.text);
-      }
-    }
-    return Err(unknown(Reason.TargetLost, "the answer ended early"));
-  }
-
   /**
    * Tokens in order without gaps. A stream that breaks goes on from the last
    * position, on another group or on a new connection to the same; if that
@@ -146,7 +129,9 @@
       const place =
         groups.chooseGroup(request, effort.suspects) ??
         groups.chooseGroup(request, effort.givenUp);
-      const mayWait = effort.position > 0 && waited < LONGEST_WAIT_FOR_GROUP;
+      const isBegun = effort.position > 0;
+      const isTimeLeft = waited < LONGEST_WAIT_FOR_GROUP;
+      const mayWait = isBegun && isTimeLeft && !this.#isElsewhere(request);
       if (place !== null || !mayWait || effort.signal.aborted) {
         return place;
       }
@@ -156,6 +141,13 @@
     }
   }
 
+  /** Whether another zone can go on at once where this one cannot. */
+  #isElsewhere(request: ICallerRequest): boolean {
+    const { groups, isServedElsewhere } = this.#parts;
+    const { name } = request.service;
+    return !groups.refresh(name) && isServedElsewhere(name);
+  }
+
   async *#attempt(
     body: GenerateBody,
     on: { readonly place: IPlace; readonly effort: EngineEffort },
--- a/src/common/services/forward_service.ts
+++ b/src/common/services/forward_service.ts
@@ -3,6 +3,7 @@
 import type { PlanBook } from "../plans/plan_book.ts";
 import { Reason } from "../types.ts";
 import type { IServiceDefinition, ServiceName } from "../types.ts";
+import type { AdmissionService } from "./admission_service.ts";
 import type { EngineRunner } from "./engine_runner.ts";
 import type { IForwardedRequest, TokenBatch } from "./forwarding.ts";
 import { notRun } from "./refusal.ts";
@@ -18,6 +19,7 @@
  * would notice as load that rises in both without any new caller.
  */
 export class ForwardService {
+  readonly #admission: AdmissionService;
   readonly #engines: EngineRunner;
   readonly #book: PlanBook;
   readonly #services: ReadonlyMap<ServiceName, IServiceDefinition>;
@@ -27,11 +29,13 @@
   #whenIdle: (() => void) | null = null;
 
   constructor(parts: {
+    readonly admission: AdmissionService;
     readonly engines: EngineRunner;
     readonly book: PlanBook;
     readonly services: ReadonlyMap<ServiceName, IServiceDefinition>;
     readonly clock: IClock;
   }) {
+    this.#admission = parts.admission;
     this.#engines = parts.engines;
     this.#book = parts.book;
     this.#services = parts.services;
@@ -56,7 +60,7 @@
     }
     this.#open += 1;
     try {
-      yield* this.#engines.stream(request);
+      yield* this.#run(request);
     } finally {
       this.#open -= 1;
       if (this.#open === 0) {
@@ -75,6 +79,23 @@
     }
   }
 
+  async *#run(request: ICallerRequest): AsyncIterable<TokenBatch> {
+    const admitted = await this.#admission.enterHandedOver(request);
+    if ("outcome" in admitted) {
+      yield Err(admitted);
+      return;
+    }
+    let tokens = 0;
+    try {
+      for await (const batch of this.#engines.stream(request)) {
+        tokens += batch.isOk() ? batch.value.length : 0;
+        yield batch;
+      }
+    } finally {
+      admitted.finish(tokens);
+    }
+  }
+
   #find(
     forwarded: IForwardedRequest,
     signal: AbortSignal,
--- a/src/common/services/spilling_engine_runner.ts
+++ b/src/common/services/spilling_engine_runner.ts
@@ -15,7 +15,6 @@
   ISpillTarget,
   TokenBatch,
 } from "./forwarding.ts";
-import type { GroupDirectory } from "./group_directory.ts";
 import { unknown } from "./refusal.ts";
 import type { IClock, ILog, IMetrics } from "./services.ts";
 import type { ICallerRequest } from "./types.ts";
@@ -26,7 +25,6 @@
 /** What the runner works with. */
 export interface ISpillingParts {
   readonly local: EngineRunner;
-  readonly groups: GroupDirectory;
   readonly forwarder: IForwarder;
   /** Daemons of zones that have complete groups of a service, best first. */
   readonly targets: (service: ServiceName) => readonly ISpillTarget[];
@@ -115,18 +113,16 @@
   }
 
   /**
-   * Only where this zone has no complete group at all: a refusal for load is
-   * the caller's final answer, and handing it on would move a full zone's
-   * load to its neighbours all at once.
+   * Only where this zone's groups are missing or broke off. A refusal for load
+   * is the caller's final answer and is given before this is reached: handing
+   * it on would move a full zone's load to its neighbours all at once.
    */
   #maySpill(request: ICallerRequest, refusal: IRefusal | null): boolean {
-    const { clock, groups } = this.#parts;
     const isLost =
       refusal?.reason === Reason.NoReplica ||
       refusal?.reason === Reason.TargetLost;
-    const isDark = groups.chooseGroup(request.service.name, new Set()) === null;
-    const hasTime = clock.now() < request.deadline;
-    return isLost && isDark && hasTime && !request.signal.aborted;
+    const hasTime = this.#parts.clock.now() < request.deadline;
+    return isLost && hasTime && !request.signal.aborted;
   }
 }
 
--- a/src/common/services/types.ts
+++ b/src/common/services/types.ts
@@ -27,6 +27,8 @@
   readonly deadline: MonotonicTime;
   /** Aborted when the caller's connection is gone. */
   readonly signal: AbortSignal;
+  /** Sequence number of the first token wanted; 0 for a new run. */
+  readonly resumeFrom: number;
 }
 
 /** A whole answer. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,13 +1,11 @@
 /** Wires one daemon: adapters to services, and their starting and stopping. */
-import {
-  digestOf,
-  HttpCallerServer,
-} from "../adapters/callers/http_caller_server.ts";
+import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { GrpcPeerServer } from "../adapters/peers/grpc_peer_server.ts";
+import { GrpcForwarder } from "../adapters/peers/grpc_forwarder.ts";
 import { GrpcPeers } from "../adapters/peers/grpc_peers.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
 import {
@@ -21,17 +19,12 @@
 import type { IPeerAnswers } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { Alarms } from "../common/services/alarms.ts";
-import { AdmissionService } from "../common/services/admission_service.ts";
-import { CallDispatcher } from "../common/services/call_dispatcher.ts";
 import type { IDaemonStatus } from "../common/services/daemon_status.ts";
 import { DigestService } from "../common/services/digest_service.ts";
-import { EngineRunner } from "../common/services/engine_runner.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
 import { PeerService } from "../common/services/peer_service.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
-import { RunRecordService } from "../common/services/run_record_service.ts";
 import { RunSweeper } from "../common/services/run_sweeper.ts";
-import { ServiceRunner } from "../common/services/service_runner.ts";
 import { TargetDirectory } from "../common/services/target_directory.ts";
 import { ZoneDomains } from "../common/services/zone_domains.ts";
 import { zoneLoads } from "../common/services/zone_loads.ts";
@@ -39,6 +32,7 @@
 import type { IDaemonEntry } from "../common/services/services.ts";
 import { OperationsServer } from "./operations_server.ts";
 import type { IStatusSource } from "./operations_server.ts";
+import { RequestPath } from "./request_path.ts";
 import { serviceDefinitions } from "./settings.ts";
 import type { Settings } from "./settings.ts";
 import { domainOptions } from "./domain_options.ts";
@@ -75,9 +69,9 @@
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
   readonly #groups: GroupDirectory;
-  readonly #services: ServiceRunner;
   readonly #sweeper: RunSweeper;
-  readonly #dispatcher: CallDispatcher;
+  readonly #forwarder: GrpcForwarder;
+  readonly #path: RequestPath;
   readonly #callers: HttpCallerServer;
   readonly #operations: OperationsServer;
   readonly #peerServer: GrpcPeerServer;
@@ -110,9 +104,9 @@
       },
       settings.groups.freshness,
     );
-    this.#services = this.#createServices();
     this.#sweeper = this.#createSweeper();
-    this.#dispatcher = this.#createDispatcher();
+    this.#forwarder = new GrpcForwarder(this.#credentials);
+    this.#path = this.#createPath();
     this.#callers = this.#createCallerServer();
     this.#operations = new OperationsServer(this, this.#metrics);
     this.#digests = this.#createDigests();
@@ -147,7 +141,7 @@
       zone,
       ready: this.isReady,
       stopping: this.#isStopping,
-      in_flight: this.#dispatcher.inFlight,
+      in_flight: this.#path.dispatcher.inFlight,
       lists: this.#lists.versions,
       lists_age_ms: this.#lists.age,
       live_daemons: this.#live.inZone,
@@ -176,9 +170,9 @@
       return;
     }
     this.#isStopping = true;
-    this.#log.info("stopping", { in_flight: this.#dispatcher.inFlight });
+    this.#log.info("stopping", { in_flight: this.#path.dispatcher.inFlight });
     await this.#callers.stop();
-    await this.#services.close();
+    await this.#path.close();
     this.#sweeper.dispose();
     await this.#domains.close();
     this.#directory.dispose();
@@ -187,6 +181,7 @@
     await this.#peerService?.leave();
     await this.#peerServer[Symbol.asyncDispose]();
     await this.#peers[Symbol.asyncDispose]();
+    await this.#forwarder[Symbol.asyncDispose]();
     await this.#operations[Symbol.asyncDispose]();
     await this.#targets[Symbol.asyncDispose]();
     await this.#platform[Symbol.asyncDispose]();
@@ -270,37 +265,6 @@
     );
   }
 
-  #createServices(): ServiceRunner {
-    const records = new RunRecordService({
-      platform: this.#platform,
-      clock: this.#clock,
-      random: this.#random,
-      log: this.#log,
-      metrics: this.#metrics,
-      digest: digestOf,
-    });
-    return new ServiceRunner({
-      groups: this.#groups,
-      targets: this.#targets,
-      records,
-      clock: this.#clock,
-    });
-  }
-
-  #createEngines(): EngineRunner {
-    const { first_token, next_token } = this.#settings.calls;
-    return new EngineRunner(
-      {
-        groups: this.#groups,
-        targets: this.#targets,
-        clock: this.#clock,
-        log: this.#log,
-        metrics: this.#metrics,
-      },
-      { firstToken: first_token, nextToken: next_token },
-    );
-  }
-
   #createSweeper(): RunSweeper {
     return new RunSweeper({
       platform: this.#platform,
@@ -311,24 +275,24 @@
     });
   }
 
-  #createDispatcher(): CallDispatcher {
-    const admission = new AdmissionService({
+  #createPath(): RequestPath {
+    return new RequestPath(this.#settings, {
+      platform: this.#platform,
+      targets: this.#targets,
       groups: this.#groups,
+      forwarder: this.#forwarder,
+      book: this.#lists.book,
+      zones: () => this.#peerService?.zones ?? [],
       clock: this.#clock,
-      metrics: this.#metrics,
-    });
-    return new CallDispatcher({
-      admission,
-      engines: this.#createEngines(),
-      services: this.#services,
-      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
       metrics: this.#metrics,
     });
   }
 
   #createCallerServer(): HttpCallerServer {
     return new HttpCallerServer({
-      dispatcher: this.#dispatcher,
+      dispatcher: this.#path.dispatcher,
       book: this.#lists.book,
       areListsReady: () => this.#lists.isReady,
       services: serviceDefinitions(this.#settings),
@@ -391,6 +355,10 @@
       zones: (question) => started().answerZones(question),
       text: (list) => this.#lists.book.text(list),
     };
-    return new GrpcPeerServer(answers, this.#credentials);
+    const { forwards } = this.#path;
+    return new GrpcPeerServer(answers, {
+      credentials: this.#credentials,
+      forwarded: (request, signal) => forwards.answer(request, signal),
+    });
   }
 }
--- /dev/null
+++ b/src/daemon/request_path.ts
@@ -0,0 +1,127 @@
+/** Wires the way of a request: admission, runners, and other zones. */
+import { digestOf } from "../adapters/callers/http_caller_server.ts";
+import type { GrpcForwarder } from "../adapters/peers/grpc_forwarder.ts";
+import { chooseSpillTargets } from "../common/decisions/spill.ts";
+import type { IZoneSummary } from "../common/membership/zone_links.ts";
+import type { PlanBook } from "../common/plans/plan_book.ts";
+import { AdmissionService } from "../common/services/admission_service.ts";
+import { CallDispatcher } from "../common/services/call_dispatcher.ts";
+import { EngineRunner } from "../common/services/engine_runner.ts";
+import { ForwardService } from "../common/services/forward_service.ts";
+import type { ISpillTarget } from "../common/services/forwarding.ts";
+import type { GroupDirectory } from "../common/services/group_directory.ts";
+import { RunRecordService } from "../common/services/run_record_service.ts";
+import { ServiceRunner } from "../common/services/service_runner.ts";
+import type {
+  IClock,
+  ILog,
+  IMetrics,
+  IPlatform,
+  IRandom,
+  ITargets,
+} from "../common/services/services.ts";
+import { SpillingEngineRunner } from "../common/services/spilling_engine_runner.ts";
+import { ServiceKind } from "../common/types.ts";
+import type { ServiceName } from "../common/types.ts";
+import { serviceDefinitions } from "./settings.ts";
+import type { Settings } from "./settings.ts";
+
+/** What the way of a request is made of. */
+export interface IRequestPathParts {
+  readonly platform: IPlatform;
+  readonly targets: ITargets;
+  readonly groups: GroupDirectory;
+  readonly forwarder: GrpcForwarder;
+  readonly book: PlanBook;
+  /** What is known of the other zones. */
+  readonly zones: () => readonly IZoneSummary[];
+  readonly clock: IClock;
+  readonly random: IRandom;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+}
+
+/** Everything between a checked request and its answer. */
+export class RequestPath {
+  readonly dispatcher: CallDispatcher;
+  readonly forwards: ForwardService;
+  readonly #parts: IRequestPathParts;
+  readonly #settings: Settings;
+  readonly #services: ServiceRunner;
+
+  constructor(settings: Settings, parts: IRequestPathParts) {
+    this.#settings = settings;
+    this.#parts = parts;
+    const { book, clock, metrics } = parts;
+    const admission = this.#createAdmission();
+    const engines = this.#createEngines();
+    const services = serviceDefinitions(settings);
+    this.#services = this.#createServices();
+    this.forwards = new ForwardService({
+      ...{ admission, engines, book, services, clock },
+    });
+    this.dispatcher = new CallDispatcher({
+      admission,
+      engines: this.#createSpilling(engines),
+      services: this.#services,
+      clock,
+      metrics,
+    });
+  }
+
+  /** Lets requests of other zones and calls that run once finish. */
+  async close(): Promise<void> {
+    await this.forwards.stop();
+    await this.#services.close();
+  }
+
+  #createAdmission(): AdmissionService {
+    const { clock, groups, metrics } = this.#parts;
+    return new AdmissionService({
+      ...{ groups, clock, metrics },
+      isServedElsewhere: (service) => this.#isServedElsewhere(service),
+    });
+  }
+
+  #createEngines(): EngineRunner {
+    const { clock, groups, log, metrics, targets } = this.#parts;
+    const { first_token, next_token } = this.#settings.calls;
+    return new EngineRunner(
+      {
+        ...{ groups, targets, clock, log, metrics },
+        isServedElsewhere: (service) => this.#isServedElsewhere(service),
+      },
+      { firstToken: first_token, nextToken: next_token },
+    );
+  }
+
+  #createSpilling(local: EngineRunner): SpillingEngineRunner {
+    const { clock, forwarder, log, metrics } = this.#parts;
+    return new SpillingEngineRunner({
+      ...{ local, forwarder, clock, log, metrics },
+      targets: (service) => this.#spillTargets(service),
+    });
+  }
+
+  #createServices(): ServiceRunner {
+    const { clock, groups, log, metrics, platform, random, targets } =
+      this.#parts;
+    const records = new RunRecordService({
+      ...{ platform, clock, random, log, metrics },
+      digest: digestOf,
+    });
+    return new ServiceRunner({ groups, targets, records, clock });
+  }
+
+  /** Plain services are called in their own zone only. */
+  #isServedElsewhere(service: ServiceName): boolean {
+    const { kind } = this.#settings.services[service] ?? {};
+    const isEngine = kind === ServiceKind.Engine;
+    return isEngine && this.#spillTargets(service).length > 0;
+  }
+
+  #spillTargets(service: ServiceName): readonly ISpillTarget[] {
+    const { random, zones } = this.#parts;
+    return chooseSpillTargets(zones(), service, () => random.next());
+  }
+}
