--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -22,6 +22,7 @@
 import type { IDaemonStatus } from "../common/services/daemon_status.ts";
 import { DigestService } from "../common/services/digest_service.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
+import { GroupHealth } from "../common/services/group_health.ts";
 import { PeerService } from "../common/services/peer_service.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunSweeper } from "../common/services/run_sweeper.ts";
@@ -69,6 +70,7 @@
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
   readonly #groups: GroupDirectory;
+  readonly #health: GroupHealth;
   readonly #sweeper: RunSweeper;
   readonly #forwarder: GrpcForwarder;
   readonly #path: RequestPath;
@@ -104,6 +106,7 @@
       },
       settings.groups.freshness,
     );
+    this.#health = this.#createHealth();
     this.#sweeper = this.#createSweeper();
     this.#forwarder = new GrpcForwarder(this.#credentials);
     this.#path = this.#createPath();
@@ -157,9 +160,11 @@
         epoch: domain.record?.epoch ?? 0,
         holding: domain.isHolding,
       })),
+      spares: this.#health.spares,
       groups: this.#groups.groups().map(({ group, isComplete }) => ({
         ...group,
         complete: isComplete,
+        down_ms: Math.round(this.#health.downFor(group.id)),
       })),
     };
   }
@@ -175,6 +180,7 @@
     await this.#path.close();
     this.#sweeper.dispose();
     await this.#domains.close();
+    this.#health.dispose();
     this.#directory.dispose();
     this.#digests.dispose();
     this.#lists.dispose();
@@ -212,6 +218,7 @@
     );
     this.#directory.start();
     this.#domains.start();
+    this.#health.start();
     this.#peerService.start();
     this.#sweeper.start();
     this.#digests.start();
@@ -275,6 +282,17 @@
     });
   }
 
+  #createHealth(): GroupHealth {
+    return new GroupHealth({
+      groups: this.#groups,
+      directory: this.#directory,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      alarms: this.#alarms,
+    });
+  }
+
   #createPath(): RequestPath {
     return new RequestPath(this.#settings, {
       platform: this.#platform,
@@ -328,7 +346,6 @@
       {
         peers: this.#peers,
         clock: this.#clock,
-        random: this.#random,
         hash: this.#hash,
         metrics: this.#metrics,
         directory: this.#directory,
