Report service-level burn by service and client account

Weighed: keeping counts on the platform, which would cost writes that grow with the fleet. Conclusion: counts do not outlast a daemon, and the report says since when each has counted and whose are missing.

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -7,6 +7,7 @@
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import type { PlanBook } from "../../common/plans/plan_book.ts";
+import type { BurnRecorder } from "../../common/reports/burn_recorder.ts";
 import { notRun } from "../../common/services/refusal.ts";
 import type { CallDispatcher } from "../../common/services/call_dispatcher.ts";
 import type {
@@ -56,6 +57,7 @@
   readonly random: IRandom;
   readonly log: ILog;
   readonly metrics: IMetrics;
+  readonly burn: BurnRecorder;
   /** Files for TLS; null to listen without. */
   readonly certificate: ICertificateFiles | null;
 }
@@ -145,12 +147,17 @@
     const leaving = new AbortController();
     response.on("close", () => leaving.abort());
     const request = await this.#check(incoming, requestId, leaving.signal);
-    const answer = request.isErr()
+    const served = request.isOk()
+      ? this.#parts.burn.begin(request.value)
+      : null;
+    const dispatched = request.isErr()
       ? Err(request.error)
       : await this.#parts.dispatcher.dispatch(request.value);
+    const answer = served?.watch(dispatched) ?? dispatched;
     const sent = answer.isErr()
       ? sendRefusal(response, requestId, answer.error)
       : await sendAnswer(response, requestId, answer.value);
+    served?.end(sent);
     this.#note(incoming, requestId, { sent, started });
   }
 
--- /dev/null
+++ b/src/command_line/commands/report_burn.ts
@@ -0,0 +1,52 @@
+/** `cranberryledge report burn`: service-level burn over several windows. */
+import { writeFileSync } from "node:fs";
+import { Option } from "clipanion";
+import { formatBurnPage } from "../../common/reports/burn_page.ts";
+import { mergeBurn } from "../../common/reports/burn_report.ts";
+import { formatBurn } from "../../common/reports/burn_text.ts";
+import type { IDaemonBurn } from "../../common/reports/burn_types.ts";
+import { askDaemons } from "../daemon_statuses.ts";
+import { ExitCode } from "../exit_code.ts";
+import { PlatformCommand } from "./platform_command.ts";
+
+/** Merges what every daemon counted. */
+export class ReportBurnCommand extends PlatformCommand {
+  static override paths = [["report", "burn"]];
+  static override usage = PlatformCommand.Usage({
+    description: "show service-level burn by service and client account",
+    details: `
+      Counts are merged from all daemons that answer. A daemon's counts do not
+      outlast it: the report says since when each has counted.
+    `,
+  });
+
+  json = Option.Boolean("--json", false, {
+    description: "one JSON document for programs",
+  });
+  page = Option.String("--html", {
+    description: "write one HTML page with plots to this file",
+  });
+
+  override async execute(): Promise<number> {
+    await using platform = this.connect();
+    const asked = await askDaemons<IDaemonBurn>(platform, "/burn");
+    if (asked.isErr()) {
+      this.context.stderr.write(`${asked.error.detail}\n`);
+      return ExitCode.Unreachable;
+    }
+    const { daemons } = asked.value;
+    const answers = daemons.flatMap(({ answer }) => answer ?? []);
+    const silent = daemons
+      .filter(({ answer }) => answer === null)
+      .map(({ entry }) => entry.daemon);
+    const report = mergeBurn(answers, silent, Date.now());
+    if (this.page !== undefined) {
+      writeFileSync(this.page, formatBurnPage(report));
+    }
+    const text = this.json
+      ? `${JSON.stringify(report, null, 2)}\n`
+      : formatBurn(report);
+    this.context.stdout.write(text);
+    return ExitCode.Done;
+  }
+}
--- a/src/command_line/main.ts
+++ b/src/command_line/main.ts
@@ -4,6 +4,7 @@
 import { ApplyCommand } from "./commands/apply.ts";
 import { CheckCommand } from "./commands/check.ts";
 import { GetCommand } from "./commands/get.ts";
+import { ReportBurnCommand } from "./commands/report_burn.ts";
 import { StatusCommand } from "./commands/status.ts";
 
 const cli = new Cli({
@@ -14,5 +15,6 @@
 cli.register(ApplyCommand);
 cli.register(CheckCommand);
 cli.register(GetCommand);
+cli.register(ReportBurnCommand);
 cli.register(StatusCommand);
 await cli.runExit(process.argv.slice(2));
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -17,6 +17,8 @@
 import { splitAddress } from "../adapters/listen.ts";
 import type { IPeerAnswers } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
+import { BurnRecorder } from "../common/reports/burn_recorder.ts";
+import type { IDaemonBurn } from "../common/reports/burn_types.ts";
 import { Alarms } from "../common/services/alarms.ts";
 import { AdmissionService } from "../common/services/admission_service.ts";
 import { CallDispatcher } from "../common/services/call_dispatcher.ts";
@@ -35,7 +37,7 @@
 import type { IDaemonEntry } from "../common/services/services.ts";
 import { OperationsServer } from "./operations_server.ts";
 import type { IStatusSource } from "./operations_server.ts";
-import { serviceDefinitions } from "./settings.ts";
+import { burnObjectives, serviceDefinitions } from "./settings.ts";
 import type { Settings } from "./settings.ts";
 import { domainOptions } from "./domain_options.ts";
 
@@ -64,6 +66,7 @@
   readonly #peers: GrpcPeers;
   readonly #live: LiveDaemons;
   readonly #alarms: Alarms;
+  readonly #burn: BurnRecorder;
   readonly #lists: PlanListService;
   readonly #directory: TargetDirectory;
   readonly #domains: ZoneDomains;
@@ -88,6 +91,7 @@
     this.#live = new LiveDaemons(this.#id, hash);
     this.#platform = new HttpPlatform(`http://${settings.platform.address}`);
     this.#alarms = new Alarms(this.#clock, log, { metrics: this.#metrics });
+    this.#burn = new BurnRecorder(this.#clock, burnObjectives(settings));
     this.#lists = this.#createLists();
     this.#directory = this.#createDirectory();
     this.#domains = this.#createDomains();
@@ -159,6 +163,11 @@
     };
   }
 
+  /** What callers got, for `cranberryledge report burn`. */
+  burn(): IDaemonBurn {
+    return this.#burn.read(this.#id, this.#settings.daemon.zone);
+  }
+
   /** Finishes all in flight, gives leases back, and stops. */
   async stop(): Promise<void> {
     if (this.#isStopping) {
@@ -286,6 +295,7 @@
     return new HttpCallerServer({
       dispatcher: this.#dispatcher,
       book: this.#lists.book,
+      burn: this.#burn,
       areListsReady: () => this.#lists.isReady,
       services: serviceDefinitions(this.#settings),
       clock: this.#clock,
--- a/src/daemon/operations_server.ts
+++ b/src/daemon/operations_server.ts
@@ -7,10 +7,11 @@
 /** A daemon's own account of itself. */
 export interface IStatusSource {
   status(): object;
+  burn(): object;
   readonly isReady: boolean;
 }
 
-/** Serves `/status`, `/ready` and `/metrics`. */
+/** Serves `/status`, `/burn`, `/ready` and `/metrics`. */
 export class OperationsServer {
   readonly #source: IStatusSource;
   readonly #metrics: PrometheusMetrics;
@@ -42,6 +43,10 @@
         response.setHeader("content-type", "application/json");
         response.end(JSON.stringify(this.#source.status()));
         return;
+      case "/burn":
+        response.setHeader("content-type", "application/json");
+        response.end(JSON.stringify(this.#source.burn()));
+        return;
       case "/ready":
         response.statusCode = this.#source.isReady ? 200 : 503;
         response.end();
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -5,6 +5,7 @@
 import { durationSchema } from "../common/plans/duration.ts";
 import { checkDocument } from "../common/plans/findings.ts";
 import type { IFinding } from "../common/plans/types.ts";
+import type { Objectives } from "../common/reports/burn_types.ts";
 import { AnswerKind, ServiceKind } from "../common/types.ts";
 import type {
   IOperationDefinition,
@@ -65,6 +66,29 @@
   domains: durationSchema.default(1_000),
 });
 
+const shareSchema = z.number().gt(0).lt(1);
+
+/** What the burn report holds services to. */
+const objectivesSchema = z.strictObject({
+  whole_on_time: z
+    .strictObject({ share: shareSchema.default(0.999) })
+    .prefault({}),
+  /** Source: the target of 0.82 s for 95 in 100. */
+  first_token: z
+    .strictObject({
+      share: shareSchema.default(0.95),
+      within: durationSchema.default(820),
+    })
+    .prefault({}),
+  /** Source: the target of 58 ms for 95 in 100. */
+  between_tokens: z
+    .strictObject({
+      share: shareSchema.default(0.95),
+      within: durationSchema.default(58),
+    })
+    .prefault({}),
+});
+
 const certificateSchema = z.strictObject({
   certificate: z.string().min(1),
   key: z.string().min(1),
@@ -95,6 +119,7 @@
   polling: pollingSchema.prefault({}),
   tls: tlsSchema.prefault({}),
   lists: listsSchema.prefault({}),
+  objectives: objectivesSchema.prefault({}),
 });
 
 /** Settings as checked; durations are milliseconds. */
@@ -116,6 +141,12 @@
   return readTextFile(path).andThen((text) => checkSettings(path, text));
 }
 
+/** What the burn report holds services to. */
+export function burnObjectives(settings: Settings): Objectives {
+  const { whole_on_time: whole, ...tokens } = settings.objectives;
+  return { whole_on_time: { ...whole, within: null }, ...tokens };
+}
+
 /** The services of the settings, as the rest of the program knows them. */
 export function serviceDefinitions(
   settings: Settings,
--- a/test/plan_lists_outage_test.ts
+++ b/test/plan_lists_outage_test.ts
@@ -8,9 +8,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { PLAN_LIST_KIND } from "../src/common/plans/types.ts";
+import type { IBurnReport } from "../src/common/reports/burn_report.ts";
 import type { IDaemonStatus } from "../src/common/services/daemon_status.ts";
 import { LinkMode } from "../src/stand_ins/fault_proxy/fault_proxy.ts";
-import { ask } from "./support/caller.ts";
+import { ask, askStream } from "./support/caller.ts";
 import { Deployment } from "./support/deployment.ts";
 import { Operator } from "./support/operator.ts";
 import { waitFor } from "./support/process_handle.ts";
@@ -251,4 +252,39 @@
       await hasAlarm(daemon, "platform_behind", false);
     }
   });
+
+  it("are followed by status and the burn report", async () => {
+    const address = ["--platform", deployment.platformAddress];
+    const credential = "editor-desk-secret";
+    for (const daemon of daemons) {
+      await callStatus(daemon, credential);
+      const stream = await askStream({
+        address: deployment.process(daemon).field("callers"),
+        credential,
+        operation: "summarizer/long-brief",
+        body: { prompt: "wire story", maximum_tokens: 20 },
+      });
+      expect(stream.isWhole).to.equal(true);
+    }
+    const status = await deployment.run("status", ...address);
+    expect(status.output).to.match(/customers +1\d{12} +1\d{12} +1\d{12}/);
+    expect(status.output).to.match(/vn-north-c-fabric +daemon-vn-north-c-/);
+    const told = await deployment.run("report", "burn", "--json", ...address);
+    const { rows, daemons: counted } = JSON.parse(told.output) as IBurnReport;
+    expect(counted).to.have.length(daemons.length);
+    const streams = rows.filter(
+      ({ service, account }) =>
+        service === "summarizer" && account === "editor-desk",
+    );
+    const totals = streams.map(({ measure, windows }) => [
+      measure,
+      windows.at(-1)?.total,
+    ]);
+    expect(totals.slice(0, 2)).to.deep.equal([
+      ["whole_on_time", daemons.length],
+      ["first_token", daemons.length],
+    ]);
+    expect(streams[0]?.windows.at(-1)?.bad).to.equal(0);
+    expect(streams[2]?.windows.at(-1)?.total).to.be.above(daemons.length);
+  });
 });
