--- a/src/common/reports/reports_test.ts
+++ b/src/common/reports/reports_test.ts
@@ -68,6 +68,7 @@
     findings: [],
     domains: [],
     groups: [],
+    spares: [],
     ...changes,
   };
   return { entry, answer, failure: "" };
@@ -129,6 +130,7 @@
       members,
       incarnations: [],
       complete: true,
+      down_ms: 0,
     };
     const report = {
       now: NOW,
--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -137,10 +137,18 @@
     this.#pairs.add(pair);
     client.on("data", (bytes) => this.#toTarget(pair, bytes));
     target.on("data", (bytes) => this.#toClient(pair, bytes));
-    client.on("end", () => pair.held ?? target.end());
-    target.on("end", () => client.end());
+    client.on("end", () => {
+      if (pair.held === null && !this.#isSilent(pair)) {
+        target.end();
+      }
+    });
+    target.on("end", () => {
+      if (!this.#isSilent(pair)) {
+        client.end();
+      }
+    });
     for (const socket of [client, target]) {
-      socket.on("error", () => pair.held ?? reset(pair));
+      socket.on("error", () => this.#closed(pair));
       socket.on("close", () => this.#closed(pair));
     }
   }
@@ -201,7 +209,7 @@
       return;
     }
     this.#pairs.delete(pair);
-    if (!pair.isSilenced) {
+    if (!this.#isSilent(pair)) {
       reset(pair);
     }
   }
