--- a/bench/support/peer_wire.ts
+++ b/bench/support/peer_wire.ts
@@ -48,7 +48,12 @@
   };
   const answers = { probed: () => probe } as unknown as IPeerAnswers;
   const plain = new PlainPeerCredentials();
-  await using server = new GrpcPeerServer(answers, plain);
+  await using server = new GrpcPeerServer(answers, {
+    credentials: plain,
+    forwarded: () => {
+      throw new Error("nothing is handed over here");
+    },
+  });
   const port = await server.listen("127.0.0.1:0");
   const relay = await startCountingRelay(port);
   await using peers = new GrpcPeers(plain);
@@ -76,6 +81,9 @@
   let bytes = 0;
   const server = createServer((client) => {
     const onward = connect(target, "127.0.0.1");
+    // Else small frames wait for delayed acknowledgements, 40 ms a call.
+    client.setNoDelay(true);
+    onward.setNoDelay(true);
     client.on("data", (data) => {
       bytes += data.length;
       onward.write(data);
