--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -219,6 +219,7 @@
       arrivedAt,
       deadline: arrivedAt + account.plan.deadline,
       signal,
+      resumeFrom: 0,
     });
   }
 }
