--- a/src/adapters/metrics/help_texts_test.ts
+++ b/test/metrics_help_test.ts
@@ -1,8 +1,8 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { expect } from "chai";
-import { HELP_TEXTS } from "./help_texts.ts";
+import { HELP_TEXTS } from "../src/adapters/metrics/help_texts.ts";
 
-const SOURCES = new URL("../../", import.meta.url).pathname;
+const SOURCES = new URL("../src/", import.meta.url).pathname;
 const USE = /\b(?:count|observe|gauge)\(\s*"([^"]+)"/g;
 
 describe("metrics", () => {
