--- a/src/common/services/domain_service.ts
+++ b/src/common/services/domain_service.ts
@@ -16,7 +16,6 @@
 import { MemberWatch } from "../groups/member_watch.ts";
 import type { IWatchPolicy } from "../groups/member_watch.ts";
 import { isBehind, planOrders } from "../groups/orders.ts";
-import type { IAddressedOrder } from "../groups/orders.ts";
 import { LeaseActionKind } from "../groups/types.ts";
 import type {
   IDomainRecord,
@@ -25,13 +24,8 @@
   LeaseAction,
 } from "../groups/types.ts";
 import { formatFinding } from "../plans/findings.ts";
-import { CallFailureKind } from "../types.ts";
-import type {
-  DaemonId,
-  DomainName,
-  InstanceId,
-  MonotonicTime,
-} from "../types.ts";
+import type { DaemonId, DomainName } from "../types.ts";
+import { OrderSender } from "./order_sender.ts";
 import { WriteFailureKind } from "./services.ts";
 import type {
   IClock,
@@ -50,7 +44,7 @@
  * Daemons of a zone that read a domain's record often. Three, so that two are
  * left to take over from a holder that dies. Were all to read as often, the
  * 37 daemons of a zone at the target size would take the platform's whole
- * rate of reads: see docs/CAPACITY.md.
+ * rate of reads: see docs/DESIGN.md.
  */
 const OBSERVERS = 3;
 
@@ -86,11 +80,7 @@
   readonly #lease: DomainLease;
   readonly #owned = new DisposableStore();
   readonly #watch: MemberWatch;
-  /** Orders on their way, by instance. */
-  readonly #ordering = new Map<InstanceId, Promise<void>>();
-  readonly #orderedAt = new Map<InstanceId, MonotonicTime>();
-  /** Until when an order whose answer was lost may still take effect. */
-  #ordersEndAt = Number.NEGATIVE_INFINITY;
+  readonly #orders: OrderSender;
   #lastRead = Number.NEGATIVE_INFINITY;
   #isReading = false;
   #isClosing = false;
@@ -104,6 +94,9 @@
       options.lease,
     );
     this.#watch = new MemberWatch(options.watch);
+    this.#orders = new OrderSender(ports, () =>
+      this.#lease.mayOrder(ports.clock.now()),
+    );
   }
 
   get domain(): DomainName {
@@ -114,11 +107,6 @@
     return this.#lease.state === LeaseState.Holding;
   }
 
-  /** Whether a member has come and gone so often that it is kept out. */
-  isHeldOut(instance: InstanceId): boolean {
-    return this.#watch.isHeld(instance, this.#ports.clock.now());
-  }
-
   /** The newest record seen, or null. */
   get record(): IDomainRecord | null {
     return this.#lease.seen?.record ?? null;
@@ -137,8 +125,7 @@
    */
   async close(): Promise<void> {
     this.#isClosing = true;
-    await Promise.all(this.#ordering.values());
-    await this.#waitUntil(this.#ordersEndAt);
+    await this.#orders.settled();
     this.#owned.dispose();
     const actions = this.#lease.giveBack(this.#ports.clock.now());
     await Promise.all(actions.map((action) => this.#perform(action)));
@@ -190,7 +177,7 @@
       return;
     }
     for (const order of planOrders(record, view, policy)) {
-      this.#send(order);
+      this.#orders.send(order);
     }
   }
 
@@ -199,46 +186,10 @@
     const here = [...instances.values()].filter(
       (instance) => instance.domain === this.domain && instance.service === "",
     );
-    const orderedAt = this.#orderedAt;
+    const { orderedAt } = this.#orders;
     return { instances: here, reports, now, orderedAt, watch: this.#watch };
   }
 
-  #send(addressed: IAddressedOrder): void {
-    const { instance } = addressed;
-    if (this.#ordering.has(instance)) {
-      return;
-    }
-    const sending = this.#order(addressed).finally(() => {
-      this.#ordering.delete(instance);
-    });
-    this.#ordering.set(instance, sending);
-  }
-
-  async #order({ instance, address, order }: IAddressedOrder): Promise<void> {
-    const { clock, log, targets } = this.#ports;
-    const answer = await targets.order(address, order, {
-      timeout: order.validFor,
-      isStillDue: () => this.#lease.mayOrder(clock.now()),
-    });
-    const now = clock.now();
-    this.#orderedAt.set(instance, now);
-    if (answer.isErr() && answer.error.kind === CallFailureKind.Unknown) {
-      this.#ordersEndAt = now + order.validFor;
-    }
-    const { group, generation, epoch, kind } = order;
-    const result = answer.isOk() ? "accepted" : answer.error.detail;
-    const fields = { kind, instance, group, generation, epoch, result };
-    log.info("engine_order", fields);
-  }
-
-  #waitUntil(end: MonotonicTime): Promise<void> {
-    const { clock } = this.#ports;
-    const left = end - clock.now();
-    return left <= 0
-      ? Promise.resolve()
-      : new Promise((resolve) => void clock.after(left, resolve));
-  }
-
   #performAll(actions: readonly LeaseAction[]): void {
     for (const action of actions) {
       void this.#perform(action);
