Fetch the list of instances only when it has changed

Cause: every daemon read the list whole each second, which at 2,300 entries is by far the most of its traffic; and an entry without its parts was taken. Ruled out: two readers a zone with the list on digests, which needs a protocol of its own for what HTTP's conditional requests do. Change: ETag and If-None-Match in the platform's adapter and in the stand-in (the Cobra paper's crawler saves its fetches by the same means); a list that does not parse is refused with its place and the last good one stays.

--- /dev/null
+++ b/bench/support/counting_relay.ts
@@ -0,0 +1,44 @@
+/** A relay on 127.0.0.1 that counts the bytes of both directions. */
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** A running relay. */
+export interface ICountingRelay {
+  readonly port: number;
+  bytes(): number;
+  close(): void;
+}
+
+/** @param target - the port on 127.0.0.1 that connections are passed on to */
+export async function startCountingRelay(
+  target: number,
+): Promise<ICountingRelay> {
+  let bytes = 0;
+  const server = createServer((client) => {
+    const onward = connect(target, "127.0.0.1");
+    // Else small frames wait for delayed acknowledgements, 40 ms a call.
+    client.setNoDelay(true);
+    onward.setNoDelay(true);
+    client.on("data", (data) => {
+      bytes += data.length;
+      onward.write(data);
+    });
+    onward.on("data", (data) => {
+      bytes += data.length;
+      client.write(data);
+    });
+    const end = () => {
+      client.destroy();
+      onward.destroy();
+    };
+    for (const socket of [client, onward]) {
+      socket.on("close", end);
+      socket.on("error", end);
+    }
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve()),
+  );
+  const { port } = server.address() as AddressInfo;
+  return { port, bytes: () => bytes, close: () => server.close() };
+}
--- a/bench/support/peer_wire.ts
+++ b/bench/support/peer_wire.ts
@@ -1,6 +1,4 @@
 /** What one call between daemons costs on a real connection. */
-import { connect, createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { GrpcPeers } from "../../src/adapters/peers/grpc_peers.ts";
 import { GrpcPeerServer } from "../../src/adapters/peers/grpc_peer_server.ts";
 import { peerApi } from "../../src/adapters/peers/peer_api.ts";
@@ -10,6 +8,7 @@
 import { MemberState } from "../../src/common/membership/types.ts";
 import type { IProbe } from "../../src/common/membership/types.ts";
 import { PlanListName } from "../../src/common/plans/types.ts";
+import { startCountingRelay } from "./counting_relay.ts";
 
 const WARM_UP = 500;
 const CALLS = 3_000;
@@ -76,34 +75,3 @@
     processorTime: (user + system) / CALLS,
   };
 }
-
-async function startCountingRelay(target: number) {
-  let bytes = 0;
-  const server = createServer((client) => {
-    const onward = connect(target, "127.0.0.1");
-    // Else small frames wait for delayed acknowledgements, 40 ms a call.
-    client.setNoDelay(true);
-    onward.setNoDelay(true);
-    client.on("data", (data) => {
-      bytes += data.length;
-      onward.write(data);
-    });
-    onward.on("data", (data) => {
-      bytes += data.length;
-      client.write(data);
-    });
-    const end = () => {
-      client.destroy();
-      onward.destroy();
-    };
-    for (const socket of [client, onward]) {
-      socket.on("close", end);
-      socket.on("error", end);
-    }
-  });
-  await new Promise<void>((resolve) =>
-    server.listen(0, "127.0.0.1", () => resolve()),
-  );
-  const { port } = server.address() as AddressInfo;
-  return { port, bytes: () => bytes, close: () => server.close() };
-}
--- a/src/adapters/platform/http_platform.ts
+++ b/src/adapters/platform/http_platform.ts
@@ -1,4 +1,5 @@
 /** The platform's object API over HTTP. Replace this folder for another form. */
+import type { IncomingHttpHeaders } from "node:http";
 import { Err, None, Ok, Some } from "ts-results-es";
 import type { Option, Result } from "ts-results-es";
 import { Agent, request } from "undici";
@@ -14,6 +15,8 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, IInstance } from "../../common/types.ts";
 import { failureOf } from "../http_failure.ts";
+import { InstanceList } from "./instance_list.ts";
+import type { ITaggedAnswer } from "./instance_list.ts";
 
 /** The platform answers in milliseconds; a longer silence is a failure. */
 const CALL_TIMEOUT = 2_000;
@@ -28,14 +31,10 @@
 const STATUS_TOO_MANY = 429;
 const STATUS_UNAVAILABLE = 503;
 
-interface IAnswer {
-  readonly status: number;
-  readonly body: unknown;
-}
-
 /** Speaks the object API by conditional HTTP requests and long polls. */
 export class HttpPlatform implements IPlatform {
   readonly #origin: string;
+  readonly #instanceList = new InstanceList();
   readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT } });
 
   /** @param origin - such as `http://10.0.0.1:8080` */
@@ -106,12 +105,11 @@
   }
 
   async instances(): Promise<Result<readonly IInstance[], ICallFailure>> {
-    const answer = await this.#get("/instances", CALL_TIMEOUT);
-    return answer
-      .andThen((value) =>
-        this.#expectOk<{ instances: readonly IInstance[] }>(value),
-      )
-      .map((body) => body.instances);
+    const answer = await this.#send("GET", "/instances", {
+      headers: this.#instanceList.headers,
+      timeout: CALL_TIMEOUT,
+    });
+    return answer.andThen((value) => this.#instanceList.take(value));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -122,7 +120,7 @@
     path: string,
     timeout: number,
     signal?: AbortSignal,
-  ): Promise<Result<IAnswer, ICallFailure>> {
+  ): Promise<Result<ITaggedAnswer, ICallFailure>> {
     return this.#send("GET", path, { timeout, signal });
   }
 
@@ -135,7 +133,7 @@
       readonly timeout?: number;
       readonly signal?: AbortSignal;
     },
-  ): Promise<Result<IAnswer, ICallFailure>> {
+  ): Promise<Result<ITaggedAnswer, ICallFailure>> {
     const timeout = options.timeout ?? CALL_TIMEOUT;
     try {
       const answer = await request(`${this.#origin}${path}`, {
@@ -149,13 +147,17 @@
       });
       const text = await answer.body.text();
       const body: unknown = text === "" ? null : JSON.parse(text);
-      return Ok({ status: answer.statusCode, body });
+      return Ok({
+        status: answer.statusCode,
+        body,
+        tag: tagOf(answer.headers),
+      });
     } catch (error) {
       return Err(failureOf(`platform ${method} ${path}`, error));
     }
   }
 
-  #expectOk<T>(answer: IAnswer): Result<T, ICallFailure> {
+  #expectOk<T>(answer: ITaggedAnswer): Result<T, ICallFailure> {
     if (answer.status === STATUS_OK) {
       return Ok(answer.body as T);
     }
@@ -164,12 +166,16 @@
   }
 }
 
+function tagOf(headers: IncomingHttpHeaders): string | null {
+  return typeof headers["etag"] === "string" ? headers["etag"] : null;
+}
+
 function objectPath(kind: string, name: string): string {
   return `/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
 }
 
 function settleWrite(
-  answer: Result<IAnswer, ICallFailure>,
+  answer: Result<ITaggedAnswer, ICallFailure>,
 ): Result<unknown, IWriteFailure> {
   if (answer.isErr()) {
     const isUnsent = answer.error.kind === CallFailureKind.NotSent;
--- a/src/stand_ins/object_api/object_api_server.ts
+++ b/src/stand_ins/object_api/object_api_server.ts
@@ -8,6 +8,7 @@
 import { PlatformFaults } from "./platform_faults.ts";
 import type { IFaultControl } from "./platform_faults.ts";
 
+const STATUS_NOT_MODIFIED = 304;
 const STATUS_NOT_FOUND = 404;
 const STATUS_CONFLICT = 412;
 const STATUS_TOO_LARGE = 413;
@@ -29,6 +30,7 @@
   readonly #store = new ObjectStore();
   readonly #instances = new Map<string, IInstance>();
   #listed: readonly IInstance[] = [];
+  #listing = 0;
   readonly #counts = new Map<string, number>();
   readonly #faults = new PlatformFaults();
   readonly #server = new JsonServer((request) => this.#handle(request));
@@ -45,7 +47,7 @@
     await this.#server[Symbol.asyncDispose]();
   }
 
-  #handle(request: IJsonRequest): Promise<IJsonAnswer> | IJsonAnswer {
+  #handle(request: IJsonRequest): Promise<IJsonAnswer> | IJsonAnswer | null {
     const [area, kind = ""] = request.parts;
     switch (area) {
       case "objects":
@@ -151,7 +153,8 @@
     return [...objects, ...late];
   }
 
-  #instanceCall(request: IJsonRequest, id: string): IJsonAnswer {
+  /** Answers with the list; without a body if the asker holds it. */
+  #instanceCall(request: IJsonRequest, id: string): IJsonAnswer | null {
     if (request.method === "PUT") {
       this.#instances.set(id, request.body as IInstance);
       this.#publishLater();
@@ -159,6 +162,12 @@
       this.#instances.delete(id);
       this.#publishLater();
     }
+    const tag = `"${this.#listing}"`;
+    request.response.setHeader("etag", tag);
+    if (request.headers["if-none-match"] === tag) {
+      request.response.writeHead(STATUS_NOT_MODIFIED).end();
+      return null;
+    }
     return ok({ instances: this.#listed });
   }
 
@@ -166,6 +175,7 @@
     const now = [...this.#instances.values()];
     setTimeout(() => {
       this.#listed = now;
+      this.#listing += 1;
     }, this.#options.instanceLag);
   }
 
