Let a stopping daemon finish, and bound what callers send

Cause: a stopping daemon closed all connections as soon as its last answer was handed to Node, which may cut its last bytes, and closed its port at once; the last log lines were lost in the log transport, so "stopped" was never seen; a body over the bound destroyed the connection before its answer; slow senders were looked for every 30 s; two requests with the same id could not be told apart at a target.

Change: streams in flight are waited for until their responses close, new connections are told to ask elsewhere until then, and the log is flushed; headers are checked (once, bounded, printable), bodies over the bound get 413 whole; each sending has an id of its own.

Conclusion: 100 streams open at SIGTERM all came whole and the process exited by itself; members leaving by list, report or refusal got no new work.

--- a/src/adapters/callers/caller_answers.ts
+++ b/src/adapters/callers/caller_answers.ts
@@ -14,6 +14,7 @@
   [Reason.NotInPlan]: 403,
   [Reason.NoSuchOperation]: 404,
   [Reason.BadRequest]: 400,
+  [Reason.BodyTooLarge]: 413,
   [Reason.KeyRequired]: 400,
   [Reason.KeyReused]: 422,
   [Reason.InProgress]: 409,
@@ -31,6 +32,12 @@
   [Reason.CallerLeft]: 499,
 };
 
+/** How long a body that is too long is read and dropped, milliseconds. */
+const LONGEST_LINGER = 2_000;
+
+/** How long a caller may take nothing of its stream, milliseconds. */
+const SLOWEST_CALLER = 30_000;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Writes a refusal in its one documented shape; returns its outcome. */
@@ -50,14 +57,40 @@
     detail: refusal.detail,
     retry_after_ms: refusal.retryAfter,
   });
+  if (refusal.reason === Reason.BodyTooLarge) {
+    response.setHeader("connection", "close");
+  }
   response.writeHead(STATUS_BY_REASON[refusal.reason], {
     "content-type": "application/json",
     "content-length": Buffer.byteLength(body),
   });
-  response.end(body);
+  if (refusal.reason === Reason.BodyTooLarge) {
+    void endAfterBody(response, body);
+  } else {
+    response.end(body);
+  }
   return refusal.outcome;
 }
 
+/**
+ * Sends an answer while the caller still sends its body. Closing at once would
+ * reset the connection under the unread bytes, and the caller would lose the
+ * answer; so what it sends is dropped for a while before the close.
+ */
+async function endAfterBody(
+  response: ServerResponse,
+  body: string,
+): Promise<void> {
+  response.write(body);
+  const incoming = response.req;
+  await new Promise<void>((resolve) => {
+    const timer = setTimeout(resolve, LONGEST_LINGER);
+    incoming.on("close", resolve).on("end", resolve).resume();
+    response.on("close", () => clearTimeout(timer));
+  });
+  response.end();
+}
+
 /** Writes an answer; returns the outcome as the caller sees it. */
 export async function sendAnswer(
   response: ServerResponse,
@@ -139,10 +172,15 @@
   return JSON.stringify({ request_id: requestId, outcome, tokens });
 }
 
-/** Waits for a slow caller, or for its connection to close. */
+/**
+ * Waits for a slow caller, or for its connection to close. One that takes
+ * nothing at all would hold its engine's slot for good, so it is cut off.
+ */
 function drained(response: ServerResponse): Promise<void> {
   return new Promise((resolve) => {
+    const timer = setTimeout(() => response.destroy(), SLOWEST_CALLER);
     const done = () => {
+      clearTimeout(timer);
       response.off("drain", done);
       response.off("close", done);
       resolve();
--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -28,6 +28,8 @@
   readCertificate,
 } from "../tls/certificate_reloader.ts";
 import type { ICertificateFiles } from "../tls/types.ts";
+import { callerRequestId, checkHeaders } from "./caller_headers.ts";
+import { answerBadRequest } from "./client_errors.ts";
 import { readBody } from "./read_body.ts";
 import { sendAnswer, sendRefusal } from "./caller_answers.ts";
 
@@ -37,6 +39,12 @@
 const HEADERS_TIMEOUT = 5_000;
 const REQUEST_TIMEOUT = 15_000;
 
+/** How often slow senders are looked for; Node's own 30 s lets them pile up. */
+const CHECK_CONNECTIONS_EVERY = 1_000;
+
+/** How long a closing server waits for the last bytes to leave. */
+const CLOSE_BOUND = 2_000;
+
 /** When to come back while the plan lists are not known, milliseconds. */
 const LISTS_RETRY_AFTER = 2_000;
 
@@ -75,15 +83,18 @@
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT,
       requestTimeout: REQUEST_TIMEOUT,
+      connectionsCheckingInterval: CHECK_CONNECTIONS_EVERY,
     };
     const serve = (incoming: IncomingMessage, response: ServerResponse) =>
       void this.#serve(incoming, response);
     if (parts.certificate === null) {
       this.#server = createServer(limits, serve);
+      this.#server.on("clientError", answerBadRequest);
       return;
     }
     const secure = { ...limits, ...readCertificate(parts.certificate) };
     const server = createSecureServer(secure, serve);
+    server.on("clientError", answerBadRequest);
     this.#server = server;
     this.#reloader = new CertificateReloader(
       server,
@@ -97,18 +108,30 @@
     return addressOfServer(this.#server, address);
   }
 
-  /** Lets everything in flight finish, then closes. */
+  /**
+   * Lets everything in flight finish, then closes. Until then new connections
+   * are still taken, and told to ask elsewhere: a balancer that has not
+   * noticed yet would otherwise meet a closed port.
+   */
   async stop(): Promise<void> {
     this.#isStopping = true;
     this.#reloader?.dispose();
-    this.#server.close();
     this.#server.closeIdleConnections();
     if (this.#open > 0) {
       await new Promise<void>((resolve) => {
         this.#whenIdle = resolve;
       });
     }
-    this.#server.closeAllConnections();
+    const closed = new Promise<void>((resolve) => {
+      this.#server.close(() => resolve());
+    });
+    const timer = setTimeout(
+      () => this.#server.closeAllConnections(),
+      CLOSE_BOUND,
+    );
+    this.#server.closeIdleConnections();
+    await closed;
+    clearTimeout(timer);
   }
 
   async #serve(
@@ -116,8 +139,9 @@
     response: ServerResponse,
   ): Promise<void> {
     this.#open += 1;
+    response.on("close", () => this.#closed());
     const requestId =
-      readHeader(incoming, "x-request-id") ?? this.#parts.random.identifier();
+      callerRequestId(incoming) ?? this.#parts.random.identifier();
     response.setHeader("x-request-id", requestId);
     if (this.#isStopping) {
       response.setHeader("connection", "close");
@@ -125,17 +149,28 @@
     try {
       await this.#answer(incoming, response, requestId);
     } catch (error) {
-      const detail = String(error);
-      this.#parts.log.error("caller_fault", { request: requestId, detail });
-      response.destroy();
-    } finally {
-      this.#open -= 1;
-      if (this.#open === 0) {
-        this.#whenIdle?.();
-      }
+      this.#failed(requestId, response, error);
+    }
+  }
+
+  /** An answer is with the network, whole, or its connection is gone. */
+  #closed(): void {
+    this.#open -= 1;
+    if (this.#open === 0) {
+      this.#whenIdle?.();
     }
   }
 
+  #failed(requestId: string, response: ServerResponse, error: unknown): void {
+    if (response.destroyed) {
+      this.#parts.log.info("caller_left", { request: requestId });
+      return;
+    }
+    const detail = String(error);
+    this.#parts.log.error("caller_fault", { request: requestId, detail });
+    response.destroy();
+  }
+
   async #answer(
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -196,9 +231,15 @@
       const detail = "expected POST /v1/services/SERVICE/OPERATION";
       return Err(notRun(Reason.NoSuchOperation, detail));
     }
+    const headers = checkHeaders(incoming);
+    if (headers.isErr()) {
+      return Err(notRun(Reason.BadRequest, headers.error));
+    }
     const body = await readBody(incoming, MAXIMUM_BODY_BYTES);
     if (body.isErr()) {
-      return Err(notRun(Reason.BadRequest, body.error));
+      const { detail, isTooLong } = body.error;
+      const reason = isTooLong ? Reason.BodyTooLarge : Reason.BadRequest;
+      return Err(notRun(reason, detail));
     }
     const arrivedAt = clock.now();
     return Ok({
@@ -208,7 +249,7 @@
       operation,
       body: body.value.content,
       bodyDigest: digestOf(body.value.text),
-      key: readHeader(incoming, "idempotency-key"),
+      key: headers.value.key,
       arrivedAt,
       deadline: arrivedAt + account.plan.deadline,
       signal,
@@ -216,11 +257,6 @@
   }
 }
 
-function readHeader(incoming: IncomingMessage, name: string): string | null {
-  const value = incoming.headers[name];
-  return typeof value === "string" && value !== "" ? value : null;
-}
-
 function bearer(incoming: IncomingMessage): string {
   const [scheme, credential] = (incoming.headers.authorization ?? "").split(
     " ",
--- a/src/adapters/callers/read_body.ts
+++ b/src/adapters/callers/read_body.ts
@@ -9,21 +9,34 @@
   readonly content: unknown;
 }
 
+/** What is wrong with a body. */
+export interface IBodyFault {
+  readonly detail: string;
+  readonly isTooLong: boolean;
+}
+
 /**
- * @param maximumBytes - a longer body is refused without being read
+ * Reads a body; one that is too long is left unread from there on, with its
+ * connection open, so that the caller can still be told.
+ *
+ * @param maximumBytes - a longer body is refused
  * @returns the body, or what is wrong with it
  */
 export async function readBody(
   incoming: IncomingMessage,
   maximumBytes: number,
-): Promise<Result<IBody, string>> {
+): Promise<Result<IBody, IBodyFault>> {
   const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of incoming) {
+  let length = Number(incoming.headers["content-length"] ?? 0);
+  if (length > maximumBytes) {
+    return tooLong(maximumBytes);
+  }
+  length = 0;
+  for await (const chunk of incoming.iterator({ destroyOnReturn: false })) {
     const bytes = chunk as Buffer;
     length += bytes.length;
     if (length > maximumBytes) {
-      return Err(`the body is longer than ${maximumBytes} bytes`);
+      return tooLong(maximumBytes);
     }
     chunks.push(bytes);
   }
@@ -32,6 +45,12 @@
     const content: unknown = text === "" ? null : JSON.parse(text);
     return Ok({ text, content });
   } catch (error) {
-    return Err(`the body is not JSON: ${String(error)}`);
+    const detail = `the body is not JSON: ${String(error)}`;
+    return Err({ detail, isTooLong: false });
   }
 }
+
+function tooLong(maximumBytes: number): Result<IBody, IBodyFault> {
+  const detail = `the body is longer than ${maximumBytes} bytes`;
+  return Err({ detail, isTooLong: true });
+}
--- a/src/adapters/log/logfmt_log.ts
+++ b/src/adapters/log/logfmt_log.ts
@@ -1,22 +1,26 @@
 /** Log lines as key=value pairs on standard output, one event a line. */
+import { once } from "node:events";
+import type { Writable } from "node:stream";
 import { pino } from "pino";
-import type { DestinationStream, Logger } from "pino";
+import type { Logger } from "pino";
 import * as pinoLogfmt from "pino-logfmt";
 import type { ILog, LogFields } from "../../common/services/services.ts";
 
 /** The transport's default export, which its typings leave out. */
 const createTransport = (
   pinoLogfmt as unknown as {
-    default: (options: object) => Promise<DestinationStream>;
+    default: (options: object) => Promise<Writable>;
   }
 ).default;
 
 /** Writes through pino and its logfmt transport, in this process. */
 export class LogfmtLog implements ILog {
   readonly #logger: Logger;
+  readonly #stream: Writable;
 
-  private constructor(logger: Logger) {
+  private constructor(logger: Logger, stream: Writable) {
     this.#logger = logger;
+    this.#stream = stream;
   }
 
   /**
@@ -32,7 +36,7 @@
       sync: true,
     });
     const logger = pino({ base, messageKey: "event" }, stream);
-    return new LogfmtLog(logger);
+    return new LogfmtLog(logger, stream);
   }
 
   info(event: string, fields: LogFields = {}): void {
@@ -46,4 +50,14 @@
   error(event: string, fields: LogFields = {}): void {
     this.#logger.error(fields, event);
   }
+
+  /**
+   * Writes out what is still on its way through the transport. A process that
+   * exits without this loses its last lines, "stopped" among them.
+   */
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = once(this.#stream, "close");
+    this.#stream.end();
+    await closed;
+  }
 }
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -21,6 +21,7 @@
 import { Cancel } from "./cancel.ts";
 import { checkServiceAnswer, refusalOf } from "./target_answers.ts";
 import { TargetConnections } from "./target_connections.ts";
+import { WireIds } from "./wire_id.ts";
 
 /** Longest wait for a new connection to a target of the zone, milliseconds. */
 const CONNECT_TIMEOUT = 500;
@@ -45,6 +46,8 @@
     performance.now(),
   );
 
+  readonly #wireIds = new WireIds();
+
   async report(
     address: string,
     timeout: number,
@@ -94,13 +97,14 @@
     call: IServiceCall,
     signal: AbortSignal,
   ): Promise<Result<unknown, ICallFailure>> {
-    const { requestId, operation, body } = call;
+    const { operation, body } = call;
+    const requestId = this.#wireIds.next(call.requestId);
     const content = JSON.stringify({ requestId, operation, body });
     const timeout = Math.max(SHORTEST_TIMEOUT, call.timeout);
     const isSingle = call.onNewConnection;
     const sending = { body: content, timeout, signal, isSingle };
     const answer = await this.#post(address, "/call", sending);
-    return answer.andThen((value) => checkServiceAnswer(value, call));
+    return answer.andThen((value) => checkServiceAnswer(value, requestId));
   }
 
   async *generate(
@@ -110,13 +114,15 @@
   ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>> {
     const attempted = `generate on ${address}`;
     const { dispatcher, doubted } = this.#connections.pool(address);
+    const requestId = this.#wireIds.next(call.requestId);
+    const sent = { ...call, requestId };
     using cancel = new Cancel([options.signal, doubted]);
     try {
       const answer = await request(`http://${address}/generate`, {
         method: "POST",
         dispatcher,
         headers: { "content-type": "application/json" },
-        body: JSON.stringify(call),
+        body: JSON.stringify(sent),
         headersTimeout: Math.max(SHORTEST_TIMEOUT, options.firstTokenWithin),
         bodyTimeout: options.nextTokenWithin,
         signal: cancel.signal,
@@ -127,7 +133,7 @@
         yield Err(refusalOf(attempted, answer.statusCode, text));
         return;
       }
-      const reader = new EngineStreamReader(call);
+      const reader = new EngineStreamReader(sent);
       const decoder = new TextDecoder();
       for await (const chunk of answer.body) {
         const text = decoder.decode(chunk as Buffer, { stream: true });
--- a/src/adapters/targets/target_answers.ts
+++ b/src/adapters/targets/target_answers.ts
@@ -1,7 +1,6 @@
 /** What targets' answers mean: theirs and whole, refused, or in doubt. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import type { IServiceCall } from "../../common/services/services.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure } from "../../common/types.ts";
 
@@ -11,10 +10,10 @@
 /** An answer to another request must never reach this caller. */
 export function checkServiceAnswer(
   value: unknown,
-  call: IServiceCall,
+  requestId: string,
 ): Result<unknown, ICallFailure> {
   const answer = value as { requestId?: unknown; answer?: unknown } | null;
-  if (answer?.requestId !== call.requestId) {
+  if (answer?.requestId !== requestId) {
     const detail = `the answer names request ${String(answer?.requestId)}`;
     return Err({ kind: CallFailureKind.Unknown, detail });
   }
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -38,6 +38,7 @@
   NotInPlan = "not_in_plan",
   NoSuchOperation = "no_such_operation",
   BadRequest = "bad_request",
+  BodyTooLarge = "body_too_large",
   KeyRequired = "idempotency_key_required",
   KeyReused = "idempotency_key_reused",
   InProgress = "in_progress",
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -191,6 +191,7 @@
     await this.#targets[Symbol.asyncDispose]();
     await this.#platform[Symbol.asyncDispose]();
     this.#log.info("stopped");
+    await this.#log[Symbol.asyncDispose]();
   }
 
   async #start(): Promise<void> {
--- a/src/stand_ins/engine_member/engine_member.ts
+++ b/src/stand_ins/engine_member/engine_member.ts
@@ -10,6 +10,7 @@
 } from "../../common/services/services.ts";
 import { TargetState } from "../../common/types.ts";
 import type { IGroupMembership, ITargetReport } from "../../common/types.ts";
+import { requestIdOf } from "../../adapters/targets/wire_id.ts";
 import { JsonServer, ok, refuse } from "../shared/json_server.ts";
 import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
 import { StreamFaults } from "./stream_fault.ts";
@@ -194,7 +195,7 @@
     if (!isNamed && this.#options.fencing === Fencing.Refuse) {
       return refuse(STATUS_REFUSED, "another group or generation");
     }
-    if (this.#state === TargetState.Leaving) {
+    if (this.#state === TargetState.Leaving || this.#faults.isRefusing) {
       return refuse(STATUS_UNAVAILABLE, "leaving");
     }
     if (!(await this.#askMembers(membership, wanted.requestId))) {
@@ -281,8 +282,9 @@
       epoch: number;
       members?: readonly string[];
     },
-    requestId: string,
+    wireId: string,
   ): void {
+    const requestId = requestIdOf(wireId);
     const { group, generation, epoch, members = [] } = token;
     const at = Date.now();
     const deed = { kind, at, group, generation, epoch, requestId, members };
--- a/src/stand_ins/engine_member/stream_fault.ts
+++ b/src/stand_ins/engine_member/stream_fault.ts
@@ -15,6 +15,8 @@
   Gap = "gap",
   /** An event that does not parse. */
   Garble = "garble",
+  /** Refuses every new answer, as if leaving, and does not report it. */
+  Refuse = "refuse",
   /** As {@link Reset}, for every answer from now on. */
   ResetAlways = "reset_always",
 }
@@ -32,6 +34,11 @@
 export class StreamFaults {
   #fault = StreamFault.None;
 
+  /** Whether new answers are refused. */
+  get isRefusing(): boolean {
+    return this.#fault === StreamFault.Refuse;
+  }
+
   /** Sets the fault by its name. */
   set(name: unknown): void {
     this.#fault =
--- a/src/stand_ins/plain_service/plain_service.ts
+++ b/src/stand_ins/plain_service/plain_service.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { TargetState } from "../../common/types.ts";
 import type { ITargetReport } from "../../common/types.ts";
+import { requestIdOf } from "../../adapters/targets/wire_id.ts";
 import { JsonServer, ok, refuse } from "../shared/json_server.ts";
 import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
 import { RunLog } from "./run_log.ts";
@@ -95,7 +96,8 @@
 
   /** Runs the call; returns how many have run. */
   #act({ requestId, operation, body }: IWantedRun): number {
-    this.#runs.add({ requestId, operation, body, at: Date.now() });
+    const caller = requestIdOf(requestId);
+    this.#runs.add({ requestId: caller, operation, body, at: Date.now() });
     return this.#runs.all.length;
   }
 
--- a/src/stand_ins/shared/json_server.ts
+++ b/src/stand_ins/shared/json_server.ts
@@ -59,7 +59,7 @@
     const parts = url.pathname.split("/").slice(1).map(decodeURIComponent);
     const body = await readBody(incoming, MAXIMUM_BODY_BYTES);
     const answer = body.isErr()
-      ? { status: 400, body: { error: body.error } }
+      ? { status: 400, body: { error: body.error.detail } }
       : await this.#handler({
           method: incoming.method ?? "GET",
           parts,
--- /dev/null
+++ b/test/leaving_test.ts
@@ -0,0 +1,206 @@
+/**
+ * A target that is leaving gets no new work after a few seconds, and its whole
+ * group with it; a daemon that is told to stop cuts nobody off.
+ */
+import { expect } from "chai";
+import { request } from "undici";
+import { StreamFault } from "../src/stand_ins/engine_member/stream_fault.ts";
+import { wholeText } from "../src/stand_ins/engine_member/text.ts";
+import type { IEngineDeed } from "../src/stand_ins/engine_member/types.ts";
+import { ask, askStream } from "./support/caller.ts";
+import type { IStreamReply } from "./support/caller.ts";
+import { Deployment } from "./support/deployment.ts";
+import { waitFor } from "./support/process_handle.ts";
+
+const ZONE = "vn-north-a";
+const DAEMON = `daemon-${ZONE}-0`;
+const TOKENS = 100;
+const STREAMS = 100;
+const LONG_TOKENS = 800;
+const FEW_TOKENS = 10;
+
+/** The stated bound on noticing a leaving target, milliseconds. */
+const NOTICED_WITHIN = 3_000;
+
+let serial = 0;
+
+describe("leaving", () => {
+  let deployment: Deployment;
+
+  beforeEach(async () => {
+    deployment = await Deployment.start({
+      example: "song_lam",
+      zones: [ZONE],
+      daemonsPerZone: 2,
+      enginesPerZone: 8,
+      plainService: "delivery-api",
+      engineArguments: ["--token-time", "10", "--batch-time", "0"],
+      groups: { replace_after: "60s" },
+    });
+  });
+
+  afterEach(() => deployment[Symbol.asyncDispose]());
+
+  function caller(daemon: string, requestId: string, tokens = TOKENS) {
+    return {
+      address: deployment.process(daemon).field("callers"),
+      credential: "editor-desk-secret",
+      operation: "summarizer/long-brief",
+      requestId,
+      body: { prompt: `story ${requestId}`, maximum_tokens: tokens },
+    };
+  }
+
+  function freshId(): string {
+    serial += 1;
+    return `leaving-${serial}`;
+  }
+
+  function isWhole(reply: IStreamReply, id: string, tokens = TOKENS): boolean {
+    return reply.isWhole && reply.text === wholeText(`story ${id}`, tokens);
+  }
+
+  async function deeds(engine: string): Promise<readonly IEngineDeed[]> {
+    const record = await deployment.record<{
+      deeds: readonly IEngineDeed[];
+    }>(engine);
+    return record.deeds;
+  }
+
+  async function beganAt(engine: string, after: number): Promise<number> {
+    const all = await deeds(engine);
+    return all.filter(({ kind, at }) => kind === "began" && at > after).length;
+  }
+
+  /** Asks for a long stream until it is let in: its plan has a rate. */
+  async function insist(id: string): Promise<IStreamReply> {
+    for (;;) {
+      const reply = await askStream(caller(DAEMON, id, LONG_TOKENS));
+      if (reply.status === 200) {
+        return reply;
+      }
+    }
+  }
+
+  /** Starts a stream and waits until its text comes. */
+  async function begin(id: string): Promise<Promise<IStreamReply>[]> {
+    let hasText = false;
+    const onFirstText = () => {
+      hasText = true;
+    };
+    const reply = askStream({ ...caller(DAEMON, id), onFirstText });
+    await waitFor(`${id} has text`, () => hasText);
+    return [reply];
+  }
+
+  const NEWS = [
+    // The platform is about to take the instance away, and lists it so.
+    "by the platform's list",
+    // The engine itself has been told, and reports it.
+    "by its own report",
+  ];
+  for (const [index, how] of NEWS.entries()) {
+    it(`of a member ${how} takes its group out of use`, async () => {
+      const { groups } = await deployment.status(DAEMON);
+      const { members } = groups[0]!;
+      const [leader, , other] = members as [string, string, string, string];
+      const running: string[] = [];
+      const replies: Promise<IStreamReply>[] = [];
+      while ((await beganAt(leader, 0)) === 0) {
+        const id = freshId();
+        running.push(id);
+        replies.push(...(await begin(id)));
+      }
+      if (index === 0) {
+        const entry = { zone: ZONE, kind: "engine", service: "" } as const;
+        await deployment.register(other, { ...entry, state: "leaving" });
+      } else {
+        const address = deployment.process(other).field("address");
+        const answer = await request(`http://${address}/leave`, {
+          method: "POST",
+        });
+        await answer.body.dump();
+      }
+      const toldAt = Date.now();
+      await waitFor("both daemons take the group out of use", async () => {
+        const seen = await Promise.all(
+          deployment.names("daemon-").map((name) => deployment.status(name)),
+        );
+        return seen.every(
+          (status) =>
+            !status.groups.find((g) => g.id === groups[0]!.id)?.complete,
+        );
+      });
+      for (let count = 0; count < 8; count++) {
+        for (const daemon of deployment.names("daemon-")) {
+          const id = freshId();
+          const reply = await askStream(caller(daemon, id, FEW_TOKENS));
+          expect(isWhole(reply, id, FEW_TOKENS)).to.equal(true);
+        }
+      }
+      expect(await beganAt(leader, toldAt + NOTICED_WITHIN)).to.equal(0);
+      for (const [place, reply] of (await Promise.all(replies)).entries()) {
+        expect(isWhole(reply, running[place]!)).to.equal(true);
+      }
+    });
+  }
+
+  // The platform replaces the entry instance while a hundred callers read.
+  it("of a daemon cuts none of a hundred streams", async () => {
+    const ids = Array.from({ length: STREAMS }, freshId);
+    const replies = ids.map((id) => insist(id));
+    const stopping = deployment.process(DAEMON);
+    await waitFor("all streams are open", async () => {
+      const { in_flight: open } = await deployment.status(DAEMON);
+      return open === STREAMS;
+    });
+    stopping.signal("SIGTERM");
+    await waitFor("it is not ready", async () => {
+      const ready = await request(
+        `http://${stopping.field("operations")}/ready`,
+      );
+      await ready.body.dump();
+      return ready.statusCode === 503;
+    });
+    const refused = await request(
+      `http://${stopping.field("callers")}/v1/services/summarizer/headline`,
+      { method: "POST", body: "{}" },
+    );
+    expect(refused.headers["connection"]).to.equal("close");
+    expect(refused.headers).to.have.property("retry-after");
+    expect(await refused.body.json()).to.include({
+      outcome: "not_run",
+      reason: "shutting_down",
+    });
+    for (const [index, reply] of (await Promise.all(replies)).entries()) {
+      const whole = wholeText(`story ${ids[index]}`, LONG_TOKENS);
+      expect(reply.text, ids[index]).to.equal(whole);
+      expect(reply.isWhole).to.equal(true);
+    }
+    await stopping.exited();
+    expect(stopping.output).to.include("event=stopped");
+    await waitFor("the other daemon holds every lease", async () => {
+      const { domains } = await deployment.status(`daemon-${ZONE}-1`);
+      return domains.every(({ holding }) => holding);
+    });
+    const id = freshId();
+    const next = await askStream(caller(`daemon-${ZONE}-1`, id));
+    expect(isWhole(next, id)).to.equal(true);
+  });
+
+  // The engine refuses new work although nobody has heard that it is leaving.
+  it("by refusal sends the work elsewhere at once", async () => {
+    const { groups } = await deployment.status(DAEMON);
+    const leader = groups[0]!.members[0]!;
+    await deployment.setFault(leader, StreamFault.Refuse);
+    for (let count = 0; count < 6; count++) {
+      const id = freshId();
+      const reply = await ask({
+        ...caller(DAEMON, id),
+        operation: "summarizer/headline",
+      });
+      expect(reply.body.outcome).to.equal("completed");
+    }
+    expect(await beganAt(leader, 0)).to.equal(0);
+  });
+});
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -32,6 +32,7 @@
 /** A daemon's status as its operations address gives it. */
 export interface IStatus {
   readonly ready: boolean;
+  readonly in_flight: number;
   readonly id: string;
   readonly lists: readonly { list: string; version: number }[];
   readonly groups: readonly {
