--- /dev/null
+++ b/bench/path_bench.ts
@@ -0,0 +1,118 @@
+/**
+ * `npm run bench -- path`: what a daemon adds to a call, against a direct
+ * connection to the same stand-in in the same run, with real processes.
+ */
+import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { Pool } from "undici";
+import { readFileSync } from "node:fs";
+import { Deployment } from "../test/support/deployment.ts";
+
+const ZONE = "vn-north-a";
+const DAEMON = `daemon-${ZONE}-0`;
+const RATE = 350;
+const CALLS = 5_000;
+const MEMORY_CALLS = 20_000;
+const MICROSECONDS = 1_000;
+
+/** Sends calls at a rate, whether or not earlier ones are answered. */
+async function pace(
+  calls: number,
+  call: () => Promise<void>,
+): Promise<Histogram> {
+  const histogram = build({ numberOfSignificantValueDigits: 3 });
+  const running: Promise<void>[] = [];
+  const startedAt = performance.now();
+  for (let index = 0; index < calls; index++) {
+    const due = startedAt + (index * 1_000) / RATE;
+    while (performance.now() < due) {
+      await sleep(1);
+    }
+    const at = performance.now();
+    running.push(
+      call().then(() => {
+        const taken = (performance.now() - at) * MICROSECONDS;
+        histogram.recordValue(Math.round(taken));
+      }),
+    );
+  }
+  await Promise.all(running);
+  return histogram;
+}
+
+function milliseconds(histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / MICROSECONDS;
+}
+
+/** Resident memory of a process, megabytes. */
+function residentMemory(pid: number): number {
+  const status = readFileSync(`/proc/${pid}/status`, "utf8");
+  const kilobytes = /VmRSS:\s+(\d+)/.exec(status)?.[1] ?? "0";
+  return Number(kilobytes) / 1_024;
+}
+
+function posting(pool: Pool, path: string, content: object, token = "") {
+  const body = JSON.stringify(content);
+  const headers = {
+    "content-type": "application/json",
+    authorization: `Bearer ${token}`,
+  };
+  return async (): Promise<void> => {
+    const answer = await pool.request({ method: "POST", path, headers, body });
+    await answer.body.dump();
+    if (answer.statusCode !== 200) {
+      throw new Error(`${path} answered ${answer.statusCode}`);
+    }
+  };
+}
+
+/** Prints what a daemon adds, and its memory. */
+export async function run(): Promise<void> {
+  await using deployment = await Deployment.start({
+    example: "song_lam",
+    zones: [ZONE],
+    daemonsPerZone: 1,
+    enginesPerZone: 0,
+    plainService: "delivery-api",
+    serviceArguments: ["--work-time", "0"],
+  });
+  const daemon = deployment.process(DAEMON);
+  const service = deployment.process(`service-${ZONE}`);
+  await using direct = pooled(`http://${service.field("address")}`);
+  await using through = pooled(`http://${daemon.field("callers")}`);
+  const straight = posting(direct.pool, "/call", {
+    requestId: "bench",
+    operation: "feed",
+    body: { page: 1 },
+  });
+  const relayed = posting(
+    through.pool,
+    "/v1/services/delivery-api/feed",
+    { page: 1 },
+    "subscriber-app-secret",
+  );
+  await sleep(1_000);
+  await pace(1_000, straight);
+  await pace(1_000, relayed);
+  const base = await pace(CALLS, straight);
+  const added = await pace(CALLS, relayed);
+  for (const percentile of [50, 99]) {
+    const ours = milliseconds(added, percentile);
+    const theirs = milliseconds(base, percentile);
+    const ratio = (ours / theirs).toFixed(2);
+    const more = (ours - theirs).toFixed(2);
+    console.log(`buffered p${percentile} ratio ${ratio}, added ${more} ms`);
+  }
+  for (let half = 1; half <= 2; half++) {
+    await pace(MEMORY_CALLS / 2, relayed);
+    const megabytes = residentMemory(daemon.pid).toFixed(0);
+    console.log(`resident memory after half ${half}: ${megabytes} MB`);
+  }
+}
+
+function pooled(origin: string): { pool: Pool } & AsyncDisposable {
+  const pool = new Pool(origin, { connections: 32 });
+  return { pool, [Symbol.asyncDispose]: () => pool.close() };
+}
--- a/src/stand_ins/engine_member/stream_fault.ts
+++ b/src/stand_ins/engine_member/stream_fault.ts
@@ -71,7 +71,9 @@
     case StreamFault.EndEarly:
       return { text: "", breaks: "end" };
     case StreamFault.Cross: {
-      const crossed = event.replaceAll(requestId, "another-request");
+      const crossed = event
+        .replaceAll(requestId, "another-request")
+        .replace('"text":"', '"text":"another\'s ');
       return { text: crossed + event, breaks: "no" };
     }
     case StreamFault.Duplicate:
--- a/test/leaving_test.ts
+++ b/test/leaving_test.ts
@@ -16,7 +16,9 @@
 const DAEMON = `daemon-${ZONE}-0`;
 const TOKENS = 100;
 const STREAMS = 100;
-const LONG_TOKENS = 800;
+/** More than that, since a plan's rate lets them in over some seconds. */
+const OFFERED = 160;
+const LONG_TOKENS = 1_500;
 const FEW_TOKENS = 10;
 
 /** The stated bound on noticing a leaving target, milliseconds. */
@@ -73,10 +75,15 @@
   }
 
   /** Asks for a long stream until it is let in: its plan has a rate. */
-  async function insist(id: string): Promise<IStreamReply> {
+  async function insist(
+    id: string,
+    watch: { onFirstText: () => void; mayInsist: () => boolean },
+  ): Promise<IStreamReply> {
+    const { onFirstText, mayInsist } = watch;
+    const call = { ...caller(DAEMON, id, LONG_TOKENS), onFirstText };
     for (;;) {
-      const reply = await askStream(caller(DAEMON, id, LONG_TOKENS));
-      if (reply.status === 200) {
+      const reply = await askStream(call);
+      if (reply.status === 200 || !mayInsist()) {
         return reply;
       }
     }
@@ -147,13 +154,20 @@
 
   // The platform replaces the entry instance while a hundred callers read.
   it("of a daemon cuts none of a hundred streams", async () => {
-    const ids = Array.from({ length: STREAMS }, freshId);
-    const replies = ids.map((id) => insist(id));
-    const stopping = deployment.process(DAEMON);
-    await waitFor("all streams are open", async () => {
-      const { in_flight: open } = await deployment.status(DAEMON);
-      return open === STREAMS;
+    const ids = Array.from({ length: OFFERED }, freshId);
+    const open = new Set<string>();
+    let isStopping = false;
+    const replies = ids.map(async (id) => {
+      const reply = await insist(id, {
+        onFirstText: () => open.add(id),
+        mayInsist: () => !isStopping,
+      });
+      open.delete(id);
+      return reply;
     });
+    const stopping = deployment.process(DAEMON);
+    await waitFor("streams are open", () => open.size >= STREAMS);
+    isStopping = true;
     stopping.signal("SIGTERM");
     await waitFor("it is not ready", async () => {
       const ready = await request(
@@ -172,11 +186,15 @@
       outcome: "not_run",
       reason: "shutting_down",
     });
+    let whole = 0;
     for (const [index, reply] of (await Promise.all(replies)).entries()) {
-      const whole = wholeText(`story ${ids[index]}`, LONG_TOKENS);
-      expect(reply.text, ids[index]).to.equal(whole);
-      expect(reply.isWhole).to.equal(true);
+      const text = wholeText(`story ${ids[index]}`, LONG_TOKENS);
+      if (reply.status === 200) {
+        expect(reply).to.include({ isWhole: true, text });
+        whole += 1;
+      }
     }
+    expect(whole).to.be.at.least(STREAMS);
     await stopping.exited();
     expect(stopping.output).to.include("event=stopped");
     await waitFor("the other daemon holds every lease", async () => {
