--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -5,6 +5,7 @@
 import { durationSchema } from "../common/plans/duration.ts";
 import { checkDocument } from "../common/plans/findings.ts";
 import type { IFinding } from "../common/plans/types.ts";
+import type { Objectives } from "../common/reports/burn_types.ts";
 import { AnswerKind, ServiceKind } from "../common/types.ts";
 import type {
   IOperationDefinition,
@@ -35,8 +36,21 @@
 
 const groupsSchema = z.strictObject({
   members: z.number().int().positive().default(4),
-  /** Share of each domain's engines held back as spares, 0 to 0.5. */
-  spare_share: z.number().min(0).max(0.5).default(0),
+  /** What a group's downtime and a stranded instance cost, each to the other. */
+  weights: z
+    .strictObject({
+      group_downtime: z.number().positive().default(1),
+      stranded_accelerators: z.number().positive().default(1),
+    })
+    .prefault({}),
+  /** Failures of one instance a day; 42 of 2,300 at the target size. */
+  failures_a_day: z.number().positive().default(0.018),
+  /** From an instance's failure until the platform has brought another. */
+  return_time: durationSchema.default(30 * 60_000),
+  /** From a failure until a group with a spare serves again. */
+  heal_time: durationSchema.default(60_000),
+  /** Fixes the share of engines held back, instead of what follows above. */
+  spare_share: z.number().min(0).max(0.5).optional(),
   lease: durationSchema.default(5_000),
   takeover_margin: durationSchema.default(2_000),
   renew_every: durationSchema.default(1_500),
@@ -65,6 +79,29 @@
   domains: durationSchema.default(1_000),
 });
 
+const shareSchema = z.number().gt(0).lt(1);
+
+/** What the burn report holds services to. */
+const objectivesSchema = z.strictObject({
+  whole_on_time: z
+    .strictObject({ share: shareSchema.default(0.999) })
+    .prefault({}),
+  /** Source: the target of 0.82 s for 95 in 100. */
+  first_token: z
+    .strictObject({
+      share: shareSchema.default(0.95),
+      within: durationSchema.default(820),
+    })
+    .prefault({}),
+  /** Source: the target of 58 ms for 95 in 100. */
+  between_tokens: z
+    .strictObject({
+      share: shareSchema.default(0.95),
+      within: durationSchema.default(58),
+    })
+    .prefault({}),
+});
+
 /** Longest silences of an engine before its connection is doubted. */
 const callsSchema = z.strictObject({
   first_token: durationSchema.default(5_000),
@@ -102,6 +139,7 @@
   calls: callsSchema.prefault({}),
   tls: tlsSchema.prefault({}),
   lists: listsSchema.prefault({}),
+  objectives: objectivesSchema.prefault({}),
 });
 
 /** Settings as checked; durations are milliseconds. */
@@ -123,6 +161,12 @@
   return readTextFile(path).andThen((text) => checkSettings(path, text));
 }
 
+/** What the burn report holds services to. */
+export function burnObjectives(settings: Settings): Objectives {
+  const { whole_on_time: whole, ...tokens } = settings.objectives;
+  return { whole_on_time: { ...whole, within: null }, ...tokens };
+}
+
 /** The services of the settings, as the rest of the program knows them. */
 export function serviceDefinitions(
   settings: Settings,
