--- a/test/support/process_handle.ts
+++ b/test/support/process_handle.ts
@@ -63,11 +63,6 @@
     return this.#output;
   }
 
-  /** The process's number. */
-  get pid(): number {
-    return this.#child.pid ?? 0;
-  }
-
   get hasExited(): boolean {
     return this.#hasExited;
   }
