--- a/src/daemon/request_path.ts
+++ b/src/daemon/request_path.ts
@@ -10,6 +10,7 @@
 import { ForwardService } from "../common/services/forward_service.ts";
 import type { ISpillTarget } from "../common/services/forwarding.ts";
 import type { GroupDirectory } from "../common/services/group_directory.ts";
+import { RetryService } from "../common/services/retry_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
 import { ServiceRunner } from "../common/services/service_runner.ts";
 import type {
@@ -47,12 +48,14 @@
   readonly forwards: ForwardService;
   readonly #parts: IRequestPathParts;
   readonly #settings: Settings;
+  readonly #retries: RetryService;
   readonly #services: ServiceRunner;
 
   constructor(settings: Settings, parts: IRequestPathParts) {
     this.#settings = settings;
     this.#parts = parts;
     const { book, clock, metrics } = parts;
+    this.#retries = this.#createRetries();
     const admission = this.#createAdmission();
     const engines = this.#createEngines();
     const services = serviceDefinitions(settings);
@@ -83,12 +86,18 @@
     });
   }
 
+  #createRetries(): RetryService {
+    const { clock, groups, metrics, random } = this.#parts;
+    return new RetryService({ groups, clock, random, metrics });
+  }
+
   #createEngines(): EngineRunner {
     const { clock, groups, log, metrics, targets } = this.#parts;
     const { first_token, next_token } = this.#settings.calls;
     return new EngineRunner(
       {
         ...{ groups, targets, clock, log, metrics },
+        retries: this.#retries,
         isServedElsewhere: (service) => this.#isServedElsewhere(service),
       },
       { firstToken: first_token, nextToken: next_token },
@@ -110,7 +119,10 @@
       ...{ platform, clock, random, log, metrics },
       digest: digestOf,
     });
-    return new ServiceRunner({ groups, targets, records, clock });
+    return new ServiceRunner({
+      ...{ groups, targets, records, clock },
+      retries: this.#retries,
+    });
   }
 
   /** Plain services are called in their own zone only. */
