--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -204,6 +204,7 @@
     await this.#targets[Symbol.asyncDispose]();
     await this.#http[Symbol.asyncDispose]();
     this.#log.info("stopped");
+    await this.#log[Symbol.asyncDispose]();
   }
 
   async #start(): Promise<void> {
