Wait for a peer's lists at start, also when another message fetches them

Cause: in one whole run of the tests a daemon just started served an account that had been removed. Two ways lead there by reading: the question at start returned while a fetch begun by a probe was under way, or no peer answered its single question within a second and the platform's stale answer was taken. Which of them it was the run did not show. An entry of the daemon's own earlier run also counted as a peer. Ruled out: waiting for a peer without a bound, since a lone daemon must serve. Change: a fetch under way is joined; three rounds of asking; one's own address is not asked. Conclusion: both ways are closed; a whole run must confirm it.

--- a/src/common/services/peer_service.ts
+++ b/src/common/services/peer_service.ts
@@ -27,6 +27,12 @@
 /** Peers asked before a daemon serves; one with the newest lists is enough. */
 const MAXIMUM_ASKED_AT_START = 12;
 
+/**
+ * Rounds of asking at start before a daemon serves without any peer's answer;
+ * each lasts a call's bound at most, so that a lone daemon serves in seconds.
+ */
+const ROUNDS_AT_START = 3;
+
 /** What the service works with. */
 export interface IPeerServicePorts extends Omit<IMembershipPorts, "versions"> {
   readonly platform: IPlatform;
@@ -48,7 +54,7 @@
   readonly #list: DaemonList;
   /** Addresses of peers by the platform's list. */
   #listed: readonly string[] = [];
-  readonly #fetching = new Set<PlanListName>();
+  readonly #fetching = new Map<PlanListName, Promise<void>>();
   readonly #owned = new DisposableStore();
 
   constructor(ports: IPeerServicePorts, self: IDaemonEntry) {
@@ -135,10 +141,26 @@
    */
   async #askAtStart(): Promise<void> {
     await this.#list.start();
+    let isAnswered = false;
+    for (let round = 0; round < ROUNDS_AT_START && !isAnswered; round++) {
+      isAnswered = await this.#askSomeAtStart();
+    }
+    this.#lists.notePeersAsked();
+  }
+
+  /**
+   * True when a peer answered, or when there is none to ask. Entries of this
+   * daemon's earlier runs bear its own address, and its own answer is news to
+   * nobody.
+   */
+  async #askSomeAtStart(): Promise<boolean> {
     const addresses = new Set([...this.#listed, ...this.#ports.seeds]);
+    addresses.delete(this.#self.peerAddress);
     const some = [...addresses].slice(0, MAXIMUM_ASKED_AT_START);
-    await Promise.all(some.map((address) => this.#ask(address)));
-    this.#lists.notePeersAsked();
+    const answered = await Promise.all(
+      some.map((address) => this.#ask(address)),
+    );
+    return some.length === 0 || answered.includes(true);
   }
 
   #learned(entries: readonly IDaemonEntry[]): void {
@@ -221,21 +243,39 @@
   ): Promise<void> {
     for (const { list, version } of versions) {
       const isNewer = version > (this.#lists.book.version(list) ?? 0);
-      if (isNewer && !this.#fetching.has(list)) {
-        await this.#fetch(list, version, address);
+      if (isNewer) {
+        await this.#fetchOnce(list, version, address);
       }
     }
   }
 
+  /**
+   * Joins a fetch under way: whoever asked before serving must not go on
+   * before the list has come, only because another message asked for it first.
+   */
+  #fetchOnce(
+    list: PlanListName,
+    version: number,
+    address: string,
+  ): Promise<void> {
+    const underWay = this.#fetching.get(list);
+    if (underWay !== undefined) {
+      return underWay;
+    }
+    const fetching = this.#fetch(list, version, address).finally(() =>
+      this.#fetching.delete(list),
+    );
+    this.#fetching.set(list, fetching);
+    return fetching;
+  }
+
   async #fetch(
     list: PlanListName,
     version: number,
     address: string,
   ): Promise<void> {
-    this.#fetching.add(list);
     this.#ports.metrics.count("peer_calls", { call: "fetch_list" });
     const fetched = await this.#peers.fetchList(address, list);
-    this.#fetching.delete(list);
     if (fetched.isOk() && fetched.value.version >= version) {
       this.#lists.offer(fetched.value);
     }
