--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -180,7 +180,13 @@
   ): Promise<void> {
     const started = this.#parts.clock.now();
     const leaving = new AbortController();
-    response.on("close", () => leaving.abort());
+    // An answered caller has not left; aborting would only cost the making of
+    // an error on each request.
+    response.on("close", () => {
+      if (!response.writableFinished) {
+        leaving.abort();
+      }
+    });
     const request = await this.#check(incoming, requestId, leaving.signal);
     const served = request.isOk()
       ? this.#parts.burn.begin(request.value)
@@ -248,6 +254,7 @@
       const reason = isTooLong ? Reason.BodyTooLarge : Reason.BadRequest;
       return Err(notRun(reason, detail));
     }
+    const { key } = headers.value;
     const arrivedAt = clock.now();
     return Ok({
       requestId,
@@ -255,8 +262,8 @@
       service,
       operation,
       body: body.value.content,
-      bodyDigest: digestOf(body.value.text),
-      key: headers.value.key,
+      bodyDigest: key === null ? "" : digestOf(body.value.text),
+      key,
       arrivedAt,
       deadline: arrivedAt + account.plan.deadline,
       signal,
--- a/src/adapters/log/logfmt_log.ts
+++ b/src/adapters/log/logfmt_log.ts
@@ -28,14 +28,16 @@
    */
   static async create(base: Record<string, string>): Promise<LogfmtLog> {
     const stream = await createTransport({
-      includeLevelLabel: true,
-      levelLabelKey: "severity",
-      formatTime: true,
-      timeFormat: "isoUtcDateTime",
       escapeMultilineStrings: true,
       sync: true,
     });
-    const logger = pino({ base, messageKey: "event" }, stream);
+    const options = {
+      base,
+      messageKey: "event",
+      timestamp: pino.stdTimeFunctions.isoTime,
+      formatters: { level: (severity: string) => ({ severity }) },
+    };
+    const logger = pino(options, stream);
     return new LogfmtLog(logger, stream);
   }
 
--- a/src/common/services/types.ts
+++ b/src/common/services/types.ts
@@ -18,7 +18,7 @@
   readonly service: IServiceDefinition;
   readonly operation: IOperationDefinition;
   readonly body: unknown;
-  /** Digest of the body as received. */
+  /** Digest of the body as received; empty when there is no key. */
   readonly bodyDigest: string;
   /** The caller's Idempotency-Key, or null. */
   readonly key: string | null;
