Print a curl line that is answered

Cause: callers' bodies must say that they are JSON since headers are checked; the line that npm start prints did not, and was refused as a bad request. Ruled out: taking form bodies for JSON. Change: the line says so. Conclusion: a newcomer's first call is answered; no test runs that line yet.

--- a/src/stand_ins/embedded/main.ts
+++ b/src/stand_ins/embedded/main.ts
@@ -119,6 +119,7 @@
 
   curl -N http://${CALLERS}/v1/services/summarizer/long-brief \\
     -H 'Authorization: Bearer editor-desk-secret' \\
+    -H 'Content-Type: application/json' \\
     -d '{"prompt": "a wire story", "maximum_tokens": 40}'
 `);
 }
