--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,10 @@
   },
 ];
 
+/** The platform's names on the wire: only platform/ and deploy/ know them. */
+const wireNames =
+  "/(x-(attempt-id|deadline-ms|token-counts|prompt-prefix|tenant|expect-|not-executed|response-stamp|server-load|instance-id|weight-versions|request-priority|length-hint|model)|\\b(coldLeftMs|seqNo|innerPorts|gapTargetMs|formMs|apiKeys|maxAttempts|sloMs|pathPrefix|fenceToken|kvCapacity|loadsPerS)\\b)/i";
+
 const commonGlobals = [
   "Date",
   "setTimeout",
@@ -33,7 +37,7 @@
 ].map((name) => ({ name, message: "Time and chance are handed in." }));
 
 export default tseslint.config(
-  { ignores: ["dist", "src/generated", "node_modules"] },
+  { ignores: ["dist", "target", "journal", "src/generated", "node_modules"] },
   js.configs.recommended,
   ...tseslint.configs.recommended,
   {
@@ -71,6 +75,22 @@
       ],
     },
   },
+  {
+    files: ["src/**/*.ts", "bench/**/*.ts"],
+    rules: {
+      "no-restricted-syntax": [
+        "error",
+        {
+          selector: `Literal[value=${wireNames}]`,
+          message: "Names of the platform's wire stay in platform/.",
+        },
+        {
+          selector: `Property[key.name=${wireNames}]:not([key.name='pathPrefix'])`,
+          message: "Names of the platform's wire stay in platform/.",
+        },
+      ],
+    },
+  },
   {
     files: ["src/adapters/**/*.ts"],
     rules: {
--- /dev/null
+++ b/src/adapters/exchange/holder_link.ts
@@ -0,0 +1,52 @@
+/** Asks the lease holder over HTTP. */
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
+import { Agent, request } from "undici";
+import type {
+  IHolderLink,
+  IHolderWord,
+  IProcessWord,
+} from "../../common/replicas/exchange.ts";
+import { CallFailureKind } from "../../common/types.ts";
+import type { ICallFailure } from "../../common/types.ts";
+import { failureOf } from "../http_failure.ts";
+import { EXCHANGE_PATH } from "./inner_server.ts";
+
+const CONNECT_TIMEOUT = 500;
+const STATUS_OK = 200;
+
+/** One connection to whichever process holds the lease. */
+export class HolderLink implements IHolderLink {
+  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT } });
+
+  async exchange(
+    address: string,
+    word: IProcessWord,
+    timeout: number,
+  ): Promise<Result<IHolderWord, ICallFailure>> {
+    const attempted = `exchange with ${address}`;
+    try {
+      const answer = await request(`http://${address}${EXCHANGE_PATH}`, {
+        method: "POST",
+        dispatcher: this.#agent,
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(word),
+        signal: AbortSignal.timeout(timeout),
+      });
+      const text = await answer.body.text();
+      if (answer.statusCode !== STATUS_OK) {
+        const detail = `${attempted}: answered ${answer.statusCode}`;
+        return Err({ kind: CallFailureKind.Refused, detail });
+      }
+      // Both ends are of one build; only the words of the sender are checked,
+      // since the inner port is open to other programs.
+      return Ok(JSON.parse(text) as IHolderWord);
+    } catch (error) {
+      return Err(failureOf(attempted, error));
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
--- /dev/null
+++ b/src/adapters/exchange/inner_server.ts
@@ -0,0 +1,111 @@
+/** What other processes and collectors ask of this one, on its inner port. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { z } from "zod";
+import type {
+  IHolderWord,
+  IProcessWord,
+} from "../../common/replicas/exchange.ts";
+import { addressOfServer } from "../listen.ts";
+
+/** Where processes tell the lease holder what they have in flight. */
+export const EXCHANGE_PATH = "/exchange";
+const METRICS_PATH = "/metrics";
+
+/** A word of one process is some kilobytes; more is not one. */
+const LONGEST_WORD = 262_144;
+
+const STATUS_OK = 200;
+const STATUS_BAD_REQUEST = 400;
+const STATUS_NOT_FOUND = 404;
+const STATUS_NOT_HOLDER = 409;
+
+const wordSchema = z.object({
+  process: z.string(),
+  hasCalls: z.boolean(),
+  inFlight: z.record(z.string(), z.number()),
+  waiting: z.array(
+    z.object({ service: z.string(), model: z.string(), calls: z.number() }),
+  ),
+  tableVersion: z.number(),
+});
+
+/** What the server answers with. */
+export interface IInnerAnswers {
+  /** Null while this process does not hold the lease. */
+  exchange(word: IProcessWord): Promise<IHolderWord | null>;
+  metrics(): Promise<string>;
+}
+
+/** HTTP on the inner port. */
+export class InnerServer {
+  readonly #answers: IInnerAnswers;
+  readonly #server: Server;
+
+  constructor(answers: IInnerAnswers) {
+    this.#answers = answers;
+    this.#server = createServer((request, response) => {
+      void this.#answer(request, response);
+    });
+  }
+
+  listen(address: string): Promise<string> {
+    return addressOfServer(this.#server, address);
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    return new Promise((resolve) => {
+      this.#server.close(() => resolve());
+    });
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (request.url === METRICS_PATH) {
+      response.end(await this.#answers.metrics());
+    } else if (request.url === EXCHANGE_PATH && request.method === "POST") {
+      await this.#exchange(request, response);
+    } else {
+      response.writeHead(STATUS_NOT_FOUND).end();
+    }
+  }
+
+  async #exchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const word = await readWord(request);
+    if (word === null) {
+      response.writeHead(STATUS_BAD_REQUEST).end();
+      return;
+    }
+    const answer = await this.#answers.exchange(word);
+    if (answer === null) {
+      response.writeHead(STATUS_NOT_HOLDER).end();
+      return;
+    }
+    response.writeHead(STATUS_OK, { "content-type": "application/json" });
+    response.end(JSON.stringify(answer));
+  }
+}
+
+async function readWord(
+  request: IncomingMessage,
+): Promise<IProcessWord | null> {
+  let text = "";
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      text += chunk.toString("utf8");
+      if (text.length > LONGEST_WORD) {
+        return null;
+      }
+    }
+    return wordSchema.parse(JSON.parse(text));
+  } catch {
+    // The sender is told by the status, and logs it.
+    return null;
+  }
+}
--- /dev/null
+++ b/src/common/calls/engine_timing.ts
@@ -0,0 +1,56 @@
+/** What a group's times should be, by the published model of its engine. */
+import type { IEngineModel, IModel, ITokenEstimate } from "./types.ts";
+
+/** Tokens in a thousand and in a million, as the published figures count. */
+const THOUSAND = 1_000;
+const MILLION = 1_000_000;
+
+/** Milliseconds of one token step with so many requests writing. */
+export function stepTime(
+  engine: IEngineModel,
+  running: number,
+  contextTokens: number,
+): number {
+  return (
+    engine.stepTime +
+    engine.stepTimePerRequest * running +
+    (engine.stepTimePerThousandTokens * contextTokens) / THOUSAND
+  );
+}
+
+/** Milliseconds to read a prompt by itself. */
+export function readTime(engine: IEngineModel, prompt: number): number {
+  const pairs = (prompt * prompt) / 2 / MILLION;
+  return (
+    prompt / engine.promptTokensPerMillisecond +
+    pairs * engine.timePerMillionPairs
+  );
+}
+
+/** Milliseconds between two events of a full group that reads no prompt. */
+export function fullBatchGap(engine: IEngineModel, model: IModel): number {
+  const step = stepTime(engine, engine.slots, 0);
+  return step * engine.stride * model.pace;
+}
+
+/**
+ * Milliseconds between two events of a full group in the worst regular case:
+ * a chunk of a prompt is read between them.
+ */
+export function longestGap(engine: IEngineModel, model: IModel): number {
+  return (
+    fullBatchGap(engine, model) + readTime(engine, engine.chunk) * model.pace
+  );
+}
+
+/** Milliseconds from the start of reading to the last token, batch given. */
+export function runTime(
+  engine: IEngineModel,
+  model: IModel,
+  work: { readonly tokens: ITokenEstimate; readonly running: number },
+): number {
+  const { tokens, running } = work;
+  const context = tokens.prompt * running;
+  const step = stepTime(engine, running, context);
+  return (readTime(engine, tokens.prompt) + step * tokens.output) * model.pace;
+}
--- /dev/null
+++ b/src/common/calls/model_run.ts
@@ -0,0 +1,248 @@
+/**
+ * One model call from its arrival to its answer: its sends, what the caller
+ * has of the answer, and whether it may be sent once more.
+ */
+import type { IWork } from "../decisions/work.ts";
+import type { IDisposable } from "../disposable.ts";
+import type { MonotonicTime } from "../types.ts";
+import { EventSplitter } from "./event_splitter.ts";
+import type { IWholeEvent } from "./event_splitter.ts";
+import type { IServingGroup } from "./serving_groups.ts";
+import type { IWatchedStream } from "./stall_watch.ts";
+import { CallKind, SendFailure } from "./types.ts";
+import type {
+  IAnswerHead,
+  IAnswerReceiver,
+  ICall,
+  ICallReply,
+  IOpenSend,
+} from "./types.ts";
+
+const STATUS_OK = 200;
+const STATUS_REDIRECT = 300;
+
+/** Sends beyond those that ran; each found its group standing still. */
+const EXTRA_SENDS = 3;
+
+/** How one send ended. */
+export enum SendEnd {
+  /** The answer was passed on whole. */
+  Whole = "whole",
+  /** The target has not run it and will not. */
+  NotRun = "not_run",
+  /** It may have run, in part or whole. */
+  Broken = "broken",
+}
+
+/** Hears how the sends of a run end. */
+export interface IModelRunOwner {
+  heard(run: ModelRun): void;
+  sendEnded(run: ModelRun, end: SendEnd, detail: string): void;
+}
+
+/** One send on its way. */
+export interface ICurrentSend {
+  readonly group: IServingGroup;
+  readonly watched: IWatchedStream;
+  readonly sentAt: MonotonicTime;
+}
+
+/** One model call. */
+export class ModelRun implements IAnswerReceiver {
+  readonly call: ICall;
+  readonly reply: ICallReply;
+  /** As the queue knows it; another once the answer has begun. */
+  work: IWork;
+  readonly #owner: IModelRunOwner;
+  /** Ends the call at its deadline. */
+  deadlineTimer: IDisposable | null = null;
+  current: ICurrentSend | null = null;
+  isOver = false;
+  /** Groups that this call was sent to. */
+  readonly tried = new Set<string>();
+  /** Whether a target may have begun to run it. */
+  mayHaveRun = false;
+  #send: IOpenSend | null = null;
+  #sends = 0;
+  #targetsThatRan = 0;
+  #lastEvent: string | null;
+  #splitter = new EventSplitter();
+  #head: IAnswerHead | null = null;
+  /** The body of an answer that is passed on whole only. */
+  #collected: Uint8Array[] = [];
+  #hasEvents = false;
+
+  constructor(
+    parts: {
+      readonly call: ICall;
+      readonly reply: ICallReply;
+      readonly work: IWork;
+    },
+    owner: IModelRunOwner,
+  ) {
+    this.call = parts.call;
+    this.reply = parts.reply;
+    this.work = parts.work;
+    this.#owner = owner;
+    this.#lastEvent = parts.call.lastEvent;
+  }
+
+  get lastEvent(): string | null {
+    return this.#lastEvent;
+  }
+
+  get sends(): number {
+    return this.#sends;
+  }
+
+  /** Whether another target may be sent the call after this one failed. */
+  get mayGoOn(): boolean {
+    return (this.#isRepeatable || !this.mayHaveRun) && this.#hasAttempts;
+  }
+
+  /** Whether the present send may be given up for another. */
+  get mayGoOnAfterAbort(): boolean {
+    return this.#isRepeatable && this.#hasAttempts;
+  }
+
+  get #isRepeatable(): boolean {
+    const { isResumable, kind } = this.call.route;
+    return isResumable || kind === CallKind.Safe;
+  }
+
+  get #hasAttempts(): boolean {
+    const { maximumAttempts } = this.call.route;
+    return (
+      this.#targetsThatRan < maximumAttempts &&
+      this.#sends < maximumAttempts + EXTRA_SENDS
+    );
+  }
+
+  /** A send begins; its events come to this object. */
+  begin(current: ICurrentSend, open: () => IOpenSend): void {
+    this.current = current;
+    this.#sends += 1;
+    this.#splitter = new EventSplitter();
+    this.#head = null;
+    this.#collected = [];
+    this.#hasEvents = false;
+    this.tried.add(current.group.group);
+    this.#send = open();
+  }
+
+  /** Gives the present send up; it may have run. */
+  abort(): void {
+    this.#send?.abort();
+    this.#send = null;
+    this.mayHaveRun = true;
+  }
+
+  head(head: IAnswerHead): void {
+    this.#head = head;
+    if (head.isForeign) {
+      this.#giveUp(SendEnd.Broken, "answer to another request");
+    }
+  }
+
+  piece(bytes: Uint8Array): void {
+    if (!this.#isStream) {
+      this.#collected.push(bytes);
+      return;
+    }
+    const events = this.#splitter.take(bytes);
+    for (const event of events) {
+      this.#pass(event);
+    }
+    if (events.length > 0) {
+      this.#owner.heard(this);
+    } else if (this.#splitter.isTooLong) {
+      this.#giveUp(SendEnd.Broken, "event without end");
+    }
+  }
+
+  ended(): void {
+    const head = this.#head;
+    if (head === null) {
+      this.#giveUp(SendEnd.Broken, "ended without a head");
+    } else if (head.isNotRun) {
+      this.#giveUp(SendEnd.NotRun, `status ${head.status}`);
+    } else if (!this.#isStream) {
+      this.#passWhole(head);
+    } else if (this.#splitter.hasRest) {
+      this.#giveUp(SendEnd.Broken, "ended within an event");
+    } else {
+      this.#beginReply(head);
+      this.#finish(SendEnd.Whole, "");
+    }
+  }
+
+  failed(failure: SendFailure, detail: string): void {
+    const isNotSent = failure === SendFailure.NotSent;
+    this.#finish(isNotSent ? SendEnd.NotRun : SendEnd.Broken, detail);
+  }
+
+  /** Events are passed on as they come; any other answer once it is whole. */
+  get #isStream(): boolean {
+    const status = this.#head?.status ?? 0;
+    const isSuccess = status >= STATUS_OK && status < STATUS_REDIRECT;
+    return isSuccess && this.call.route.kind === CallKind.Stream;
+  }
+
+  #pass(event: IWholeEvent): void {
+    if (!this.#hasEvents) {
+      this.#hasEvents = true;
+      this.#targetsThatRan += 1;
+      this.mayHaveRun = true;
+    }
+    if (this.#isKnown(event)) {
+      return;
+    }
+    if (this.#head !== null) {
+      this.#beginReply(this.#head);
+    }
+    this.reply.piece(event.bytes);
+    this.#lastEvent = event.id ?? this.#lastEvent;
+  }
+
+  /** Whether the caller has the event already. */
+  #isKnown(event: IWholeEvent): boolean {
+    if (event.id === null || this.#lastEvent === null) {
+      return false;
+    }
+    return Number(event.id) <= Number(this.#lastEvent);
+  }
+
+  /** The answer keeps the head of its first target. */
+  #beginReply(head: IAnswerHead): void {
+    if (!this.reply.isBegun) {
+      this.reply.begin(head, null);
+    }
+  }
+
+  #passWhole(head: IAnswerHead): void {
+    this.mayHaveRun = true;
+    if (this.reply.isBegun) {
+      this.#giveUp(SendEnd.Broken, `status ${head.status} on resuming`);
+      return;
+    }
+    const length = this.#collected.reduce((sum, { length }) => sum + length, 0);
+    this.reply.begin(head, length);
+    for (const bytes of this.#collected) {
+      this.reply.piece(bytes);
+    }
+    this.#finish(SendEnd.Whole, `status ${head.status}`);
+  }
+
+  #giveUp(end: SendEnd, detail: string): void {
+    this.#send?.abort();
+    this.#finish(end, detail);
+  }
+
+  #finish(end: SendEnd, detail: string): void {
+    this.#send = null;
+    if (end !== SendEnd.NotRun) {
+      this.mayHaveRun = true;
+    }
+    this.#owner.sendEnded(this, end, detail);
+  }
+}
--- /dev/null
+++ b/src/common/calls/serving_groups.ts
@@ -0,0 +1,71 @@
+/** The open groups of all models, and how many requests each has. */
+import type { InstanceId, ServiceName, ZoneName } from "../types.ts";
+import type { IGroupLoad } from "./group_choice.ts";
+import type { ISendTarget } from "./types.ts";
+
+/** A group that takes requests. */
+export interface IServingGroup {
+  /** Names one list of members; a changed list has another name. */
+  readonly group: string;
+  readonly service: ServiceName;
+  readonly model: string;
+  readonly head: ISendTarget;
+  readonly zone: ZoneName;
+  readonly slots: number;
+}
+
+/** A group with what is in it. */
+export interface ILoadedGroup extends IServingGroup, IGroupLoad {}
+
+/** Groups as believed by this process. */
+export class ServingGroups {
+  #groups: readonly IServingGroup[] = [];
+  readonly #own = new Map<string, number>();
+  #others: ReadonlyMap<string, number> = new Map();
+
+  /** Replaces the belief. */
+  replace(groups: readonly IServingGroup[]): void {
+    this.#groups = groups;
+  }
+
+  /** Requests in each group that other processes have sent. */
+  tellOthers(counts: ReadonlyMap<string, number>): void {
+    this.#others = counts;
+  }
+
+  /** This process's requests in each group. */
+  get own(): ReadonlyMap<string, number> {
+    return this.#own;
+  }
+
+  get all(): readonly IServingGroup[] {
+    return this.#groups;
+  }
+
+  of(service: ServiceName, model: string): readonly ILoadedGroup[] {
+    return this.#groups
+      .filter((group) => group.service === service && group.model === model)
+      .map((group) => ({ ...group, inFlight: this.#inFlight(group.group) }));
+  }
+
+  isHead(id: InstanceId): boolean {
+    return this.#groups.some(({ head }) => head.id === id);
+  }
+
+  sent(group: string): void {
+    this.#own.set(group, (this.#own.get(group) ?? 0) + 1);
+  }
+
+  done(group: string): void {
+    const left = (this.#own.get(group) ?? 1) - 1;
+    if (left > 0) {
+      this.#own.set(group, left);
+    } else {
+      this.#own.delete(group);
+    }
+  }
+
+  #inFlight(group: string): number {
+    return (this.#own.get(group) ?? 0) + (this.#others.get(group) ?? 0);
+  }
+}
--- /dev/null
+++ b/src/common/replicas/engine_book.ts
@@ -0,0 +1,151 @@
+/**
+ * What the lease holder knows of each engine: the platform's entry, its newest
+ * report, and whether it still answers.
+ *
+ * An engine is silent after {@link MISSES_TO_SILENCE} reports in a row that
+ * were not answered, each on a connection of its own. When a large share of
+ * the engines falls silent together, the cause is more likely this process's
+ * own link, and nothing is concluded; one would otherwise give up every group
+ * because one cable is out.
+ */
+import type { IEngineState, IListedTarget } from "../calls/types.ts";
+import { ListedState } from "../calls/types.ts";
+import type { InstanceId, MonotonicTime } from "../types.ts";
+import type { IEngineReport } from "./types.ts";
+
+/** Unanswered reports in a row that make an engine silent. */
+const MISSES_TO_SILENCE = 2;
+
+/** Share of the answering engines whose silence is put down to this process. */
+const OWN_LINK_SHARE = 0.4;
+
+/** An engine as seen at one moment. */
+export interface IEngineView {
+  readonly target: IListedTarget;
+  readonly isListed: boolean;
+  readonly isDraining: boolean;
+  /** Null before the first report. */
+  readonly state: IEngineState | null;
+  /** When the newest report was asked for. */
+  readonly askedAt: MonotonicTime;
+  /** When it last answered; when it was first listed before that. */
+  readonly heardAt: MonotonicTime;
+  readonly isSilent: boolean;
+  /** Start of the process that gave the newest report. */
+  readonly startedAt: number;
+}
+
+interface IKnownEngine {
+  target: IListedTarget;
+  isListed: boolean;
+  state: IEngineState | null;
+  askedAt: MonotonicTime;
+  heardAt: MonotonicTime;
+  misses: number;
+  startedAt: number;
+}
+
+/** The engines of one service. */
+export class EngineBook {
+  readonly #engines = new Map<InstanceId, IKnownEngine>();
+  readonly #forgetAfter: number;
+
+  /** @param forgetAfter - milliseconds after which a gone engine is dropped */
+  constructor(forgetAfter: number) {
+    this.#forgetAfter = forgetAfter;
+  }
+
+  /** The platform's list, whole. */
+  listed(targets: readonly IListedTarget[], now: MonotonicTime): void {
+    const present = new Set<InstanceId>();
+    for (const target of targets) {
+      present.add(target.id);
+      this.#update(target, now);
+    }
+    for (const [id, engine] of this.#engines) {
+      engine.isListed = present.has(id);
+      const isOld = now - engine.heardAt > this.#forgetAfter;
+      if (!engine.isListed && isOld) {
+        this.#engines.delete(id);
+      }
+    }
+  }
+
+  reported(
+    id: InstanceId,
+    report: IEngineReport,
+    times: { readonly askedAt: MonotonicTime; readonly now: MonotonicTime },
+  ): void {
+    const engine = this.#engines.get(id);
+    if (engine === undefined || times.askedAt < engine.askedAt) {
+      return;
+    }
+    engine.state = report.engine;
+    engine.startedAt = report.startedAt;
+    engine.askedAt = times.askedAt;
+    engine.heardAt = times.now;
+    engine.misses = 0;
+  }
+
+  /** A report was not answered. */
+  missed(id: InstanceId): void {
+    const engine = this.#engines.get(id);
+    if (engine !== undefined) {
+      engine.misses += 1;
+    }
+  }
+
+  /** Whether an engine that has just missed a report should be asked again. */
+  isInDoubt(id: InstanceId): boolean {
+    const misses = this.#engines.get(id)?.misses ?? 0;
+    return misses > 0 && misses < MISSES_TO_SILENCE;
+  }
+
+  /** Whether so many are silent that this process's link is the likely cause. */
+  get isOwnLinkSuspect(): boolean {
+    const answered = [...this.#engines.values()].filter(
+      ({ state, isListed }) => state !== null && isListed,
+    );
+    const silent = answered.filter(isSilent).length;
+    return silent > answered.length * OWN_LINK_SHARE;
+  }
+
+  get views(): ReadonlyMap<InstanceId, IEngineView> {
+    const views = new Map<InstanceId, IEngineView>();
+    for (const [id, engine] of this.#engines) {
+      views.set(id, {
+        target: engine.target,
+        isListed: engine.isListed,
+        isDraining: engine.target.state === ListedState.Draining,
+        state: engine.state,
+        askedAt: engine.askedAt,
+        heardAt: engine.heardAt,
+        isSilent: isSilent(engine),
+        startedAt: engine.startedAt,
+      });
+    }
+    return views;
+  }
+
+  #update(target: IListedTarget, now: MonotonicTime): void {
+    const known = this.#engines.get(target.id);
+    if (known === undefined) {
+      this.#engines.set(target.id, {
+        target,
+        isListed: true,
+        state: null,
+        askedAt: Number.NEGATIVE_INFINITY,
+        heardAt: now,
+        misses: 0,
+        startedAt: target.startedAt,
+      });
+      return;
+    }
+    known.target = target;
+    known.isListed = true;
+  }
+}
+
+function isSilent(engine: IKnownEngine): boolean {
+  return engine.misses >= MISSES_TO_SILENCE;
+}
--- /dev/null
+++ b/src/common/replicas/exchange.ts
@@ -0,0 +1,49 @@
+/**
+ * What the lease holder and the other processes tell one another: which groups
+ * serve, and how many requests each process has in them. Hints only: nothing
+ * that must be unique rests on them.
+ */
+import type { Result } from "ts-results-es";
+import type { IServingGroup } from "../calls/serving_groups.ts";
+import type { ICallFailure } from "../types.ts";
+
+/** A process's word to the holder. */
+export interface IProcessWord {
+  readonly process: string;
+  /** Whether it has had a call since its start. */
+  readonly hasCalls: boolean;
+  /** Its requests in each group. */
+  readonly inFlight: Readonly<Record<string, number>>;
+  /** Its calls that wait, by service and model. */
+  readonly waiting: readonly IWaitingCalls[];
+  /** The newest table it has; 0 for none. */
+  readonly tableVersion: number;
+}
+
+/** Calls of one model that wait in one process. */
+export interface IWaitingCalls {
+  readonly service: string;
+  readonly model: string;
+  readonly calls: number;
+}
+
+/** The holder's word to a process. */
+export interface IHolderWord {
+  readonly tableVersion: number;
+  /** Null where the process has this version already. */
+  readonly groups: readonly IServingGroup[] | null;
+  /** Requests in each group that other processes have sent. */
+  readonly othersInFlight: Readonly<Record<string, number>>;
+  /** Processes that the holder hears of, itself included. */
+  readonly processes: number;
+}
+
+/** Asks the holder. */
+export interface IHolderLink {
+  /** @param timeout - milliseconds */
+  exchange(
+    address: string,
+    word: IProcessWord,
+    timeout: number,
+  ): Promise<Result<IHolderWord, ICallFailure>>;
+}
--- /dev/null
+++ b/src/common/replicas/group_keeper.ts
@@ -0,0 +1,374 @@
+/**
+ * Keeps the replica groups of one service: adopts those that stand, opens,
+ * closes and dissolves them. Pure: engines as seen and the time go in, orders
+ * come out. Which groups to form is decided in {@link planGroups}.
+ *
+ * What goes wrong without its rules: a member joined elsewhere while its old
+ * head still takes requests leaves that head with a hole, and requests sent
+ * there stand still; a group opened before each member has its weights
+ * answers from half a model. One would notice by requests that stall in a
+ * group whose members all look healthy.
+ */
+import { MemberState } from "../calls/types.ts";
+import type { IModel } from "../calls/types.ts";
+import type { InstanceId, MonotonicTime } from "../types.ts";
+import type { IEngineView } from "./engine_book.ts";
+import {
+  GroupPhase,
+  GroupTrouble,
+  isReady,
+  membershipIn,
+  troubleOf,
+} from "./replica_group.ts";
+import type { IReplicaGroup } from "./replica_group.ts";
+import { OrderKind } from "./types.ts";
+import type { EngineOrder, IGroupPlan } from "./types.ts";
+
+/** Longest time a head that closes is given for what it runs, milliseconds. */
+const LONGEST_CLOSING = 2_500;
+
+/**
+ * A group that is not complete by then is given up, as a multiple of the
+ * load time: loads beyond the store's rate take longer.
+ */
+const FORMING_FACTOR = 2.5;
+
+/** Beyond the platform's stall time until a silent head counts as broken. */
+const STALL_MARGIN = 1_000;
+
+/** Times of the platform's engines, milliseconds. */
+export interface IGroupTimes {
+  /** After it a head without one of its members breaks. */
+  readonly stallTime: number;
+  /** By how much reports describe the past; asked for at each look. */
+  readonly reportLag: () => number;
+}
+
+/** Reports may be somewhat older than their usual lag, milliseconds. */
+const LAG_MARGIN = 100;
+
+/** Engines by id. */
+export type EngineViews = ReadonlyMap<InstanceId, IEngineView>;
+
+/** An order and who gets it. */
+export interface IAddressedOrder {
+  readonly engine: InstanceId;
+  readonly order: EngineOrder;
+}
+
+/** A change of a group, for the log. */
+export interface IGroupChange {
+  readonly group: IReplicaGroup;
+  readonly from: GroupPhase | null;
+  /** Null: it is no more. */
+  readonly to: GroupPhase | null;
+}
+
+/** The groups of one service. */
+export class GroupKeeper {
+  readonly #groups = new Map<string, IReplicaGroup>();
+  readonly #times: IGroupTimes;
+  readonly #model: (name: string) => IModel | null;
+  #changes: IGroupChange[] = [];
+  /**
+   * Groups whose head is known to serve no more. Their other members go on
+   * reporting them until they join another one.
+   */
+  readonly #released = new Set<string>();
+
+  constructor(times: IGroupTimes, model: (name: string) => IModel | null) {
+    this.#times = times;
+    this.#model = model;
+  }
+
+  get groups(): readonly IReplicaGroup[] {
+    return [...this.#groups.values()];
+  }
+
+  /** What has changed since the last call. */
+  takeChanges(): readonly IGroupChange[] {
+    const changes = this.#changes;
+    this.#changes = [];
+    return changes;
+  }
+
+  /** Forgets everything, since another holder may have acted. */
+  clear(): void {
+    this.#groups.clear();
+    this.#released.clear();
+  }
+
+  /** A new group; its members are ordered to join by the next look. */
+  form(plan: IGroupPlan, views: EngineViews, now: MonotonicTime): void {
+    this.#add(this.#groupOf(plan, views, { phase: GroupPhase.Forming, now }));
+  }
+
+  /** A member has accepted the order to join. */
+  joined(name: string, member: InstanceId, now: MonotonicTime): void {
+    this.#groups.get(name)?.joined.set(member, now);
+  }
+
+  /** A member refused an order: the group cannot become whole. */
+  refused(name: string, now: MonotonicTime): void {
+    const group = this.#groups.get(name);
+    if (group?.phase === GroupPhase.Forming) {
+      this.#dissolve(group, GroupTrouble.OrderRefused, now);
+    }
+  }
+
+  /** Looks at all groups and returns the orders that are due. */
+  look(views: EngineViews, now: MonotonicTime): readonly IAddressedOrder[] {
+    this.#adopt(views, now);
+    const orders: IAddressedOrder[] = [];
+    for (const group of this.#groups.values()) {
+      this.#judge(group, views, now);
+      orders.push(...this.#ordersFor(group, views));
+    }
+    return orders;
+  }
+
+  /** Engines that are in no group and may be joined to one. */
+  free(views: EngineViews): readonly IEngineView[] {
+    const taken = new Set<InstanceId>();
+    for (const { plan } of this.#groups.values()) {
+      plan.members.forEach((member) => taken.add(member));
+    }
+    return [...views.values()].filter(
+      (view) =>
+        view.isListed &&
+        !view.isDraining &&
+        !view.isSilent &&
+        view.state !== null &&
+        !taken.has(view.target.id),
+    );
+  }
+
+  #judge(group: IReplicaGroup, views: EngineViews, now: MonotonicTime): void {
+    if (group.phase === GroupPhase.Dissolving) {
+      if (this.#isReleased(group, views, now)) {
+        this.#groups.delete(group.plan.group);
+        this.#released.add(group.plan.group);
+        this.#changes.push({ group, from: group.phase, to: null });
+      }
+      return;
+    }
+    const trouble = this.#troubleOf(group, views);
+    const isServing =
+      group.phase === GroupPhase.Serving || group.phase === GroupPhase.Closing;
+    if (trouble === GroupTrouble.MemberDraining && isServing) {
+      group.trouble = trouble;
+      this.#enter(group, GroupPhase.Closing, now);
+      this.#endClosing(group, views, now);
+    } else if (trouble !== null) {
+      this.#dissolve(group, trouble, now);
+    } else if (group.phase === GroupPhase.Forming) {
+      this.#judgeForming(group, views, now);
+    } else if (group.phase === GroupPhase.Opening) {
+      const head = views.get(group.head ?? "");
+      if (membershipIn(group, head)?.state === MemberState.Open) {
+        this.#enter(group, GroupPhase.Serving, now);
+      }
+    }
+  }
+
+  #judgeForming(
+    group: IReplicaGroup,
+    views: EngineViews,
+    now: MonotonicTime,
+  ): void {
+    const { members, model } = group.plan;
+    if (members.every((member) => isReady(group, member, views.get(member)))) {
+      this.#enter(group, GroupPhase.Opening, now);
+      return;
+    }
+    const loadTime = this.#model(model)?.loadTime ?? 0;
+    if (now - group.phaseSince > loadTime * FORMING_FACTOR) {
+      this.#dissolve(group, GroupTrouble.TooSlow, now);
+    }
+  }
+
+  #endClosing(
+    group: IReplicaGroup,
+    views: EngineViews,
+    now: MonotonicTime,
+  ): void {
+    const state = membershipIn(group, views.get(group.head ?? ""))?.state;
+    const isIdle = state === MemberState.Ready;
+    if (isIdle || now - group.phaseSince > LONGEST_CLOSING) {
+      this.#dissolve(group, GroupTrouble.MemberDraining, now);
+    }
+  }
+
+  #troubleOf(group: IReplicaGroup, views: EngineViews): GroupTrouble | null {
+    let draining: GroupTrouble | null = null;
+    for (const member of group.plan.members) {
+      const view = views.get(member);
+      const trouble = troubleOf(group, member, { view, reportLag: this.#lag });
+      if (trouble === GroupTrouble.MemberDraining) {
+        draining = trouble;
+      } else if (trouble !== null) {
+        return trouble;
+      }
+    }
+    return draining;
+  }
+
+  /**
+   * Whether the head takes no requests for this group any more: by its own
+   * word, or because it has been silent for so long that it is dead or broken.
+   */
+  #isReleased(
+    group: IReplicaGroup,
+    views: EngineViews,
+    now: MonotonicTime,
+  ): boolean {
+    const bound = this.#times.stallTime + STALL_MARGIN;
+    const head = views.get(group.head ?? "");
+    if (head === undefined) {
+      return now - group.phaseSince > bound;
+    }
+    const hasReported = head.askedAt > group.phaseSince + this.#lag;
+    if (hasReported) {
+      const membership = membershipIn(group, head);
+      return membership === null || membership.state === MemberState.Broken;
+    }
+    const silentFor = now - Math.max(head.heardAt, group.phaseSince);
+    return !head.isListed && silentFor > bound;
+  }
+
+  #ordersFor(
+    group: IReplicaGroup,
+    views: EngineViews,
+  ): readonly IAddressedOrder[] {
+    const { plan, head } = group;
+    const { group: name, epoch } = plan;
+    switch (group.phase) {
+      case GroupPhase.Forming:
+        return plan.members
+          .filter((member) => !group.joined.has(member))
+          .map((engine) => ({ engine, order: { kind: OrderKind.Join, plan } }));
+      case GroupPhase.Opening:
+        return addressed(head, { kind: OrderKind.Open, group: name, epoch });
+      case GroupPhase.Closing:
+        return membershipIn(group, views.get(head ?? ""))?.state ===
+          MemberState.Open
+          ? addressed(head, { kind: OrderKind.Close, group: name, epoch })
+          : [];
+      case GroupPhase.Dissolving:
+        return addressed(head, { kind: OrderKind.Leave, group: name, epoch });
+      default:
+        return [];
+    }
+  }
+
+  /** Takes over groups that engines report and this process knows nothing of. */
+  #adopt(views: EngineViews, now: MonotonicTime): void {
+    const found = new Map<string, IEngineView[]>();
+    for (const view of views.values()) {
+      const membership = view.state?.membership ?? null;
+      if (membership !== null && !this.#isKnown(membership.group)) {
+        const key = `${membership.group}\n${membership.epoch}`;
+        found.set(key, [...(found.get(key) ?? []), view]);
+      }
+    }
+    for (const members of found.values()) {
+      this.#adoptGroup(members, views, now);
+    }
+  }
+
+  get #lag(): number {
+    return this.#times.reportLag() + LAG_MARGIN;
+  }
+
+  #isKnown(group: string): boolean {
+    return this.#groups.has(group) || this.#released.has(group);
+  }
+
+  #adoptGroup(
+    members: readonly IEngineView[],
+    views: EngineViews,
+    now: MonotonicTime,
+  ): void {
+    const sorted = [...members].sort((one, other) => rank(one) - rank(other));
+    const [first] = sorted;
+    const membership = first?.state?.membership;
+    if (first === undefined || !membership) {
+      return;
+    }
+    const model = sorted.find(({ state }) => state?.model)?.state?.model ?? "";
+    const plan: IGroupPlan = {
+      group: membership.group,
+      epoch: membership.epoch,
+      model,
+      members: sorted.map(({ target }) => target.id),
+    };
+    const isWhole =
+      sorted.length === (this.#model(model)?.size ?? 0) &&
+      sorted.every((view, index) => rank(view) === index);
+    const isOpen = membership.state === MemberState.Open;
+    const phase =
+      isWhole && isOpen ? GroupPhase.Serving : GroupPhase.Dissolving;
+    const group = this.#groupOf(plan, views, { phase, now });
+    for (const view of sorted) {
+      group.joined.set(view.target.id, view.askedAt);
+    }
+    group.trouble = isWhole ? null : GroupTrouble.Incomplete;
+    const hasHead = rank(first) === 0;
+    this.#add(hasHead ? group : { ...group, head: null });
+  }
+
+  #groupOf(
+    plan: IGroupPlan,
+    views: EngineViews,
+    state: { readonly phase: GroupPhase; readonly now: MonotonicTime },
+  ): IReplicaGroup {
+    const starts = new Map<InstanceId, number>();
+    for (const member of plan.members) {
+      starts.set(member, views.get(member)?.startedAt ?? 0);
+    }
+    const [head] = plan.members;
+    return {
+      plan,
+      domain: views.get(head ?? "")?.state?.domain ?? "",
+      starts,
+      phase: state.phase,
+      phaseSince: state.now,
+      joined: new Map(),
+      trouble: null,
+      head: head ?? null,
+    };
+  }
+
+  #add(group: IReplicaGroup): void {
+    this.#groups.set(group.plan.group, group);
+    this.#changes.push({ group, from: null, to: group.phase });
+  }
+
+  #dissolve(
+    group: IReplicaGroup,
+    trouble: GroupTrouble,
+    now: MonotonicTime,
+  ): void {
+    group.trouble = trouble;
+    this.#enter(group, GroupPhase.Dissolving, now);
+  }
+
+  #enter(group: IReplicaGroup, phase: GroupPhase, now: MonotonicTime): void {
+    if (group.phase !== phase) {
+      this.#changes.push({ group, from: group.phase, to: phase });
+      group.phase = phase;
+      group.phaseSince = now;
+    }
+  }
+}
+
+function addressed(
+  engine: InstanceId | null,
+  order: EngineOrder,
+): readonly IAddressedOrder[] {
+  return engine === null ? [] : [{ engine, order }];
+}
+
+function rank(view: IEngineView): number {
+  return view.state?.membership?.rank ?? Number.MAX_SAFE_INTEGER;
+}
--- /dev/null
+++ b/src/common/replicas/holder_listener.ts
@@ -0,0 +1,125 @@
+/**
+ * The part of a process that does not hold the lease: it tells the holder what
+ * it has in flight and hears which groups serve.
+ *
+ * Without it a process learns of a lost or a new group from the platform's
+ * list, a second or more later, and of the others' requests never.
+ */
+import type { IServingGroup } from "../calls/serving_groups.ts";
+import type { IClock, ILog } from "../services/services.ts";
+import type { MonotonicTime } from "../types.ts";
+import type { IHolderLink, IHolderWord, IProcessWord } from "./exchange.ts";
+
+/** The holder answers at the latest by then where nothing changes. */
+export const EXCHANGE_WAIT = 200;
+
+/** Beyond it until an exchange counts as failed, milliseconds. */
+const EXCHANGE_GRACE = 400;
+
+/** Shortest time between two exchanges, milliseconds. */
+const SHORTEST_PAUSE = 30;
+
+/** Time between two tries while there is no holder, milliseconds. */
+const RETRY_PAUSE = 150;
+
+/** A table that is older is not used, milliseconds. */
+const TABLE_LIFETIME = 1_500;
+
+/** What the listener needs. */
+export interface IHolderListenerParts {
+  readonly link: IHolderLink;
+  readonly clock: IClock;
+  readonly log: ILog;
+  /** Where the holder is reached; null where there is none, or it is here. */
+  readonly holderAddress: () => string | null;
+  readonly word: (tableVersion: number) => IProcessWord;
+  readonly onHeard: () => void;
+}
+
+/** Hears from the holder. */
+export class HolderListener {
+  readonly #parts: IHolderListenerParts;
+  #groups: readonly IServingGroup[] = [];
+  #others: ReadonlyMap<string, number> = new Map();
+  #processes = 1;
+  #version = 0;
+  #address: string | null = null;
+  #heardAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  #isStopped = false;
+
+  constructor(parts: IHolderListenerParts) {
+    this.#parts = parts;
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  dispose(): void {
+    this.#isStopped = true;
+  }
+
+  /** Whether the holder's table is fresh enough to go by. */
+  get isFresh(): boolean {
+    return this.#parts.clock.now() - this.#heardAt < TABLE_LIFETIME;
+  }
+
+  get groups(): readonly IServingGroup[] {
+    return this.#groups;
+  }
+
+  get others(): ReadonlyMap<string, number> {
+    return this.#others;
+  }
+
+  /** Processes that the holder hears of. */
+  get processes(): number {
+    return this.#processes;
+  }
+
+  async #run(): Promise<void> {
+    while (!this.#isStopped) {
+      const address = this.#parts.holderAddress();
+      const heard = address !== null && (await this.#exchange(address));
+      await this.#wait(heard ? SHORTEST_PAUSE : RETRY_PAUSE);
+    }
+  }
+
+  async #exchange(address: string): Promise<boolean> {
+    if (address !== this.#address) {
+      this.#address = address;
+      this.#version = 0;
+    }
+    const wasFresh = this.isFresh;
+    const word = this.#parts.word(this.#version);
+    const timeout = EXCHANGE_WAIT + EXCHANGE_GRACE;
+    const answer = await this.#parts.link.exchange(address, word, timeout);
+    if (answer.isErr()) {
+      if (wasFresh) {
+        const { detail } = answer.error;
+        this.#parts.log.warn("holder_lost", { address, detail });
+      }
+      return false;
+    }
+    if (!wasFresh) {
+      this.#parts.log.info("holder_heard", { address });
+    }
+    this.#take(answer.value);
+    return true;
+  }
+
+  #take(word: IHolderWord): void {
+    this.#heardAt = this.#parts.clock.now();
+    this.#version = word.tableVersion;
+    this.#groups = word.groups ?? this.#groups;
+    this.#others = new Map(Object.entries(word.othersInFlight));
+    this.#processes = word.processes;
+    this.#parts.onHeard();
+  }
+
+  #wait(delay: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#parts.clock.after(delay, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/common/replicas/lease_keeper.ts
@@ -0,0 +1,208 @@
+/**
+ * Keeps one process's stand towards the lease that covers all orders to
+ * engines. The decisions are {@link DomainLease}'s; here its reads and writes
+ * are carried out. The record has no groups: engines report those themselves.
+ */
+import { DisposableStore } from "../disposable.ts";
+import type { IDisposable } from "../disposable.ts";
+import { DomainLease } from "../groups/domain_lease.ts";
+import {
+  checkDomainRecord,
+  DOMAIN_KIND,
+} from "../groups/domain_record_schema.ts";
+import { LeaseState } from "../groups/lease_machine.ts";
+import { LeaseActionKind } from "../groups/types.ts";
+import type { ILeaseTiming, LeaseAction } from "../groups/types.ts";
+import { WriteFailureKind } from "../services/services.ts";
+import type { IClock, ILog, IObjectStore } from "../services/services.ts";
+import type { DaemonId, MonotonicTime } from "../types.ts";
+
+/** The one record; a domain's name in the product's own arrangement. */
+const RECORD = "engines";
+
+/** How often time is told to the lease, milliseconds. */
+const TICK = 100;
+
+/**
+ * Bounds of the lease, milliseconds. A killed holder is replaced after the
+ * lease and the margin, some 2 s, in which no group is healed; renewals cost
+ * two writes a second of the store's some hundred.
+ */
+const TIMING: ILeaseTiming = {
+  leaseTime: 1_500,
+  takeoverMargin: 500,
+  safetyMargin: 300,
+  renewEvery: 500,
+  pauseBound: 350,
+};
+
+/** Time between two reads while the holder answers, and while it does not. */
+const CALM_READ_PERIOD = 2_500;
+const DOUBT_READ_PERIOD = 300;
+
+/** What the keeper needs. */
+export interface ILeaseKeeperParts {
+  readonly store: IObjectStore;
+  readonly clock: IClock;
+  readonly log: ILog;
+  /** Whether the holder has answered lately, so that few reads are needed. */
+  readonly isHolderHeard: () => boolean;
+  readonly onAcquired: () => void;
+  readonly onLost: () => void;
+}
+
+/** The lease as one process keeps it. */
+export class LeaseKeeper implements IDisposable {
+  readonly #parts: ILeaseKeeperParts;
+  readonly #process: DaemonId;
+  readonly #lease: DomainLease;
+  readonly #owned = new DisposableStore();
+  #isReading = false;
+  #readAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  #isStopped = false;
+
+  /** @param process - names this process; peers reach it by this name */
+  constructor(process: DaemonId, parts: ILeaseKeeperParts) {
+    this.#process = process;
+    this.#parts = parts;
+    this.#lease = new DomainLease(process, RECORD, TIMING);
+  }
+
+  start(): void {
+    this.#owned.add(this.#parts.clock.every(TICK, () => this.#tick()));
+    this.#tick();
+  }
+
+  /** Whether an order sent at this moment is covered. */
+  get mayOrder(): boolean {
+    return !this.#isStopped && this.#lease.mayOrder(this.#now);
+  }
+
+  get isHolding(): boolean {
+    return this.#lease.state !== LeaseState.Observing;
+  }
+
+  /** The process that holds the lease, as last seen; null for none. */
+  get holder(): DaemonId | null {
+    return this.#lease.seen?.record.holder ?? null;
+  }
+
+  /** Rises each time the lease changes hands. */
+  get epoch(): number {
+    return this.#lease.seen?.record.epoch ?? 0;
+  }
+
+  /** Gives the lease back so that another process need not wait for its end. */
+  async giveBack(): Promise<void> {
+    this.#isStopped = true;
+    const actions = this.#lease.giveBack(this.#now);
+    this.#owned.dispose();
+    await Promise.all(actions.map((action) => this.#carryOut(action)));
+  }
+
+  dispose(): void {
+    this.#isStopped = true;
+    this.#owned.dispose();
+  }
+
+  get #now(): MonotonicTime {
+    return this.#parts.clock.now();
+  }
+
+  #tick(): void {
+    this.#run(this.#lease.tick(this.#now));
+    const isCalm = this.isHolding || this.#parts.isHolderHeard();
+    const period = isCalm ? CALM_READ_PERIOD : DOUBT_READ_PERIOD;
+    const isFirst = this.#lease.seen === null;
+    const due = this.#readAt + (isFirst ? DOUBT_READ_PERIOD : period);
+    if (this.#now >= due && !this.isHolding) {
+      void this.#read();
+    }
+  }
+
+  #run(actions: readonly LeaseAction[]): void {
+    for (const action of actions) {
+      void this.#carryOut(action);
+    }
+  }
+
+  async #carryOut(action: LeaseAction): Promise<void> {
+    const { log, onAcquired, onLost } = this.#parts;
+    switch (action.kind) {
+      case LeaseActionKind.Read:
+        await this.#read();
+        break;
+      case LeaseActionKind.Write:
+        await this.#write(action);
+        break;
+      case LeaseActionKind.Acquired:
+        log.info("lease_acquired", { epoch: this.epoch });
+        onAcquired();
+        break;
+      case LeaseActionKind.Lost:
+        log.info("lease_lost", { epoch: this.epoch, holder: this.holder });
+        onLost();
+        break;
+    }
+  }
+
+  async #write(
+    action: Extract<LeaseAction, { kind: LeaseActionKind.Write }>,
+  ): Promise<void> {
+    const { record, expectedVersion } = action;
+    const written = await this.#parts.store.write({
+      kind: DOMAIN_KIND,
+      name: RECORD,
+      value: record,
+      expectedVersion,
+    });
+    if (written.isOk()) {
+      this.#run(this.#lease.writeTook(record.attempt, written.value));
+      return;
+    }
+    const { kind, detail } = written.error;
+    this.#parts.log.warn("lease_write_failed", { kind, detail });
+    if (kind === WriteFailureKind.Conflict) {
+      this.#run(this.#lease.writeConflicted(record.attempt));
+    } else if (kind === WriteFailureKind.NotApplied) {
+      this.#run(this.#lease.writeFailed(record.attempt));
+    } else {
+      this.#run(this.#lease.writeUnknown(record.attempt));
+    }
+  }
+
+  async #read(): Promise<void> {
+    if (this.#isReading || this.#isStopped) {
+      return;
+    }
+    this.#isReading = true;
+    this.#readAt = this.#now;
+    const found = await this.#parts.store.read(DOMAIN_KIND, RECORD);
+    this.#isReading = false;
+    if (found.isErr()) {
+      this.#parts.log.warn("lease_read_failed", { detail: found.error.detail });
+      return;
+    }
+    if (found.value.isNone()) {
+      this.#run(this.#lease.observed(null, this.#now));
+      return;
+    }
+    const { value, version } = found.value.value;
+    const record = checkDomainRecord(RECORD, value);
+    if (record.isErr()) {
+      const [finding] = record.error;
+      this.#parts.log.error("lease_record_unreadable", {
+        path: finding?.path,
+        detail: finding?.message,
+      });
+      return;
+    }
+    const seen = { version, record: record.value };
+    this.#run(this.#lease.observed(seen, this.#now));
+  }
+
+  /** Names this process in the record. */
+  get process(): DaemonId {
+    return this.#process;
+  }
+}
--- /dev/null
+++ b/src/common/replicas/replica_service.ts
@@ -0,0 +1,356 @@
+/**
+ * Orders the engines of one service into replica groups while this process
+ * holds the lease: asks engines for reports, and sends the orders that the
+ * decisions ask for.
+ */
+import type { IServingGroup } from "../calls/serving_groups.ts";
+import type { IEngineModel, IListedTarget, IModel } from "../calls/types.ts";
+import { DisposableStore } from "../disposable.ts";
+import type { IDisposable } from "../disposable.ts";
+import type { IClock, ILog, IMetrics } from "../services/services.ts";
+import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
+import { EngineBook } from "./engine_book.ts";
+import type { IEngineView } from "./engine_book.ts";
+import { GroupKeeper } from "./group_keeper.ts";
+import type { IAddressedOrder, IGroupChange } from "./group_keeper.ts";
+import { LoadAllowance } from "./load_allowance.ts";
+import type { ILoadBounds } from "./load_allowance.ts";
+import { OrderDesk } from "./order_desk.ts";
+import { planGroups } from "./plan_groups.ts";
+import { GroupPhase } from "./replica_group.ts";
+import { OrderKind, OrderOutcome } from "./types.ts";
+import type { EngineOrder, IEngines } from "./types.ts";
+
+/** How often engines and groups are looked at, milliseconds. */
+const TICK = 50;
+
+/** Time between two reports of an engine that serves or is free. */
+const CALM_REPORT_PERIOD = 350;
+
+/** Time between two reports of an engine whose group changes. */
+const BUSY_REPORT_PERIOD = 100;
+
+/** An engine answers at once; a cross-zone trip takes some 12 ms. */
+const REPORT_TIMEOUT = 300;
+
+/** No more engines came for so long: the list is taken for whole. */
+const LIST_SETTLED_AFTER = 400;
+
+/** Epochs of groups under one epoch of the lease. */
+const GROUPS_PER_LEASE_EPOCH = 1_000_000;
+
+/** Gone engines are remembered as long as orders may be carried out late. */
+const FORGET_AFTER = 15_000;
+
+/** A staging that is not seen by then is given up, in load times. */
+const STAGING_FACTOR = 2.5;
+
+/** What the service needs. */
+export interface IReplicaServiceParts {
+  readonly engines: IEngines;
+  readonly clock: IClock;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  readonly listed: () => readonly IListedTarget[];
+  readonly engine: () => IEngineModel | null;
+  readonly mayOrder: () => boolean;
+  readonly leaseEpoch: () => number;
+  /** Requests in flight and waiting, by model. */
+  readonly demand: () => ReadonlyMap<string, number>;
+  readonly isBeforeTraffic: () => boolean;
+  readonly onTableChanged: () => void;
+}
+
+/** Bounds that the platform sets. */
+export interface IReplicaBounds {
+  /** Milliseconds after which a group without a member breaks. */
+  readonly stallTime: number;
+  readonly loads: ILoadBounds;
+}
+
+interface IStaging {
+  readonly model: string;
+  readonly until: MonotonicTime;
+}
+
+/** The groups of one service, while this process holds the lease. */
+export class ReplicaService implements IDisposable {
+  readonly #service: ServiceName;
+  readonly #parts: IReplicaServiceParts;
+  readonly #owned = new DisposableStore();
+  readonly #book = new EngineBook(FORGET_AFTER);
+  readonly #keeper: GroupKeeper;
+  readonly #allowance: LoadAllowance;
+  readonly #desk: OrderDesk;
+  readonly #asked = new Map<InstanceId, MonotonicTime>();
+  readonly #staging = new Map<InstanceId, IStaging>();
+  #nextGroup = 1;
+  #listSize = 0;
+  #listGrewAt: MonotonicTime;
+  #isSurveyed = false;
+
+  constructor(
+    service: ServiceName,
+    parts: IReplicaServiceParts,
+    bounds: IReplicaBounds,
+  ) {
+    this.#service = service;
+    this.#parts = parts;
+    this.#keeper = new GroupKeeper(
+      {
+        stallTime: bounds.stallTime,
+        reportLag: () => parts.engine()?.reportLag ?? 0,
+      },
+      (name) => this.#modelNamed(name),
+    );
+    this.#allowance = new LoadAllowance(bounds.loads);
+    this.#desk = new OrderDesk(parts);
+    this.#listGrewAt = parts.clock.now();
+  }
+
+  start(): void {
+    this.#owned.add(this.#parts.clock.every(TICK, () => this.#tick()));
+    this.#tick();
+  }
+
+  dispose(): void {
+    this.#owned.dispose();
+  }
+
+  /** Whether what the engines do is known, so that the table can be trusted. */
+  get isSurveyed(): boolean {
+    return this.#isSurveyed;
+  }
+
+  /** The groups that take requests. */
+  get serving(): readonly IServingGroup[] {
+    const views = this.#book.views;
+    const slots = this.#parts.engine()?.slots ?? 0;
+    return this.#keeper.groups
+      .filter(({ phase }) => phase === GroupPhase.Serving)
+      .flatMap(({ plan, head }) => {
+        const target = views.get(head ?? "")?.target;
+        if (target === undefined) {
+          return [];
+        }
+        const { id, address, zone } = target;
+        return [
+          {
+            group: plan.group,
+            service: this.#service,
+            model: plan.model,
+            head: { id, address },
+            zone,
+            slots,
+          },
+        ];
+      });
+  }
+
+  #tick(): void {
+    const now = this.#now;
+    const listed = this.#parts.listed();
+    if (listed.length > this.#listSize) {
+      this.#listGrewAt = now;
+    }
+    this.#listSize = listed.length;
+    this.#book.listed(listed, now);
+    this.#askForReports(now);
+    this.#survey(now);
+    if (!this.#isSurveyed || !this.#parts.mayOrder()) {
+      return;
+    }
+    if (this.#book.isOwnLinkSuspect) {
+      return;
+    }
+    const orders = this.#keeper.look(this.#book.views, now);
+    for (const order of orders) {
+      this.#order(order);
+    }
+    this.#plan(now);
+    this.#reportChanges();
+  }
+
+  /** Nothing is concluded before each engine was asked once. */
+  #survey(now: MonotonicTime): void {
+    if (this.#isSurveyed) {
+      return;
+    }
+    const views = [...this.#book.views.values()];
+    const isSettled = now - this.#listGrewAt >= LIST_SETTLED_AFTER;
+    const isAsked = views.every(
+      ({ state, isSilent, isListed }) =>
+        state !== null || isSilent || !isListed,
+    );
+    this.#isSurveyed = views.length > 0 && isSettled && isAsked;
+    if (this.#isSurveyed) {
+      this.#parts.log.info("engines_surveyed", { engines: views.length });
+      this.#parts.onTableChanged();
+    }
+  }
+
+  #askForReports(now: MonotonicTime): void {
+    const busy = this.#busyEngines();
+    for (const [id, view] of this.#book.views) {
+      if (!view.isListed) {
+        continue;
+      }
+      const isBusy = busy.has(id) || this.#book.isInDoubt(id);
+      const period = isBusy ? BUSY_REPORT_PERIOD : CALM_REPORT_PERIOD;
+      const askedAt = this.#asked.get(id) ?? Number.NEGATIVE_INFINITY;
+      if (now - askedAt >= period) {
+        this.#asked.set(id, now);
+        void this.#ask(view, now);
+      }
+    }
+  }
+
+  async #ask(view: IEngineView, askedAt: MonotonicTime): Promise<void> {
+    const { id } = view.target;
+    const report = await this.#parts.engines.report(
+      view.target,
+      REPORT_TIMEOUT,
+    );
+    if (report.isErr()) {
+      this.#parts.metrics.count("engine_reports_missed");
+      this.#book.missed(id);
+      return;
+    }
+    const now = this.#now;
+    this.#book.reported(id, report.value, { askedAt, now });
+  }
+
+  /** Engines in groups that change. */
+  #busyEngines(): ReadonlySet<InstanceId> {
+    const busy = new Set<InstanceId>();
+    for (const { phase, plan } of this.#keeper.groups) {
+      if (phase !== GroupPhase.Serving) {
+        plan.members.forEach((member) => busy.add(member));
+      }
+    }
+    return busy;
+  }
+
+  #plan(now: MonotonicTime): void {
+    const engine = this.#parts.engine();
+    if (engine === null) {
+      return;
+    }
+    this.#expireStagings(now);
+    const proposals = planGroups({
+      models: engine.models,
+      free: this.#keeper.free(this.#book.views),
+      staging: new Map(
+        [...this.#staging].map(([id, { model }]) => [id, model]),
+      ),
+      standing: this.#keeper.groups
+        .filter(({ phase }) => phase !== GroupPhase.Dissolving)
+        .map(({ plan, domain }) => ({ model: plan.model, domain })),
+      demand: this.#parts.demand(),
+      slots: engine.slots,
+      isBeforeTraffic: this.#parts.isBeforeTraffic(),
+      loadsLeft: this.#allowance.left(engine.loadsPerSecond, now),
+    });
+    for (const { model, members } of proposals.groups) {
+      const epoch =
+        this.#parts.leaseEpoch() * GROUPS_PER_LEASE_EPOCH + this.#nextGroup;
+      this.#nextGroup += 1;
+      const plan = { group: `group-${epoch}`, epoch, model, members };
+      this.#keeper.form(plan, this.#book.views, now);
+      members.forEach((member) => this.#staging.delete(member));
+    }
+    for (const { engine: id, model } of proposals.stagings) {
+      this.#stage(id, model, now);
+    }
+  }
+
+  #stage(id: InstanceId, model: string, now: MonotonicTime): void {
+    const loadTime = this.#modelNamed(model)?.loadTime ?? 0;
+    this.#allowance.began(now);
+    this.#staging.set(id, { model, until: now + loadTime * STAGING_FACTOR });
+    this.#order({ engine: id, order: { kind: OrderKind.Stage, model } });
+  }
+
+  #expireStagings(now: MonotonicTime): void {
+    const views = this.#book.views;
+    for (const [id, { model, until }] of this.#staging) {
+      const isDone = views.get(id)?.state?.staged.includes(model) ?? false;
+      if (isDone || now >= until) {
+        this.#staging.delete(id);
+      }
+    }
+  }
+
+  #order({ engine, order }: IAddressedOrder): void {
+    const target = this.#book.views.get(engine)?.target;
+    if (target !== undefined) {
+      this.#desk.send(target, order, (outcome) =>
+        this.#orderEnded({ engine, order }, outcome),
+      );
+    }
+  }
+
+  #orderEnded(sent: IAddressedOrder, outcome: OrderOutcome): void {
+    const { engine, order } = sent;
+    this.#parts.log.info("order", {
+      engine,
+      order: order.kind,
+      about: aboutOf(order),
+      outcome,
+    });
+    if (order.kind === OrderKind.Join) {
+      if (outcome === OrderOutcome.Accepted) {
+        this.#keeper.joined(order.plan.group, engine, this.#now);
+      } else if (outcome === OrderOutcome.Refused) {
+        this.#keeper.refused(order.plan.group, this.#now);
+      }
+    } else if (
+      order.kind === OrderKind.Stage &&
+      outcome !== OrderOutcome.Accepted
+    ) {
+      this.#staging.delete(engine);
+    }
+  }
+
+  #reportChanges(): void {
+    const changes = this.#keeper.takeChanges();
+    for (const change of changes) {
+      this.#log(change);
+    }
+    if (changes.length > 0) {
+      this.#parts.onTableChanged();
+    }
+  }
+
+  #log({ group, from, to }: IGroupChange): void {
+    this.#parts.metrics.count("group_changes", { to: to ?? "released" });
+    this.#parts.log.info("group", {
+      group: group.plan.group,
+      model: group.plan.model,
+      members: group.plan.members.join(","),
+      from,
+      to: to ?? "released",
+      trouble: group.trouble,
+    });
+  }
+
+  #modelNamed(name: string): IModel | null {
+    const models = this.#parts.engine()?.models ?? [];
+    return models.find((model) => model.name === name) ?? null;
+  }
+
+  get #now(): MonotonicTime {
+    return this.#parts.clock.now();
+  }
+}
+
+function aboutOf(order: EngineOrder): string {
+  switch (order.kind) {
+    case OrderKind.Join:
+      return order.plan.group;
+    case OrderKind.Stage:
+      return order.model;
+    default:
+      return order.group;
+  }
+}
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -112,10 +112,12 @@
 export interface IWatchResult {
   readonly version: number;
   readonly objects: readonly IPlatformObject[];
+  /** Names of objects that are gone, where the platform tells them. */
+  readonly removed?: readonly string[];
 }
 
-/** The platform's object API and its list of instances. */
-export interface IPlatform {
+/** Objects with versions, conditional writes and watches. */
+export interface IObjectStore {
   read(
     kind: string,
     name: string,
@@ -134,6 +136,10 @@
     name: string,
     expectedVersion: number,
   ): Promise<Result<void, IWriteFailure>>;
+}
+
+/** The platform's object API and its list of instances. */
+export interface IPlatform extends IObjectStore {
   instances(): Promise<Result<readonly IInstance[], ICallFailure>>;
 }
 
--- /dev/null
+++ b/src/entry/entry_process.ts
@@ -0,0 +1,301 @@
+/** Wires one entry process and owns its start and stop. */
+import { IngressServer } from "../../platform/ingress_server.ts";
+import { ReadinessServer } from "../../platform/readiness_server.ts";
+import { decodeConfiguration } from "../../platform/configuration_decoder.ts";
+import { CONFIGURATION_NAME, Kind } from "../../platform/names.ts";
+import { ObjectStore } from "../../platform/object_store.ts";
+import { TargetClient } from "../../platform/target_client.ts";
+import { decodeTarget } from "../../platform/target_decoder.ts";
+import { SystemClock } from "../adapters/clock/system_clock.ts";
+import { InnerServer } from "../adapters/exchange/inner_server.ts";
+import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
+import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
+import { SystemRandom } from "../adapters/random/system_random.ts";
+import { ConfigurationBook } from "../common/calls/configuration_book.ts";
+import { CHECK_PERIOD, ModelCalls } from "../common/calls/model_calls.ts";
+import { ObjectFollower } from "../common/calls/object_follower.ts";
+import { PlainCalls } from "../common/calls/plain_calls.ts";
+import { PlainTargets } from "../common/calls/plain_targets.ts";
+import { RepeatBook } from "../common/calls/repeat_book.ts";
+import { ServingGroups } from "../common/calls/serving_groups.ts";
+import { TargetBook } from "../common/calls/target_book.ts";
+import { CallReason, CallEnd } from "../common/calls/types.ts";
+import type { ICall, ICallReply } from "../common/calls/types.ts";
+import { DisposableStore } from "../common/disposable.ts";
+import { FleetControl } from "./fleet_control.ts";
+import type { EntrySettings } from "./settings.ts";
+
+const MILLISECONDS_A_SECOND = 1_000;
+
+/**
+ * Pause between an answered watch of the targets and the next, milliseconds: a
+ * leaving target may get work for two seconds, the watch of the configuration
+ * has none, since changes are rare.
+ */
+const TARGETS_PAUSE = 300;
+
+/** Entries that lapsed in an outage are back within two seconds of its end. */
+const REAPPEAR_TIME = 2_300;
+
+/** How often missing targets and unused state are looked at, milliseconds. */
+const HOUSEKEEPING_PERIOD = 250;
+
+/**
+ * How long a stopping process goes on taking connections, milliseconds: the
+ * balancer asks once a second and takes it out after two misses.
+ */
+const TAKEN_OUT_AFTER = 3_000;
+
+/** Before the end of the grace time by which all must be over, milliseconds. */
+const GRACE_MARGIN = 700;
+
+/** When to come back to a process that does not know its targets yet. */
+const STARTING_RETRY_AFTER = 500;
+
+/** One running entry process. */
+export class EntryProcess {
+  readonly #settings: EntrySettings;
+  readonly #log: LogfmtLog;
+  readonly #clock = new SystemClock();
+  readonly #random = new SystemRandom();
+  readonly #metrics = new PrometheusMetrics();
+  readonly #owned = new DisposableStore();
+  readonly #store: ObjectStore;
+  readonly #client = new TargetClient();
+  readonly #configuration: ConfigurationBook;
+  readonly #targets = new TargetBook(decodeTarget, REAPPEAR_TIME);
+  readonly #groups = new ServingGroups();
+  readonly #plainTargets = new PlainTargets();
+  readonly #followers: readonly ObjectFollower[];
+  readonly #control: FleetControl;
+  readonly #models: ModelCalls;
+  readonly #plain: PlainCalls;
+  readonly #ingress: IngressServer;
+  readonly #readiness = new ReadinessServer(() => this.isReady);
+  readonly #inner: InnerServer;
+  #hasCalls = false;
+  #isStopping = false;
+
+  private constructor(settings: EntrySettings, log: LogfmtLog) {
+    this.#settings = settings;
+    this.#log = log;
+    this.#store = new ObjectStore(settings.store.address);
+    this.#configuration = new ConfigurationBook(decodeConfiguration, log);
+    this.#followers = this.#createFollowers();
+    const repeats = this.#createRepeats();
+    const shared = {
+      sender: this.#client,
+      repeats,
+      clock: this.#clock,
+      random: this.#random,
+      log,
+      metrics: this.#metrics,
+      zone: settings.instance.zone,
+    };
+    this.#models = new ModelCalls({
+      ...shared,
+      groups: this.#groups,
+      service: (name) => this.#configuration.service(name),
+    });
+    this.#plain = new PlainCalls({
+      ...shared,
+      targets: this.#plainTargets,
+      listed: (service) => this.#targets.ready(service),
+    });
+    this.#control = this.#createControl();
+    this.#ingress = new IngressServer({
+      taker: { take: (call, reply) => this.#take(call, reply) },
+      routes: () => this.#configuration.table,
+      clock: this.#clock,
+      random: this.#random,
+    });
+    this.#inner = new InnerServer({
+      exchange: (word) => this.#control.answer(word),
+      metrics: () => this.#metrics.expose(),
+    });
+  }
+
+  static async start(settings: EntrySettings): Promise<EntryProcess> {
+    const { name, zone } = settings.instance;
+    const log = await LogfmtLog.create({ process: name, zone });
+    const entry = new EntryProcess(settings, log);
+    await entry.#start();
+    return entry;
+  }
+
+  /** Whether callers can be served: what they ask for and who serves it. */
+  get isReady(): boolean {
+    const isKnown = this.#followers.every(({ isKnown }) => isKnown);
+    return !this.#isStopping && isKnown && this.#configuration.table !== null;
+  }
+
+  /** The settings file was named to have changed. */
+  reloaded(): void {
+    this.#log.info("reload", { in_force: "at the next start" });
+  }
+
+  /** Finishes what is in flight, gives the lease back, and stops. */
+  async stop(): Promise<void> {
+    if (this.#isStopping) {
+      return;
+    }
+    this.#isStopping = true;
+    const stoppedAt = this.#clock.now();
+    this.#log.info("stopping", { in_flight: this.#ingress.inFlight });
+    this.#ingress.beginStop();
+    const grace = this.#settings.bounds.grace_s * MILLISECONDS_A_SECOND;
+    const end = stoppedAt + grace - GRACE_MARGIN;
+    await this.#control.giveBack();
+    await this.#until(() => {
+      const now = this.#clock.now();
+      const isOut = now - stoppedAt >= TAKEN_OUT_AFTER;
+      return now >= end || (isOut && this.#ingress.inFlight === 0);
+    });
+    this.#log.info("stopped", { in_flight: this.#ingress.inFlight });
+    this.#ingress.close();
+    this.#owned.dispose();
+    await this.#log[Symbol.asyncDispose]();
+  }
+
+  async #start(): Promise<void> {
+    const { listen, instance } = this.#settings;
+    const inner = `${instance.address}:${listen.inner_port}`;
+    await Promise.all([
+      this.#ingress.listen(listen.callers),
+      this.#readiness.listen(listen.readiness),
+      this.#inner.listen(inner),
+    ]);
+    for (const follower of this.#followers) {
+      follower.start();
+      this.#owned.add(follower);
+    }
+    this.#control.start();
+    this.#owned.add(this.#control);
+    this.#owned.add(
+      this.#clock.every(CHECK_PERIOD, () => this.#models.check()),
+    );
+    this.#owned.add(
+      this.#clock.every(HOUSEKEEPING_PERIOD, () => this.#keepHouse()),
+    );
+    this.#log.info("started", { callers: listen.callers, inner });
+  }
+
+  #take(call: ICall, reply: ICallReply): () => void {
+    this.#hasCalls = true;
+    if (!this.#followers.every(({ isKnown }) => isKnown)) {
+      reply.refuse({
+        end: CallEnd.NotRun,
+        reason: CallReason.Starting,
+        retryAfter: STARTING_RETRY_AFTER,
+      });
+      return () => undefined;
+    }
+    const isModelCall = this.#configuration.service(call.service)?.engine;
+    return isModelCall
+      ? this.#models.take(call, reply)
+      : this.#plain.take(call, reply);
+  }
+
+  #createFollowers(): readonly ObjectFollower[] {
+    const parts = {
+      store: this.#store,
+      clock: this.#clock,
+      random: this.#random,
+      log: this.#log,
+    };
+    return [
+      new ObjectFollower(parts, {
+        kind: Kind.configuration,
+        pause: 0,
+        onChanged: ({ objects }) => {
+          for (const { name, value } of objects) {
+            if (
+              name === CONFIGURATION_NAME &&
+              this.#configuration.take(value)
+            ) {
+              this.#configurationChanged();
+            }
+          }
+        },
+      }),
+      new ObjectFollower(parts, {
+        kind: Kind.targets,
+        pause: TARGETS_PAUSE,
+        onChanged: (change) => {
+          this.#targets.take(change, this.#clock.now());
+          this.#control.targetsChanged();
+        },
+      }),
+    ];
+  }
+
+  #configurationChanged(): void {
+    const table = this.#configuration.table;
+    if (table !== null) {
+      this.#ingress.limit(table.configuration.limits);
+    }
+    this.#control.targetsChanged();
+  }
+
+  #createRepeats(): RepeatBook {
+    const { bounds } = this.#settings;
+    return new RepeatBook(
+      {
+        ratio: bounds.repeat_ratio,
+        window: bounds.repeat_window_s * MILLISECONDS_A_SECOND,
+        slack: bounds.repeat_slack,
+      },
+      () => this.#control.processes,
+    );
+  }
+
+  #createControl(): FleetControl {
+    const { bounds, instance, listen, first_start } = this.#settings;
+    const address = `${instance.address}:${listen.inner_port}`;
+    return new FleetControl(
+      {
+        store: this.#store,
+        engines: this.#client,
+        clock: this.#clock,
+        random: this.#random,
+        log: this.#log,
+        metrics: this.#metrics,
+        configuration: this.#configuration,
+        targets: this.#targets,
+        groups: this.#groups,
+        waiting: () => this.#models.waiting,
+        hasCalls: () => this.#hasCalls,
+        onGroupsChanged: () => this.#models.placeAll(),
+      },
+      {
+        address,
+        isFirstStart: first_start,
+        bounds: {
+          stallTime: bounds.stall_ms,
+          loads: {
+            window: bounds.load_window_s * MILLISECONDS_A_SECOND,
+            factor: bounds.load_factor,
+          },
+        },
+      },
+    );
+  }
+
+  #keepHouse(): void {
+    if (this.#targets.expire(this.#clock.now())) {
+      this.#control.targetsChanged();
+    }
+    this.#plainTargets.keepOnly(this.#targets.all);
+  }
+
+  #until(condition: () => boolean): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = this.#clock.every(CHECK_PERIOD, () => {
+        if (condition()) {
+          timer.dispose();
+          resolve();
+        }
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/entry/fleet_control.ts
@@ -0,0 +1,277 @@
+/**
+ * The part of a process that knows which groups serve: by ordering them while
+ * it holds the lease, else from the holder, else from the platform's list.
+ */
+import { HolderLink } from "../adapters/exchange/holder_link.ts";
+import type { ConfigurationBook } from "../common/calls/configuration_book.ts";
+import { listedGroups } from "../common/calls/listed_groups.ts";
+import type {
+  IServingGroup,
+  ServingGroups,
+} from "../common/calls/serving_groups.ts";
+import type { TargetBook } from "../common/calls/target_book.ts";
+import { DisposableStore } from "../common/disposable.ts";
+import type { IDisposable } from "../common/disposable.ts";
+import { HolderDesk } from "../common/replicas/holder_desk.ts";
+import { HolderListener } from "../common/replicas/holder_listener.ts";
+import { LeaseKeeper } from "../common/replicas/lease_keeper.ts";
+import { ReplicaService } from "../common/replicas/replica_service.ts";
+import type { IReplicaBounds } from "../common/replicas/replica_service.ts";
+import type { IHolderWord, IProcessWord } from "../common/replicas/exchange.ts";
+import type { IEngines } from "../common/replicas/types.ts";
+import type {
+  IClock,
+  ILog,
+  IMetrics,
+  IObjectStore,
+  IRandom,
+} from "../common/services/services.ts";
+
+/** How often the belief about groups is renewed, milliseconds. */
+const REFRESH_PERIOD = 100;
+
+/** Separates a process's address from its run in its name. */
+const NAME_SEPARATOR = "/";
+
+/** What the control needs. */
+export interface IFleetControlParts {
+  readonly store: IObjectStore;
+  readonly engines: IEngines;
+  readonly clock: IClock;
+  readonly random: IRandom;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  readonly configuration: ConfigurationBook;
+  readonly targets: TargetBook;
+  readonly groups: ServingGroups;
+  /** Calls waiting, by `service\nmodel`. */
+  readonly waiting: () => ReadonlyMap<string, number>;
+  /** Whether this process has had a call. */
+  readonly hasCalls: () => boolean;
+  readonly onGroupsChanged: () => void;
+}
+
+/** How this process takes part. */
+export interface IFleetControlOptions {
+  /** Where the other processes reach this one. */
+  readonly address: string;
+  readonly isFirstStart: boolean;
+  readonly bounds: IReplicaBounds;
+}
+
+/** One process's part in ordering the engines. */
+export class FleetControl implements IDisposable {
+  readonly #parts: IFleetControlParts;
+  readonly #options: IFleetControlOptions;
+  readonly #owned = new DisposableStore();
+  readonly #link = new HolderLink();
+  readonly #lease: LeaseKeeper;
+  readonly #listener: HolderListener;
+  readonly #desk: HolderDesk;
+  readonly #services = new Map<string, ReplicaService>();
+
+  constructor(parts: IFleetControlParts, options: IFleetControlOptions) {
+    this.#parts = parts;
+    this.#options = options;
+    const run = parts.random.identifier();
+    const process = `${options.address}${NAME_SEPARATOR}${run}`;
+    this.#lease = new LeaseKeeper(process, {
+      store: parts.store,
+      clock: parts.clock,
+      log: parts.log,
+      isHolderHeard: () => this.#listener.isFresh,
+      onAcquired: () => this.#take(),
+      onLost: () => this.#release(),
+    });
+    this.#listener = new HolderListener({
+      link: this.#link,
+      clock: parts.clock,
+      log: parts.log,
+      holderAddress: () => this.#holderAddress(),
+      word: (tableVersion) => this.#word(tableVersion),
+      onHeard: () => this.#refresh(),
+    });
+    this.#desk = new HolderDesk({
+      clock: parts.clock,
+      isInOffice: () => this.#isInOffice,
+      leaseEpoch: () => this.#lease.epoch,
+      ownWord: () => this.#word(0),
+    });
+  }
+
+  start(): void {
+    this.#lease.start();
+    this.#listener.start();
+    this.#owned.add(this.#lease);
+    this.#owned.add(this.#listener);
+    this.#owned.add(
+      this.#parts.clock.every(REFRESH_PERIOD, () => this.#refresh()),
+    );
+  }
+
+  dispose(): void {
+    this.#release();
+    this.#owned.dispose();
+  }
+
+  /** Processes that take calls, as far as is known. */
+  get processes(): number {
+    return this.#isInOffice
+      ? this.#desk.words.length
+      : Math.max(this.#listener.processes, 1);
+  }
+
+  /** Answers another process; null while this one is not to be asked. */
+  answer(word: IProcessWord): Promise<IHolderWord | null> {
+    return this.#desk.answer(word);
+  }
+
+  targetsChanged(): void {
+    this.#refresh();
+  }
+
+  async giveBack(): Promise<void> {
+    this.#release();
+    await this.#lease.giveBack();
+  }
+
+  get #isInOffice(): boolean {
+    const services = [...this.#services.values()];
+    return services.length > 0 && services.every((one) => one.isSurveyed);
+  }
+
+  #holderAddress(): string | null {
+    const holder = this.#lease.holder;
+    if (holder === null || this.#lease.isHolding) {
+      return null;
+    }
+    return holder.split(NAME_SEPARATOR)[0] ?? null;
+  }
+
+  #word(tableVersion: number): IProcessWord {
+    return {
+      process: this.#lease.process,
+      hasCalls: this.#parts.hasCalls(),
+      inFlight: Object.fromEntries(this.#parts.groups.own),
+      waiting: [...this.#parts.waiting()].map(([key, calls]) => {
+        const [service, model] = key.split("\n");
+        return { service: service ?? "", model: model ?? "", calls };
+      }),
+      tableVersion,
+    };
+  }
+
+  #take(): void {
+    this.#release();
+    for (const [service] of this.#parts.configuration.engineServices) {
+      this.#startService(service);
+    }
+  }
+
+  #startService(name: string): void {
+    const { configuration, targets } = this.#parts;
+    const service = new ReplicaService(
+      name,
+      {
+        engines: this.#parts.engines,
+        clock: this.#parts.clock,
+        log: this.#parts.log,
+        metrics: this.#parts.metrics,
+        listed: () => targets.of(name),
+        engine: () => configuration.service(name)?.engine ?? null,
+        mayOrder: () => this.#lease.mayOrder,
+        leaseEpoch: () => this.#lease.epoch,
+        demand: () => this.#demand(name),
+        isBeforeTraffic: () => this.#isBeforeTraffic,
+        onTableChanged: () => this.#tableChanged(),
+      },
+      this.#options.bounds,
+    );
+    this.#services.set(name, service);
+    service.start();
+  }
+
+  #release(): void {
+    for (const service of this.#services.values()) {
+      service.dispose();
+    }
+    this.#services.clear();
+  }
+
+  get #isBeforeTraffic(): boolean {
+    const hasCalls = this.#desk.words.some((word) => word.hasCalls);
+    return this.#options.isFirstStart && !hasCalls;
+  }
+
+  /** Requests in flight and waiting in all processes, by model. */
+  #demand(service: string): ReadonlyMap<string, number> {
+    const modelOf = new Map(
+      this.#desk.groups.map(({ group, model }) => [group, model]),
+    );
+    const demand = new Map<string, number>();
+    const add = (model: string, calls: number) =>
+      demand.set(model, (demand.get(model) ?? 0) + calls);
+    for (const word of this.#desk.words) {
+      for (const [group, calls] of Object.entries(word.inFlight)) {
+        add(modelOf.get(group) ?? "", calls);
+      }
+      for (const waiting of word.waiting) {
+        if (waiting.service === service) {
+          add(waiting.model, waiting.calls);
+        }
+      }
+    }
+    return demand;
+  }
+
+  #tableChanged(): void {
+    if (!this.#isInOffice) {
+      return;
+    }
+    const serving = [...this.#services.values()].flatMap((one) => one.serving);
+    this.#desk.tableChanged(serving);
+    this.#refresh();
+  }
+
+  #refresh(): void {
+    this.#startMissing();
+    const { groups, onGroupsChanged } = this.#parts;
+    groups.replace(this.#believed().filter((group) => this.#mayServe(group)));
+    groups.tellOthers(this.#isInOffice ? this.#desk.others : this.#others);
+    onGroupsChanged();
+  }
+
+  /** The lease may be had before the configuration is known. */
+  #startMissing(): void {
+    if (!this.#lease.isHolding) {
+      return;
+    }
+    for (const [name] of this.#parts.configuration.engineServices) {
+      if (!this.#services.has(name)) {
+        this.#startService(name);
+      }
+    }
+  }
+
+  get #others(): ReadonlyMap<string, number> {
+    return this.#listener.isFresh ? this.#listener.others : new Map();
+  }
+
+  #believed(): readonly IServingGroup[] {
+    if (this.#isInOffice) {
+      return this.#desk.groups;
+    }
+    if (this.#listener.isFresh) {
+      return this.#listener.groups;
+    }
+    const { configuration, targets } = this.#parts;
+    return configuration.engineServices.flatMap(([name, engine]) =>
+      listedGroups(targets.of(name), engine),
+    );
+  }
+
+  /** A head that leaves, or that this process knows to be gone, gets nothing. */
+  #mayServe({ head, service }: IServingGroup): boolean {
+    return this.#parts.targets.ready(service).some(({ id }) => id === head.id);
+  }
+}
--- /dev/null
+++ b/src/entry/settings.ts
@@ -0,0 +1,64 @@
+/** Settings of an entry process: a YAML file, checked whole at the start. */
+import type { Result } from "ts-results-es";
+import { z } from "zod";
+import { readTextFile } from "../adapters/text_file.ts";
+import { checkDocument } from "../common/plans/findings.ts";
+import type { IFinding } from "../common/plans/types.ts";
+
+const addressSchema = z.string().regex(/^[\d.]+:\d{1,5}$/, "expected IP:PORT");
+const positive = z.number().positive();
+
+const settingsSchema = z.strictObject({
+  instance: z.strictObject({
+    name: z.string().min(1),
+    zone: z.string().min(1),
+    /** The IP number under which other processes reach this one. */
+    address: z.string().min(1),
+  }),
+  listen: z.strictObject({
+    callers: addressSchema,
+    /** Asked by the platform's balancer. */
+    readiness: addressSchema,
+    /** For the other processes, and for metrics. */
+    inner_port: z.number().int().positive(),
+  }),
+  store: z.strictObject({ address: addressSchema }),
+  /** The region of each zone. */
+  zones: z.record(z.string(), z.string()),
+  /** How often targets renew their entries, milliseconds. */
+  heartbeat_ms: positive,
+  /** True when the whole deployment starts for the first time. */
+  first_start: z.boolean(),
+  bounds: z.strictObject({
+    /** From a stop signal until the process is killed, seconds. */
+    grace_s: positive,
+    /** Repeats: share of first sends, window, and those on top. */
+    repeat_ratio: z.number().nonnegative(),
+    repeat_window_s: positive,
+    repeat_slack: z.number().nonnegative(),
+    /** After it a group without one of its members breaks, milliseconds. */
+    stall_ms: positive,
+    /** Loads from the weight store: window and factor on its rate. */
+    load_window_s: positive,
+    load_factor: positive,
+  }),
+});
+
+/** Settings as checked. */
+export type EntrySettings = z.infer<typeof settingsSchema>;
+
+/** Checks settings, reporting every finding with its place. */
+export function checkEntrySettings(
+  source: string,
+  text: string,
+): Result<EntrySettings, readonly IFinding[]> {
+  const schema = settingsSchema as z.ZodType<EntrySettings>;
+  return checkDocument(source, text, { schema }).map(({ content }) => content);
+}
+
+/** Reads and checks a settings file. */
+export function loadEntrySettings(
+  path: string,
+): Result<EntrySettings, readonly IFinding[]> {
+  return readTextFile(path).andThen((text) => checkEntrySettings(path, text));
+}
