Tell the lease holder of stalled groups, and leave lost ones at once

Cause: streams stayed with groups that the holder had already given up, and with groups that stood still when no attempt was left; a killed holder was replaced after 3.5 s, since its peers read the record seldom as long as its last word was fresh.

Ruled out: the model of a group's gaps as the cause (suspicions were renewed every 20 ms for the same group, not raised for others).

Change: processes tell the holder of a suspected group at once, its members are then asked every 100 ms and all others every 900 ms (350 before); calls of a group that the holder gives up move at once; a head that the platform has dropped and that does not answer is taken for ended; a process that answers in the holder's place proves the holder's end.

What is late now is the model of four members.

--- a/src/adapters/exchange/holder_link.ts
+++ b/src/adapters/exchange/holder_link.ts
@@ -3,8 +3,8 @@
 import type { Result } from "ts-results-es";
 import { Agent, request } from "undici";
 import type {
+  ExchangeAnswer,
   IHolderLink,
-  IHolderWord,
   IProcessWord,
 } from "../../common/replicas/exchange.ts";
 import { CallFailureKind } from "../../common/types.ts";
@@ -14,6 +14,7 @@
 
 const CONNECT_TIMEOUT = 500;
 const STATUS_OK = 200;
+const STATUS_NOT_HOLDER = 409;
 
 /** One connection to whichever process holds the lease. */
 export class HolderLink implements IHolderLink {
@@ -23,7 +24,7 @@
     address: string,
     word: IProcessWord,
     timeout: number,
-  ): Promise<Result<IHolderWord, ICallFailure>> {
+  ): Promise<Result<ExchangeAnswer, ICallFailure>> {
     const attempted = `exchange with ${address}`;
     try {
       const answer = await request(`http://${address}${EXCHANGE_PATH}`, {
@@ -34,13 +35,14 @@
         signal: AbortSignal.timeout(timeout),
       });
       const text = await answer.body.text();
-      if (answer.statusCode !== STATUS_OK) {
-        const detail = `${attempted}: answered ${answer.statusCode}`;
+      const { statusCode: status } = answer;
+      if (status !== STATUS_OK && status !== STATUS_NOT_HOLDER) {
+        const detail = `${attempted}: answered ${status}`;
         return Err({ kind: CallFailureKind.Refused, detail });
       }
       // Both ends are of one build; only the words of the sender are checked,
       // since the inner port is open to other programs.
-      return Ok(JSON.parse(text) as IHolderWord);
+      return Ok(JSON.parse(text) as ExchangeAnswer);
     } catch (error) {
       return Err(failureOf(attempted, error));
     }
--- a/src/adapters/exchange/inner_server.ts
+++ b/src/adapters/exchange/inner_server.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { z } from "zod";
 import type {
-  IHolderWord,
+  ExchangeAnswer,
   IProcessWord,
 } from "../../common/replicas/exchange.ts";
 import { addressOfServer } from "../listen.ts";
@@ -28,12 +28,12 @@
     z.object({ service: z.string(), model: z.string(), calls: z.number() }),
   ),
   tableVersion: z.number(),
+  suspects: z.array(z.string()),
 });
 
 /** What the server answers with. */
 export interface IInnerAnswers {
-  /** Null while this process does not hold the lease. */
-  exchange(word: IProcessWord): Promise<IHolderWord | null>;
+  exchange(word: IProcessWord): Promise<ExchangeAnswer>;
   metrics(): Promise<string>;
 }
 
@@ -83,11 +83,8 @@
       return;
     }
     const answer = await this.#answers.exchange(word);
-    if (answer === null) {
-      response.writeHead(STATUS_NOT_HOLDER).end();
-      return;
-    }
-    response.writeHead(STATUS_OK, { "content-type": "application/json" });
+    const status = answer.isHolder ? STATUS_OK : STATUS_NOT_HOLDER;
+    response.writeHead(status, { "content-type": "application/json" });
     response.end(JSON.stringify(answer));
   }
 }
--- a/src/common/calls/listed_groups.ts
+++ b/src/common/calls/listed_groups.ts
@@ -36,6 +36,7 @@
         head: { id: target.id, address: target.address },
         zone: target.zone,
         slots: engine.slots,
+        takesWork: true,
       },
     ];
   });
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -28,6 +28,9 @@
 /** How often silences and deadlines are looked at, milliseconds. */
 export const CHECK_PERIOD = 20;
 
+/** A silence after which no more of a stream is expected, milliseconds. */
+const HOPELESS_SILENCE = 2_000;
+
 /** Share of the predicted run time below which no run can be in time. */
 const SHORTEST_RUN_SHARE = 0.6;
 
@@ -45,6 +48,8 @@
   readonly log: ILog;
   readonly metrics: IMetrics;
   readonly zone: ZoneName;
+  /** Groups were found standing still. */
+  readonly onSuspected: () => void;
 }
 
 /** All model calls of one process. */
@@ -59,8 +64,8 @@
   }
 
   /** Groups that this process found standing still. */
-  isSuspect(group: string): boolean {
-    return this.#stalls.isSuspect(group, this.#now);
+  get suspects(): readonly string[] {
+    return this.#stalls.suspects(this.#now);
   }
 
   /** Calls waiting, by `service/model`. */
@@ -83,8 +88,19 @@
     return () => this.#callerLeft(run);
   }
 
-  /** The groups have changed, or a place is free. */
-  placeAll(): void {
+  /**
+   * The belief about groups was renewed.
+   *
+   * @param lost - groups given up by the lease holder: nothing comes from them
+   */
+  groupsChanged(lost: readonly string[]): void {
+    if (lost.length > 0) {
+      for (const run of [...this.#sent]) {
+        if (lost.includes(run.current?.group.group ?? "")) {
+          this.#moveOn(run, true);
+        }
+      }
+    }
     for (const key of this.#queues.keys()) {
       this.#place(key);
     }
@@ -98,7 +114,7 @@
     if (silent.size > 0) {
       for (const run of [...this.#sent]) {
         if (run.current !== null && silent.has(run.current.watched)) {
-          this.#moveOn(run);
+          this.#moveOn(run, false);
         }
       }
     }
@@ -106,6 +122,9 @@
       this.#parts.metrics.count("stalled_groups");
       this.#parts.log.warn("group_suspected", { group });
     }
+    if (stalls.groups.length > 0) {
+      this.#parts.onSuspected();
+    }
     for (const [key, queue] of this.#queues) {
       this.#place(key);
       this.#refuseHopeless(queue);
@@ -113,8 +132,14 @@
   }
 
   heard(run: ModelRun): void {
+    const now = this.#now;
+    const { times } = run;
+    times.firstEventAt ??= now;
+    const pause = now - (times.lastEventAt ?? now);
+    times.longestPause = Math.max(times.longestPause, pause);
+    times.lastEventAt = now;
     if (run.current !== null) {
-      this.#stalls.heard(run.current.watched, this.#now);
+      this.#stalls.heard(run.current.watched, now);
     }
   }
 
@@ -238,14 +263,19 @@
     this.#stalls.ended(current.watched);
   }
 
-  /** The present send is silent: it is given up and made elsewhere. */
-  #moveOn(run: ModelRun): void {
-    if (!run.mayGoOnAfterAbort) {
-      return;
-    }
+  /**
+   * The present send is silent: it is given up and made elsewhere. A call that
+   * may not be sent once more is ended only when its group is known to be
+   * lost: its caller can ask again at once, while a wait would be in vain.
+   */
+  #moveOn(run: ModelRun, isLost: boolean): void {
     const silentFor = Math.round(
       this.#now - (run.current?.watched.heardAt ?? run.current?.sentAt ?? 0),
     );
+    const isHopeless = isLost || silentFor > HOPELESS_SILENCE;
+    if (!run.mayGoOnAfterAbort && !isHopeless) {
+      return;
+    }
     this.#parts.log.info("send_silent", {
       request: run.call.id,
       group: run.current?.group.group,
@@ -353,14 +383,18 @@
   ): void {
     run.isOver = true;
     run.deadlineTimer?.dispose();
-    const took = Math.round(this.#now - run.call.arrivedAt);
+    const { arrivedAt } = run.call;
+    const { firstSentAt, firstEventAt, longestPause } = run.times;
     this.#parts.metrics.count("model_calls", { outcome });
     this.#parts.log.info("model_call", {
       request: run.call.id,
       route: run.call.route.name,
       model: run.call.model,
       outcome,
-      took_ms: took,
+      waited_ms: since(arrivedAt, firstSentAt),
+      first_event_ms: since(arrivedAt, firstEventAt),
+      longest_pause_ms: Math.round(longestPause),
+      took_ms: since(arrivedAt, this.#now),
       sends: run.sends,
       ...fields,
     });
@@ -385,6 +419,11 @@
     : CallEnd.TargetFailed;
 }
 
+/** Whole milliseconds; null when it never came to it. */
+function since(start: MonotonicTime, end: MonotonicTime | null): number | null {
+  return end === null ? null : Math.round(end - start);
+}
+
 function keyOf(call: ICall): string {
   return `${call.service}\n${call.model ?? ""}`;
 }
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -40,6 +40,15 @@
   sendEnded(run: ModelRun, end: SendEnd, detail: string): void;
 }
 
+/** Moments of a run, for its log line. */
+export interface IRunTimes {
+  firstSentAt: MonotonicTime | null;
+  firstEventAt: MonotonicTime | null;
+  lastEventAt: MonotonicTime | null;
+  /** Longest time between two events that the caller got. */
+  longestPause: number;
+}
+
 /** One send on its way. */
 export interface ICurrentSend {
   readonly group: IServingGroup;
@@ -71,6 +80,12 @@
   /** The body of an answer that is passed on whole only. */
   #collected: Uint8Array[] = [];
   #hasEvents = false;
+  readonly times: IRunTimes = {
+    firstSentAt: null,
+    firstEventAt: null,
+    lastEventAt: null,
+    longestPause: 0,
+  };
 
   constructor(
     parts: {
@@ -122,6 +137,7 @@
   begin(current: ICurrentSend, open: () => IOpenSend): void {
     this.current = current;
     this.#sends += 1;
+    this.times.firstSentAt ??= current.sentAt;
     this.#splitter = new EventSplitter();
     this.#head = null;
     this.#collected = [];
--- a/src/common/calls/serving_groups.ts
+++ b/src/common/calls/serving_groups.ts
@@ -12,6 +12,8 @@
   readonly head: ISendTarget;
   readonly zone: ZoneName;
   readonly slots: number;
+  /** False while it finishes what it has because a member leaves. */
+  readonly takesWork: boolean;
 }
 
 /** A group with what is in it. */
@@ -44,7 +46,10 @@
 
   of(service: ServiceName, model: string): readonly ILoadedGroup[] {
     return this.#groups
-      .filter((group) => group.service === service && group.model === model)
+      .filter(
+        (group) =>
+          group.takesWork && group.service === service && group.model === model,
+      )
       .map((group) => ({ ...group, inFlight: this.#inFlight(group.group) }));
   }
 
--- a/src/common/calls/stall_watch.ts
+++ b/src/common/calls/stall_watch.ts
@@ -104,6 +104,13 @@
     return now < (this.#groups.get(group)?.suspectUntil ?? 0);
   }
 
+  /** Groups suspected at this moment. */
+  suspects(now: MonotonicTime): readonly string[] {
+    return [...this.#groups]
+      .filter(([, { suspectUntil }]) => now < suspectUntil)
+      .map(([name]) => name);
+  }
+
   sent(stream: IWatchedStream): void {
     const group = this.#groupOf(stream.group, stream.sentAt);
     if (group.streams.size === 0) {
@@ -144,8 +151,10 @@
       if (group.streams.size === 0) {
         this.#forget(name, group, now);
       } else if (this.#isStill(group, now)) {
+        if (now >= group.suspectUntil) {
+          groups.push(name);
+        }
         group.suspectUntil = now + SUSPICION_TIME;
-        groups.push(name);
         streams.push(...group.streams);
       } else {
         for (const stream of group.streams) {
--- a/src/common/groups/domain_lease.ts
+++ b/src/common/groups/domain_lease.ts
@@ -52,6 +52,8 @@
   #lastTick: MonotonicTime | null = null;
   #pending: PendingWrite | null = null;
   #attempts = 0;
+  /** A holder whose process is known to have ended. */
+  #endedHolder: DaemonId | null = null;
   /** Since when reads have found no object; null while there is one. */
   #absentSince: MonotonicTime | null = null;
 
@@ -128,6 +130,15 @@
     return this.#changed(before);
   }
 
+  /**
+   * Another process answers in a holder's place: the holder has ended, and its
+   * lease need not be waited out. Silence or a refused connection is no such
+   * proof, since a cut looks the same.
+   */
+  holderEnded(holder: DaemonId): void {
+    this.#endedHolder = holder;
+  }
+
   /** The holder changes the groups; refused unless the lease covers it. */
   change(
     groups: Pick<IDomainRecord, "groups" | "nextGroup">,
@@ -236,7 +247,10 @@
     if (this.#absentSince !== null) {
       return this.#seen === null || this.#isLongAbsent(now);
     }
-    const isFree = holder === null || holder === this.#daemon;
+    const isFree =
+      holder === null ||
+      holder === this.#daemon ||
+      holder === this.#endedHolder;
     // Confirmed by a read: many daemons that read seldom would otherwise each
     // try to take over from a holder whose renewals they have not seen.
     const isOver = this.#confirmedAt - this.#seenSince >= this.#patience;
--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -18,6 +18,8 @@
   readonly waiting: readonly IWaitingCalls[];
   /** The newest table it has; 0 for none. */
   readonly tableVersion: number;
+  /** Groups that it found standing still. */
+  readonly suspects: readonly string[];
 }
 
 /** Calls of one model that wait in one process. */
@@ -38,6 +40,17 @@
   readonly processes: number;
 }
 
+/** The answer of a process that does not hold the lease. */
+export interface IOtherWord {
+  /** The process that answers at the address now. */
+  readonly process: string;
+}
+
+/** What an exchange brought: a holder's word, or who answers instead. */
+export type ExchangeAnswer =
+  | { readonly isHolder: true; readonly word: IHolderWord }
+  | { readonly isHolder: false; readonly other: IOtherWord };
+
 /** Asks the holder. */
 export interface IHolderLink {
   /** @param timeout - milliseconds */
@@ -45,5 +58,5 @@
     address: string,
     word: IProcessWord,
     timeout: number,
-  ): Promise<Result<IHolderWord, ICallFailure>>;
+  ): Promise<Result<ExchangeAnswer, ICallFailure>>;
 }
--- a/src/common/replicas/group_keeper.ts
+++ b/src/common/replicas/group_keeper.ts
@@ -232,8 +232,9 @@
       const membership = membershipIn(group, head);
       return membership === null || membership.state === MemberState.Broken;
     }
-    const silentFor = now - Math.max(head.heardAt, group.phaseSince);
-    return !head.isListed && silentFor > bound;
+    // The platform has dropped it after some heartbeats without a sign, and it
+    // does not answer here either: it has ended.
+    return !head.isListed && head.isSilent;
   }
 
   #ordersFor(
--- a/src/common/replicas/holder_desk.ts
+++ b/src/common/replicas/holder_desk.ts
@@ -6,7 +6,7 @@
 import { Emitter } from "../emitter.ts";
 import type { IClock } from "../services/services.ts";
 import { EXCHANGE_WAIT } from "./holder_listener.ts";
-import type { IHolderWord, IProcessWord } from "./exchange.ts";
+import type { ExchangeAnswer, IProcessWord } from "./exchange.ts";
 import { ProcessWords, sumInFlight } from "./process_words.ts";
 
 /** Versions of the table under one epoch of the lease. */
@@ -18,6 +18,8 @@
   /** Whether this process holds the lease and knows the groups. */
   readonly isInOffice: () => boolean;
   readonly leaseEpoch: () => number;
+  /** Groups that some process found standing still. */
+  readonly onSuspects: (groups: readonly string[]) => void;
   /** This process's own word. */
   readonly ownWord: () => IProcessWord;
 }
@@ -56,29 +58,37 @@
     return sumInFlight(this.#words.fresh(this.#parts.clock.now()));
   }
 
-  /** Null while this process is not the one to ask. */
-  async answer(word: IProcessWord): Promise<IHolderWord | null> {
+  async answer(word: IProcessWord): Promise<ExchangeAnswer> {
     if (!this.#parts.isInOffice()) {
-      return null;
+      return this.#otherWord();
     }
     this.#words.heard(word, this.#parts.clock.now());
+    this.#parts.onSuspects(word.suspects);
     if (word.tableVersion === this.#version) {
       await this.#changeOrWait();
     }
     if (!this.#parts.isInOffice()) {
-      return null;
+      return this.#otherWord();
     }
     const words = this.words;
     const others = words.filter(({ process }) => process !== word.process);
     const hasTable = word.tableVersion === this.#version;
     return {
-      tableVersion: this.#version,
-      groups: hasTable ? null : this.#groups,
-      othersInFlight: Object.fromEntries(sumInFlight(others)),
-      processes: words.length,
+      isHolder: true,
+      word: {
+        tableVersion: this.#version,
+        groups: hasTable ? null : this.#groups,
+        othersInFlight: Object.fromEntries(sumInFlight(others)),
+        processes: words.length,
+      },
     };
   }
 
+  #otherWord(): ExchangeAnswer {
+    const { process } = this.#parts.ownWord();
+    return { isHolder: false, other: { process } };
+  }
+
   get #version(): number {
     return this.#parts.leaseEpoch() * TABLES_PER_EPOCH + this.#changes;
   }
--- a/src/common/replicas/holder_listener.ts
+++ b/src/common/replicas/holder_listener.ts
@@ -22,6 +22,9 @@
 /** Time between two tries while there is no holder, milliseconds. */
 const RETRY_PAUSE = 150;
 
+/** Names no table, so that the answer does not wait for a newer one. */
+const NO_TABLE = 0;
+
 /** A table that is older is not used, milliseconds. */
 const TABLE_LIFETIME = 1_500;
 
@@ -34,6 +37,8 @@
   readonly holderAddress: () => string | null;
   readonly word: (tableVersion: number) => IProcessWord;
   readonly onHeard: () => void;
+  /** Another process answers at the holder's address. */
+  readonly onOtherProcess: (process: string) => void;
 }
 
 /** Hears from the holder. */
@@ -45,6 +50,7 @@
   #version = 0;
   #address: string | null = null;
   #heardAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  #hasAnswered = false;
   #isStopped = false;
 
   constructor(parts: IHolderListenerParts) {
@@ -64,6 +70,11 @@
     return this.#parts.clock.now() - this.#heardAt < TABLE_LIFETIME;
   }
 
+  /** Whether the last exchange was answered. */
+  get hasAnswered(): boolean {
+    return this.#hasAnswered;
+  }
+
   get groups(): readonly IServingGroup[] {
     return this.#groups;
   }
@@ -77,6 +88,18 @@
     return this.#processes;
   }
 
+  /**
+   * Tells the holder at once, beside the exchange that waits: a group found
+   * standing still is healed sooner by the wait.
+   */
+  urge(): void {
+    const address = this.#parts.holderAddress();
+    if (address !== null) {
+      const word = this.#parts.word(NO_TABLE);
+      void this.#parts.link.exchange(address, word, EXCHANGE_GRACE);
+    }
+  }
+
   async #run(): Promise<void> {
     while (!this.#isStopped) {
       const address = this.#parts.holderAddress();
@@ -90,24 +113,34 @@
       this.#address = address;
       this.#version = 0;
     }
-    const wasFresh = this.isFresh;
     const word = this.#parts.word(this.#version);
     const timeout = EXCHANGE_WAIT + EXCHANGE_GRACE;
     const answer = await this.#parts.link.exchange(address, word, timeout);
     if (answer.isErr()) {
-      if (wasFresh) {
-        const { detail } = answer.error;
-        this.#parts.log.warn("holder_lost", { address, detail });
-      }
+      this.#lost(address, answer.error.detail);
       return false;
     }
-    if (!wasFresh) {
+    if (!answer.value.isHolder) {
+      const { process } = answer.value.other;
+      this.#lost(address, "does not hold the lease");
+      this.#parts.onOtherProcess(process);
+      return false;
+    }
+    if (!this.#hasAnswered) {
       this.#parts.log.info("holder_heard", { address });
     }
-    this.#take(answer.value);
+    this.#hasAnswered = true;
+    this.#take(answer.value.word);
     return true;
   }
 
+  #lost(address: string, detail: string): void {
+    if (this.#hasAnswered) {
+      this.#parts.log.warn("holder_lost", { address, detail });
+    }
+    this.#hasAnswered = false;
+  }
+
   #take(word: IHolderWord): void {
     this.#heardAt = this.#parts.clock.now();
     this.#version = word.tableVersion;
--- a/src/common/replicas/lease_keeper.ts
+++ b/src/common/replicas/lease_keeper.ts
@@ -24,16 +24,16 @@
 const TICK = 100;
 
 /**
- * Bounds of the lease, milliseconds. A killed holder is replaced after the
- * lease and the margin, some 2 s, in which no group is healed; renewals cost
- * two writes a second of the store's some hundred.
+ * Bounds of the lease, milliseconds. A holder that is cut off is replaced after
+ * the lease and the margin, some 2 s, in which no group is healed; renewals
+ * cost 2.5 writes a second of the store's some hundred.
  */
 const TIMING: ILeaseTiming = {
-  leaseTime: 1_500,
-  takeoverMargin: 500,
-  safetyMargin: 300,
-  renewEvery: 500,
-  pauseBound: 350,
+  leaseTime: 1_200,
+  takeoverMargin: 400,
+  safetyMargin: 250,
+  renewEvery: 400,
+  pauseBound: 300,
 };
 
 /** Time between two reads while the holder answers, and while it does not. */
@@ -92,6 +92,12 @@
     return this.#lease.seen?.record.epoch ?? 0;
   }
 
+  /** The process that held the lease is known to have ended. */
+  holderEnded(holder: DaemonId): void {
+    this.#lease.holderEnded(holder);
+    void this.#read();
+  }
+
   /** Gives the lease back so that another process need not wait for its end. */
   async giveBack(): Promise<void> {
     this.#isStopped = true;
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -24,14 +24,20 @@
 /** How often engines and groups are looked at, milliseconds. */
 const TICK = 50;
 
-/** Time between two reports of an engine that serves or is free. */
-const CALM_REPORT_PERIOD = 350;
+/**
+ * Time between two reports of an engine that serves or is free: reports are
+ * paid for, and the streams of a group that stands still show it sooner.
+ */
+const CALM_REPORT_PERIOD = 900;
 
-/** Time between two reports of an engine whose group changes. */
+/** Time between two reports of an engine whose group changes or is suspected. */
 const BUSY_REPORT_PERIOD = 100;
 
 /** An engine answers at once; a cross-zone trip takes some 12 ms. */
-const REPORT_TIMEOUT = 300;
+const REPORT_TIMEOUT = 200;
+
+/** How long a suspected group's members are asked often, milliseconds. */
+const SUSPICION_TIME = 1_200;
 
 /** No more engines came for so long: the list is taken for whole. */
 const LIST_SETTLED_AFTER = 400;
@@ -84,6 +90,7 @@
   readonly #desk: OrderDesk;
   readonly #asked = new Map<InstanceId, MonotonicTime>();
   readonly #staging = new Map<InstanceId, IStaging>();
+  readonly #suspects = new Map<string, MonotonicTime>();
   #nextGroup = 1;
   #listSize = 0;
   #listGrewAt: MonotonicTime;
@@ -117,6 +124,13 @@
     this.#owned.dispose();
   }
 
+  /** Processes found groups standing still: their members are asked at once. */
+  suspect(groups: readonly string[]): void {
+    for (const group of groups) {
+      this.#suspects.set(group, this.#now + SUSPICION_TIME);
+    }
+  }
+
   /** Whether what the engines do is known, so that the table can be trusted. */
   get isSurveyed(): boolean {
     return this.#isSurveyed;
@@ -127,8 +141,11 @@
     const views = this.#book.views;
     const slots = this.#parts.engine()?.slots ?? 0;
     return this.#keeper.groups
-      .filter(({ phase }) => phase === GroupPhase.Serving)
-      .flatMap(({ plan, head }) => {
+      .filter(
+        ({ phase }) =>
+          phase === GroupPhase.Serving || phase === GroupPhase.Closing,
+      )
+      .flatMap(({ plan, head, phase }) => {
         const target = views.get(head ?? "")?.target;
         if (target === undefined) {
           return [];
@@ -142,6 +159,7 @@
             head: { id, address },
             zone,
             slots,
+            takesWork: phase === GroupPhase.Serving,
           },
         ];
       });
@@ -155,6 +173,7 @@
     }
     this.#listSize = listed.length;
     this.#book.listed(listed, now);
+    this.#forgetSuspects(now);
     this.#askForReports(now);
     this.#survey(now);
     if (!this.#isSurveyed || !this.#parts.mayOrder()) {
@@ -223,14 +242,24 @@
   /** Engines in groups that change. */
   #busyEngines(): ReadonlySet<InstanceId> {
     const busy = new Set<InstanceId>();
+    const now = this.#now;
     for (const { phase, plan } of this.#keeper.groups) {
-      if (phase !== GroupPhase.Serving) {
+      const isSuspect = now < (this.#suspects.get(plan.group) ?? 0);
+      if (phase !== GroupPhase.Serving || isSuspect) {
         plan.members.forEach((member) => busy.add(member));
       }
     }
     return busy;
   }
 
+  #forgetSuspects(now: MonotonicTime): void {
+    for (const [group, until] of this.#suspects) {
+      if (now >= until) {
+        this.#suspects.delete(group);
+      }
+    }
+  }
+
   #plan(now: MonotonicTime): void {
     const engine = this.#parts.engine();
     if (engine === null) {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -96,6 +96,7 @@
       ...shared,
       groups: this.#groups,
       service: (name) => this.#configuration.service(name),
+      onSuspected: () => this.#control.groupsSuspected(),
     });
     this.#plain = new PlainCalls({
       ...shared,
@@ -265,7 +266,8 @@
         groups: this.#groups,
         waiting: () => this.#models.waiting,
         hasCalls: () => this.#hasCalls,
-        onGroupsChanged: () => this.#models.placeAll(),
+        suspects: () => this.#models.suspects,
+        onGroupsChanged: (lost) => this.#models.groupsChanged(lost),
       },
       {
         address,
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -17,7 +17,10 @@
 import { LeaseKeeper } from "../common/replicas/lease_keeper.ts";
 import { ReplicaService } from "../common/replicas/replica_service.ts";
 import type { IReplicaBounds } from "../common/replicas/replica_service.ts";
-import type { IHolderWord, IProcessWord } from "../common/replicas/exchange.ts";
+import type {
+  ExchangeAnswer,
+  IProcessWord,
+} from "../common/replicas/exchange.ts";
 import type { IEngines } from "../common/replicas/types.ts";
 import type {
   IClock,
@@ -46,9 +49,12 @@
   readonly groups: ServingGroups;
   /** Calls waiting, by `service\nmodel`. */
   readonly waiting: () => ReadonlyMap<string, number>;
+  /** Groups that this process found standing still. */
+  readonly suspects: () => readonly string[];
   /** Whether this process has had a call. */
   readonly hasCalls: () => boolean;
-  readonly onGroupsChanged: () => void;
+  /** @param lost - groups that the holder has given up */
+  readonly onGroupsChanged: (lost: readonly string[]) => void;
 }
 
 /** How this process takes part. */
@@ -69,6 +75,7 @@
   readonly #listener: HolderListener;
   readonly #desk: HolderDesk;
   readonly #services = new Map<string, ReplicaService>();
+  #wasByHolder = false;
 
   constructor(parts: IFleetControlParts, options: IFleetControlOptions) {
     this.#parts = parts;
@@ -79,7 +86,7 @@
       store: parts.store,
       clock: parts.clock,
       log: parts.log,
-      isHolderHeard: () => this.#listener.isFresh,
+      isHolderHeard: () => this.#listener.hasAnswered,
       onAcquired: () => this.#take(),
       onLost: () => this.#release(),
     });
@@ -90,12 +97,14 @@
       holderAddress: () => this.#holderAddress(),
       word: (tableVersion) => this.#word(tableVersion),
       onHeard: () => this.#refresh(),
+      onOtherProcess: (process) => this.#otherAnswers(process),
     });
     this.#desk = new HolderDesk({
       clock: parts.clock,
       isInOffice: () => this.#isInOffice,
       leaseEpoch: () => this.#lease.epoch,
       ownWord: () => this.#word(0),
+      onSuspects: (groups) => this.#suspect(groups),
     });
   }
 
@@ -121,8 +130,8 @@
       : Math.max(this.#listener.processes, 1);
   }
 
-  /** Answers another process; null while this one is not to be asked. */
-  answer(word: IProcessWord): Promise<IHolderWord | null> {
+  /** Answers another process. */
+  answer(word: IProcessWord): Promise<ExchangeAnswer> {
     return this.#desk.answer(word);
   }
 
@@ -130,6 +139,15 @@
     this.#refresh();
   }
 
+  /** Groups were found standing still here. */
+  groupsSuspected(): void {
+    if (this.#isInOffice) {
+      this.#suspect(this.#parts.suspects());
+    } else {
+      this.#listener.urge();
+    }
+  }
+
   async giveBack(): Promise<void> {
     this.#release();
     await this.#lease.giveBack();
@@ -158,9 +176,26 @@
         return { service: service ?? "", model: model ?? "", calls };
       }),
       tableVersion,
+      suspects: this.#parts.suspects(),
     };
   }
 
+  #suspect(groups: readonly string[]): void {
+    for (const service of this.#services.values()) {
+      service.suspect(groups);
+    }
+  }
+
+  /** Where the holder was, another run of the process answers: it has ended. */
+  #otherAnswers(process: string): void {
+    const { holder } = this.#lease;
+    const [address] = process.split(NAME_SEPARATOR);
+    const isSamePlace = holder?.split(NAME_SEPARATOR)[0] === address;
+    if (holder !== null && isSamePlace && holder !== process) {
+      this.#lease.holderEnded(holder);
+    }
+  }
+
   #take(): void {
     this.#release();
     for (const [service] of this.#parts.configuration.engineServices) {
@@ -236,9 +271,24 @@
   #refresh(): void {
     this.#startMissing();
     const { groups, onGroupsChanged } = this.#parts;
-    groups.replace(this.#believed().filter((group) => this.#mayServe(group)));
+    const believed = this.#believed();
+    const lost = this.#lostGroups(believed);
+    groups.replace(believed.map((group) => this.#asListed(group)));
     groups.tellOthers(this.#isInOffice ? this.#desk.others : this.#others);
-    onGroupsChanged();
+    onGroupsChanged(lost);
+  }
+
+  /** Groups that the holder has given up since the last look. */
+  #lostGroups(believed: readonly IServingGroup[]): readonly string[] {
+    const names = new Set(believed.map(({ group }) => group));
+    const isByHolder = this.#isInOffice || this.#listener.isFresh;
+    // The platform's list lags: what it does not name may well serve.
+    const lost =
+      isByHolder && this.#wasByHolder
+        ? this.#parts.groups.all.filter(({ group }) => !names.has(group))
+        : [];
+    this.#wasByHolder = isByHolder;
+    return lost.map(({ group }) => group);
   }
 
   /** The lease may be had before the configuration is known. */
@@ -271,7 +321,9 @@
   }
 
   /** A head that leaves, or that this process knows to be gone, gets nothing. */
-  #mayServe({ head, service }: IServingGroup): boolean {
-    return this.#parts.targets.ready(service).some(({ id }) => id === head.id);
+  #asListed(group: IServingGroup): IServingGroup {
+    const ready = this.#parts.targets.ready(group.service);
+    const isReady = ready.some(({ id }) => id === group.head.id);
+    return isReady ? group : { ...group, takesWork: false };
   }
 }
