Make each engine fit for two models, and bound calls by their own time limit

Cause: some 14 of 50 living instances were free but fit for no group that was short: a spare held one model, and a lost member was replaced in its domain only by a spare of the same one. A report asked of an instance without power came back after a second, not after its 200 ms, since the library does not end a request that still waits for a connection.

Change: a free instance is warmed by a group of its own that never opens, and every instance stages a second model; groups form towards the numbers that load all models alike, and one is turned over where a model stays short; the head's acknowledgement of leave and open counts at once.

--- a/src/adapters/exchange/holder_link.ts
+++ b/src/adapters/exchange/holder_link.ts
@@ -10,6 +10,7 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure } from "../../common/types.ts";
 import { failureOf } from "../http_failure.ts";
+import { withTimeLimit } from "../time_limit.ts";
 import { EXCHANGE_PATH } from "./inner_server.ts";
 
 const CONNECT_TIMEOUT = 500;
@@ -27,15 +28,16 @@
   ): Promise<Result<ExchangeAnswer, ICallFailure>> {
     const attempted = `exchange with ${address}`;
     try {
-      const answer = await request(`http://${address}${EXCHANGE_PATH}`, {
-        method: "POST",
-        dispatcher: this.#agent,
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify(word),
-        signal: AbortSignal.timeout(timeout),
+      const { status, text } = await withTimeLimit(timeout, async (signal) => {
+        const answer = await request(`http://${address}${EXCHANGE_PATH}`, {
+          method: "POST",
+          dispatcher: this.#agent,
+          headers: { "content-type": "application/json" },
+          body: JSON.stringify(word),
+          signal,
+        });
+        return { status: answer.statusCode, text: await answer.body.text() };
       });
-      const text = await answer.body.text();
-      const { statusCode: status } = answer;
       if (status !== STATUS_OK && status !== STATUS_NOT_HOLDER) {
         const detail = `${attempted}: answered ${status}`;
         return Err({ kind: CallFailureKind.Refused, detail });
--- /dev/null
+++ b/src/common/replicas/domain_summary.ts
@@ -0,0 +1,69 @@
+/** What each fabric domain has, in a form for the log. */
+import type { DomainName, InstanceId } from "../types.ts";
+import type { IEngineView } from "./engine_book.ts";
+import type { IReplicaGroup } from "./replica_group.ts";
+
+/** One domain at one moment. */
+export interface IDomainSummary {
+  readonly domain: DomainName;
+  /** Such as `large:serving=2 small:forming=1`. */
+  readonly groups: string;
+  /** Such as `large=2 none=1 staging=1`. */
+  readonly free: string;
+}
+
+/**
+ * @param isStaging - whether an instance is loading a model onto its host
+ */
+export function summarizeDomains(
+  groups: readonly IReplicaGroup[],
+  free: readonly IEngineView[],
+  isStaging: (id: InstanceId) => boolean,
+): readonly IDomainSummary[] {
+  const domains = new Map<DomainName, IDomainCounts>();
+  for (const { domain, plan, phase } of groups) {
+    add(countsOf(domains, domain).groups, `${plan.model}:${phase}`);
+  }
+  for (const view of free) {
+    const held = view.state?.staged.join("+") || "none";
+    const label = isStaging(view.target.id) ? "staging" : held;
+    add(countsOf(domains, view.state?.domain ?? "").free, label);
+  }
+  return [...domains].sort(byName).map(([domain, counts]) => ({
+    domain,
+    groups: textOf(counts.groups),
+    free: textOf(counts.free),
+  }));
+}
+
+interface IDomainCounts {
+  readonly groups: Map<string, number>;
+  readonly free: Map<string, number>;
+}
+
+function countsOf(
+  domains: Map<DomainName, IDomainCounts>,
+  domain: DomainName,
+): IDomainCounts {
+  let counts = domains.get(domain);
+  if (counts === undefined) {
+    counts = { groups: new Map(), free: new Map() };
+    domains.set(domain, counts);
+  }
+  return counts;
+}
+
+function add(counts: Map<string, number>, label: string): void {
+  counts.set(label, (counts.get(label) ?? 0) + 1);
+}
+
+function byName(
+  [one]: readonly [string, IDomainCounts],
+  [other]: readonly [string, IDomainCounts],
+): number {
+  return one < other ? -1 : 1;
+}
+
+function textOf(counts: ReadonlyMap<string, number>): string {
+  return [...counts].map(([label, count]) => `${label}=${count}`).join(" ");
+}
--- a/src/common/replicas/group_keeper.ts
+++ b/src/common/replicas/group_keeper.ts
@@ -42,10 +42,12 @@
   readonly stallTime: number;
   /** By how much reports describe the past; asked for at each look. */
   readonly reportLag: () => number;
+  /** From the order to open until the head takes requests. */
+  readonly openTime: () => number;
 }
 
 /** Reports may be somewhat older than their usual lag, milliseconds. */
-const LAG_MARGIN = 100;
+export const LAG_MARGIN = 100;
 
 /** Engines by id. */
 export type EngineViews = ReadonlyMap<InstanceId, IEngineView>;
@@ -103,11 +105,41 @@
     this.#add(this.#groupOf(plan, views, { phase: GroupPhase.Forming, now }));
   }
 
+  /** A group that is never opened: its one member counts as free. */
+  setAside(name: string): void {
+    this.#released.add(name);
+  }
+
   /** A member has accepted the order to join. */
   joined(name: string, member: InstanceId, now: MonotonicTime): void {
     this.#groups.get(name)?.joined.set(member, now);
   }
 
+  /** A serving group is to finish what it has; its members serve another. */
+  close(name: string, now: MonotonicTime): void {
+    const group = this.#groups.get(name);
+    if (group?.phase === GroupPhase.Serving) {
+      group.trouble = GroupTrouble.TurnedOver;
+      this.#enter(group, GroupPhase.Closing, now);
+    }
+  }
+
+  /** The head has taken the order to open, and serves after the open time. */
+  opened(name: string, now: MonotonicTime): void {
+    const group = this.#groups.get(name);
+    if (group !== undefined) {
+      group.openedAt ??= now;
+    }
+  }
+
+  /** The head has taken the order to leave, which acts at once. */
+  left(name: string): void {
+    const group = this.#groups.get(name);
+    if (group?.phase === GroupPhase.Dissolving) {
+      group.hasLeft = true;
+    }
+  }
+
   /** A member refused an order: the group cannot become whole. */
   refused(name: string, now: MonotonicTime): void {
     const group = this.#groups.get(name);
@@ -161,13 +193,27 @@
       this.#endClosing(group, views, now);
     } else if (trouble !== null) {
       this.#dissolve(group, trouble, now);
+    } else if (group.phase === GroupPhase.Closing) {
+      this.#endClosing(group, views, now);
     } else if (group.phase === GroupPhase.Forming) {
       this.#judgeForming(group, views, now);
     } else if (group.phase === GroupPhase.Opening) {
-      const head = views.get(group.head ?? "");
-      if (membershipIn(group, head)?.state === MemberState.Open) {
-        this.#enter(group, GroupPhase.Serving, now);
-      }
+      this.#judgeOpening(group, views, now);
+    }
+  }
+
+  #judgeOpening(
+    group: IReplicaGroup,
+    views: EngineViews,
+    now: MonotonicTime,
+  ): void {
+    const head = views.get(group.head ?? "");
+    const isOpen = membershipIn(group, head)?.state === MemberState.Open;
+    // A report shows it later, by the reports' lag and period.
+    const openTime = this.#times.openTime();
+    const isDue = group.openedAt !== null && now - group.openedAt >= openTime;
+    if (isOpen || isDue) {
+      this.#enter(group, GroupPhase.Serving, now);
     }
   }
 
@@ -195,7 +241,8 @@
     const state = membershipIn(group, views.get(group.head ?? ""))?.state;
     const isIdle = state === MemberState.Ready;
     if (isIdle || now - group.phaseSince > LONGEST_CLOSING) {
-      this.#dissolve(group, GroupTrouble.MemberDraining, now);
+      const trouble = group.trouble ?? GroupTrouble.MemberDraining;
+      this.#dissolve(group, trouble, now);
     }
   }
 
@@ -222,6 +269,9 @@
     views: EngineViews,
     now: MonotonicTime,
   ): boolean {
+    if (group.hasLeft) {
+      return true;
+    }
     const bound = this.#times.stallTime + STALL_MARGIN;
     const head = views.get(group.head ?? "");
     if (head === undefined) {
@@ -296,6 +346,10 @@
     if (first === undefined || !membership) {
       return;
     }
+    if (isWarmedAlone(sorted)) {
+      this.#released.add(membership.group);
+      return;
+    }
     const model = sorted.find(({ state }) => state?.model)?.state?.model ?? "";
     const plan: IGroupPlan = {
       group: membership.group,
@@ -337,6 +391,8 @@
       joined: new Map(),
       trouble: null,
       head: head ?? null,
+      openedAt: null,
+      hasLeft: false,
     };
   }
 
@@ -363,6 +419,16 @@
   }
 }
 
+/** An engine in a group of its own that takes nothing: it only holds a model. */
+function isWarmedAlone(members: readonly IEngineView[]): boolean {
+  const [only] = members;
+  const membership = only?.state?.membership;
+  const isIdle =
+    membership?.state === MemberState.Joining ||
+    membership?.state === MemberState.Ready;
+  return members.length === 1 && membership?.rank === 0 && isIdle;
+}
+
 function addressed(
   engine: InstanceId | null,
   order: EngineOrder,
--- a/src/common/replicas/plan_groups.ts
+++ b/src/common/replicas/plan_groups.ts
@@ -1,32 +1,50 @@
 /**
- * Which groups to form and which models to stage on free instances.
+ * Which groups to form, which free instances to warm and what to stage.
  *
  * Pattern of load: members of serving groups are lost for good every few
- * seconds and empty instances arrive about as often. A lost member is replaced
- * in about a second by a free instance of its domain that has the model on its
- * host, and in ten times that by any other. Without spares that have the right
- * model, instances stand loading for most of the day while groups are down;
- * one would notice by open groups that fall over the day while free instances
- * do not.
+ * seconds and empty instances arrive about as often. An instance whose last
+ * group had a model joins it again in a fifth of a second, one that has the
+ * model on its host in a second or two, any other in ten times that. Without
+ * spares that have the right model, instances stand loading for most of the
+ * day while groups are down; one would notice by open groups that fall over
+ * the day while free instances do not.
  *
- * So: an instance is joined only to a model that its host has, once callers
- * have come (before that all loads are fast); free instances stage at once,
- * first the model that lacks the fewest to complete a group where the load is
- * highest; and one instance a model is held back in each domain, unless the
- * groups that stand are under pressure.
+ * So each instance is made fit for two models: one by its last group (a free
+ * instance is warmed by a group of its own that never opens), the other on its
+ * host. Survivors and spares then form whichever model is short. Once callers
+ * have come an instance is joined only where it need not load. Some instances
+ * are held back in each domain, unless the groups that stand are under
+ * pressure.
  */
+import { MemberState } from "../calls/types.ts";
 import type { IModel } from "../calls/types.ts";
 import type { DomainName, InstanceId } from "../types.ts";
 import type { IEngineView } from "./engine_book.ts";
+import { idealGroups } from "./ideal_groups.ts";
 
 /**
  * Requests a slot from which the groups of a model are too few, so that spares
- * are used: at this batch a stream is some 10 % slower than in an empty one.
+ * are used: beyond it a burst of half as much again waits.
  */
-const PRESSURE_TO_USE_SPARES = 0.6;
+const PRESSURE_TO_USE_SPARES = 0.65;
 
-/** Groups of one domain that one spare of their model stands by for. */
-const GROUPS_PER_SPARE = 2;
+/** Requests a slot from which another model's group may be turned over. */
+const PRESSURE_TO_REBALANCE = 0.9;
+
+/** Groups beyond its ideal number that the other model must have. */
+const REBALANCE_EXCESS = 0.5;
+
+/** Members of groups that one spare stands by for: a tenth to a fifth lost. */
+const MEMBERS_PER_SPARE = 4;
+
+/** Loads that run at once after callers have come; more slow each other. */
+const LOADS_AT_ONCE = 7;
+
+/** Of those, loads of a second model: instances without any go first. */
+const SECOND_LOADS_AT_ONCE = 2;
+
+/** Part of the instances that are in groups, the rest being spares. */
+const PART_IN_GROUPS = 0.85;
 
 /** A group to form, before it has a name. */
 export interface IProposedGroup {
@@ -34,29 +52,51 @@
   readonly members: readonly InstanceId[];
 }
 
-/** A model to stage on a free instance. */
-export interface IProposedStaging {
+/** A model for one instance. */
+export interface IProposedModel {
   readonly engine: InstanceId;
   readonly model: string;
 }
 
-/** What is to be done with the free instances. */
+/** What is to be done. */
 export interface IProposals {
   readonly groups: readonly IProposedGroup[];
-  readonly stagings: readonly IProposedStaging[];
+  /** Instances to warm with a model by a group of their own. */
+  readonly warmings: readonly IProposedModel[];
+  /** A group to close so that its members serve a model that is short. */
+  readonly closing: string | null;
+  /** Models to stage on hosts. */
+  readonly stagings: readonly IProposedModel[];
+}
+
+/** An instance with what it holds. */
+export interface IHoldingEngine {
+  readonly view: IEngineView;
+  /** The model of its last group since its start; null without one. */
+  readonly loaded: string | null;
+  /** Whether its report may not show yet what it was last ordered. */
+  readonly isUnconfirmed: boolean;
+}
+
+/** A group that serves or will. */
+export interface IStandingGroup {
+  readonly group: string;
+  readonly model: string;
+  readonly domain: DomainName;
+  readonly isServing: boolean;
+  readonly members: readonly IHoldingEngine[];
 }
 
 /** What stands, for the decision. */
 export interface IGroupSituation {
   readonly models: readonly IModel[];
-  readonly free: readonly IEngineView[];
+  readonly free: readonly IHoldingEngine[];
+  /** Members of groups that serve. */
+  readonly serving: readonly IHoldingEngine[];
   /** Instances that load a model by an order to stage. */
   readonly staging: ReadonlyMap<InstanceId, string>;
   /** Groups that serve or will, by model and domain. */
-  readonly standing: readonly {
-    readonly model: string;
-    readonly domain: DomainName;
-  }[];
+  readonly standing: readonly IStandingGroup[];
   /** Requests in flight and waiting, by model. */
   readonly demand: ReadonlyMap<string, number>;
   readonly slots: number;
@@ -68,46 +108,122 @@
 
 /** Decides for all domains. */
 export function planGroups(situation: IGroupSituation): IProposals {
-  const counts = new Map<string, number>();
-  for (const { model } of situation.standing) {
-    counts.set(model, (counts.get(model) ?? 0) + 1);
-  }
-  const planner = new Planner(situation, counts);
-  for (const [domain, free] of byDomain(situation.free)) {
-    planner.planDomain(domain, free);
+  const planner = new Planner(situation);
+  const domains = byDomain(situation.free);
+  for (const [domain, free] of domains) {
+    planner.formGroups(domain, free);
   }
+  planner.rebalance();
+  planner.prepareHosts();
   return planner.proposals;
 }
 
+/** How fast an instance joins a group of a model. */
+enum Readiness {
+  /** It must load the weights from the weight store. */
+  Cold = 0,
+  /** The weights are on its host. */
+  Staged = 1,
+  /** The model is that of its last group. */
+  Loaded = 2,
+}
+
 /** Goes through the domains and keeps what was promised. */
 class Planner {
   readonly #situation: IGroupSituation;
   /** Groups of each model, those proposed included. */
-  readonly #counts: Map<string, number>;
+  readonly #counts = new Map<string, number>();
+  #closing: string | null = null;
   readonly #groups: IProposedGroup[] = [];
-  readonly #stagings: IProposedStaging[] = [];
-  #loadsLeft: number;
+  readonly #warmings: IProposedModel[] = [];
+  readonly #stagings: IProposedModel[] = [];
+  readonly #ideal: ReadonlyMap<string, number>;
+  /** Free instances that no group was formed of. */
+  readonly #left = new Set<IHoldingEngine>();
 
-  constructor(situation: IGroupSituation, counts: Map<string, number>) {
+  constructor(situation: IGroupSituation) {
     this.#situation = situation;
-    this.#counts = counts;
-    this.#loadsLeft = situation.loadsLeft;
+    const members = situation.standing.flatMap((group) => group.members);
+    const instances = members.length + situation.free.length;
+    this.#ideal = idealGroups(
+      situation.models,
+      situation.demand,
+      instances * PART_IN_GROUPS,
+    );
+    for (const { model } of situation.standing) {
+      this.#counts.set(model, (this.#counts.get(model) ?? 0) + 1);
+    }
   }
 
   get proposals(): IProposals {
-    return { groups: this.#groups, stagings: this.#stagings };
+    return {
+      groups: this.#groups,
+      warmings: this.#warmings,
+      closing: this.#closing,
+      stagings: this.#stagings,
+    };
   }
 
-  planDomain(domain: DomainName, free: readonly IEngineView[]): void {
+  /** Forms groups of the free instances of one domain, as many as are of use. */
+  formGroups(domain: DomainName, free: readonly IHoldingEngine[]): void {
     const left = new Set(free);
     const standing = this.#standingIn(domain);
-    for (;;) {
-      const members = this.#nextGroup(left, standing);
-      if (members === null) {
-        break;
+    let isFormed = true;
+    while (isFormed) {
+      isFormed = this.#formNext(left, standing);
+    }
+    left.forEach((engine) => this.#left.add(engine));
+  }
+
+  /**
+   * Closes one group of a model that has room if its members and the free
+   * instances of its domain then make a group of a model that is short.
+   */
+  rebalance(): void {
+    const { models, standing, isBeforeTraffic } = this.#situation;
+    const short = this.#shortest(models);
+    const isChanging = standing.some(({ isServing }) => !isServing);
+    if (short === null || isBeforeTraffic || isChanging) {
+      return;
+    }
+    const pressure = this.#pressure(short);
+    if (this.#groups.length > 0 || pressure < PRESSURE_TO_REBALANCE) {
+      return;
+    }
+    for (const group of standing) {
+      const model = models.find(({ name }) => name === group.model);
+      if (model !== undefined && model !== short) {
+        const isSpareable = this.#excess(model) >= REBALANCE_EXCESS;
+        if (isSpareable && this.#canTurn(group, short)) {
+          this.#closing = group.group;
+          return;
+        }
       }
     }
-    this.#stage(left, standing);
+  }
+
+  /** Whether a group's members and its domain's free ones make a group. */
+  #canTurn(group: IStandingGroup, model: IModel): boolean {
+    const free = [...this.#left].filter(
+      ({ view }) => view.state?.domain === group.domain,
+    );
+    const fit = [...free, ...group.members].filter(
+      (engine) => readiness(engine, model) > Readiness.Cold,
+    );
+    return fit.length >= model.size;
+  }
+
+  /** Warms free instances, and stages a second model wherever one lacks. */
+  prepareHosts(): void {
+    for (const engine of this.#left) {
+      this.#warm(engine);
+    }
+    // An instance without any model is of no use yet; members can wait.
+    const empty = [...this.#left].filter((one) => !this.#isOfUse(one));
+    const others = [...this.#left].filter((one) => this.#isOfUse(one));
+    for (const engine of [...empty, ...others, ...this.#situation.serving]) {
+      this.#stage(engine);
+    }
   }
 
   /** Groups a model in one domain. */
@@ -122,39 +238,36 @@
   }
 
   /** Forms one group if there is a use for it and there are the members. */
-  #nextGroup(
-    left: Set<IEngineView>,
-    standing: Map<string, number>,
-  ): IProposedGroup | null {
-    for (const model of this.#byPressure(standing)) {
+  #formNext(left: Set<IHoldingEngine>, standing: Map<string, number>): boolean {
+    for (const model of this.#byNeed(standing)) {
       const members = this.#membersFor(model, left, standing);
       if (members !== null) {
         members.forEach((member) => left.delete(member));
-        const group = {
-          model: model.name,
-          members: members.map(({ target }) => target.id),
-        };
-        this.#groups.push(group);
+        const ids = members.map(({ view }) => view.target.id);
+        this.#groups.push({ model: model.name, members: ids });
         this.#counts.set(model.name, this.#groupsOf(model) + 1);
         standing.set(model.name, (standing.get(model.name) ?? 0) + 1);
-        return group;
+        return true;
       }
     }
-    return null;
+    return false;
   }
 
   #membersFor(
     model: IModel,
-    left: ReadonlySet<IEngineView>,
+    left: ReadonlySet<IHoldingEngine>,
     standing: ReadonlyMap<string, number>,
-  ): readonly IEngineView[] | null {
+  ): readonly IHoldingEngine[] | null {
     const { isBeforeTraffic } = this.#situation;
     const fit = [...left].filter(
-      (view) => isBeforeTraffic || hasOnHost(view, model.name),
+      (engine) => isBeforeTraffic || readiness(engine, model) > Readiness.Cold,
     );
     if (fit.length < model.size) {
       return null;
     }
+    if (!isBeforeTraffic && this.#excess(model) >= 0) {
+      return null;
+    }
     const after = left.size - model.size;
     const isPressed = this.#pressure(model) > PRESSURE_TO_USE_SPARES;
     const mayUseSpares = isPressed && !isBeforeTraffic;
@@ -163,76 +276,68 @@
     if (!mayUseSpares && after < this.#sparesWanted(next)) {
       return null;
     }
-    fit.sort((one, other) => warmth(other, model) - warmth(one, model));
+    fit.sort((one, other) => readiness(other, model) - readiness(one, model));
     return fit.slice(0, model.size);
   }
 
-  /** Spares of a domain with these groups: some for each of its models. */
+  /** Spares of a domain with these groups. */
   #sparesWanted(standing: ReadonlyMap<string, number>): number {
-    let wanted = 0;
-    for (const groups of standing.values()) {
-      wanted += Math.ceil(groups / GROUPS_PER_SPARE);
+    let members = 0;
+    for (const { name, size } of this.#situation.models) {
+      members += (standing.get(name) ?? 0) * size;
     }
-    return wanted;
+    return Math.floor(members / MEMBERS_PER_SPARE);
   }
 
-  /** Stages a model on each free instance that has none of use. */
-  #stage(
-    left: ReadonlySet<IEngineView>,
-    standing: ReadonlyMap<string, number>,
-  ): void {
-    const { staging, isBeforeTraffic } = this.#situation;
-    const ready = new Map<string, number>();
-    const empty: IEngineView[] = [];
-    for (const view of left) {
-      const model = staging.get(view.target.id) ?? this.#modelOnHost(view);
-      if (model === null) {
-        empty.push(view);
-      } else {
-        ready.set(model, (ready.get(model) ?? 0) + 1);
-      }
+  /** Gives a free instance that was in no group yet one of its own. */
+  #warm(engine: IHoldingEngine): void {
+    const { models, isBeforeTraffic } = this.#situation;
+    if (engine.loaded !== null) {
+      return;
     }
-    for (const view of empty) {
-      const model = this.#modelToStage(ready, standing);
-      if (model === null || (this.#loadsLeft <= 0 && !isBeforeTraffic)) {
-        return;
-      }
-      this.#loadsLeft -= 1;
-      ready.set(model.name, (ready.get(model.name) ?? 0) + 1);
-      this.#stagings.push({ engine: view.target.id, model: model.name });
+    const known = models.filter(
+      (model) => isBeforeTraffic || readiness(engine, model) > Readiness.Cold,
+    );
+    const model = this.#shortest(known);
+    if (model !== null) {
+      const { id } = engine.view.target;
+      this.#warmings.push({ engine: id, model: model.name });
     }
   }
 
-  /** The model that one more instance of this domain helps most. */
-  #modelToStage(
-    ready: ReadonlyMap<string, number>,
-    standing: ReadonlyMap<string, number>,
-  ): IModel | null {
-    let best: IModel | null = null;
-    let highest = Number.NEGATIVE_INFINITY;
-    for (const model of this.#situation.models) {
-      const count = ready.get(model.name) ?? 0;
-      const missing = model.size - (count % model.size);
-      const groups = standing.get(model.name) ?? 0;
-      const isUncovered = count < Math.ceil(groups / GROUPS_PER_SPARE);
-      const urgency = this.#pressure(model) / missing;
-      const score = urgency + (isUncovered ? 1 : 0);
-      if (score > highest) {
-        highest = score;
-        best = model;
-      }
+  #stage(engine: IHoldingEngine): void {
+    const { models, staging, isBeforeTraffic, loadsLeft } = this.#situation;
+    const { id } = engine.view.target;
+    const begun = staging.size + this.#stagings.length;
+    const most = this.#isOfUse(engine) ? SECOND_LOADS_AT_ONCE : LOADS_AT_ONCE;
+    const mayLoad =
+      isBeforeTraffic || (begun < most && this.#stagings.length < loadsLeft);
+    const isWarmed = this.#warmings.some((warming) => warming.engine === id);
+    // The host keeps few models: what a join still loads would push it out.
+    if (staging.has(id) || isWarmed || isLoading(engine) || !mayLoad) {
+      return;
+    }
+    const lacking = models.filter(
+      (model) => readiness(engine, model) === Readiness.Cold,
+    );
+    const holds = models.length - lacking.length;
+    const hostIsOfUse = models.some(
+      ({ name }) => name !== engine.loaded && isOnHost(engine, name),
+    );
+    const model = this.#shortest(lacking);
+    if (model !== null && !hostIsOfUse && holds < HELD_MODELS) {
+      this.#stagings.push({ engine: id, model: model.name });
     }
-    return best;
   }
 
-  #modelOnHost(view: IEngineView): string | null {
-    const { models } = this.#situation;
-    const known = models.find(({ name }) => hasOnHost(view, name));
-    return known?.name ?? null;
+  #isOfUse(engine: IHoldingEngine): boolean {
+    return this.#situation.models.some(
+      (model) => readiness(engine, model) > Readiness.Cold,
+    );
   }
 
-  /** Models in order of need: here first those that this domain lacks. */
-  #byPressure(standing: ReadonlyMap<string, number>): readonly IModel[] {
+  /** Models in order of need: before traffic those that this domain lacks. */
+  #byNeed(standing: ReadonlyMap<string, number>): readonly IModel[] {
     return [...this.#situation.models].sort(
       (one, other) => this.#need(other, standing) - this.#need(one, standing),
     );
@@ -240,7 +345,7 @@
 
   #need(model: IModel, standing: ReadonlyMap<string, number>): number {
     if (!this.#situation.isBeforeTraffic) {
-      return this.#pressure(model);
+      return -this.#have(model);
     }
     // Nothing is known of the demand yet but the shares: instances are divided
     // by them, in each domain alike.
@@ -255,28 +360,65 @@
     return (demand + model.share) / (groups * this.#situation.slots);
   }
 
+  /** Groups beyond the ideal number; negative where there are too few. */
+  #excess(model: IModel): number {
+    return this.#groupsOf(model) - (this.#ideal.get(model.name) ?? 0);
+  }
+
+  /** The model that lacks the largest part of its ideal number. */
+  #shortest(models: readonly IModel[]): IModel | null {
+    const [shortest] = [...models].sort(
+      (one, other) => this.#have(one) - this.#have(other),
+    );
+    return shortest ?? null;
+  }
+
+  /** Part of its ideal number of groups that a model has. */
+  #have(model: IModel): number {
+    const ideal = this.#ideal.get(model.name) ?? 0;
+    return ideal === 0
+      ? Number.POSITIVE_INFINITY
+      : this.#groupsOf(model) / ideal;
+  }
+
   #groupsOf(model: IModel): number {
     return this.#counts.get(model.name) ?? 0;
   }
 }
 
-function hasOnHost(view: IEngineView, model: string): boolean {
-  return view.state?.staged.includes(model) ?? false;
+/** Models that an instance holds: of its last group, and on its host. */
+const HELD_MODELS = 2;
+
+function readiness(engine: IHoldingEngine, model: IModel): Readiness {
+  if (engine.loaded === model.name) {
+    return Readiness.Loaded;
+  }
+  return isOnHost(engine, model.name) ? Readiness.Staged : Readiness.Cold;
+}
+
+/** Whether the engine still loads the model of its last group. */
+function isLoading(engine: IHoldingEngine): boolean {
+  const { view, loaded } = engine;
+  if (engine.isUnconfirmed) {
+    return true;
+  }
+  const membership = view.state?.membership ?? null;
+  const isIn = membership !== null && view.state?.model === loaded;
+  const isJoining = membership?.state === MemberState.Joining;
+  return loaded !== null && (isJoining || (membership !== null && !isIn));
 }
 
-/** An instance that was in a group of the model joins fastest. */
-function warmth(view: IEngineView, model: IModel): number {
-  const isLoaded = view.state?.model === model.name ? 2 : 0;
-  return isLoaded + (hasOnHost(view, model.name) ? 1 : 0);
+function isOnHost({ view }: IHoldingEngine, model: string): boolean {
+  return view.state?.staged.includes(model) ?? false;
 }
 
 function byDomain(
-  free: readonly IEngineView[],
-): ReadonlyMap<DomainName, IEngineView[]> {
-  const domains = new Map<DomainName, IEngineView[]>();
-  for (const view of free) {
-    const domain = view.state?.domain ?? "";
-    domains.set(domain, [...(domains.get(domain) ?? []), view]);
+  free: readonly IHoldingEngine[],
+): ReadonlyMap<DomainName, IHoldingEngine[]> {
+  const domains = new Map<DomainName, IHoldingEngine[]>();
+  for (const engine of free) {
+    const domain = engine.view.state?.domain ?? "";
+    domains.set(domain, [...(domains.get(domain) ?? []), engine]);
   }
   return domains;
 }
--- a/src/common/replicas/replica_group.ts
+++ b/src/common/replicas/replica_group.ts
@@ -32,6 +32,8 @@
   Incomplete = "incomplete",
   TooSlow = "too_slow",
   OrderRefused = "order_refused",
+  /** Nothing is wrong: its members are needed for another model. */
+  TurnedOver = "turned_over",
 }
 
 /** A group as the lease holder keeps it. */
@@ -47,6 +49,10 @@
   trouble: GroupTrouble | null;
   /** Null where the head was never seen. */
   readonly head: InstanceId | null;
+  /** When the head acknowledged the order to open; null before. */
+  openedAt: MonotonicTime | null;
+  /** Whether the head acknowledged the order to leave, which acts at once. */
+  hasLeft: boolean;
 }
 
 /** The membership that an engine reports, if it is of this group. */
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -11,15 +11,27 @@
 import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
 import { EngineBook } from "./engine_book.ts";
 import type { IEngineView } from "./engine_book.ts";
-import { GroupKeeper } from "./group_keeper.ts";
-import type { IAddressedOrder, IGroupChange } from "./group_keeper.ts";
+import { GroupKeeper, LAG_MARGIN } from "./group_keeper.ts";
+import type {
+  EngineViews,
+  IAddressedOrder,
+  IGroupChange,
+} from "./group_keeper.ts";
+import { SmoothedDemand } from "./smoothed_demand.ts";
+import { LoadedModels } from "./loaded_models.ts";
 import { LoadAllowance } from "./load_allowance.ts";
 import type { ILoadBounds } from "./load_allowance.ts";
 import { OrderDesk } from "./order_desk.ts";
+import { summarizeDomains } from "./domain_summary.ts";
 import { planGroups } from "./plan_groups.ts";
+import type { IHoldingEngine, IStandingGroup } from "./plan_groups.ts";
 import { GroupPhase } from "./replica_group.ts";
+import type { IReplicaGroup } from "./replica_group.ts";
 import { OrderKind, OrderOutcome } from "./types.ts";
-import type { EngineOrder, IEngines } from "./types.ts";
+import type { EngineOrder, IEngines, IGroupPlan } from "./types.ts";
+
+/** Beyond the published time until an opened head is sent requests. */
+const OPEN_MARGIN = 20;
 
 /** How often engines and groups are looked at, milliseconds. */
 const TICK = 50;
@@ -48,6 +60,9 @@
 /** Gone engines are remembered as long as orders may be carried out late. */
 const FORGET_AFTER = 15_000;
 
+/** How often what each domain has is logged, milliseconds. */
+const SUMMARY_PERIOD = 2_000;
+
 /** A staging that is not seen by then is given up, in load times. */
 const STAGING_FACTOR = 2.5;
 
@@ -90,6 +105,10 @@
   readonly #desk: OrderDesk;
   readonly #asked = new Map<InstanceId, MonotonicTime>();
   readonly #staging = new Map<InstanceId, IStaging>();
+  readonly #loaded = new LoadedModels();
+  readonly #demand = new SmoothedDemand();
+  /** Engines with an order to warm on its way. */
+  readonly #warming = new Set<InstanceId>();
   readonly #suspects = new Map<string, MonotonicTime>();
   #nextGroup = 1;
   #listSize = 0;
@@ -107,6 +126,7 @@
       {
         stallTime: bounds.stallTime,
         reportLag: () => parts.engine()?.reportLag ?? 0,
+        openTime: () => (parts.engine()?.openTime ?? 0) + OPEN_MARGIN,
       },
       (name) => this.#modelNamed(name),
     );
@@ -116,7 +136,9 @@
   }
 
   start(): void {
-    this.#owned.add(this.#parts.clock.every(TICK, () => this.#tick()));
+    const { clock } = this.#parts;
+    this.#owned.add(clock.every(TICK, () => this.#tick()));
+    this.#owned.add(clock.every(SUMMARY_PERIOD, () => this.#logDomains()));
     this.#tick();
   }
 
@@ -196,7 +218,10 @@
       return;
     }
     const views = [...this.#book.views.values()];
-    const isSettled = now - this.#listGrewAt >= LIST_SETTLED_AFTER;
+    // Only at the first start do engines appear one after the other.
+    const isSettled =
+      !this.#parts.isBeforeTraffic() ||
+      now - this.#listGrewAt >= LIST_SETTLED_AFTER;
     const isAsked = views.every(
       ({ state, isSilent, isListed }) =>
         state !== null || isSilent || !isListed,
@@ -266,33 +291,87 @@
       return;
     }
     this.#expireStagings(now);
+    const views = this.#book.views;
+    this.#loaded.keepOnly(views);
+    const groups = this.#keeper.groups;
     const proposals = planGroups({
       models: engine.models,
-      free: this.#keeper.free(this.#book.views),
+      free: this.#keeper.free(views).map((view) => this.#holding(view)),
+      serving: groups
+        .filter(({ phase }) => phase === GroupPhase.Serving)
+        .flatMap(({ plan }) => plan.members)
+        .flatMap((member) => views.get(member) ?? [])
+        .map((view) => this.#holding(view)),
       staging: new Map(
         [...this.#staging].map(([id, { model }]) => [id, model]),
       ),
-      standing: this.#keeper.groups
+      standing: groups
         .filter(({ phase }) => phase !== GroupPhase.Dissolving)
-        .map(({ plan, domain }) => ({ model: plan.model, domain })),
-      demand: this.#parts.demand(),
+        .map((group) => this.#standing(group, views)),
+      demand: this.#demand.take(this.#parts.demand(), now),
       slots: engine.slots,
       isBeforeTraffic: this.#parts.isBeforeTraffic(),
       loadsLeft: this.#allowance.left(engine.loadsPerSecond, now),
     });
+    if (proposals.closing !== null) {
+      this.#keeper.close(proposals.closing, now);
+    }
     for (const { model, members } of proposals.groups) {
-      const epoch =
-        this.#parts.leaseEpoch() * GROUPS_PER_LEASE_EPOCH + this.#nextGroup;
-      this.#nextGroup += 1;
-      const plan = { group: `group-${epoch}`, epoch, model, members };
-      this.#keeper.form(plan, this.#book.views, now);
-      members.forEach((member) => this.#staging.delete(member));
+      this.#keeper.form(this.#newPlan(model, members), views, now);
+    }
+    for (const { engine: id, model } of proposals.warmings) {
+      this.#warm(id, model);
     }
     for (const { engine: id, model } of proposals.stagings) {
       this.#stage(id, model, now);
     }
   }
 
+  #standing(
+    { plan, domain, phase }: IReplicaGroup,
+    views: EngineViews,
+  ): IStandingGroup {
+    return {
+      group: plan.group,
+      model: plan.model,
+      domain,
+      isServing: phase === GroupPhase.Serving,
+      members: plan.members
+        .flatMap((member) => views.get(member) ?? [])
+        .map((view) => this.#holding(view)),
+    };
+  }
+
+  #holding(view: IEngineView): IHoldingEngine {
+    const reportLag = (this.#parts.engine()?.reportLag ?? 0) + LAG_MARGIN;
+    return {
+      view,
+      loaded: this.#loaded.of(view),
+      isUnconfirmed: this.#loaded.isUnconfirmed(view, reportLag),
+    };
+  }
+
+  #newPlan(model: string, members: readonly InstanceId[]): IGroupPlan {
+    const epoch =
+      this.#parts.leaseEpoch() * GROUPS_PER_LEASE_EPOCH + this.#nextGroup;
+    this.#nextGroup += 1;
+    return { group: `group-${epoch}`, epoch, model, members };
+  }
+
+  /**
+   * Joins a free engine to a group of its own, which is never opened, so that
+   * the model is loaded when a member is needed.
+   */
+  #warm(id: InstanceId, model: string): void {
+    if (this.#warming.has(id)) {
+      return;
+    }
+    this.#warming.add(id);
+    const plan = this.#newPlan(model, [id]);
+    this.#keeper.setAside(plan.group);
+    this.#order({ engine: id, order: { kind: OrderKind.Join, plan } });
+  }
+
   #stage(id: InstanceId, model: string, now: MonotonicTime): void {
     const loadTime = this.#modelNamed(model)?.loadTime ?? 0;
     this.#allowance.began(now);
@@ -327,8 +406,18 @@
       about: aboutOf(order),
       outcome,
     });
-    if (order.kind === OrderKind.Join) {
+    const isTaken = outcome === OrderOutcome.Accepted;
+    if (order.kind === OrderKind.Open && isTaken) {
+      this.#keeper.opened(order.group, this.#now);
+    } else if (order.kind === OrderKind.Leave && isTaken) {
+      this.#keeper.left(order.group);
+    } else if (order.kind === OrderKind.Join) {
+      this.#warming.delete(engine);
+      const view = this.#book.views.get(engine);
       if (outcome === OrderOutcome.Accepted) {
+        if (view !== undefined) {
+          this.#loaded.joined(view, order.plan.model, this.#now);
+        }
         this.#keeper.joined(order.plan.group, engine, this.#now);
       } else if (outcome === OrderOutcome.Refused) {
         this.#keeper.refused(order.plan.group, this.#now);
@@ -341,6 +430,21 @@
     }
   }
 
+  /** A line a domain: its groups, and its free instances by what they hold. */
+  #logDomains(): void {
+    if (!this.#isSurveyed) {
+      return;
+    }
+    const free = this.#keeper.free(this.#book.views);
+    const lines = summarizeDomains(this.#keeper.groups, free, (id) =>
+      this.#staging.has(id),
+    );
+    const demand = [...this.#parts.demand()].join(" ");
+    for (const line of lines) {
+      this.#parts.log.info("domain", { ...line, demand });
+    }
+  }
+
   #reportChanges(): void {
     const changes = this.#keeper.takeChanges();
     for (const change of changes) {
