--- /dev/null
+++ b/src/common/calls/model_calls_test.ts
@@ -0,0 +1,265 @@
+import { expect } from "chai";
+import { callOf, routeOf } from "../../../test/support/calls.ts";
+import { LARGE } from "../../../test/support/engines.ts";
+import { ManualClock } from "../../../test/support/manual_clock.ts";
+import { KeptLog, NO_METRICS } from "../../../test/support/quiet_services.ts";
+import { SeededRandom } from "../../../test/support/seeded_random.ts";
+import { CHECK_PERIOD, ModelCalls } from "./model_calls.ts";
+import { RepeatBook } from "./repeat_book.ts";
+import { ServingGroups } from "./serving_groups.ts";
+import type { IServingGroup } from "./serving_groups.ts";
+import { CallEnd, CallReason, SendFailure } from "./types.ts";
+import type {
+  IAnswerHead,
+  IAnswerReceiver,
+  ICall,
+  ICallRefusal,
+  ICallReply,
+  IEngineModel,
+  ISendOptions,
+} from "./types.ts";
+
+const ENGINE: IEngineModel = {
+  models: [LARGE],
+  slots: 2,
+  memoryTokens: 1_000_000,
+  stepTime: 8,
+  stepTimePerRequest: 0.1,
+  stepTimePerThousandTokens: 0,
+  promptTokensPerMillisecond: 46,
+  timePerMillionPairs: 0.4,
+  chunk: 2_048,
+  stride: 5,
+  reportLag: 200,
+  loadsPerSecond: 5,
+  openTime: 300,
+};
+
+const HEAD: IAnswerHead = {
+  status: 200,
+  headers: [],
+  isNotRun: false,
+  isForeign: false,
+  load: null,
+};
+
+function group(name: string): IServingGroup {
+  return {
+    group: name,
+    service: "summaries",
+    model: "large",
+    head: { id: `head-${name}`, address: "10.0.0.1:80" },
+    zone: "one",
+    slots: ENGINE.slots,
+    takesWork: true,
+  };
+}
+
+/** One send that the calls made. */
+interface ISend {
+  readonly target: string;
+  readonly options: ISendOptions & { readonly receiver: IAnswerReceiver };
+  isAborted: boolean;
+}
+
+/** What a caller got. */
+class KeptReply implements ICallReply {
+  text = "";
+  isBegun = false;
+  isEnded = false;
+  isBroken = false;
+  refusal: ICallRefusal | null = null;
+
+  begin(): void {
+    this.isBegun = true;
+  }
+  piece(bytes: Uint8Array): void {
+    this.text += new TextDecoder().decode(bytes);
+  }
+  end(): void {
+    this.isEnded = true;
+  }
+  refuse(refusal: ICallRefusal): void {
+    this.refusal = refusal;
+  }
+  breakOff(): void {
+    this.isBroken = true;
+  }
+}
+
+/** The calls of one process with targets that do as the test says. */
+class Play {
+  readonly clock = new ManualClock();
+  readonly log = new KeptLog();
+  readonly groups = new ServingGroups();
+  readonly sends: ISend[] = [];
+  readonly calls: ModelCalls;
+
+  constructor(names: readonly string[], slack = 100) {
+    this.groups.replace(names.map(group));
+    this.calls = new ModelCalls({
+      groups: this.groups,
+      sender: {
+        send: (target, _, options) => {
+          const send = { target: target.id, options, isAborted: false };
+          this.sends.push(send);
+          return { abort: () => (send.isAborted = true) };
+        },
+      },
+      repeats: new RepeatBook({ ratio: 0.2, window: 10_000, slack }, () => 1),
+      service: () => ({ name: "summaries", engine: ENGINE }),
+      clock: this.clock,
+      random: new SeededRandom(20261203),
+      log: this.log,
+      metrics: NO_METRICS,
+      zone: "one",
+      onSuspected: () => undefined,
+    });
+    this.clock.every(CHECK_PERIOD, () => this.calls.check());
+  }
+
+  take(part: Partial<ICall> = {}): { reply: KeptReply; leave: () => void } {
+    const reply = new KeptReply();
+    const now = this.clock.now();
+    const call = callOf({ arrivedAt: now, deadline: now + 8_000, ...part });
+    return { reply, leave: this.calls.take(call, reply) };
+  }
+
+  send(index: number): ISend {
+    const send = this.sends[index];
+    if (send === undefined) {
+      throw new Error(`send ${index} was not made`);
+    }
+    return send;
+  }
+
+  event(index: number, id: number): void {
+    const { receiver } = this.send(index).options;
+    const text = `id: ${id}\ndata: x\n\n`;
+    receiver.piece(new TextEncoder().encode(text));
+  }
+}
+
+describe("model calls", () => {
+  it("passes events on as they come, and the end", () => {
+    const play = new Play(["a"]);
+    const { reply } = play.take();
+    play.send(0).options.receiver.head(HEAD);
+    play.event(0, 1);
+    expect(reply.text).to.equal("id: 1\ndata: x\n\n");
+    play.send(0).options.receiver.ended();
+    expect(reply.isEnded).to.equal(true);
+  });
+
+  // The group loses a member in the middle of an answer. The caller should
+  // read on without a gap, and without the same words twice.
+  it("goes on elsewhere after the caller's last event", () => {
+    const play = new Play(["a", "b"]);
+    const { reply } = play.take();
+    const first = play.send(0);
+    first.options.receiver.head(HEAD);
+    play.event(0, 1);
+    play.event(0, 2);
+    play.clock.advance(1_000);
+    expect(first.isAborted).to.equal(true);
+    const second = play.send(1);
+    expect(second.target).to.not.equal(first.target);
+    expect(second.options.lastEvent).to.equal("2");
+    second.options.receiver.head(HEAD);
+    play.event(1, 2);
+    play.event(1, 3);
+    second.options.receiver.ended();
+    expect(reply.text.match(/id: \d/g)).to.deep.equal([
+      "id: 1",
+      "id: 2",
+      "id: 3",
+    ]);
+    expect(reply.isEnded).to.equal(true);
+  });
+
+  it("leaves a group that the lease holder gives up at once", () => {
+    const play = new Play(["a", "b"]);
+    play.take();
+    const lost = play.send(0).target.replace("head-", "");
+    play.groups.replace(["a", "b"].filter((one) => one !== lost).map(group));
+    play.calls.groupsChanged([lost]);
+    expect(play.send(0).isAborted).to.equal(true);
+    expect(play.sends).to.have.length(2);
+  });
+
+  // A stream that may not be resumed has begun and breaks. Ending it like a
+  // whole one would give the caller half an answer that looks complete.
+  it("resets the caller's connection when it cannot go on", () => {
+    const play = new Play(["a", "b"]);
+    const { reply } = play.take({ route: routeOf({ isResumable: false }) });
+    play.send(0).options.receiver.head(HEAD);
+    play.event(0, 1);
+    play.send(0).options.receiver.failed(SendFailure.Broken, "reset");
+    expect(reply.isBroken).to.equal(true);
+    expect(reply.isEnded).to.equal(false);
+    expect(play.sends).to.have.length(1);
+  });
+
+  it("says not run only where no target can have begun", () => {
+    const play = new Play(["a"]);
+    const route = routeOf({ isResumable: false });
+    const refused = play.take({ route });
+    const { receiver } = play.send(0).options;
+    receiver.head({ ...HEAD, status: 503, isNotRun: true });
+    receiver.ended();
+    play.clock.advance(9_000);
+    expect(refused.reply.refusal?.end).to.equal(CallEnd.NotRun);
+    const broken = play.take({ route });
+    play
+      .send(play.sends.length - 1)
+      .options.receiver.failed(SendFailure.Broken, "reset");
+    expect(broken.reply.refusal?.end).to.equal(CallEnd.TargetFailed);
+  });
+
+  // All groups of a model are down. A call held until its deadline keeps its
+  // caller from asking again when they are back.
+  it("refuses soon while a model has no group", () => {
+    const play = new Play([]);
+    const { reply } = play.take();
+    play.clock.advance(1_500);
+    expect(reply.refusal?.end).to.equal(CallEnd.NotRun);
+    expect(reply.refusal?.reason).to.equal(CallReason.Hopeless);
+    expect(reply.refusal?.retryAfter).to.be.greaterThan(0);
+  });
+
+  it("gives up its send when the caller leaves", () => {
+    const play = new Play(["a"]);
+    const { leave } = play.take();
+    leave();
+    expect(play.send(0).isAborted).to.equal(true);
+    expect(play.groups.own.size).to.equal(0);
+  });
+
+  it("answers at the deadline whatever the target does", () => {
+    const play = new Play(["a"]);
+    const route = routeOf({ isResumable: false });
+    const { reply } = play.take({ deadline: 800, route });
+    play.clock.advance(801);
+    expect(reply.refusal?.end).to.equal(CallEnd.TimedOut);
+  });
+
+  // A burst: more calls than places. The rest waits here, in order, and goes
+  // to whichever group has a place first.
+  it("sends no more than a group has slots, and the rest as places come", () => {
+    const play = new Play(["a"]);
+    const calls = [1, 2, 3].map((id) => play.take({ id: `attempt-${id}` }));
+    expect(play.sends).to.have.length(2);
+    calls[0]?.leave();
+    expect(play.sends).to.have.length(3);
+  });
+
+  // An outage makes every call fail at once. Past the allowance a call ends,
+  // so that repeats do not outgrow what is left to serve them.
+  it("does not send once more without an allowance", () => {
+    const play = new Play(["a", "b"], 0);
+    const { reply } = play.take();
+    play.send(0).options.receiver.failed(SendFailure.Broken, "reset");
+    expect(play.sends).to.have.length(1);
+    expect(reply.refusal?.reason).to.equal(CallReason.TargetLost);
+  });
+});
--- /dev/null
+++ b/src/common/calls/plain_calls_test.ts
@@ -0,0 +1,161 @@
+import { expect } from "chai";
+import { callOf, routeOf } from "../../../test/support/calls.ts";
+import { listedEngine } from "../../../test/support/engines.ts";
+import { ManualClock } from "../../../test/support/manual_clock.ts";
+import { KeptLog, NO_METRICS } from "../../../test/support/quiet_services.ts";
+import { PlainCalls } from "./plain_calls.ts";
+import { PlainTargets } from "./plain_targets.ts";
+import { RepeatBook } from "./repeat_book.ts";
+import { CallEnd, CallKind, SendFailure } from "./types.ts";
+import type {
+  IAnswerHead,
+  IAnswerReceiver,
+  ICallRefusal,
+  ICallReply,
+  ISendOptions,
+} from "./types.ts";
+
+const SAFE = routeOf({ kind: CallKind.Safe, timeout: 800, objective: 120 });
+const UNSAFE = routeOf({
+  kind: CallKind.Unsafe,
+  timeout: 800,
+  objective: 120,
+  maximumAttempts: 2,
+});
+
+function headOf(status: number, isNotRun = false): IAnswerHead {
+  return { status, headers: [], isNotRun, isForeign: false, load: null };
+}
+
+interface ISend {
+  readonly target: string;
+  readonly options: ISendOptions & { readonly receiver: IAnswerReceiver };
+  isAborted: boolean;
+}
+
+class KeptReply implements ICallReply {
+  text = "";
+  isBegun = false;
+  head: IAnswerHead | null = null;
+  refusal: ICallRefusal | null = null;
+
+  begin(head: IAnswerHead): void {
+    this.isBegun = true;
+    this.head = head;
+  }
+  piece(bytes: Uint8Array): void {
+    this.text += new TextDecoder().decode(bytes);
+  }
+  end(): void {}
+  refuse(refusal: ICallRefusal): void {
+    this.refusal = refusal;
+  }
+  breakOff(): void {}
+}
+
+/** Plain calls of one process; targets answer as the test says. */
+class Play {
+  readonly clock = new ManualClock();
+  readonly sends: ISend[] = [];
+  readonly #calls: PlainCalls;
+
+  constructor() {
+    const listed = ["a", "b", "c"].map((id) => listedEngine(id));
+    const bounds = { ratio: 0.2, window: 10_000, slack: 100 };
+    this.#calls = new PlainCalls({
+      targets: new PlainTargets(),
+      listed: () => listed,
+      sender: {
+        send: (target, _, options) => {
+          const send = { target: target.id, options, isAborted: false };
+          this.sends.push(send);
+          return { abort: () => (send.isAborted = true) };
+        },
+      },
+      repeats: new RepeatBook(bounds, () => 1),
+      clock: this.clock,
+      log: new KeptLog(),
+      metrics: NO_METRICS,
+      zone: "one",
+    });
+  }
+
+  take(route = SAFE): KeptReply {
+    const reply = new KeptReply();
+    const now = this.clock.now();
+    const deadline = now + route.timeout;
+    const call = callOf({ route, model: null, arrivedAt: now, deadline });
+    this.#calls.take(call, reply);
+    return reply;
+  }
+
+  answer(index: number, head: IAnswerHead, text = ""): void {
+    const receiver = this.sends[index]?.options.receiver;
+    receiver?.head(head);
+    receiver?.piece(new TextEncoder().encode(text));
+    receiver?.ended();
+  }
+}
+
+describe("plain calls", () => {
+  it("passes a whole answer on", () => {
+    const play = new Play();
+    const reply = play.take();
+    play.answer(0, headOf(200), "page");
+    expect(reply.text).to.equal("page");
+    expect(reply.head?.status).to.equal(200);
+  });
+
+  // One of three targets goes silent. Its callers would wait for their whole
+  // timeout although the others answer in a tenth of it.
+  it("asks another target when one does not answer a safe call", () => {
+    const play = new Play();
+    const reply = play.take();
+    play.clock.advance(100);
+    expect(play.sends[0]?.isAborted).to.equal(true);
+    play.answer(1, headOf(200), "page");
+    expect(reply.text).to.equal("page");
+    expect(play.sends[1]?.target).to.not.equal(play.sends[0]?.target);
+  });
+
+  // An order was sent and no answer came. Sent once more, the wood is bought
+  // twice; told "not run", the caller sends it once more himself.
+  it("never sends an unsafe call again, and does not say it has not run", () => {
+    const play = new Play();
+    const reply = play.take(UNSAFE);
+    play.clock.advance(801);
+    expect(play.sends).to.have.length(1);
+    expect(reply.refusal?.end).to.equal(CallEnd.TimedOut);
+    const broken = play.take(UNSAFE);
+    play.sends[1]?.options.receiver.failed(SendFailure.Broken, "reset");
+    expect(play.sends).to.have.length(2);
+    expect(broken.refusal?.end).to.equal(CallEnd.TargetFailed);
+  });
+
+  it("sends an unsafe call on where the target has not run it", () => {
+    const play = new Play();
+    const reply = play.take(UNSAFE);
+    play.answer(0, headOf(503, true));
+    play.answer(1, headOf(200), "done");
+    expect(reply.text).to.equal("done");
+  });
+
+  it("sends an unsafe call on a connection of its own", () => {
+    const play = new Play();
+    play.take(UNSAFE);
+    play.take(SAFE);
+    expect(
+      play.sends.map(({ options }) => options.onNewConnection),
+    ).to.deep.equal([true, false]);
+  });
+
+  it("asks again after a safe call's failure, and passes the last one on", () => {
+    const play = new Play();
+    const reply = play.take();
+    play.answer(0, headOf(500), "first");
+    play.answer(1, headOf(500), "second");
+    expect(play.sends).to.have.length(2);
+    expect(reply.head?.status).to.equal(500);
+    expect(reply.text).to.equal("second");
+  });
+});
--- /dev/null
+++ b/test/support/manual_clock.ts
@@ -0,0 +1,57 @@
+/** A clock that stands still until a test moves it. */
+import type { IDisposable } from "../../src/common/disposable.ts";
+import type { IClock } from "../../src/common/services/services.ts";
+
+interface ITimer {
+  at: number;
+  readonly period: number | null;
+  readonly callback: () => void;
+}
+
+/** Runs timers in order as it is moved on. */
+export class ManualClock implements IClock {
+  readonly #timers = new Set<ITimer>();
+  #now = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  calendar(): number {
+    return this.#now;
+  }
+
+  after(delay: number, callback: () => void): IDisposable {
+    return this.#add({ at: this.#now + delay, period: null, callback });
+  }
+
+  every(period: number, callback: () => void): IDisposable {
+    return this.#add({ at: this.#now + period, period, callback });
+  }
+
+  /** Moves on by so many milliseconds, running what falls due. */
+  advance(milliseconds: number): void {
+    const end = this.#now + milliseconds;
+    for (;;) {
+      const next = [...this.#timers]
+        .filter(({ at }) => at <= end)
+        .sort((one, other) => one.at - other.at)[0];
+      if (next === undefined) {
+        break;
+      }
+      this.#now = Math.max(this.#now, next.at);
+      if (next.period === null) {
+        this.#timers.delete(next);
+      } else {
+        next.at += next.period;
+      }
+      next.callback();
+    }
+    this.#now = end;
+  }
+
+  #add(timer: ITimer): IDisposable {
+    this.#timers.add(timer);
+    return { dispose: () => void this.#timers.delete(timer) };
+  }
+}
