Keep the groups and their numbers while the lease is only in doubt

Ruled out: late orders (no order in the traces was unanswered).

Change: numbers go on for the life of the process; while the lease is in doubt the groups are kept and watched, so that lost ones get no more requests, and no order is sent. Other processes than the holder pause 900 ms between two answered watches (300 before); reports are asked less of silent engines.

--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -20,7 +20,7 @@
  * How long one watch waits, milliseconds. A connection that went silent shows
  * only when it is over, so it bounds how old a belief can be unnoticed.
  */
-const WATCH_TIME = 1_500;
+const WATCH_TIME = 2_500;
 
 /** Pauses after failures, milliseconds: within the bounds for changes. */
 const BACKOFF = { shortest: 50, longest: 400 };
@@ -37,7 +37,7 @@
 export interface IFollowerOptions {
   readonly kind: string;
   /** Milliseconds between an answered watch and the next. */
-  readonly pause: number;
+  readonly pause: () => number;
   readonly onChanged: (changed: IFollowedChange) => void;
 }
 
@@ -100,7 +100,7 @@
           !isWhole &&
           found.objects.length + (found.removed ?? []).length > 0
         ) {
-          await this.#wait(this.#options.pause);
+          await this.#wait(this.#options.pause());
         }
       }
     }
--- a/src/common/groups/domain_lease_test.ts
+++ b/src/common/groups/domain_lease_test.ts
@@ -327,3 +327,45 @@
     expect(after).to.be.greaterThan(before);
   });
 });
+
+describe("a lease whose holder has ended", () => {
+  const record: IDomainRecord = {
+    domain: "domain",
+    epoch: 4,
+    holder: "old",
+    attempt: "old/9",
+    nextGroup: 1,
+    groups: [],
+  };
+
+  function observer(): DomainLease {
+    const lease = new DomainLease("new", "domain", TIMING);
+    lease.observed({ version: 7, record }, 0);
+    return lease;
+  }
+
+  function writes(actions: readonly LeaseAction[]): readonly LeaseAction[] {
+    return actions.filter(({ kind }) => kind === LeaseActionKind.Write);
+  }
+
+  // The holder's process is killed and starts again at the same address. Its
+  // peers hear the new process there; waiting out the old lease would leave
+  // lost groups unhealed for two seconds more.
+  it("is taken over at once", () => {
+    const lease = observer();
+    expect(writes(lease.tick(100))).to.deep.equal([]);
+    lease.holderEnded("old");
+    const [write] = writes(lease.tick(200));
+    expect(write).to.deep.include({ expectedVersion: 7 });
+    expect(write).to.have.nested.property("record.epoch", 5);
+  });
+
+  // The news that a holder ended comes late, when another one has followed.
+  it("is left to a holder that followed", () => {
+    const lease = observer();
+    const next = { ...record, epoch: 5, holder: "next", attempt: "next/1" };
+    lease.observed({ version: 8, record: next }, 50);
+    lease.holderEnded("old");
+    expect(writes(lease.tick(100))).to.deep.equal([]);
+  });
+});
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -43,7 +43,7 @@
 const CALM_REPORT_PERIOD = 900;
 
 /** Time between two reports of an engine whose group changes or is suspected. */
-const BUSY_REPORT_PERIOD = 100;
+const BUSY_REPORT_PERIOD = 120;
 
 /** An engine answers at once; a cross-zone trip takes some 12 ms. */
 const REPORT_TIMEOUT = 200;
@@ -54,9 +54,6 @@
 /** No more engines came for so long: the list is taken for whole. */
 const LIST_SETTLED_AFTER = 400;
 
-/** Epochs of groups under one epoch of the lease. */
-const GROUPS_PER_LEASE_EPOCH = 1_000_000;
-
 /** Gone engines are remembered as long as orders may be carried out late. */
 const FORGET_AFTER = 15_000;
 
@@ -75,7 +72,8 @@
   readonly listed: () => readonly IListedTarget[];
   readonly engine: () => IEngineModel | null;
   readonly mayOrder: () => boolean;
-  readonly leaseEpoch: () => number;
+  /** A number that no other group has. */
+  readonly nextEpoch: () => number;
   /** Groups that the calls of all processes keep busy, by model. */
   readonly demand: () => ReadonlyMap<string, number>;
   readonly isBeforeTraffic: () => boolean;
@@ -110,7 +108,6 @@
   /** Engines with an order to warm on its way. */
   readonly #warming = new Set<InstanceId>();
   readonly #suspects = new Map<string, MonotonicTime>();
-  #nextGroup = 1;
   #listSize = 0;
   #listGrewAt: MonotonicTime;
   #isSurveyed = false;
@@ -198,17 +195,18 @@
     this.#forgetSuspects(now);
     this.#askForReports(now);
     this.#survey(now);
-    if (!this.#isSurveyed || !this.#parts.mayOrder()) {
-      return;
-    }
-    if (this.#book.isOwnLinkSuspect) {
+    if (!this.#isSurveyed || this.#book.isOwnLinkSuspect) {
       return;
     }
+    // Also while the lease is in doubt: a group that lost a member must get no
+    // more requests, though nothing can be ordered about it.
     const orders = this.#keeper.look(this.#book.views, now);
     for (const order of orders) {
       this.#order(order);
     }
-    this.#plan(now);
+    if (this.#parts.mayOrder()) {
+      this.#plan(now);
+    }
     this.#reportChanges();
   }
 
@@ -239,7 +237,9 @@
       if (!view.isListed) {
         continue;
       }
-      const isBusy = busy.has(id) || this.#book.isInDoubt(id);
+      // A silent engine is most likely gone; the platform's list will tell.
+      const isBusy =
+        (busy.has(id) && !view.isSilent) || this.#book.isInDoubt(id);
       const period = isBusy ? BUSY_REPORT_PERIOD : CALM_REPORT_PERIOD;
       const askedAt = this.#asked.get(id) ?? Number.NEGATIVE_INFINITY;
       if (now - askedAt >= period) {
@@ -268,10 +268,12 @@
   #busyEngines(): ReadonlySet<InstanceId> {
     const busy = new Set<InstanceId>();
     const now = this.#now;
-    for (const { phase, plan } of this.#keeper.groups) {
+    for (const { phase, plan, head } of this.#keeper.groups) {
       const isSuspect = now < (this.#suspects.get(plan.group) ?? 0);
-      if (phase !== GroupPhase.Serving || isSuspect) {
+      if (phase === GroupPhase.Forming || isSuspect) {
         plan.members.forEach((member) => busy.add(member));
+      } else if (phase !== GroupPhase.Serving && head !== null) {
+        busy.add(head);
       }
     }
     return busy;
@@ -351,9 +353,7 @@
   }
 
   #newPlan(model: string, members: readonly InstanceId[]): IGroupPlan {
-    const epoch =
-      this.#parts.leaseEpoch() * GROUPS_PER_LEASE_EPOCH + this.#nextGroup;
-    this.#nextGroup += 1;
+    const epoch = this.#parts.nextEpoch();
     return { group: `group-${epoch}`, epoch, model, members };
   }
 
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -29,10 +29,11 @@
 
 /**
  * Pause between an answered watch of the targets and the next, milliseconds: a
- * leaving target may get work for two seconds, the watch of the configuration
- * has none, since changes are rare.
+ * leaving target may get work for two seconds. The lease holder heals groups
+ * by the list and hears of changes sooner; each answered watch is paid for.
  */
-const TARGETS_PAUSE = 300;
+const TARGETS_PAUSE = 900;
+const HOLDER_TARGETS_PAUSE = 300;
 
 /** Entries that lapsed in an outage are back within two seconds of its end. */
 const REAPPEAR_TIME = 2_300;
@@ -207,7 +208,7 @@
     return [
       new ObjectFollower(parts, {
         kind: Kind.configuration,
-        pause: 0,
+        pause: () => 0,
         onChanged: ({ objects }) => {
           for (const { name, value } of objects) {
             if (
@@ -221,7 +222,8 @@
       }),
       new ObjectFollower(parts, {
         kind: Kind.targets,
-        pause: TARGETS_PAUSE,
+        pause: () =>
+          this.#control.isHolding ? HOLDER_TARGETS_PAUSE : TARGETS_PAUSE,
         onChanged: (change) => {
           this.#targets.take(change, this.#clock.now());
           this.#control.targetsChanged();
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -13,6 +13,7 @@
 import type { TargetBook } from "../common/calls/target_book.ts";
 import { DisposableStore } from "../common/disposable.ts";
 import type { IDisposable } from "../common/disposable.ts";
+import { GroupNumbers } from "../common/replicas/group_numbers.ts";
 import { HolderDesk } from "../common/replicas/holder_desk.ts";
 import { HolderListener } from "../common/replicas/holder_listener.ts";
 import { LeaseKeeper } from "../common/replicas/lease_keeper.ts";
@@ -82,6 +83,9 @@
   readonly #listener: HolderListener;
   readonly #desk: HolderDesk;
   readonly #services = new Map<string, ReplicaService>();
+  readonly #numbers = new GroupNumbers();
+  /** The lease epoch under which the services were started. */
+  #servicesEpoch: number | null = null;
   #wasByHolder = false;
 
   constructor(parts: IFleetControlParts, options: IFleetControlOptions) {
@@ -95,7 +99,7 @@
       log: parts.log,
       isHolderHeard: () => this.#listener.hasAnswered,
       onAcquired: () => this.#take(),
-      onLost: () => this.#release(),
+      onLost: () => this.#releaseIfReplaced(),
     });
     this.#listener = new HolderListener({
       link: this.#link,
@@ -130,6 +134,11 @@
     this.#owned.dispose();
   }
 
+  /** Whether this process holds the lease, or may still hold it. */
+  get isHolding(): boolean {
+    return this.#lease.isHolding;
+  }
+
   /** Processes that take calls, as far as is known. */
   get processes(): number {
     return this.#isInOffice
@@ -200,8 +209,16 @@
     }
   }
 
+  /**
+   * The lease was acquired. Regained under the same epoch, nobody else has
+   * acted in between, and what is known of the groups still holds.
+   */
   #take(): void {
+    if (this.#servicesEpoch === this.#lease.epoch) {
+      return;
+    }
     this.#release();
+    this.#servicesEpoch = this.#lease.epoch;
     for (const [service] of this.#parts.configuration.engineServices) {
       this.#startService(service);
     }
@@ -219,7 +236,7 @@
         listed: () => targets.of(name),
         engine: () => configuration.service(name)?.engine ?? null,
         mayOrder: () => this.#lease.mayOrder,
-        leaseEpoch: () => this.#lease.epoch,
+        nextEpoch: () => this.#numbers.next(this.#lease.epoch),
         demand: () => this.#demand(name),
         isBeforeTraffic: () => this.#isBeforeTraffic,
         onTableChanged: () => this.#tableChanged(),
@@ -235,6 +252,14 @@
       service.dispose();
     }
     this.#services.clear();
+    this.#servicesEpoch = null;
+  }
+
+  /** While the lease is only in doubt, what is known is kept. */
+  #releaseIfReplaced(): void {
+    if (!this.#lease.isHolding) {
+      this.#release();
+    }
   }
 
   get #isBeforeTraffic(): boolean {
@@ -266,6 +291,7 @@
   }
 
   #refresh(): void {
+    this.#releaseIfReplaced();
     this.#startMissing();
     const { groups, onGroupsChanged } = this.#parts;
     const believed = this.#believed();
@@ -293,6 +319,7 @@
     if (!this.#lease.isHolding) {
       return;
     }
+    this.#servicesEpoch ??= this.#lease.epoch;
     for (const [name] of this.#parts.configuration.engineServices) {
       if (!this.#services.has(name)) {
         this.#startService(name);
