Serve on through an outage of the store, and leave cut-off zones their groups

An ended head's last report was taken for news every 50 ms. A holder whose lease was in doubt passed for sound, so nobody read the record and the takeover came 3 s late.

Groups form up to their ideal number also from spares; they were held back below 0.7 of pressure before.

--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -52,6 +52,7 @@
     zone: "one",
     slots: ENGINE.slots,
     takesWork: true,
+    isZoneOnly: false,
   };
 }
 
--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -57,7 +57,9 @@
   readonly #options: IFollowerOptions;
   readonly #abort = new AbortController();
   readonly #backoff: Backoff;
+  /** Where to watch from; null when all must be read again. */
   #version: number | null = null;
+  #isKnown = false;
   #failedSince: MonotonicTime | null = null;
   #answeredAt: MonotonicTime = Number.NEGATIVE_INFINITY;
 
@@ -71,9 +73,9 @@
     void this.#run();
   }
 
-  /** Whether the objects have been read once. */
+  /** Whether the objects have been read once; an outage does not undo it. */
   get isKnown(): boolean {
-    return this.#version !== null;
+    return this.#isKnown;
   }
 
   /** When the store last answered. */
@@ -120,6 +122,7 @@
     this.#answeredAt = clock.now();
     this.#backoff.reset();
     this.#version = found.version;
+    this.#isKnown = true;
     const { objects, removed = [] } = found;
     if (isWhole || objects.length > 0 || removed.length > 0 || isAfterOutage) {
       onChanged({ objects, removed, isWhole, isAfterOutage });
--- /dev/null
+++ b/src/common/calls/object_follower_test.ts
@@ -0,0 +1,77 @@
+import { expect } from "chai";
+import { Err, Ok } from "ts-results-es";
+import { ManualClock } from "../../../test/support/manual_clock.ts";
+import { KeptLog } from "../../../test/support/quiet_services.ts";
+import { SeededRandom } from "../../../test/support/seeded_random.ts";
+import type { IObjectStore } from "../services/services.ts";
+import { CallFailureKind } from "../types.ts";
+import { ObjectFollower } from "./object_follower.ts";
+import type { IFollowedChange } from "./object_follower.ts";
+
+const AWAY = { kind: CallFailureKind.Refused, detail: "away" };
+
+/** One object; answers watches at once, with nothing new. */
+class OneObject implements IObjectStore {
+  isAway = false;
+  lists = 0;
+
+  async list() {
+    this.lists += 1;
+    const object = { kind: "targets", name: "a", version: 1, value: {} };
+    return this.isAway ? Err(AWAY) : Ok({ version: 7, objects: [object] });
+  }
+  async watch(_: string, after: number) {
+    return this.isAway ? Err(AWAY) : Ok({ version: after, objects: [] });
+  }
+  async read() {
+    return Err(AWAY);
+  }
+  async write() {
+    return Err({ kind: "not_applied", detail: "never" } as never);
+  }
+  async remove() {
+    return Err({ kind: "not_applied", detail: "never" } as never);
+  }
+}
+
+async function turns(clock: ManualClock, milliseconds: number): Promise<void> {
+  for (let passed = 0; passed < milliseconds; passed += 50) {
+    clock.advance(50);
+    for (let turn = 0; turn < 20; turn += 1) {
+      await Promise.resolve();
+    }
+  }
+}
+
+describe("following the objects of a kind", () => {
+  // The store is away for seconds, which resets its connections. What is
+  // known of routes and targets still holds; a process that forgot it would
+  // refuse every call until the store is back.
+  it("knows what it has read also while the store is away", async () => {
+    const store = new OneObject();
+    const clock = new ManualClock();
+    const changes: IFollowedChange[] = [];
+    const log = new KeptLog();
+    const follower = new ObjectFollower(
+      { store, clock, random: new SeededRandom(1), log },
+      {
+        kind: "targets",
+        pause: () => 0,
+        onChanged: (change) => changes.push(change),
+      },
+    );
+    expect(follower.isKnown).to.equal(false);
+    follower.start();
+    store.isAway = false;
+    await turns(clock, 100);
+    store.isAway = true;
+    await turns(clock, 2_000);
+    expect(follower.isKnown).to.equal(true);
+    expect(log.of("store_lost")).to.have.length(1);
+    store.isAway = false;
+    await turns(clock, 1_000);
+    follower.dispose();
+    expect(log.of("store_regained")).to.have.length(1);
+    expect(changes.at(-1)).to.include({ isWhole: true, isAfterOutage: true });
+  });
+});
--- a/src/common/calls/serving_groups.ts
+++ b/src/common/calls/serving_groups.ts
@@ -14,6 +14,8 @@
   readonly slots: number;
   /** False while it finishes what it has because a member leaves. */
   readonly takesWork: boolean;
+  /** True while only processes of its own zone are likely to reach it. */
+  readonly isZoneOnly: boolean;
 }
 
 /** A group with what is in it. */
--- a/src/common/replicas/engine_book.ts
+++ b/src/common/replicas/engine_book.ts
@@ -10,7 +10,12 @@
  */
 import type { IEngineState, IListedTarget } from "../calls/types.ts";
 import { ListedState } from "../calls/types.ts";
-import type { InstanceId, MonotonicTime } from "../types.ts";
+import type {
+  DomainName,
+  InstanceId,
+  MonotonicTime,
+  ZoneName,
+} from "../types.ts";
 import type { IEngineReport } from "./types.ts";
 
 /** Unanswered reports in a row that make an engine silent. */
@@ -19,6 +24,12 @@
 /** Share of the answering engines whose silence is put down to this process. */
 const OWN_LINK_SHARE = 0.4;
 
+/** Share of each domain of a zone whose silence means that the zone is cut. */
+const CUT_OFF_SHARE = 0.6;
+
+/** Domains that a zone must have for that: one may go dark by itself. */
+const FEWEST_DOMAINS = 2;
+
 /** An engine as seen at one moment. */
 export interface IEngineView {
   readonly target: IListedTarget;
@@ -31,6 +42,11 @@
   /** When it last answered; when it was first listed before that. */
   readonly heardAt: MonotonicTime;
   readonly isSilent: boolean;
+  /**
+   * Its whole zone does not answer here. It may well serve its own zone, so
+   * its silence proves nothing.
+   */
+  readonly isOutOfReach: boolean;
   /** Start of the process that gave the newest report. */
   readonly startedAt: number;
 }
@@ -49,6 +65,7 @@
 export class EngineBook {
   readonly #engines = new Map<InstanceId, IKnownEngine>();
   readonly #forgetAfter: number;
+  #cutOff: ReadonlySet<ZoneName> = new Set();
 
   /** @param forgetAfter - milliseconds after which a gone engine is dropped */
   constructor(forgetAfter: number) {
@@ -69,6 +86,7 @@
         this.#engines.delete(id);
       }
     }
+    this.#lookAtZones();
   }
 
   reported(
@@ -121,12 +139,52 @@
         askedAt: engine.askedAt,
         heardAt: engine.heardAt,
         isSilent: isSilent(engine),
+        isOutOfReach: isSilent(engine) && this.#cutOff.has(engine.target.zone),
         startedAt: engine.startedAt,
       });
     }
     return views;
   }
 
+  /**
+   * Looks anew at which zones are cut off. The engines of one that is back are
+   * given time to answer: their old silence proves nothing.
+   */
+  #lookAtZones(): void {
+    const before = this.#cutOff;
+    this.#cutOff = this.#cutOffZones();
+    for (const engine of this.#engines.values()) {
+      const { zone } = engine.target;
+      if (before.has(zone) && !this.#cutOff.has(zone)) {
+        engine.misses = 0;
+      }
+    }
+  }
+
+  /** Zones of which most engines of each domain fell silent. */
+  #cutOffZones(): ReadonlySet<ZoneName> {
+    const zones = new Map<ZoneName, Map<DomainName, IKnownEngine[]>>();
+    for (const engine of this.#engines.values()) {
+      if (engine.state !== null) {
+        const { zone } = engine.target;
+        const domains =
+          zones.get(zone) ?? new Map<DomainName, IKnownEngine[]>();
+        const { domain } = engine.state;
+        domains.set(domain, [...(domains.get(domain) ?? []), engine]);
+        zones.set(zone, domains);
+      }
+    }
+    const cutOff = [...zones].filter(
+      ([, domains]) =>
+        domains.size >= FEWEST_DOMAINS &&
+        [...domains.values()].every(
+          (engines) =>
+            engines.filter(isSilent).length >= engines.length * CUT_OFF_SHARE,
+        ),
+    );
+    return new Set(cutOff.map(([zone]) => zone));
+  }
+
   #update(target: IListedTarget, now: MonotonicTime): void {
     const known = this.#engines.get(target.id);
     if (known === undefined) {
--- a/src/common/replicas/engine_book_test.ts
+++ b/src/common/replicas/engine_book_test.ts
@@ -53,6 +53,48 @@
     expect(book.isOwnLinkSuspect).to.equal(false);
   });
 
+  // A zone is cut off from the holder's. Its engines go on serving their own
+  // callers; were they given up, the zone would be without a group when the
+  // cut heals.
+  it("concludes nothing when a whole zone is silent", () => {
+    const book = new EngineBook(15_000);
+    const engines = ["a", "b", "c", "d", "e", "f"].map((name, index) => {
+      const domain = `domain-${index % 2}`;
+      const zone = index < 4 ? "cut" : "near";
+      const state = engineState({ domain: `${zone}-${domain}` });
+      return { ...listedEngine(name, state), zone };
+    });
+    book.listed(engines, 0);
+    for (const { id, engine } of engines) {
+      book.reported(id, { ...REPORT, engine }, { askedAt: 0, now: 1 });
+    }
+    function miss(...ids: readonly string[]): void {
+      ids.forEach((id) => {
+        book.missed(id);
+        book.missed(id);
+      });
+    }
+    // One domain of the zone alone may have lost its power.
+    miss("a", "c");
+    book.listed(engines, 1);
+    expect(book.views.get("a")?.isOutOfReach).to.equal(false);
+    miss("b", "d");
+    book.listed(engines, 2);
+    expect(book.views.get("a")?.isOutOfReach).to.equal(true);
+    expect(book.views.get("e")?.isOutOfReach).to.equal(false);
+    // The cut heals and the first engines answer. The others have not been
+    // asked since; taken for dead now, their groups' members would be joined
+    // elsewhere while their heads are open.
+    for (const id of ["a", "b"]) {
+      const state = engines.find((one) => one.id === id)?.engine;
+      const report = { ...REPORT, engine: state ?? engineState() };
+      book.reported(id, report, { askedAt: 3, now: 4 });
+    }
+    book.listed(engines, 5);
+    expect(book.views.get("c")?.isSilent).to.equal(false);
+    expect(book.views.get("d")?.isSilent).to.equal(false);
+  });
+
   it("does not let an older report replace a newer one", () => {
     const { book } = bookOf(1);
     const newer = { ...REPORT, engine: engineState({ model: "large" }) };
--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -30,6 +30,8 @@
   readonly groups: readonly IServingGroup[] | null;
   /** Requests in each group that other processes have sent. */
   readonly othersInFlight: Readonly<Record<string, number>>;
+  /** Whether its lease is in doubt, so that it cannot order anything. */
+  readonly isInDoubt: boolean;
   /** Processes that the holder hears of, itself included. */
   readonly processes: number;
 }
--- a/src/common/replicas/group_keeper.ts
+++ b/src/common/replicas/group_keeper.ts
@@ -88,7 +88,7 @@
    * Groups whose head is known to serve no more. Their other members go on
    * reporting them until they join another one.
    */
-  readonly #released = new Set<string>();
+  readonly #released = new Map<string, MonotonicTime>();
 
   constructor(times: IGroupTimes, model: (name: string) => IModel | null) {
     this.#times = times;
@@ -186,7 +186,7 @@
     if (group.phase === GroupPhase.Dissolving) {
       if (this.#isReleased(group, views, now)) {
         this.#groups.delete(group.plan.group);
-        this.#released.add(group.plan.group);
+        this.#released.set(group.plan.group, now);
         this.#changes.push({ group, from: group.phase, to: null });
       }
       return;
@@ -282,6 +282,7 @@
     const bound = this.#times.stallTime + STALL_MARGIN;
     const head = views.get(group.head ?? "");
     if (head === undefined) {
+      // It may be alive and back in the list in a moment.
       return now - group.phaseSince > bound;
     }
     const hasReported = head.askedAt > group.phaseSince + this.#lag;
@@ -291,7 +292,7 @@
     }
     // The platform has dropped it after some heartbeats without a sign, and it
     // does not answer here either: it has ended.
-    return !head.isListed && head.isSilent;
+    return !head.isListed && head.isSilent && !head.isOutOfReach;
   }
 
   #ordersFor(
@@ -324,7 +325,7 @@
     const found = new Map<string, IEngineView[]>();
     for (const view of views.values()) {
       const membership = view.state?.membership ?? null;
-      if (membership !== null && !this.#isKnown(membership)) {
+      if (membership !== null && !this.#isKnown(membership, view.askedAt)) {
         const key = `${membership.group}\n${membership.epoch}`;
         found.set(key, [...(found.get(key) ?? []), view]);
       }
@@ -340,12 +341,15 @@
 
   /**
    * Whether a reported membership needs no look: its group is kept, or nothing
-   * can come of it. A late order may open a group again that was released.
+   * can come of it. A late order may open a group again that was released; a
+   * report of the time before its release says nothing of that.
    */
-  #isKnown({ group, state }: IMembership): boolean {
+  #isKnown({ group, state }: IMembership, askedAt: MonotonicTime): boolean {
     const isOpen = state === MemberState.Open || state === MemberState.Closing;
-    const isIdle = this.#released.has(group) || isWarmGroup(group);
-    return this.#groups.has(group) || (isIdle && !isOpen);
+    const releasedAt = this.#released.get(group);
+    const isOld = releasedAt !== undefined && askedAt <= releasedAt + this.#lag;
+    const isIdle = releasedAt !== undefined || isWarmGroup(group);
+    return this.#groups.has(group) || (isIdle && !isOpen) || isOld;
   }
 
   #adoptGroup(
--- a/src/common/replicas/group_keeper_test.ts
+++ b/src/common/replicas/group_keeper_test.ts
@@ -198,6 +198,24 @@
     expect(phases(keeper)).to.deep.equal([GroupPhase.Dissolving]);
   });
 
+  // A head has ended while it was open; its last report says so for good. Taken
+  // for news, the group would be given up and released in turn, for ever.
+  it("does not take an ended head's last report for news", () => {
+    const keeper = serving();
+    const state = memberOf(PLAN, 0, MemberState.Open);
+    const gone = { state, askedAt: 900, isSilent: true, isListed: false };
+    const tail = engineView("tail", { state: memberOf(PLAN, 1) });
+    const views = viewsOf(engineView("head", gone), tail);
+    keeper.look(views, 5_000);
+    keeper.look(views, 5_050);
+    expect(keeper.groups).to.deep.equal([]);
+    keeper.takeChanges();
+    keeper.look(views, 5_100);
+    expect(keeper.takeChanges()).to.deep.equal([]);
+    const free = keeper.free(views).map(({ target }) => target.id);
+    expect(free).to.deep.equal(["tail"]);
+  });
+
   it("lets a group finish when a member leaves by plan", () => {
     const keeper = serving();
     const views = members(1_500, MemberState.Open, { isDraining: true });
--- a/src/common/replicas/holder_desk.ts
+++ b/src/common/replicas/holder_desk.ts
@@ -17,6 +17,7 @@
   readonly clock: IClock;
   /** Whether this process holds the lease and knows the groups. */
   readonly isInOffice: () => boolean;
+  readonly mayOrder: () => boolean;
   readonly leaseEpoch: () => number;
   /** Groups that some process found standing still. */
   readonly onSuspects: (groups: readonly string[]) => void;
@@ -79,6 +80,7 @@
         tableVersion: this.#version,
         groups: hasTable ? null : this.#groups,
         othersInFlight: Object.fromEntries(sumInFlight(others)),
+        isInDoubt: !this.#parts.mayOrder(),
         processes: words.length,
       },
     };
--- a/src/common/replicas/holder_listener.ts
+++ b/src/common/replicas/holder_listener.ts
@@ -51,6 +51,7 @@
   #address: string | null = null;
   #heardAt: MonotonicTime = Number.NEGATIVE_INFINITY;
   #hasAnswered = false;
+  #isInDoubt = false;
   #isStopped = false;
 
   constructor(parts: IHolderListenerParts) {
@@ -70,9 +71,9 @@
     return this.#parts.clock.now() - this.#heardAt < TABLE_LIFETIME;
   }
 
-  /** Whether the last exchange was answered. */
-  get hasAnswered(): boolean {
-    return this.#hasAnswered;
+  /** Whether the holder answered the last exchange and can give orders. */
+  get isHolderSound(): boolean {
+    return this.#hasAnswered && !this.#isInDoubt;
   }
 
   get groups(): readonly IServingGroup[] {
@@ -146,6 +147,7 @@
     this.#version = word.tableVersion;
     this.#groups = word.groups ?? this.#groups;
     this.#others = new Map(Object.entries(word.othersInFlight));
+    this.#isInDoubt = word.isInDoubt;
     this.#processes = word.processes;
     this.#parts.onHeard();
   }
--- a/src/common/replicas/lease_keeper.ts
+++ b/src/common/replicas/lease_keeper.ts
@@ -40,6 +40,9 @@
 const CALM_READ_PERIOD = 2_500;
 const DOUBT_READ_PERIOD = 300;
 
+/** Between a failed write and the next, milliseconds. */
+const PAUSE_AFTER_FAILURE = 250;
+
 /** What the keeper needs. */
 export interface ILeaseKeeperParts {
   readonly store: IObjectStore;
@@ -59,6 +62,8 @@
   readonly #owned = new DisposableStore();
   #isReading = false;
   #readAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  /** No write is sent before; refused ones are paid for as well. */
+  #writeAfter: MonotonicTime = Number.NEGATIVE_INFINITY;
   #isStopped = false;
 
   /** @param process - names this process; peers reach it by this name */
@@ -156,6 +161,10 @@
     action: Extract<LeaseAction, { kind: LeaseActionKind.Write }>,
   ): Promise<void> {
     const { record, expectedVersion } = action;
+    if (this.#now < this.#writeAfter) {
+      this.#run(this.#lease.writeFailed(record.attempt));
+      return;
+    }
     const written = await this.#parts.store.write({
       kind: DOMAIN_KIND,
       name: RECORD,
@@ -166,6 +175,7 @@
       this.#run(this.#lease.writeTook(record.attempt, written.value));
       return;
     }
+    this.#writeAfter = this.#now + PAUSE_AFTER_FAILURE;
     const { kind, detail } = written.error;
     this.#parts.log.warn("lease_write_failed", { kind, detail });
     if (kind === WriteFailureKind.Conflict) {
--- a/src/common/replicas/plan_groups.ts
+++ b/src/common/replicas/plan_groups.ts
@@ -12,9 +12,8 @@
  * So each instance is made fit for two models: one by its last group (a free
  * instance is warmed by a group of its own that never opens), the other on its
  * host. Survivors and spares then form whichever model is short. Once callers
- * have come an instance is joined only where it need not load. Some instances
- * are held back in each domain, unless the groups that stand are under
- * pressure.
+ * have come an instance is joined only where it need not load, and groups form
+ * up to the number that leaves some of all instances as spares.
  */
 import { MemberState } from "../calls/types.ts";
 import type { IModel } from "../calls/types.ts";
@@ -22,13 +21,7 @@
 import type { IEngineView } from "./engine_book.ts";
 import { idealGroups } from "./ideal_groups.ts";
 
-/**
- * Part of a model's groups' time from which they are too few, so that spares
- * are used: beyond it a burst of half as much again waits.
- */
-const PRESSURE_TO_USE_SPARES = 0.7;
-
-/** The part from which another model's group may be turned over. */
+/** Part of a model's groups' time from which another's may be turned over. */
 const PRESSURE_TO_REBALANCE = 0.85;
 
 /** Groups beyond its ideal number that the other model must have. */
@@ -264,28 +257,27 @@
     if (fit.length < model.size) {
       return null;
     }
-    if (!isBeforeTraffic && this.#excess(model) >= 0) {
-      return null;
-    }
-    const after = left.size - model.size;
-    const isPressed = this.#pressure(model) > PRESSURE_TO_USE_SPARES;
-    const mayUseSpares = isPressed && !isBeforeTraffic;
-    const next = new Map(standing);
-    next.set(model.name, (next.get(model.name) ?? 0) + 1);
-    if (!mayUseSpares && after < this.#sparesWanted(next)) {
+    const isWanted = isBeforeTraffic
+      ? this.#leavesSpares(model, left.size, standing)
+      : this.#excess(model) < 0;
+    if (!isWanted) {
       return null;
     }
     fit.sort((one, other) => readiness(other, model) - readiness(one, model));
     return fit.slice(0, model.size);
   }
 
-  /** Spares of a domain with these groups. */
-  #sparesWanted(standing: ReadonlyMap<string, number>): number {
-    let members = 0;
+  /** Whether a domain keeps its spares with one group more of a model. */
+  #leavesSpares(
+    model: IModel,
+    left: number,
+    standing: ReadonlyMap<string, number>,
+  ): boolean {
+    let members = model.size;
     for (const { name, size } of this.#situation.models) {
       members += (standing.get(name) ?? 0) * size;
     }
-    return Math.floor(members / MEMBERS_PER_SPARE);
+    return left - model.size >= Math.floor(members / MEMBERS_PER_SPARE);
   }
 
   /** Gives a free instance that was in no group yet one of its own. */
--- a/src/common/replicas/replica_group.ts
+++ b/src/common/replicas/replica_group.ts
@@ -100,6 +100,9 @@
   },
 ): GroupTrouble | null {
   const { view, reportLag } = seen;
+  if (view?.isOutOfReach) {
+    return null;
+  }
   if (view === undefined || !view.isListed) {
     return GroupTrouble.MemberGone;
   }
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -165,11 +165,11 @@
           phase === GroupPhase.Serving || phase === GroupPhase.Closing,
       )
       .flatMap(({ plan, head, phase }) => {
-        const target = views.get(head ?? "")?.target;
-        if (target === undefined) {
+        const view = views.get(head ?? "");
+        if (view === undefined) {
           return [];
         }
-        const { id, address, zone } = target;
+        const { id, address, zone } = view.target;
         return [
           {
             group: plan.group,
@@ -179,6 +179,9 @@
             zone,
             slots,
             takesWork: phase === GroupPhase.Serving,
+            isZoneOnly: plan.members.some(
+              (member) => views.get(member)?.isOutOfReach,
+            ),
           },
         ];
       });
@@ -234,7 +237,8 @@
   #askForReports(now: MonotonicTime): void {
     const busy = this.#busyEngines();
     for (const [id, view] of this.#book.views) {
-      if (!view.isListed) {
+      // A head that the platform has dropped may still answer.
+      if (!view.isListed && !busy.has(id)) {
         continue;
       }
       // A silent engine is most likely gone; the platform's list will tell.
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -273,6 +273,7 @@
       },
       {
         address,
+        zone: instance.zone,
         isFirstStart: first_start,
         bounds: {
           stallTime: bounds.stall_ms,
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -31,6 +31,7 @@
   IObjectStore,
   IRandom,
 } from "../common/services/services.ts";
+import type { ZoneName } from "../common/types.ts";
 
 /** How often the belief about groups is renewed, milliseconds. */
 const REFRESH_PERIOD = 100;
@@ -69,6 +70,7 @@
 export interface IFleetControlOptions {
   /** Where the other processes reach this one. */
   readonly address: string;
+  readonly zone: ZoneName;
   readonly isFirstStart: boolean;
   readonly bounds: IReplicaBounds;
 }
@@ -97,7 +99,7 @@
       store: parts.store,
       clock: parts.clock,
       log: parts.log,
-      isHolderHeard: () => this.#listener.hasAnswered,
+      isHolderHeard: () => this.#listener.isHolderSound,
       onAcquired: () => this.#take(),
       onLost: () => this.#releaseIfReplaced(),
     });
@@ -113,6 +115,7 @@
     this.#desk = new HolderDesk({
       clock: parts.clock,
       isInOffice: () => this.#isInOffice,
+      mayOrder: () => this.#lease.mayOrder,
       leaseEpoch: () => this.#lease.epoch,
       ownWord: () => this.#word(0),
       onSuspects: (groups) => this.#suspect(groups),
@@ -348,6 +351,7 @@
   #asListed(group: IServingGroup): IServingGroup {
     const ready = this.#parts.targets.ready(group.service);
     const isReady = ready.some(({ id }) => id === group.head.id);
-    return isReady ? group : { ...group, takesWork: false };
+    const isInReach = !group.isZoneOnly || group.zone === this.#options.zone;
+    return isReady && isInReach ? group : { ...group, takesWork: false };
   }
 }
--- a/src/entry/fleet_control_test.ts
+++ b/src/entry/fleet_control_test.ts
@@ -103,15 +103,23 @@
 /** Engines that do at once what they are told, and keep the orders. */
 class ObedientEngines implements IEngines {
   readonly states = new Map<string, IEngineState>();
+  /** Engines that answer nothing any more. */
+  readonly dead = new Set<string>();
   readonly orders: { readonly engine: string; readonly order: EngineOrder }[] =
     [];
 
   async report({ id }: { readonly id: string }) {
+    if (this.dead.has(id)) {
+      return Err(AWAY);
+    }
     const engine = this.states.get(id) ?? engineState();
     return Ok({ startedAt: 1, queued: 0, running: 0, pace: 1, engine });
   }
 
   async order({ id }: { readonly id: string }, order: EngineOrder) {
+    if (this.dead.has(id)) {
+      return OrderOutcome.Unknown;
+    }
     this.orders.push({ engine: id, order });
     const state = this.states.get(id) ?? engineState();
     if (order.kind === OrderKind.Join) {
@@ -139,6 +147,7 @@
   readonly groups = new ServingGroups();
   readonly log = new KeptLog();
   readonly control: FleetControl;
+  hasCalls = false;
 
   constructor() {
     const configuration = new ConfigurationBook(
@@ -168,17 +177,28 @@
         groups: this.groups,
         work: () => [],
         suspects: () => [],
-        hasCalls: () => false,
+        hasCalls: () => this.hasCalls,
         onGroupsChanged: () => undefined,
       },
       {
         address: "127.0.0.1:1",
+        zone: "one",
         isFirstStart: true,
         bounds: { stallTime: 5_000, loads: { window: 5_000, factor: 1.1 } },
       },
     );
   }
 
+  /** Ends a member, not the head, of one open group of the small model. */
+  killMember(): void {
+    for (const [id, { model, membership }] of this.engines.states) {
+      if (model === "small" && membership?.rank === 1) {
+        this.engines.dead.add(id);
+        return;
+      }
+    }
+  }
+
   /** Moves on in short steps, with time for answers in between. */
   async advance(milliseconds: number): Promise<void> {
     for (let passed = 0; passed < milliseconds; passed += 10) {
@@ -227,6 +247,10 @@
     play.store.isAway = false;
     await play.advance(3_000);
     expect(play.groups.all.map(({ group }) => group)).to.deep.equal(serving);
+    play.hasCalls = true;
+    play.killMember();
+    await play.advance(4_000);
+    expect(play.groups.all).to.have.length(serving.length);
     const lists = new Map<string, string>();
     for (const { order } of play.engines.orders) {
       if (order.kind === OrderKind.Join) {
--- a/test/support/engines.ts
+++ b/test/support/engines.ts
@@ -67,6 +67,7 @@
     askedAt: 0,
     heardAt: 0,
     isSilent: false,
+    isOutOfReach: false,
     startedAt: 1,
     ...part,
   };
