--- /dev/null
+++ b/src/common/decisions/service_scheduler_test.ts
@@ -0,0 +1,75 @@
+import { expect } from "chai";
+import { Reason } from "../types.ts";
+import { ScheduleActionKind, ServiceScheduler } from "./service_scheduler.ts";
+import type { IWork } from "./work.ts";
+
+const DEADLINE = 8_000;
+const TOKENS = 40;
+
+function workOf(account: string, index: number, now: number): IWork {
+  return {
+    id: `${account}-${index}`,
+    account,
+    priority: 5,
+    promptTokens: 10,
+    askedTokens: TOKENS,
+    isCall: false,
+    prefix: "",
+    arrivedAt: now,
+    deadline: now + DEADLINE,
+  };
+}
+
+/** A scheduler with one target, flooded until its estimate says "too late". */
+function flooded(): { scheduler: ServiceScheduler; now: number } {
+  const scheduler = new ServiceScheduler();
+  const targets = [{ id: "only", reported: 0, describes: 0 }];
+  scheduler.report({ targets, daemons: 1 }, 0);
+  let now = 0;
+  for (let index = 0; index < 400; index += 1) {
+    now += 10;
+    const work = workOf("flood", index, now);
+    const actions = scheduler.offer(work, now);
+    const isRefused = actions.some(
+      ({ kind, work: one }) =>
+        kind === ScheduleActionKind.Refuse && one === work,
+    );
+    if (isRefused) {
+      return { scheduler, now };
+    }
+    const use = scheduler.targets.begin("only", work, now);
+    scheduler.targets.tokens(use, 1, now + 6_000);
+    scheduler.targets.tokens(use, 1, now + 7_000);
+    // The first one goes on running: a service with nothing to do forgets.
+    if (index > 0) {
+      scheduler.finished(work, TOKENS, now);
+    }
+  }
+  throw new Error("the flood was never refused");
+}
+
+describe("scheduling one service", () => {
+  // One account floods the only group. The times learned from its answers say
+  // that no answer can come in time, and an account that asks now and then is
+  // refused as well, until the flood ends.
+  it("tries work of an account that is not part of the load", () => {
+    const { scheduler, now } = flooded();
+    const quiet = workOf("quiet", 0, now);
+    const refusals = scheduler
+      .offer(quiet, now)
+      .filter(({ kind }) => kind === ScheduleActionKind.Refuse);
+    expect(refusals.map(({ work }) => work.id)).to.not.include("quiet-0");
+  });
+
+  it("tries one at a time of each account", () => {
+    const { scheduler, now } = flooded();
+    scheduler.offer(workOf("quiet", 0, now), now);
+    const second = workOf("quiet", 1, now);
+    const [refusal] = scheduler.offer(second, now);
+    expect(refusal).to.include({
+      kind: ScheduleActionKind.Refuse,
+      work: second,
+      reason: Reason.DeadlineTooNear,
+    });
+  });
+});
