Adopt a group whole though its members are heard one by one

Ruled out: late orders; the numbering of groups.

Change: a group adopted in part is adopted anew when another member is heard of; it waits 1.2 s for members not heard; no engine that says it is in a kept or unknown group counts as free. Two tests, both red without it.

--- a/src/common/replicas/group_keeper.ts
+++ b/src/common/replicas/group_keeper.ts
@@ -33,6 +33,12 @@
  */
 const FORMING_FACTOR = 2.5;
 
+/**
+ * How long an incomplete group waits for members not heard of, milliseconds: a
+ * little longer than any engine is left unasked.
+ */
+const COMPLETION_TIME = 1_200;
+
 /** Beyond the platform's stall time until a silent head counts as broken. */
 const STALL_MARGIN = 1_000;
 
@@ -81,6 +87,8 @@
 /** The groups of one service. */
 export class GroupKeeper {
   readonly #groups = new Map<string, IReplicaGroup>();
+  /** Since when members of groups that lack others were heard of. */
+  readonly #incompleteSince = new Map<string, MonotonicTime>();
   readonly #times: IGroupTimes;
   readonly #model: (name: string) => IModel | null;
   #changes: IGroupChange[] = [];
@@ -110,6 +118,7 @@
   clear(): void {
     this.#groups.clear();
     this.#released.clear();
+    this.#incompleteSince.clear();
   }
 
   /** A new group; its members are ordered to join by the next look. */
@@ -178,10 +187,21 @@
         !view.isDraining &&
         !view.isSilent &&
         view.state !== null &&
-        !taken.has(view.target.id),
+        !taken.has(view.target.id) &&
+        this.#isLoose(view),
     );
   }
 
+  /** Whether an engine's own word ties it to no group that may be open. */
+  #isLoose({ state, askedAt }: IEngineView): boolean {
+    const membership = state?.membership ?? null;
+    if (membership === null) {
+      return true;
+    }
+    const isKept = this.#groups.has(membership.group);
+    return !isKept && this.#isKnown(membership, askedAt);
+  }
+
   #judge(group: IReplicaGroup, views: EngineViews, now: MonotonicTime): void {
     if (group.phase === GroupPhase.Dissolving) {
       if (this.#isReleased(group, views, now)) {
@@ -322,6 +342,7 @@
 
   /** Takes over groups that engines report and this process knows nothing of. */
   #adopt(views: EngineViews, now: MonotonicTime): void {
+    this.#forgetOutgrown(views);
     const found = new Map<string, IEngineView[]>();
     for (const view of views.values()) {
       const membership = view.state?.membership ?? null;
@@ -335,6 +356,42 @@
     }
   }
 
+  /**
+   * Drops what was adopted in part when another member is heard of, so that
+   * the group is adopted anew with it: the last one heard may be its open head.
+   */
+  #forgetOutgrown(views: EngineViews): void {
+    for (const { target, state } of views.values()) {
+      const group = this.#groups.get(state?.membership?.group ?? "");
+      const isOutgrown =
+        group !== undefined &&
+        group.trouble === GroupTrouble.Incomplete &&
+        !group.hasLeft &&
+        !group.plan.members.includes(target.id);
+      if (isOutgrown) {
+        this.#groups.delete(group.plan.group);
+      }
+    }
+  }
+
+  /**
+   * Whether the members that an incomplete group lacks may yet be heard of:
+   * after a cut, engines and their entries come back one by one.
+   */
+  #mayBeCompleted(
+    name: string,
+    views: EngineViews,
+    now: MonotonicTime,
+  ): boolean {
+    const since = this.#incompleteSince.get(name) ?? now;
+    this.#incompleteSince.set(name, since);
+    const isUnheard = [...views.values()].some(
+      (view) => view.isListed && (view.state === null || view.isSilent),
+    );
+    const isNew = !this.#released.has(name);
+    return isNew && isUnheard && now - since < COMPLETION_TIME;
+  }
+
   get #lag(): number {
     return this.#times.reportLag() + LAG_MARGIN;
   }
@@ -374,6 +431,10 @@
     const isWhole =
       sorted.length === (this.#model(model)?.size ?? 0) &&
       sorted.every((view, index) => rank(view) === index);
+    if (!isWhole && this.#mayBeCompleted(plan.group, views, now)) {
+      return;
+    }
+    this.#incompleteSince.delete(plan.group);
     const isOpen = membership.state === MemberState.Open;
     const phase =
       isWhole && isOpen ? GroupPhase.Serving : GroupPhase.Dissolving;
--- a/src/common/replicas/group_keeper_test.ts
+++ b/src/common/replicas/group_keeper_test.ts
@@ -189,6 +189,31 @@
     expect(keeper.free(late)).to.deep.equal([]);
   });
 
+  // A zone comes back after a cut, and its engines answer one after the other.
+  // The tail of a group is heard before its head, which is open: taken for an
+  // engine without a group, the head would be joined elsewhere while open.
+  it("adopts a group whole though its members are heard one by one", () => {
+    const keeper = newKeeper();
+    const tail = engineView("tail", { state: memberOf(PLAN, 1), askedAt: 100 });
+    const unheard = engineView("head", { state: null });
+    const alone = viewsOf(tail, unheard);
+    expect(kinds(keeper.look(alone, 100))).to.deep.equal([]);
+    expect(keeper.free(alone)).to.deep.equal([]);
+    keeper.look(members(600, MemberState.Open), 600);
+    expect(phases(keeper)).to.deep.equal([GroupPhase.Serving]);
+  });
+
+  it("keeps a head from being free that is heard late", () => {
+    const keeper = newKeeper();
+    const tail = engineView("tail", { state: memberOf(PLAN, 1), askedAt: 100 });
+    keeper.look(viewsOf(tail), 100);
+    expect(phases(keeper)).to.deep.equal([GroupPhase.Dissolving]);
+    const both = members(600, MemberState.Open);
+    expect(keeper.free(both)).to.deep.equal([]);
+    keeper.look(both, 600);
+    expect(phases(keeper)).to.deep.equal([GroupPhase.Serving]);
+  });
+
   // An engine starts again under the id that it had. It knows nothing of the
   // group, while its head waits for it.
   it("gives up a group when a member has started again", () => {
