Bound the log's volume, and never wait for its reader

Cause: the log of the entry process went through a synchronous destination: a pipe that nobody reads would have stopped the process; and an outage could write without bound.

Latencies of calls by model and stage are counted.

Ruled out: the logfmt transport in its asynchronous mode (it waits for its reader within the stream, and encodes each line twice).

--- a/src/adapters/metrics/help_texts.ts
+++ b/src/adapters/metrics/help_texts.ts
@@ -1,11 +1,17 @@
 /** What each metric says, by its name without the prefix. */
 export const HELP_TEXTS: Readonly<Record<string, string>> = {
   alarm: "1 while the alarm is raised",
+  engine_reports_missed: "reports that an engine left unanswered",
   engine_attempts_failed: "tries on a replica group that brought no answer",
   group_downtime_seconds: "time in which replica groups could not serve",
+  group_changes: "changes of replica groups, by what they became",
   groups_down: "replica groups that cannot serve now",
   live_daemons: "daemons of the zone believed live",
+  model_call_duration: "time of model calls, by model and stage",
+  model_calls: "calls to models, by how they ended",
   peer_calls: "calls to other daemons",
+  plain_call_duration: "time of plain calls to their final answer",
+  plain_calls: "calls to plain services, by how they ended",
   plan_list_version: "version in force of a plan list",
   plan_lists_age_milliseconds:
     "time since the platform confirmed the plan lists",
@@ -19,6 +25,7 @@
   requests_spilled: "requests handed to a daemon of another zone",
   retries: "tries after the first for one request",
   run_records_unsettled: "run records whose state is in doubt",
+  stalled_groups: "groups suspected of standing still",
   stranded_instances: "live engines that serve in no complete replica group",
   target_polls: "reports asked of targets",
   waiting: "requests admitted that wait for a target",
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -38,6 +38,9 @@
 /** Output tokens are announced as a maximum; the usual answer is shorter. */
 const USUAL_OUTPUT_SHARE = 0.5;
 
+/** The outcome of a call that was answered whole. */
+const WHOLE = "whole";
+
 /** Joins a service's name and a model's to a key. */
 const KEY_SEPARATOR = "\n";
 
@@ -171,7 +174,7 @@
       const stride = this.#engineOf(run.call)?.engine.stride ?? 0;
       const written = run.events * stride;
       this.#rateOf(run.call).written(written, run.call.tokens.output);
-      this.#finish(run, "whole", { group, detail });
+      this.#finish(run, WHOLE, { group, detail });
       run.reply.end();
     } else {
       this.#stalls.distrust(group, this.#now);
@@ -428,8 +431,9 @@
     run.deadlineTimer?.dispose();
     const { arrivedAt } = run.call;
     const { firstSentAt, firstEventAt, longestPause } = run.times;
+    this.#observe(run);
     this.#parts.metrics.count("model_calls", { outcome });
-    this.#parts.log.info("model_call", {
+    const line = {
       request: run.call.id,
       route: run.call.route.name,
       model: run.call.model,
@@ -440,7 +444,29 @@
       took_ms: since(arrivedAt, this.#now),
       sends: run.sends,
       ...fields,
-    });
+    };
+    if (outcome === WHOLE) {
+      this.#parts.log.info("model_call", line);
+    } else {
+      this.#parts.log.warn("model_call", line);
+    }
+  }
+
+  #observe(run: ModelRun): void {
+    const { metrics } = this.#parts;
+    const { arrivedAt, model } = run.call;
+    const { firstSentAt, firstEventAt } = run.times;
+    const stages = [
+      ["waiting", firstSentAt],
+      ["first_event", firstEventAt],
+      ["whole", this.#now],
+    ] as const;
+    for (const [stage, at] of stages) {
+      if (at !== null) {
+        const labels = { model: model ?? "", stage };
+        metrics.observe("model_call_duration", at - arrivedAt, labels);
+      }
+    }
   }
 
   #engineOf(
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -30,6 +30,9 @@
 /** When to come back where no target could be sent to, milliseconds. */
 const RETRY_AFTER = 250;
 
+/** The outcome of a call whose target's answer was passed on. */
+const WHOLE = "whole";
+
 /** What the plain calls need. */
 export interface IPlainCallParts {
   readonly targets: PlainTargets;
@@ -227,7 +230,7 @@
   }
 
   #pass(head: IAnswerHead, body: readonly Uint8Array[]): void {
-    this.#finish("whole", { status: head.status });
+    this.#finish(WHOLE, { status: head.status });
     const length = body.reduce((sum, { length }) => sum + length, 0);
     this.#reply.begin(head, length);
     for (const bytes of body) {
@@ -269,14 +272,20 @@
     }
     const took = this.#parts.clock.now() - this.#call.arrivedAt;
     this.#parts.metrics.count("plain_calls", { outcome });
-    this.#parts.log.info("plain_call", {
+    this.#parts.metrics.observe("plain_call_duration", took);
+    const line = {
       request: this.#call.id,
       route: this.#call.route.name,
       outcome,
       took_ms: Math.round(took),
       targets: [...this.#tried].join(","),
       ...fields,
-    });
+    };
+    if (outcome === WHOLE) {
+      this.#parts.log.info("plain_call", line);
+    } else {
+      this.#parts.log.warn("plain_call", line);
+    }
   }
 }
 
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -8,7 +8,7 @@
 import { decodeTarget } from "../../platform/target_decoder.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { InnerServer } from "../adapters/exchange/inner_server.ts";
-import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
+import { BoundedLog } from "../adapters/log/bounded_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { ConfigurationBook } from "../common/calls/configuration_book.ts";
@@ -56,7 +56,7 @@
 /** One running entry process. */
 export class EntryProcess {
   readonly #settings: EntrySettings;
-  readonly #log: LogfmtLog;
+  readonly #log: BoundedLog;
   readonly #clock = new SystemClock();
   readonly #random = new SystemRandom();
   readonly #metrics = new PrometheusMetrics();
@@ -77,9 +77,11 @@
   #hasCalls = false;
   #isStopping = false;
 
-  private constructor(settings: EntrySettings, log: LogfmtLog) {
+  private constructor(settings: EntrySettings) {
     this.#settings = settings;
-    this.#log = log;
+    const { name } = settings.instance;
+    this.#log = new BoundedLog(this.#clock, { process: name });
+    const log = this.#log;
     this.#store = new ObjectStore(settings.store.address);
     this.#configuration = new ConfigurationBook(decodeConfiguration, log);
     this.#followers = this.#createFollowers();
@@ -118,9 +120,7 @@
   }
 
   static async start(settings: EntrySettings): Promise<EntryProcess> {
-    const { name, zone } = settings.instance;
-    const log = await LogfmtLog.create({ process: name, zone });
-    const entry = new EntryProcess(settings, log);
+    const entry = new EntryProcess(settings);
     await entry.#start();
     return entry;
   }
