--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { callOf, routeOf } from "../../../test/support/calls.ts";
+import { callOf, KeptReply, routeOf } from "../../../test/support/calls.ts";
 import { LARGE } from "../../../test/support/engines.ts";
 import { ManualClock } from "../../../test/support/manual_clock.ts";
 import { KeptLog, NO_METRICS } from "../../../test/support/quiet_services.ts";
@@ -13,8 +13,6 @@
   IAnswerHead,
   IAnswerReceiver,
   ICall,
-  ICallRefusal,
-  ICallReply,
   IEngineModel,
   ISendOptions,
 } from "./types.ts";
@@ -63,31 +61,6 @@
   isAborted: boolean;
 }
 
-/** What a caller got. */
-class KeptReply implements ICallReply {
-  text = "";
-  isBegun = false;
-  isEnded = false;
-  isBroken = false;
-  refusal: ICallRefusal | null = null;
-
-  begin(): void {
-    this.isBegun = true;
-  }
-  piece(bytes: Uint8Array): void {
-    this.text += new TextDecoder().decode(bytes);
-  }
-  end(): void {
-    this.isEnded = true;
-  }
-  refuse(refusal: ICallRefusal): void {
-    this.refusal = refusal;
-  }
-  breakOff(): void {
-    this.isBroken = true;
-  }
-}
-
 /** The calls of one process with targets that do as the test says. */
 class Play {
   readonly clock = new ManualClock();
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -69,6 +69,8 @@
   readonly #parts: IPlainCallParts;
   readonly #tried = new Set<InstanceId>();
   readonly #timers: IDisposable[] = [];
+  /** Targets that the call may have reached. */
+  #sends = 0;
   #current: PlainSend | null = null;
   #mayHaveRun = false;
   #isOver = false;
@@ -118,6 +120,7 @@
       this.#parts.repeats.firstSend(service, now);
     }
     this.#tried.add(target.id);
+    this.#sends += 1;
     this.#parts.targets.sent(target.id);
     const send = new PlainSend(target.id, (answer) => this.#ended(answer));
     this.#current = send;
@@ -158,6 +161,7 @@
     targets.done(send.target);
     const { head, failure } = answer;
     const isNotRun = failure === SendFailure.NotSent || head?.isNotRun === true;
+    this.#sends -= failure === SendFailure.NotSent ? 1 : 0;
     this.#mayHaveRun ||= !isNotRun;
     const isGood =
       failure === null && head !== null && head.status < STATUS_SERVER_ERROR;
@@ -202,7 +206,7 @@
     return (
       hasOther &&
       now < deadline &&
-      this.#tried.size < route.maximumAttempts &&
+      this.#sends < route.maximumAttempts &&
       repeats.take(service, now)
     );
   }
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { callOf, routeOf } from "../../../test/support/calls.ts";
+import { callOf, KeptReply, routeOf } from "../../../test/support/calls.ts";
 import { listedEngine } from "../../../test/support/engines.ts";
 import { ManualClock } from "../../../test/support/manual_clock.ts";
 import { KeptLog, NO_METRICS } from "../../../test/support/quiet_services.ts";
@@ -7,13 +7,7 @@
 import { PlainTargets } from "./plain_targets.ts";
 import { RepeatBook } from "./repeat_book.ts";
 import { CallEnd, CallKind, SendFailure } from "./types.ts";
-import type {
-  IAnswerHead,
-  IAnswerReceiver,
-  ICallRefusal,
-  ICallReply,
-  ISendOptions,
-} from "./types.ts";
+import type { IAnswerHead, IAnswerReceiver, ISendOptions } from "./types.ts";
 
 const SAFE = routeOf({ kind: CallKind.Safe, timeout: 800, objective: 120 });
 const UNSAFE = routeOf({
@@ -33,26 +27,6 @@
   isAborted: boolean;
 }
 
-class KeptReply implements ICallReply {
-  text = "";
-  isBegun = false;
-  head: IAnswerHead | null = null;
-  refusal: ICallRefusal | null = null;
-
-  begin(head: IAnswerHead): void {
-    this.isBegun = true;
-    this.head = head;
-  }
-  piece(bytes: Uint8Array): void {
-    this.text += new TextDecoder().decode(bytes);
-  }
-  end(): void {}
-  refuse(refusal: ICallRefusal): void {
-    this.refusal = refusal;
-  }
-  breakOff(): void {}
-}
-
 /** Plain calls of one process; targets answer as the test says. */
 class Play {
   readonly clock = new ManualClock();
@@ -140,6 +114,19 @@
     expect(reply.text).to.equal("done");
   });
 
+  // A target has lost its power and takes no connection. Nothing was sent, so
+  // the caller need not be turned away, even where one attempt is allowed.
+  it("sends an unsafe call on where no connection could be made", () => {
+    const play = new Play();
+    const reply = play.take({ ...UNSAFE, maximumAttempts: 1 });
+    play.sends[0]?.options.receiver.failed(
+      SendFailure.NotSent,
+      "no connection",
+    );
+    play.answer(1, headOf(200), "done");
+    expect(reply.text).to.equal("done");
+  });
+
   it("sends an unsafe call on a connection of its own", () => {
     const play = new Play();
     play.take(UNSAFE);
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -4,6 +4,8 @@
   IAnswerHead,
   IAnswerReceiver,
   ICall,
+  ICallRefusal,
+  ICallReply,
   IRoute,
   SendFailure,
 } from "../../src/common/calls/types.ts";
@@ -83,3 +85,36 @@
     this.#resolve();
   }
 }
+
+/** Keeps what a caller got. */
+export class KeptReply implements ICallReply {
+  text = "";
+  head: IAnswerHead | null = null;
+  isEnded = false;
+  isBroken = false;
+  refusal: ICallRefusal | null = null;
+
+  get isBegun(): boolean {
+    return this.head !== null;
+  }
+
+  begin(head: IAnswerHead): void {
+    this.head = head;
+  }
+
+  piece(bytes: Uint8Array): void {
+    this.text += new TextDecoder().decode(bytes);
+  }
+
+  end(): void {
+    this.isEnded = true;
+  }
+
+  refuse(refusal: ICallRefusal): void {
+    this.refusal = refusal;
+  }
+
+  breakOff(): void {
+    this.isBroken = true;
+  }
+}
