--- /dev/null
+++ b/test/platform_path_test.ts
@@ -0,0 +1,256 @@
+/** The entry process, a process of its own, before stand-ins in memory. */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { expect } from "chai";
+import { request } from "undici";
+import { stringify } from "yaml";
+import { addressOfServer } from "../src/adapters/listen.ts";
+import type { EntrySettings } from "../src/entry/settings.ts";
+import { PlatformEngine } from "./support/platform_engine.ts";
+import { PlatformStore } from "./support/platform_store.ts";
+import { ProcessHandle, waitFor } from "./support/process_handle.ts";
+
+const EVENTS = 30;
+const ENGINES = 5;
+
+function configuration(version: number, extra: readonly object[] = []): object {
+  const model = { name: "small", size: 2, share: 1, pace: 1 };
+  return {
+    version,
+    routes: [
+      {
+        name: "briefs",
+        host: "news.example",
+        pathPrefix: "/briefs/",
+        kind: "stream",
+        timeoutMs: 8_000,
+        sloMs: 400,
+        priority: 1,
+        service: "summaries",
+        maxAttempts: 2,
+        resumable: true,
+        gapTargetMs: 300,
+      },
+      ...extra,
+    ],
+    services: [
+      {
+        name: "summaries",
+        engine: {
+          slots: 12,
+          kvCapacity: 1_000_000,
+          stride: 5,
+          models: [{ ...model, loadS: 0.2, warmS: 0.1 }],
+          step_ms: 4,
+          read_per_s: 45_900,
+          chunk: 2_048,
+          report_lag_ms: 0,
+          loadsPerS: 5,
+          formMs: 50,
+        },
+      },
+    ],
+    limits: {},
+    tenants: [{ name: "desk", apiKeys: ["key-1"] }],
+  };
+}
+
+/** A port that was free a moment ago. */
+async function freeAddress(): Promise<string> {
+  const server = createServer();
+  const address = await addressOfServer(server, "127.0.0.1:0");
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return address;
+}
+
+/** One entry process before some engines of one domain. */
+class Platform {
+  readonly store = new PlatformStore();
+  readonly engines: readonly PlatformEngine[];
+  readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-entry-"));
+  entry: ProcessHandle | null = null;
+  callers = "";
+  readiness = "";
+
+  constructor() {
+    this.engines = Array.from(
+      { length: ENGINES },
+      (_, index) => new PlatformEngine(`i-${index}`, "summaries", EVENTS),
+    );
+  }
+
+  async start(): Promise<void> {
+    const store = await this.store.listen();
+    this.store.put("config", "main", configuration(1));
+    await Promise.all(this.engines.map((one) => one.listen(this.store)));
+    this.callers = await freeAddress();
+    this.readiness = await freeAddress();
+    const inner = await freeAddress();
+    const settings: EntrySettings = {
+      instance: { name: "entry", zone: "north-a", address: "127.0.0.1" },
+      listen: {
+        callers: this.callers,
+        readiness: this.readiness,
+        inner_port: Number(inner.split(":")[1]),
+      },
+      store: { address: store },
+      zones: { "north-a": "north" },
+      heartbeat_ms: 1_200,
+      first_start: true,
+      bounds: {
+        grace_s: 8,
+        repeat_ratio: 0.2,
+        repeat_window_s: 10,
+        repeat_slack: 100,
+        stall_ms: 5_000,
+        load_window_s: 5,
+        load_factor: 1.1,
+      },
+    };
+    const file = join(this.#folder, "entry.yaml");
+    writeFileSync(file, stringify(settings));
+    this.entry = await ProcessHandle.start("entry", "entry/main.js", [file]);
+    await waitFor("the process is ready", async () => {
+      const answer = await request(`http://${this.readiness}/readyz`);
+      await answer.body.dump();
+      return answer.statusCode === 200;
+    });
+  }
+
+  async ask(
+    id: string,
+    options: { readonly path?: string; readonly key?: string } = {},
+  ): Promise<{ readonly status: number; readonly text: string }> {
+    const { path = "/briefs/1", key = "key-1" } = options;
+    const answer = await request(`http://${this.callers}${path}`, {
+      method: "POST",
+      headers: {
+        host: "news.example",
+        authorization: `Bearer ${key}`,
+        "x-attempt-id": id,
+        "x-model": "small",
+        "x-token-counts": "100,150",
+        "x-deadline-ms": "8000",
+      },
+      body: "text",
+    });
+    return { status: answer.statusCode, text: await answer.body.text() };
+  }
+
+  /** Asks until it is answered by a group. */
+  async served(): Promise<void> {
+    let attempts = 0;
+    await waitFor("a group serves", async () => {
+      attempts += 1;
+      return (await this.ask(`first-${attempts}`)).status === 200;
+    });
+  }
+
+  /** Asks until two engines have run calls, so that two groups serve. */
+  async servedByTwo(): Promise<void> {
+    let attempts = 0;
+    await waitFor("two groups serve", async () => {
+      attempts += 1;
+      await this.ask(`spread-${attempts}`);
+      return this.engines.filter(({ ran }) => ran.length > 0).length > 1;
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.entry?.[Symbol.asyncDispose]();
+    rmSync(this.#folder, { recursive: true });
+    await Promise.all(this.engines.map((one) => one[Symbol.asyncDispose]()));
+    await this.store[Symbol.asyncDispose]();
+  }
+}
+
+function idsOf(text: string): readonly number[] {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+}
+
+const WHOLE = Array.from({ length: EVENTS }, (_, index) => index + 1);
+
+describe("the entry process on the platform's form", () => {
+  it("forms groups and passes a stream on whole", async () => {
+    await using platform = new Platform();
+    await platform.start();
+    await platform.served();
+    const { status, text } = await platform.ask("attempt-1");
+    expect(status).to.equal(200);
+    expect(idsOf(text)).to.deep.equal(WHOLE);
+  });
+
+  it("turns away unknown routes and keys, and follows new versions", async () => {
+    await using platform = new Platform();
+    await platform.start();
+    expect((await platform.ask("a", { path: "/else/1" })).status).to.equal(404);
+    expect((await platform.ask("b", { key: "other" })).status).to.equal(401);
+    const route = {
+      name: "else",
+      host: "news.example",
+      pathPrefix: "/else/",
+      kind: "stream",
+      timeoutMs: 300,
+      sloMs: 100,
+      service: "nowhere",
+    };
+    platform.store.put("config", "main", configuration(2, [route]));
+    await waitFor("the new route is known", async () => {
+      const { status } = await platform.ask("c", { path: "/else/1" });
+      return status === 503;
+    });
+  });
+
+  // The store goes away while callers are served. What is known of routes and
+  // groups still holds.
+  it("serves on while the store is away", async () => {
+    await using platform = new Platform();
+    await platform.start();
+    await platform.served();
+    platform.store.isAway = true;
+    const { status, text } = await platform.ask("attempt-1");
+    expect(status).to.equal(200);
+    expect(idsOf(text)).to.deep.equal(WHOLE);
+    platform.store.isAway = false;
+  });
+
+  // The engine that writes an answer stands still in the middle of it. The
+  // caller reads on from another group, without a gap or a repeat.
+  it("goes on with a stream at another group", async () => {
+    await using platform = new Platform();
+    await platform.start();
+    await platform.servedByTwo();
+    const asked = platform.ask("attempt-1");
+    const isWriting = () =>
+      platform.engines.find(({ ran }) => ran.includes("attempt-1"));
+    await waitFor("an engine writes", async () => isWriting() !== undefined);
+    const first = isWriting();
+    if (first !== undefined) {
+      first.isStill = true;
+    }
+    const { status, text } = await asked;
+    expect(status).to.equal(200);
+    expect(idsOf(text)).to.deep.equal(WHOLE);
+    const ran = platform.engines.filter(({ ran }) => ran.includes("attempt-1"));
+    expect(ran).to.have.length(2);
+  });
+
+  // An instance is replaced. Its process is told to stop while it serves a
+  // caller, who should get the whole answer.
+  it("finishes a stream when it is told to stop", async () => {
+    await using platform = new Platform();
+    await platform.start();
+    await platform.served();
+    const asked = platform.ask("attempt-1");
+    await waitFor("an engine writes", () =>
+      platform.engines.some(({ ran }) => ran.includes("attempt-1")),
+    );
+    platform.entry?.signal("SIGTERM");
+    const { status, text } = await asked;
+    expect(status).to.equal(200);
+    expect(idsOf(text)).to.deep.equal(WHOLE);
+    await platform.entry?.exited();
+  });
+});
--- /dev/null
+++ b/test/support/platform_engine.ts
@@ -0,0 +1,143 @@
+/** An engine member that speaks the users' platform's form. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { addressOfServer } from "../../src/adapters/listen.ts";
+import type { PlatformStore } from "./platform_store.ts";
+
+/** Milliseconds between two events of a stream. */
+const EVENT_PERIOD = 20;
+
+interface IGroup {
+  readonly name: string;
+  readonly epoch: number;
+  readonly rank: number;
+  state: string;
+}
+
+/** Does at once what it is ordered, and writes streams of a given length. */
+export class PlatformEngine {
+  readonly id: string;
+  readonly #server: Server;
+  readonly #service: string;
+  readonly #events: number;
+  #address = "";
+  #group: IGroup | null = null;
+  #model: string | null = null;
+  #staged: string[] = [];
+  /** While true nothing moves and nothing is answered. */
+  isStill = false;
+  /** Ids of the attempts that began to run here. */
+  readonly ran: string[] = [];
+
+  /** @param events - how many a whole stream has */
+  constructor(id: string, service: string, events: number) {
+    this.id = id;
+    this.#service = service;
+    this.#events = events;
+    this.#server = createServer((request, response) => {
+      void this.#answer(request, response);
+    });
+  }
+
+  async listen(store: PlatformStore): Promise<void> {
+    this.#address = await addressOfServer(this.#server, "127.0.0.1:0");
+    store.put("servers", this.id, {
+      service: this.#service,
+      address: this.#address,
+      zone: "north-a",
+      version: "v1",
+      slots: 12,
+      state: "ready",
+      ...this.#report(),
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  #report(): object {
+    return {
+      born: 1,
+      domain: "north-a-d0",
+      staged: this.#staged,
+      models: this.#model ? [{ name: this.#model }] : [],
+      group: this.#group,
+      seqNo: 0,
+      queued: 0,
+      active: 0,
+    };
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    if (this.isStill) {
+      return;
+    }
+    let text = "";
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      text += chunk.toString();
+    }
+    if (request.url === "/report") {
+      response.end(JSON.stringify(this.#report()));
+    } else if (request.url === "/order") {
+      const isDone = this.#order(JSON.parse(text) as Record<string, unknown>);
+      response.writeHead(isDone ? 200 : 409).end();
+    } else if (this.#group?.rank === 0 && this.#group.state === "open") {
+      this.#stream(request, response);
+    } else {
+      response.writeHead(503, { "x-not-executed": "1" }).end();
+    }
+  }
+
+  #order(order: Record<string, unknown>): boolean {
+    const { op, group, epoch, model, members } = order;
+    if (op === "join") {
+      const rank = (members as string[]).indexOf(this.id);
+      const name = String(group);
+      this.#group = { name, epoch: Number(epoch), rank, state: "ready" };
+      this.#model = String(model);
+      this.#staged = [this.#model];
+      return true;
+    }
+    if (op === "stage") {
+      this.#staged = [String(model)];
+      return true;
+    }
+    if (this.#group?.name !== group) {
+      return false;
+    }
+    if (op === "leave") {
+      this.#group = null;
+    } else if (this.#group !== null) {
+      this.#group.state = op === "open" ? "open" : "ready";
+    }
+    return true;
+  }
+
+  #stream(request: IncomingMessage, response: ServerResponse): void {
+    const attempt = String(request.headers["x-attempt-id"]);
+    this.ran.push(attempt);
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "x-attempt-id": attempt,
+      "x-response-stamp": this.id,
+    });
+    let id = Number(request.headers["last-event-id"] ?? 0);
+    const timer = setInterval(() => {
+      if (this.isStill) {
+        return;
+      }
+      id += 1;
+      response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+      if (id >= this.#events) {
+        clearInterval(timer);
+        response.end();
+      }
+    }, EVENT_PERIOD);
+    response.on("close", () => clearInterval(timer));
+  }
+}
--- /dev/null
+++ b/test/support/platform_store.ts
@@ -0,0 +1,148 @@
+/** A store that speaks the users' platform's form, kept in memory. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { addressOfServer } from "../../src/adapters/listen.ts";
+
+interface IStoredObject {
+  readonly kind: string;
+  readonly name: string;
+  readonly revision: number;
+  readonly spec: unknown;
+}
+
+interface IStoredEvent extends IStoredObject {
+  readonly removed: boolean;
+}
+
+/** Objects by kind and name, with watches that wait. */
+export class PlatformStore {
+  readonly #server: Server;
+  readonly #objects = new Map<string, IStoredObject>();
+  readonly #events: IStoredEvent[] = [];
+  readonly #waiting = new Set<() => void>();
+  #revision = 1;
+  /** Answers 503 to everything while true. */
+  isAway = false;
+
+  constructor() {
+    this.#server = createServer((request, response) => {
+      void this.#answer(request, response);
+    });
+  }
+
+  listen(): Promise<string> {
+    return addressOfServer(this.#server, "127.0.0.1:0");
+  }
+
+  /** Writes as the operator and the targets do. */
+  put(kind: string, name: string, spec: unknown): number {
+    this.#revision += 1;
+    const object = { kind, name, revision: this.#revision, spec };
+    this.#objects.set(`${kind}/${name}`, object);
+    this.#tell({ ...object, removed: false });
+    return this.#revision;
+  }
+
+  remove(kind: string, name: string): void {
+    const object = this.#objects.get(`${kind}/${name}`);
+    if (object !== undefined) {
+      this.#objects.delete(`${kind}/${name}`);
+      this.#revision += 1;
+      this.#tell({ ...object, revision: this.#revision, removed: true });
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#waiting.forEach((wake) => wake());
+    this.#server.closeAllConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  #tell(event: IStoredEvent): void {
+    this.#events.push(event);
+    this.#waiting.forEach((wake) => wake());
+  }
+
+  async #answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://store");
+    const [, , kind = "", name] = url.pathname.split("/");
+    if (this.isAway) {
+      response.writeHead(503).end();
+    } else if (request.method === "POST" || request.method === "PUT") {
+      await this.#write(request, response, kind);
+    } else if (name !== undefined) {
+      const object = this.#objects.get(`${kind}/${name}`);
+      send(response, object ? 200 : 404, object ? encode(object) : {});
+    } else if (url.searchParams.has("watch")) {
+      await this.#watch(response, kind, url.searchParams);
+    } else {
+      const items = [...this.#objects.values()].filter(
+        (object) => object.kind === kind,
+      );
+      const asOf = this.#revision;
+      send(response, 200, { items: items.map(encode), truncated: false, asOf });
+    }
+  }
+
+  async #write(
+    request: IncomingMessage,
+    response: ServerResponse,
+    kind: string,
+  ): Promise<void> {
+    let text = "";
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      text += chunk.toString();
+    }
+    const { metadata, spec } = JSON.parse(text) as {
+      metadata: { name: string; revision?: number };
+      spec: unknown;
+    };
+    const known = this.#objects.get(`${kind}/${metadata.name}`);
+    if (known?.revision !== metadata.revision) {
+      send(response, 409, known ? encode(known) : {});
+      return;
+    }
+    this.put(kind, metadata.name, spec);
+    const written = this.#objects.get(`${kind}/${metadata.name}`);
+    send(response, 200, written ? encode(written) : {});
+  }
+
+  async #watch(
+    response: ServerResponse,
+    kind: string,
+    query: URLSearchParams,
+  ): Promise<void> {
+    const after = Number(query.get("watch"));
+    const newer = () =>
+      this.#events.filter((one) => one.kind === kind && one.revision > after);
+    if (newer().length === 0) {
+      await new Promise<void>((resolve) => {
+        const timer = setTimeout(() => wake(), Number(query.get("waitMs")));
+        const wake = () => {
+          clearTimeout(timer);
+          this.#waiting.delete(wake);
+          resolve();
+        };
+        this.#waiting.add(wake);
+      });
+    }
+    const events = newer().map((event) => ({
+      object: encode(event),
+      removed: event.removed,
+    }));
+    send(response, 200, { events, asOf: this.#revision });
+  }
+}
+
+function encode({ name, revision, spec }: IStoredObject): object {
+  const metadata = { name, revision, finalizers: [], deleting: false };
+  return { metadata, spec, status: null };
+}
+
+function send(response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { "content-type": "application/json" });
+  response.end(JSON.stringify(body));
+}
--- a/test/support/process_handle.ts
+++ b/test/support/process_handle.ts
@@ -7,6 +7,9 @@
 const WAIT_BOUND = 60_000;
 const WAIT_STEP = 25;
 
+/** What programs write once they listen. */
+const STARTED = /event=(listening|started)\b/;
+
 /** Waits until a condition holds; the description goes into the failure. */
 export async function waitFor(
   description: string,
@@ -50,7 +53,7 @@
       if (handle.#hasExited) {
         throw new Error(`${name} exited: ${handle.#output}`);
       }
-      return handle.#output.includes("event=listening");
+      return STARTED.test(handle.#output);
     });
     return handle;
   }
