Turn calls away that come late after the signal to stop

Ruled out: the grace time itself (calls sent up to 3 s after the signal end in time or are the platform's to bear).

Change: from 3 s after the signal a new call gets "not run" at once.

--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -151,6 +151,9 @@
     await this.#until(() => {
       const now = this.#clock.now();
       const isOut = now - stoppedAt >= TAKEN_OUT_AFTER;
+      if (isOut) {
+        this.#ingress.refuseNew();
+      }
       return now >= end || (isOut && this.#ingress.inFlight === 0);
     });
     this.#log.info("stopped", { in_flight: this.#ingress.inFlight });
