Share the allowance of repeats among many until they are heard of

Change: many processes are assumed before any is heard of, and a larger number is kept for the bounds' window.

--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -17,6 +17,7 @@
 import { HolderDesk } from "../common/replicas/holder_desk.ts";
 import { HolderListener } from "../common/replicas/holder_listener.ts";
 import { LeaseKeeper } from "../common/replicas/lease_keeper.ts";
+import { ProcessCount } from "../common/replicas/process_count.ts";
 import { ReplicaService } from "../common/replicas/replica_service.ts";
 import type { IReplicaBounds } from "../common/replicas/replica_service.ts";
 import type {
@@ -86,6 +87,7 @@
   readonly #desk: HolderDesk;
   readonly #services = new Map<string, ReplicaService>();
   readonly #numbers = new GroupNumbers();
+  readonly #processes = new ProcessCount();
   /** The lease epoch under which the services were started. */
   #servicesEpoch: number | null = null;
   #wasByHolder = false;
@@ -144,9 +146,15 @@
 
   /** Processes that take calls, as far as is known. */
   get processes(): number {
-    return this.#isInOffice
-      ? this.#desk.words.length
-      : Math.max(this.#listener.processes, 1);
+    return this.#processes.take(this.#processesHeard, this.#parts.clock.now());
+  }
+
+  /** Processes heard of at this moment; 0 when nothing is known of them. */
+  get #processesHeard(): number {
+    if (this.#isInOffice) {
+      return this.#desk.words.length;
+    }
+    return this.#listener.isFresh ? this.#listener.processes : 0;
   }
 
   /** Answers another process. */
