--- a/src/common/decisions/service_scheduler_test.ts
+++ b/test/scheduler_trial_test.ts
@@ -1,7 +1,10 @@
 import { expect } from "chai";
-import { Reason } from "../types.ts";
-import { ScheduleActionKind, ServiceScheduler } from "./service_scheduler.ts";
-import type { IWork } from "./work.ts";
+import { Reason } from "../src/common/types.ts";
+import {
+  ScheduleActionKind,
+  ServiceScheduler,
+} from "../src/common/decisions/service_scheduler.ts";
+import type { IWork } from "../src/common/decisions/work.ts";
 
 const DEADLINE = 8_000;
 const TOKENS = 40;
