Keep idle connections open while a daemon stops, and try quiet accounts

Ruled out: the trial itself (in that test one account has calls running all the while, so no trial is made); load (the reset comes at the stop signal).

Change: the trial is back; a stopping daemon closes idle connections only when nothing is in flight. New test: a request on a kept connection after SIGTERM is answered; red without the change.

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -113,12 +113,13 @@
   /**
    * Lets everything in flight finish, then closes. Until then new connections
    * are still taken, and told to ask elsewhere: a balancer that has not
-   * noticed yet would otherwise meet a closed port.
+   * noticed yet would otherwise meet a closed port. Connections that look idle
+   * stay open as well: a request may be on its way on one, and closing would
+   * reset it, so that its caller could not know whether it has run.
    */
   async stop(): Promise<void> {
     this.#isStopping = true;
     this.#reloader?.dispose();
-    this.#server.closeIdleConnections();
     if (this.#open > 0) {
       await new Promise<void>((resolve) => {
         this.#whenIdle = resolve;
--- a/src/common/decisions/fair_queue.ts
+++ b/src/common/decisions/fair_queue.ts
@@ -80,6 +80,12 @@
     return work;
   }
 
+  /** Whether any work of an account waits. */
+  has(account: AccountName): boolean {
+    const queue = this.#accounts.get(account);
+    return queue !== undefined && queue.short.length + queue.long.length > 0;
+  }
+
   /** Removes work whose caller is gone. */
   remove(work: IWork): boolean {
     const queue = this.#accounts.get(work.account);
--- a/src/common/decisions/service_scheduler.ts
+++ b/src/common/decisions/service_scheduler.ts
@@ -3,7 +3,7 @@
  * is turned away and where work goes. Pure: events and the time go in, actions
  * come out; chance is handed in. One in each daemon for each service.
  */
-import type { MonotonicTime } from "../types.ts";
+import type { AccountName, MonotonicTime } from "../types.ts";
 import { Reason } from "../types.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { IRoom } from "./fair_queue.ts";
@@ -60,6 +60,8 @@
   readonly #targets = new TargetBook(this.#runTime);
   /** Work started and not finished. */
   readonly #started = new Set<IWork>();
+  /** Work let in although it seemed too late, one an account. */
+  readonly #trials = new Map<AccountName, IWork>();
   #longStarted = 0;
   /** Since when some work has always been waiting. */
   #backlogSince: MonotonicTime | null = null;
@@ -84,7 +86,10 @@
       this.#runTime.forget();
     }
     const late = this.#lateness(work, now);
-    if (late > 0) {
+    const isTrial = late > 0 && this.#mayTry(work, now);
+    if (isTrial) {
+      this.#trials.set(work.account, work);
+    } else if (late > 0) {
       return [refuse(work, Reason.DeadlineTooNear, late)];
     }
     const pushedOut = this.#queue.add(work);
@@ -108,6 +113,7 @@
     if (tokens !== null) {
       this.#runTime.answered(tokens, work.askedTokens);
     }
+    this.#endTrial(work);
     if (this.#started.delete(work) && isLong(work)) {
       this.#longStarted -= 1;
     }
@@ -116,6 +122,7 @@
 
   /** The caller of waiting work is gone. */
   withdraw(work: IWork): boolean {
+    this.#endTrial(work);
     return this.#queue.remove(work);
   }
 
@@ -131,10 +138,12 @@
   /** Time passed: starts what there is room for, refuses what has expired. */
   advance(now: MonotonicTime): readonly ScheduleAction[] {
     const actions: ScheduleAction[] = [];
-    const expired = this.#queue.removeWhere(
-      (work) => now + this.#runTime.of(work) > work.deadline,
-    );
+    const expired = this.#queue.removeWhere((work) => {
+      const needed = this.#isTrial(work) ? 0 : this.#runTime.of(work);
+      return now + needed > work.deadline;
+    });
     for (const work of expired) {
+      this.#endTrial(work);
       const late = now + this.#runTime.of(work) - work.deadline;
       actions.push(refuse(work, Reason.DeadlinePassed, late));
     }
@@ -150,6 +159,32 @@
     }
   }
 
+  /**
+   * Whether work that seems too late is let in all the same: its account has
+   * nothing here, so it did not bring the load about by which the run time was
+   * learned. Pattern of load: one account floods the only group; times learned
+   * from its answers jump past everybody's deadline, and an account that asks
+   * now and then would be refused until the flood ends. One trial an account
+   * at a time, so a wrong guess costs one slot for one answer.
+   */
+  #mayTry(work: IWork, now: MonotonicTime): boolean {
+    const hasTrial = this.#trials.has(work.account);
+    const isActive =
+      this.#queue.has(work.account) ||
+      [...this.#started].some(({ account }) => account === work.account);
+    return !hasTrial && !isActive && now < work.deadline;
+  }
+
+  #isTrial(work: IWork): boolean {
+    return this.#trials.get(work.account) === work;
+  }
+
+  #endTrial(work: IWork): void {
+    if (this.#isTrial(work)) {
+      this.#trials.delete(work.account);
+    }
+  }
+
   #room(): IRoom {
     const reach = this.#targets.reach;
     const isFree = this.#started.size < reach;
--- a/test/scheduler_trial_test.ts
+++ b/src/common/decisions/service_scheduler_test.ts
@@ -1,10 +1,7 @@
 import { expect } from "chai";
-import { Reason } from "../src/common/types.ts";
-import {
-  ScheduleActionKind,
-  ServiceScheduler,
-} from "../src/common/decisions/service_scheduler.ts";
-import type { IWork } from "../src/common/decisions/work.ts";
+import { Reason } from "../types.ts";
+import { ScheduleActionKind, ServiceScheduler } from "./service_scheduler.ts";
+import type { IWork } from "./work.ts";
 
 const DEADLINE = 8_000;
 const TOKENS = 40;
--- a/test/leaving_test.ts
+++ b/test/leaving_test.ts
@@ -2,6 +2,8 @@
  * A target that is leaving gets no new work after a few seconds, and its whole
  * group with it; a daemon that is told to stop cuts nobody off.
  */
+import { connect } from "node:net";
+import type { Socket } from "node:net";
 import { expect } from "chai";
 import { request } from "undici";
 import { StreamFault } from "../src/stand_ins/engine_member/stream_fault.ts";
@@ -210,6 +212,27 @@
     expect(isWhole(next, id)).to.equal(true);
   });
 
+  // A caller keeps its connection and sends the next request just as the
+  // instance is told to stop. A server that closes what looks idle resets that
+  // request: the caller cannot know whether its publish has run.
+  it("of a daemon answers what crosses it on kept connections", async () => {
+    const stopping = deployment.process(DAEMON);
+    const [host = "", port = ""] = stopping.field("callers").split(":");
+    const kept = connect(Number(port), host);
+    const said = keepWhatComes(kept);
+    kept.write(plainRequest());
+    await waitFor("the first answer", () => said().includes("HTTP/1.1 4"));
+    const [running] = await begin(freshId());
+    const before = said().length;
+    stopping.signal("SIGTERM");
+    await waitFor("it stops", () => stopping.output.includes("event=stopping"));
+    kept.write(plainRequest());
+    await waitFor("an answer or the end", () => said().length > before);
+    expect(said().slice(before)).to.include("shutting_down");
+    expect((await running)?.isWhole).to.equal(true);
+    kept.destroy();
+  });
+
   // The engine refuses new work although nobody has heard that it is leaving.
   it("by refusal sends the work elsewhere at once", async () => {
     const { groups } = await deployment.status(DAEMON);
@@ -226,3 +249,24 @@
     expect(await beganAt(leader, 0)).to.equal(0);
   });
 });
+
+/** A small request without a credential, on a connection that is kept. */
+function plainRequest(): string {
+  return [
+    "POST /v1/services/summarizer/headline HTTP/1.1",
+    "host: kept.example",
+    "content-type: application/json",
+    "content-length: 2",
+    "",
+    "{}",
+  ].join("\r\n");
+}
+
+/** Returns what a connection has brought so far; its end counts as text. */
+function keepWhatComes(socket: Socket): () => string {
+  let text = "";
+  socket.on("data", (bytes) => (text += String(bytes)));
+  socket.on("error", ({ message }) => (text += message));
+  socket.on("end", () => (text += "closed without an answer"));
+  return () => text;
+}
