--- a/src/common/calls/engine_timing.ts
+++ b/src/common/calls/engine_timing.ts
@@ -34,13 +34,21 @@
 }
 
 /**
- * Milliseconds between two events of a full group in the worst regular case:
- * a chunk of a prompt is read between them.
+ * Milliseconds between two events of a full group while one chunk of a prompt
+ * is read.
  */
+export function busyGap(engine: IEngineModel, model: IModel): number {
+  return fullBatchGap(engine, model) + chunkTime(engine, model);
+}
+
+/** The same in the worst regular case: a chunk is read in each step. */
 export function longestGap(engine: IEngineModel, model: IModel): number {
-  return (
-    fullBatchGap(engine, model) + readTime(engine, engine.chunk) * model.pace
-  );
+  const reading = chunkTime(engine, model) * engine.stride;
+  return fullBatchGap(engine, model) + reading;
+}
+
+function chunkTime(engine: IEngineModel, model: IModel): number {
+  return readTime(engine, engine.chunk) * model.pace;
 }
 
 /** Milliseconds from the start of reading to the last token, batch given. */
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -2,11 +2,13 @@
 import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
 import type { MonotonicTime, ZoneName } from "../types.ts";
 import {
+  busyGap,
   fullBatchGap,
   longestGap,
   readTime,
   runTime,
 } from "./engine_timing.ts";
+import { FirstEventTime } from "./first_event_time.ts";
 import { chooseGroup } from "./group_choice.ts";
 import { ModelQueue, workOf, workOfBegun } from "./model_queue.ts";
 import { ModelRun, SendEnd } from "./model_run.ts";
@@ -16,6 +18,7 @@
 import type { ILoadedGroup } from "./serving_groups.ts";
 import { StallWatch } from "./stall_watch.ts";
 import { WorkRate } from "./work_rate.ts";
+import { ZoneReach } from "./zone_reach.ts";
 import { CallEnd, CallReason } from "./types.ts";
 import type {
   ICall,
@@ -38,6 +41,9 @@
 /** Output tokens are announced as a maximum; the usual answer is shorter. */
 const USUAL_OUTPUT_SHARE = 0.5;
 
+/** Lost groups remembered: all that calls on their way can have been sent to. */
+const MOST_LOST_GROUPS = 500;
+
 /** The outcome of a call that was answered whole. */
 const WHOLE = "whole";
 
@@ -69,16 +75,26 @@
   readonly onSuspected: () => void;
 }
 
+/** What is kept of one model of one service. */
+interface IModelLane {
+  readonly queue: ModelQueue;
+  readonly rate: WorkRate;
+  readonly firstEvents: FirstEventTime;
+}
+
 /** All model calls of one process. */
 export class ModelCalls implements IModelRunOwner {
   readonly #parts: IModelCallParts;
-  readonly #queues = new Map<string, ModelQueue>();
+  readonly #lanes = new Map<string, IModelLane>();
   readonly #stalls = new StallWatch();
-  readonly #rates = new Map<string, WorkRate>();
+  readonly #reach: ZoneReach;
   readonly #sent = new Set<ModelRun>();
+  /** Groups given up of late; their names are not used again. */
+  readonly #lost = new Set<string>();
 
   constructor(parts: IModelCallParts) {
     this.#parts = parts;
+    this.#reach = new ZoneReach(parts.zone);
   }
 
   /** Groups that this process found standing still. */
@@ -89,13 +105,13 @@
   /** What this process's calls ask of each model. */
   get work(): readonly IModelWork[] {
     const now = this.#now;
-    return [...this.#rates].map(([key, rate]) => {
+    return [...this.#lanes].map(([key, { rate, queue }]) => {
       const [service, model] = key.split(KEY_SEPARATOR);
       return {
         service: service ?? "",
         model: model ?? "",
         groups: rate.groups(now),
-        waiting: this.#queues.get(key)?.size ?? 0,
+        waiting: queue.size,
       };
     });
   }
@@ -118,6 +134,7 @@
    * @param lost - groups given up by the lease holder: nothing comes from them
    */
   groupsChanged(lost: readonly string[]): void {
+    this.#noteLost(lost);
     if (lost.length > 0) {
       for (const run of [...this.#sent]) {
         if (lost.includes(run.current?.group.group ?? "")) {
@@ -125,7 +142,7 @@
         }
       }
     }
-    for (const key of this.#queues.keys()) {
+    for (const key of this.#lanes.keys()) {
       this.#place(key);
     }
   }
@@ -142,42 +159,61 @@
         }
       }
     }
+    const all = this.#parts.groups.all;
     for (const group of stalls.groups) {
+      const zone = all.find((one) => one.group === group)?.zone;
+      if (zone !== undefined) {
+        this.#reach.missed(zone, group, now);
+      }
       this.#parts.metrics.count("stalled_groups");
       this.#parts.log.warn("group_suspected", { group });
     }
     if (stalls.groups.length > 0) {
       this.#parts.onSuspected();
     }
-    for (const [key, queue] of this.#queues) {
+    for (const [key, { queue }] of this.#lanes) {
       this.#place(key);
       this.#refuseHopeless(queue);
     }
   }
 
+  isLost(group: string): boolean {
+    return this.#lost.has(group);
+  }
+
   heard(run: ModelRun): void {
     const now = this.#now;
-    const { times } = run;
+    const { times, current } = run;
     times.firstEventAt ??= now;
     const pause = now - (times.lastEventAt ?? now);
     times.longestPause = Math.max(times.longestPause, pause);
     times.lastEventAt = now;
-    if (run.current !== null) {
-      this.#stalls.heard(run.current.watched, now);
+    if (current !== null) {
+      const { watched, sentAt, group } = current;
+      if (watched.heardAt === null) {
+        const time = now - sentAt - watched.readTime;
+        this.#laneOf(run.call).firstEvents.add(time);
+      }
+      this.#reach.heard(group.zone);
+      this.#stalls.heard(watched, now);
     }
   }
 
   sendEnded(run: ModelRun, end: SendEnd, detail: string): void {
-    const group = run.current?.group.group ?? "";
+    const { group = "", zone = "" } = run.current?.group ?? {};
     this.#release(run);
     if (end === SendEnd.Whole) {
       const stride = this.#engineOf(run.call)?.engine.stride ?? 0;
       const written = run.events * stride;
-      this.#rateOf(run.call).written(written, run.call.tokens.output);
+      const { rate } = this.#laneOf(run.call);
+      rate.written(written, run.call.tokens.output);
       this.#finish(run, WHOLE, { group, detail });
       run.reply.end();
     } else {
       this.#stalls.distrust(group, this.#now);
+      if (end === SendEnd.Missed) {
+        this.#reach.missed(zone, group, this.#now);
+      }
       this.#parts.log.info("send_failed", {
         request: run.call.id,
         group,
@@ -189,6 +225,16 @@
     this.#place(keyOf(run.call));
   }
 
+  #noteLost(lost: readonly string[]): void {
+    lost.forEach((group) => this.#lost.add(group));
+    for (const group of this.#lost) {
+      if (this.#lost.size <= MOST_LOST_GROUPS) {
+        return;
+      }
+      this.#lost.delete(group);
+    }
+  }
+
   get #now(): MonotonicTime {
     return this.#parts.clock.now();
   }
@@ -198,27 +244,35 @@
     if (found !== null) {
       const { tokens } = call;
       const arrival = { tokens, now: this.#now };
-      this.#rateOf(call).arrived(arrival, found.engine, found.model);
+      const { rate } = this.#laneOf(call);
+      rate.arrived(arrival, found.engine, found.model);
     }
   }
 
-  #rateOf(call: ICall): WorkRate {
+  #laneOf(call: ICall): IModelLane {
     const key = keyOf(call);
-    let rate = this.#rates.get(key);
-    if (rate === undefined) {
-      rate = new WorkRate();
-      this.#rates.set(key, rate);
+    let lane = this.#lanes.get(key);
+    if (lane === undefined) {
+      const firstEvents = new FirstEventTime();
+      const queue = new ModelQueue(
+        (one) => firstEvents.time + this.#readTime(one),
+      );
+      lane = { queue, firstEvents, rate: new WorkRate() };
+      this.#lanes.set(key, lane);
     }
-    return rate;
+    return lane;
+  }
+
+  /** Milliseconds that a group takes to read a call's prompt. */
+  #readTime(call: ICall): number {
+    const found = this.#engineOf(call);
+    return found === null
+      ? 0
+      : readTime(found.engine, call.tokens.prompt) * found.model.pace;
   }
 
   #wait(run: ModelRun): void {
-    const key = keyOf(run.call);
-    let queue = this.#queues.get(key);
-    if (queue === undefined) {
-      queue = new ModelQueue();
-      this.#queues.set(key, queue);
-    }
+    const { queue } = this.#laneOf(run.call);
     const pushedOut = queue.add(run);
     if (pushedOut !== null) {
       this.#refuse(pushedOut, CallReason.QueueFull, queue);
@@ -226,7 +280,7 @@
   }
 
   #place(key: string): void {
-    const queue = this.#queues.get(key);
+    const queue = this.#lanes.get(key)?.queue;
     if (queue === undefined || queue.size === 0) {
       return;
     }
@@ -239,7 +293,8 @@
     queue.hasGroups(usable.length > 0, now);
     let open: ILoadedGroup[] = [...usable];
     while (queue.size > 0) {
-      const group = chooseGroup(open, zone, () => random.next());
+      const inReach = open.filter((one) => this.#reach.mayTry(one.zone, now));
+      const group = chooseGroup(inReach, zone, () => random.next());
       if (group === null) {
         return;
       }
@@ -257,36 +312,46 @@
     }
   }
 
-  /** A second send is taken from the allowance; without it the call ends. */
+  /**
+   * A second send is taken from the allowance; without it the call ends. What
+   * has reached no target yet, for want of a connection, repeats nothing.
+   */
   #mayRepeat(run: ModelRun): boolean {
-    const { repeats } = this.#parts;
-    const { service } = run.call;
     if (run.sends === 0) {
-      repeats.firstSend(service, this.#now);
+      this.#parts.repeats.firstSend(run.call.service, this.#now);
       return true;
     }
-    if (repeats.take(service, this.#now)) {
+    if (!run.hasArrived || this.#hasRepeat(run)) {
+      run.hasRepeat = false;
       return true;
     }
     this.#giveUp(run, CallReason.TargetLost);
     return false;
   }
 
+  /** Whether a repeat was taken from the allowance, now or before. */
+  #hasRepeat(run: ModelRun): boolean {
+    const { repeats } = this.#parts;
+    run.hasRepeat ||= repeats.take(run.call.service, this.#now);
+    return run.hasRepeat;
+  }
+
   #send(run: ModelRun, group: ILoadedGroup): void {
     const now = this.#now;
     const { call } = run;
     const engine = this.#engineOf(call);
     const watched = {
       group: group.group,
+      model: keyOf(call),
+      busyGap: engine ? busyGap(engine.engine, engine.model) : 0,
       longestGap: engine ? longestGap(engine.engine, engine.model) : 0,
-      readTime: engine
-        ? readTime(engine.engine, call.tokens.prompt) * engine.model.pace
-        : 0,
+      readTime: this.#readTime(call),
       sentAt: now,
       heardAt: null,
     };
     this.#sent.add(run);
     this.#parts.groups.sent(group.group);
+    this.#reach.sent(group.zone, now);
     this.#stalls.sent(watched);
     run.begin({ group, watched, sentAt: now }, () =>
       this.#parts.sender.send(group.head, call, {
@@ -311,15 +376,18 @@
 
   /**
    * The present send is silent: it is given up and made elsewhere. A call that
-   * may not be sent once more is ended only when its group is known to be
-   * lost: its caller can ask again at once, while a wait would be in vain.
+   * may not be sent once more, or for which no repeat is left, is ended only
+   * when its group is known to be lost: its caller can ask again at once, while
+   * a wait would be in vain. A group may only be slow, and then its answers are
+   * late but whole.
    */
   #moveOn(run: ModelRun, isLost: boolean): void {
     const silentFor = Math.round(
       this.#now - (run.current?.watched.heardAt ?? run.current?.sentAt ?? 0),
     );
     const isHopeless = isLost || silentFor > HOPELESS_SILENCE;
-    if (!run.mayGoOnAfterAbort && !isHopeless) {
+    const mayGoOn = run.mayGoOnAfterAbort && this.#hasRepeat(run);
+    if (!mayGoOn && !isHopeless) {
       return;
     }
     this.#parts.log.info("send_silent", {
@@ -344,7 +412,7 @@
       this.#wait(run);
       return;
     }
-    const isRefused = end === SendEnd.NotRun;
+    const isRefused = end === SendEnd.NotRun || end === SendEnd.Missed;
     this.#giveUp(
       run,
       isRefused ? CallReason.TargetRefused : CallReason.TargetLost,
@@ -378,9 +446,9 @@
   }
 
   #giveUp(run: ModelRun, reason: CallReason): void {
-    const queue = this.#queues.get(keyOf(run.call));
+    const { queue } = this.#laneOf(run.call);
     const chance = this.#parts.random.next();
-    this.#end(run, reason, queue?.retryAfter(this.#now, chance) ?? 0);
+    this.#end(run, reason, queue.retryAfter(this.#now, chance));
   }
 
   #end(run: ModelRun, reason: CallReason, retryAfter: number): void {
@@ -404,7 +472,7 @@
       run.abort();
       this.#release(run);
     }
-    this.#queues.get(keyOf(run.call))?.remove(run);
+    this.#laneOf(run.call).queue.remove(run);
     this.#end(run, CallReason.DeadlinePassed, 0);
     this.#place(keyOf(run.call));
   }
@@ -417,7 +485,7 @@
       run.abort();
       this.#release(run);
     }
-    this.#queues.get(keyOf(run.call))?.remove(run);
+    this.#laneOf(run.call).queue.remove(run);
     this.#finish(run, "caller_left", {});
     this.#place(keyOf(run.call));
   }
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -236,4 +236,52 @@
     expect(play.sends).to.have.length(1);
     expect(reply.refusal?.reason).to.equal(CallReason.TargetLost);
   });
+
+  // Engines turn slow for some seconds, and there are not repeats enough to
+  // take all their streams elsewhere. A stream that is broken off for want of
+  // one ends in an error, where its caller would have got it whole but late.
+  it("leaves a slow stream where it is without an allowance", () => {
+    const play = new Play(["a", "b"], 0);
+    const { reply } = play.take();
+    play.send(0).options.receiver.head(HEAD);
+    play.event(0, 1);
+    play.clock.advance(900);
+    expect(play.send(0).isAborted).to.equal(false);
+    play.event(0, 2);
+    play.send(0).options.receiver.ended();
+    expect(reply.isEnded).to.equal(true);
+  });
+
+  // The links to another zone are cut: connections do not come about, and the
+  // call has reached nobody. Counted as repeats, some dozen of them would use
+  // up the allowance that broken streams need.
+  it("takes no repeat for a call that has reached no target", () => {
+    const play = new Play(["a", "b"], 0);
+    play.take();
+    play.send(0).options.receiver.failed(SendFailure.NotSent, "no connection");
+    expect(play.sends).to.have.length(2);
+  });
+
+  // A burst is over, but its queue is not. In order of arrival each new call
+  // waits behind it and is late as well, for as long as the queue stands.
+  it("starts calls that can be on time before those that cannot", () => {
+    const play = new Play(["a"]);
+    const first = play.take({ id: "first" });
+    play.take({ id: "second" });
+    [0, 1].forEach((index) => play.send(index).options.receiver.head(HEAD));
+    const late = [1, 2].map((id) => play.take({ id: `late-${id}` }));
+    for (let id = 1; id <= 5; id += 1) {
+      play.clock.advance(90);
+      play.event(0, id);
+      play.event(1, id);
+    }
+    const prompt = play.take({ id: "prompt" });
+    first.leave();
+    expect(play.sends).to.have.length(3);
+    const [waiting] = late;
+    expect(waiting?.reply.refusal).to.equal(null);
+    play.send(2).options.receiver.head(HEAD);
+    play.event(2, 1);
+    expect(prompt.reply.isBegun).to.equal(true);
+  });
 });
--- a/src/common/calls/model_queue.ts
+++ b/src/common/calls/model_queue.ts
@@ -3,20 +3,25 @@
  * or a burst comes, and for some seconds there are more calls than places.
  * Waiting in a target's queue they would be tied to a group that may be lost
  * next; here each goes to whichever group has room first. Order and fairness
- * are those of {@link FairQueue}; streams that have begun go before all.
+ * are those of {@link FairQueue}; streams that have begun go before all, and
+ * calls that can still be on time before {@link OverdueCalls}.
  */
 import { FairQueue } from "../decisions/fair_queue.ts";
 import type { IWork } from "../decisions/work.ts";
 import type { MonotonicTime } from "../types.ts";
 import { DrainRate } from "./drain_rate.ts";
 import type { ModelRun } from "./model_run.ts";
+import { OverdueCalls } from "./overdue_calls.ts";
 import type { ICall } from "./types.ts";
 
 /** The decisions' priorities rise with urgency; the platform's fall. */
 const LEAST_URGENT = 9;
 
+/** Each priority has a rank for calls that can be on time, one for others. */
+const RANKS = 2;
+
 /** Before all that have not begun: the caller is in the middle of an answer. */
-const BEGUN_PRIORITY = LEAST_URGENT + 1;
+const BEGUN_PRIORITY = (LEAST_URGENT + 1) * RANKS;
 
 /** How long a call waits while its model has no group at all, milliseconds. */
 const GROUPLESS_PATIENCE = 1_000;
@@ -28,8 +33,17 @@
   readonly #queue = new FairQueue();
   readonly #runs = new Map<IWork, ModelRun>();
   readonly #rate = new DrainRate();
+  /** Works of calls that cannot be on time any more. */
+  readonly #overdue = new Map<IWork, ModelRun>();
+  readonly #overdueCalls = new OverdueCalls();
+  readonly #firstEventTime: (call: ICall) => number;
   #grouplessSince: MonotonicTime | null = null;
 
+  /** @param firstEventTime - milliseconds from a start to the first event */
+  constructor(firstEventTime: (call: ICall) => number) {
+    this.#firstEventTime = firstEventTime;
+  }
+
   get size(): number {
     return this.#queue.size;
   }
@@ -42,17 +56,21 @@
   }
 
   take(now: MonotonicTime): ModelRun | null {
+    this.#putBackOverdue(now);
     const work = this.#queue.take(ALL_ROOM);
     if (work === null) {
       return null;
     }
+    if (this.#overdue.has(work)) {
+      this.#overdueCalls.started(now);
+    }
     this.#rate.started(now);
     return this.#forget(work);
   }
 
   remove(run: ModelRun): void {
     if (this.#queue.remove(run.work)) {
-      this.#runs.delete(run.work);
+      this.#forget(run.work);
     }
   }
 
@@ -65,6 +83,8 @@
     now: MonotonicTime,
     shortestRun: (run: ModelRun) => number,
   ): readonly ModelRun[] {
+    this.#putBackOverdue(now);
+    const lost = new Set(this.#hopelessOverdue(now));
     const patience = this.#grouplessFor(now) > GROUPLESS_PATIENCE;
     const hopeless = this.#queue.removeWhere((work) => {
       const run = this.#runs.get(work);
@@ -73,7 +93,8 @@
       }
       const isLate = now + shortestRun(run) > work.deadline;
       const hasWaited = now - work.arrivedAt > GROUPLESS_PATIENCE;
-      return isLate || (patience && hasWaited && !run.reply.isBegun);
+      const isGroupless = patience && hasWaited && !run.reply.isBegun;
+      return isLate || isGroupless || lost.has(run);
     });
     return hopeless
       .map((work) => this.#forget(work))
@@ -94,6 +115,38 @@
     return this.#rate.retryAfter(this.size + 1, now, chance);
   }
 
+  /** Calls that cannot be on time any more go behind those that can. */
+  #putBackOverdue(now: MonotonicTime): void {
+    const isOverdue = (run: ModelRun | undefined) =>
+      run !== undefined &&
+      !run.reply.isBegun &&
+      !this.#overdue.has(run.work) &&
+      now + this.#firstEventTime(run.call) >
+        run.call.arrivedAt + run.call.route.objective;
+    const found = this.#queue.removeWhere((work) =>
+      isOverdue(this.#runs.get(work)),
+    );
+    for (const work of found) {
+      const run = this.#forget(work);
+      if (run !== null) {
+        run.work = workOfOverdue(run.call);
+        this.#overdue.set(run.work, run);
+        this.add(run);
+      }
+    }
+  }
+
+  #hopelessOverdue(now: MonotonicTime): readonly ModelRun[] {
+    const waiting = [...this.#overdue.values()].map((run) => ({
+      run,
+      arrivedAt: run.call.arrivedAt,
+      leavesAt: run.call.arrivedAt + run.call.route.patience,
+    }));
+    return this.#overdueCalls
+      .hopeless(waiting, ({ run }) => this.#firstEventTime(run.call), now)
+      .map(({ run }) => run);
+  }
+
   #grouplessFor(now: MonotonicTime): number {
     return this.#grouplessSince === null ? 0 : now - this.#grouplessSince;
   }
@@ -101,6 +154,7 @@
   #forget(work: IWork): ModelRun | null {
     const run = this.#runs.get(work) ?? null;
     this.#runs.delete(work);
+    this.#overdue.delete(work);
     return run;
   }
 }
@@ -110,7 +164,7 @@
   return {
     id: call.id,
     account: call.account ?? "",
-    priority: LEAST_URGENT - Math.min(LEAST_URGENT, call.priority),
+    priority: urgencyOf(call) * RANKS + 1,
     promptTokens: call.tokens.prompt,
     askedTokens: call.tokens.output,
     isCall: false,
@@ -120,6 +174,19 @@
   };
 }
 
+/** The same call once it cannot be on time any more. */
+function workOfOverdue(call: ICall): IWork {
+  return {
+    ...workOf(call),
+    account: `${call.account ?? ""}/overdue`,
+    priority: urgencyOf(call) * RANKS,
+  };
+}
+
+function urgencyOf(call: ICall): number {
+  return LEAST_URGENT - Math.min(LEAST_URGENT, call.priority);
+}
+
 /** The same call once its caller has part of the answer. */
 export function workOfBegun(call: ICall): IWork {
   return {
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -8,7 +8,7 @@
 import { EventSplitter } from "./event_splitter.ts";
 import type { IWholeEvent } from "./event_splitter.ts";
 import type { IServingGroup } from "./serving_groups.ts";
-import type { IWatchedStream } from "./stall_watch.ts";
+import type { IWatchedStream } from "./silence_limits.ts";
 import { CallKind, SendFailure } from "./types.ts";
 import type {
   IAnswerHead,
@@ -24,12 +24,17 @@
 /** Sends beyond those that ran; each found its group standing still. */
 const EXTRA_SENDS = 3;
 
+/** Sends that may reach no target at all before a call is given up. */
+const MOST_MISSED_SENDS = 5;
+
 /** How one send ended. */
 export enum SendEnd {
   /** The answer was passed on whole. */
   Whole = "whole",
   /** The target has not run it and will not. */
   NotRun = "not_run",
+  /** Nothing of it reached a target. */
+  Missed = "missed",
   /** It may have run, in part or whole. */
   Broken = "broken",
 }
@@ -38,6 +43,8 @@
 export interface IModelRunOwner {
   heard(run: ModelRun): void;
   sendEnded(run: ModelRun, end: SendEnd, detail: string): void;
+  /** Whether a group was found lost: nothing begins to run there. */
+  isLost(group: string): boolean;
 }
 
 /** Moments of a run, for its log line. */
@@ -73,7 +80,16 @@
   mayHaveRun = false;
   #send: IOpenSend | null = null;
   #sends = 0;
+  /** Sends of which nothing was written to a target. */
+  #missedSends = 0;
+  /** Whether a repeat was taken from the allowance for the next send. */
+  hasRepeat = false;
   #targetsThatRan = 0;
+  /**
+   * Groups that were left for their silence before any event. One that only
+   * was slow may have begun to run the call all the same.
+   */
+  readonly #leftSilent: string[] = [];
   #lastEvent: string | null;
   #splitter = new EventSplitter();
   #head: IAnswerHead | null = null;
@@ -116,14 +132,21 @@
     return this.#sends;
   }
 
+  /** Whether a target may have received the call. */
+  get hasArrived(): boolean {
+    return this.#sends > this.#missedSends;
+  }
+
   /** Whether another target may be sent the call after this one failed. */
   get mayGoOn(): boolean {
-    return (this.#isRepeatable || !this.mayHaveRun) && this.#hasAttempts;
+    return (this.#isRepeatable || !this.mayHaveRun) && this.#hasAttempts(0);
   }
 
   /** Whether the present send may be given up for another. */
   get mayGoOnAfterAbort(): boolean {
-    return this.#isRepeatable && this.#hasAttempts;
+    const group = this.current?.group.group ?? "";
+    const isCounted = this.#hasEvents || this.#owner.isLost(group);
+    return this.#isRepeatable && this.#hasAttempts(isCounted ? 0 : 1);
   }
 
   get #isRepeatable(): boolean {
@@ -131,11 +154,18 @@
     return isResumable || kind === CallKind.Safe;
   }
 
-  get #hasAttempts(): boolean {
+  /** @param uncounted - targets besides that may have begun to run it */
+  #hasAttempts(uncounted: number): boolean {
     const { maximumAttempts } = this.call.route;
+    const arrived = this.#sends - this.#missedSends;
+    const mayHaveBegun = this.#leftSilent.filter(
+      (group) => !this.#owner.isLost(group),
+    );
+    const ran = this.#targetsThatRan + mayHaveBegun.length + uncounted;
     return (
-      this.#targetsThatRan < maximumAttempts &&
-      this.#sends < maximumAttempts + EXTRA_SENDS
+      ran < maximumAttempts &&
+      arrived < maximumAttempts + EXTRA_SENDS &&
+      this.#missedSends < MOST_MISSED_SENDS
     );
   }
 
@@ -155,6 +185,9 @@
   /** Gives the present send up; it may have run. */
   abort(): void {
     this.#send?.abort();
+    if (!this.#hasEvents && this.current !== null) {
+      this.#leftSilent.push(this.current.group.group);
+    }
     this.#send = null;
     this.mayHaveRun = true;
   }
@@ -199,8 +232,12 @@
   }
 
   failed(failure: SendFailure, detail: string): void {
-    const isNotSent = failure === SendFailure.NotSent;
-    this.#finish(isNotSent ? SendEnd.NotRun : SendEnd.Broken, detail);
+    if (failure === SendFailure.NotSent) {
+      this.#missedSends += 1;
+      this.#finish(SendEnd.Missed, detail);
+    } else {
+      this.#finish(SendEnd.Broken, detail);
+    }
   }
 
   /** Events are passed on as they come; any other answer once it is whole. */
@@ -263,7 +300,7 @@
 
   #finish(end: SendEnd, detail: string): void {
     this.#send = null;
-    if (end !== SendEnd.NotRun) {
+    if (end !== SendEnd.NotRun && end !== SendEnd.Missed) {
       this.mayHaveRun = true;
     }
     this.#owner.sendEnded(this, end, detail);
--- a/src/common/calls/stall_watch.ts
+++ b/src/common/calls/stall_watch.ts
@@ -6,78 +6,26 @@
  * begun pause for seconds; one would notice by a 99th of the first event
  * twenty times the median.
  *
- * A group in order answers all its streams in step: between two events lie
- * `stride` token steps and at most one chunk of prompt reading. So when all
- * streams of a group have been silent for longer than that, the group is
- * suspected. One silent stream among others that move proves nothing of the
- * group; it is given up only after {@link ALONE_FACTOR} times as long.
- *
- * The limit is the larger of twice the published model's longest regular gap
- * and of what was seen of late (mean and four mean deviations, as TCP sets
- * its timeout), so a link or a service that is slow for all is not taken for
- * a stall. A pause of this process moves all reference times on by its length.
+ * A group in order answers all its streams in step, so when all of them have
+ * been silent for longer than {@link SilenceLimits} allow, the group is in
+ * doubt, and soon after its streams are taken elsewhere. One silent stream
+ * among others that move proves nothing of the group; it is given up only after
+ * {@link ALONE_FACTOR} times as long. A pause of this process moves all
+ * reference times on by its length.
  */
 import type { MonotonicTime } from "../types.ts";
-
-/** Multiple of the longest regular gap that is no cause for suspicion. */
-const MODEL_FACTOR = 2;
-
-/** Mean deviations above the mean; TCP's retransmission timeout has four. */
-const DEVIATIONS = 4;
-
-/** Weight of the newest sample in mean and deviation, as in TCP. */
-const MEAN_WEIGHT = 1 / 8;
-const DEVIATION_WEIGHT = 1 / 4;
+import { SilenceLimits } from "./silence_limits.ts";
+import type { IWatchedStream } from "./silence_limits.ts";
 
 /** How much longer one stream alone may be silent than its whole group. */
 const ALONE_FACTOR = 4;
 
-/** No silence is judged before this, milliseconds: two cross-zone trips. */
-const SHORTEST_LIMIT = 60;
-
-/** A first event needs a place in the batch as well: this much longer. */
-const FIRST_EVENT_FACTOR = 1.5;
-
 /** A longer gap between two checks is a pause of this process, milliseconds. */
 const LONGEST_CHECK_GAP = 80;
 
 /** How long a suspected group gets nothing, milliseconds. */
 const SUSPICION_TIME = 1_500;
 
-/** A mean and its mean deviation. */
-class Estimate {
-  #mean: number | null = null;
-  #deviation = 0;
-
-  add(sample: number): void {
-    if (this.#mean === null) {
-      this.#mean = sample;
-      this.#deviation = sample / 2;
-      return;
-    }
-    const error = sample - this.#mean;
-    this.#mean += error * MEAN_WEIGHT;
-    this.#deviation += (Math.abs(error) - this.#deviation) * DEVIATION_WEIGHT;
-  }
-
-  /** 0 before the first sample. */
-  get limit(): number {
-    return (this.#mean ?? 0) + this.#deviation * DEVIATIONS;
-  }
-}
-
-/** One stream under watch. */
-export interface IWatchedStream {
-  readonly group: string;
-  /** Milliseconds between events of its group in the worst regular case. */
-  readonly longestGap: number;
-  /** Milliseconds its prompt takes to read. */
-  readonly readTime: number;
-  sentAt: MonotonicTime;
-  /** Null before its first event. */
-  heardAt: MonotonicTime | null;
-}
-
 interface IWatchedGroup {
   readonly streams: Set<IWatchedStream>;
   heardAt: MonotonicTime;
@@ -95,8 +43,8 @@
 /** Watches the streams of one service in one process. */
 export class StallWatch {
   readonly #groups = new Map<string, IWatchedGroup>();
-  readonly #gaps = new Estimate();
-  readonly #firsts = new Estimate();
+  /** By model. */
+  readonly #limits = new Map<string, SilenceLimits>();
   #checkedAt: MonotonicTime | null = null;
 
   /** Whether a group is suspected and should get nothing. */
@@ -121,11 +69,7 @@
 
   /** An event of the stream arrived: its group moves. */
   heard(stream: IWatchedStream, now: MonotonicTime): void {
-    if (stream.heardAt === null) {
-      this.#firsts.add(now - stream.sentAt - stream.readTime);
-    } else {
-      this.#gaps.add(now - stream.heardAt);
-    }
+    this.#limitsOf(stream).heard(stream, now);
     stream.heardAt = now;
     const group = this.#groupOf(stream.group, now);
     group.heardAt = now;
@@ -150,17 +94,18 @@
     for (const [name, group] of this.#groups) {
       if (group.streams.size === 0) {
         this.#forget(name, group, now);
-      } else if (this.#isStill(group, now)) {
+        continue;
+      }
+      if (this.#isInDoubt(group, now)) {
         if (now >= group.suspectUntil) {
           groups.push(name);
         }
         group.suspectUntil = now + SUSPICION_TIME;
-        streams.push(...group.streams);
-      } else {
-        for (const stream of group.streams) {
-          if (this.#isAlone(stream, now)) {
-            streams.push(stream);
-          }
+      }
+      const isStill = this.#isStill(group, now);
+      for (const stream of group.streams) {
+        if (isStill || this.#isAlone(stream, now)) {
+          streams.push(stream);
         }
       }
     }
@@ -168,29 +113,33 @@
   }
 
   /** Silence of all streams; each has its own limit and the longest counts. */
+  #isInDoubt(group: IWatchedGroup, now: MonotonicTime): boolean {
+    const silence = now - group.heardAt;
+    return [...group.streams].every(
+      (stream) => silence > this.#limitsOf(stream).doubt(stream),
+    );
+  }
+
   #isStill(group: IWatchedGroup, now: MonotonicTime): boolean {
     const silence = now - group.heardAt;
-    for (const stream of group.streams) {
-      if (silence <= this.#limitOf(stream)) {
-        return false;
-      }
-    }
-    return true;
+    return [...group.streams].every(
+      (stream) => silence > this.#limitsOf(stream).stall(stream),
+    );
   }
 
   #isAlone(stream: IWatchedStream, now: MonotonicTime): boolean {
     const since = stream.heardAt ?? stream.sentAt;
-    return now - since > this.#limitOf(stream) * ALONE_FACTOR;
+    const limit = this.#limitsOf(stream).doubt(stream) * ALONE_FACTOR;
+    return now - since > limit;
   }
 
-  #limitOf(stream: IWatchedStream): number {
-    const byModel = stream.longestGap * MODEL_FACTOR;
-    const byGaps = Math.max(byModel, this.#gaps.limit, SHORTEST_LIMIT);
-    if (stream.heardAt !== null) {
-      return byGaps;
+  #limitsOf({ model }: IWatchedStream): SilenceLimits {
+    let limits = this.#limits.get(model);
+    if (limits === undefined) {
+      limits = new SilenceLimits();
+      this.#limits.set(model, limits);
     }
-    const first = Math.max(byGaps * FIRST_EVENT_FACTOR, this.#firsts.limit);
-    return first + stream.readTime;
+    return limits;
   }
 
   #allowForPause(now: MonotonicTime): void {
--- a/src/common/calls/stall_watch_test.ts
+++ b/src/common/calls/stall_watch_test.ts
@@ -1,13 +1,21 @@
 import { expect } from "chai";
 import { StallWatch } from "./stall_watch.ts";
-import type { IWatchedStream } from "./stall_watch.ts";
+import type { IWatchedStream } from "./silence_limits.ts";
 
 /** Milliseconds between two events of a full group, and of the model's limit. */
 const GAP = 50;
 const CHECK = 20;
 
 function stream(group: string, sentAt: number): IWatchedStream {
-  return { group, longestGap: 100, readTime: 30, sentAt, heardAt: null };
+  return {
+    group,
+    model: "large",
+    busyGap: 100,
+    longestGap: 250,
+    readTime: 30,
+    sentAt,
+    heardAt: null,
+  };
 }
 
 /** Plays events every {@link GAP} on all streams, and checks in between. */
@@ -82,4 +90,40 @@
     play(watch, [one], { from: 10, to: 100 });
     expect(play(watch, [], { from: 110, to: 1_500 })).to.deep.equal(["one"]);
   });
+
+  // Several long prompts are read in one pass, and a group in order says
+  // nothing for a quarter of a second. Its streams would be taken elsewhere,
+  // their prompts read again there, and they would be late for nothing.
+  it("takes streams elsewhere only after the longest regular gap", () => {
+    const watch = new StallWatch();
+    const one = stream("one", 0);
+    watch.sent(one);
+    play(watch, [one], { from: 10, to: 1_000 });
+    expect(watch.check(1_040).streams).to.deep.equal([]);
+    expect(watch.check(1_110).groups).to.deep.equal([]);
+    for (let now = 1_120; now <= 1_480; now += CHECK) {
+      expect(watch.check(now).streams, `at ${now}`).to.deep.equal([]);
+    }
+    expect(watch.isSuspect("one", 1_480)).to.equal(true);
+    expect(watch.check(1_520).streams).to.deep.equal([one]);
+  });
+
+  // A quick model has most of the calls. Judged by its times, every pass of a
+  // slow one would be a silence.
+  it("judges each model by its own times", () => {
+    const watch = new StallWatch();
+    const quick = stream("quick", 0);
+    const slow = { ...stream("slow", 0), model: "slow" };
+    [quick, slow].forEach((one) => watch.sent(one));
+    let suspects: readonly string[] = [];
+    for (let now = 0; now <= 3_000; now += CHECK) {
+      watch.heard(quick, now);
+      if (now % 240 === 0) {
+        watch.heard(slow, now);
+      }
+      suspects = watch.check(now).groups;
+    }
+    expect(suspects).to.deep.equal([]);
+    expect(watch.isSuspect("slow", 3_000)).to.equal(false);
+  });
 });
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -51,6 +51,8 @@
   readonly isResumable: boolean;
   /** Longest pause between two events of a stream that is on time; 0: none. */
   readonly longestPause: number;
+  /** Longest silence that a caller sits out; it leaves after it. */
+  readonly patience: number;
 }
 
 /** A client account as the configuration names it. */
--- a/test/support/calls.ts
+++ b/test/support/calls.ts
@@ -25,6 +25,7 @@
     isPublic: false,
     isResumable: true,
     longestPause: 300,
+    patience: 2_400,
     ...part,
   };
 }
