Leave slow members out, and form groups of what stands idle

Besides, free instances that the short model cannot use yet stood idle (a domain of seven with six free ones that hold a model), since the other model had its ideal number; and turning groups over waited until nothing at all was changing, and never took more than one small group for a large one.

Groups form beyond the ideal number while a domain keeps its spares. Several groups of a domain may be turned over at once. Loads at once come from the configuration instead of a constant.

--- a/bench/placing/cases.ts
+++ b/bench/placing/cases.ts
@@ -32,6 +32,7 @@
   stride: 5,
   reportLag: 200,
   loadsPerSecond: 5,
+  loadsAtOnce: 7,
   openTime: 300,
 };
 
--- a/bench/placing/placing_trial.ts
+++ b/bench/placing/placing_trial.ts
@@ -198,6 +198,7 @@
     return {
       group: name,
       zone: "one",
+      pace: 1,
       slots: this.#case.engine.slots,
       own: view?.own.get(name) ?? 0,
       inFlight: (view?.own.get(name) ?? 0) + (view?.others.get(name) ?? 0),
--- a/src/common/calls/group_choice.ts
+++ b/src/common/calls/group_choice.ts
@@ -29,6 +29,8 @@
   /** Milliseconds of own prompts in it that are not read yet. */
   readonly ownReading: number;
   readonly slots: number;
+  /** Factor on its times; over 1 it is slow. */
+  readonly pace: number;
 }
 
 /** From where a call is placed. */
@@ -43,6 +45,15 @@
 /** Share of the slots by which another zone's group must be emptier. */
 const OTHER_ZONE_HANDICAP = 0.1;
 
+/**
+ * Pace from which a group gets calls only when no other has room: its first
+ * event is late by the step model once it takes about twice its time.
+ */
+const SLOW_PACE = 1.5;
+
+/** Pace from which it gets none: usual answers would pass their deadlines. */
+const USELESS_PACE = 5;
+
 /** Share of the slots that chance may add: it decides between equals. */
 const SPREAD = 0.08;
 
@@ -60,7 +71,7 @@
   let best: T | null = null;
   let lowest = Number.POSITIVE_INFINITY;
   for (const group of groups) {
-    if (group.inFlight >= group.slots) {
+    if (group.inFlight >= group.slots || group.pace >= USELESS_PACE) {
       continue;
     }
     const score = scoreOf(group, options);
@@ -77,5 +88,6 @@
   const handicap = group.zone === zone ? 0 : OTHER_ZONE_HANDICAP;
   const load = (group.own * Math.max(1, processes)) / group.slots;
   const reading = group.ownReading / READING_SCALE;
-  return load + reading + handicap + chance() * SPREAD;
+  const slowness = group.pace >= SLOW_PACE ? options.processes : 0;
+  return load + reading + slowness + handicap + chance() * SPREAD;
 }
--- a/src/common/calls/group_choice_test.ts
+++ b/src/common/calls/group_choice_test.ts
@@ -18,6 +18,7 @@
     inFlight: 4,
     own: 1,
     ownReading: 0,
+    pace: 1,
     slots: 12,
     ...part,
   };
@@ -59,6 +60,14 @@
     expect(choose(groups)).to.equal("b");
   });
 
+  // A member of a group turned slow, and the whole group with it.
+  it("takes a slow group only when no other has room", () => {
+    const slow = group("a", { own: 0, pace: 3 });
+    expect(choose([slow, group("b", { own: 3 })])).to.equal("b");
+    expect(choose([slow, group("b", { inFlight: 12 })])).to.equal("a");
+    expect(choose([group("a", { pace: 12 })])).to.equal(undefined);
+  });
+
   it("prefers its own zone between equals", () => {
     expect(choose([group("a", { zone: "two" }), group("b")])).to.equal("b");
   });
--- a/src/common/calls/listed_groups.ts
+++ b/src/common/calls/listed_groups.ts
@@ -37,6 +37,7 @@
         zone: target.zone,
         slots: engine.slots,
         takesWork: true,
+        pace: 1,
         isZoneOnly: false,
       },
     ];
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -30,6 +30,7 @@
   stride: 5,
   reportLag: 200,
   loadsPerSecond: 5,
+  loadsAtOnce: 7,
   openTime: 300,
 };
 
@@ -50,6 +51,7 @@
     zone: "one",
     slots: ENGINE.slots,
     takesWork: true,
+    pace: 1,
     isZoneOnly: false,
   };
 }
--- a/src/common/calls/serving_groups.ts
+++ b/src/common/calls/serving_groups.ts
@@ -14,6 +14,8 @@
   readonly slots: number;
   /** False while it finishes what it has because a member leaves. */
   readonly takesWork: boolean;
+  /** Factor on its times beside those of its model; over 1 it is slow. */
+  readonly pace: number;
   /** True while only processes of its own zone are likely to reach it. */
   readonly isZoneOnly: boolean;
 }
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -102,6 +102,8 @@
   readonly reportLag: number;
   /** Loads from the weight store that may start in a second. */
   readonly loadsPerSecond: number;
+  /** Loads that run at once at full speed; with more, each takes longer. */
+  readonly loadsAtOnce: number;
   /** Milliseconds from the order to open to the first request. */
   readonly openTime: number;
 }
--- a/src/common/replicas/domain_summary.ts
+++ b/src/common/replicas/domain_summary.ts
@@ -12,22 +12,25 @@
   readonly free: string;
 }
 
-/**
- * @param isStaging - whether an instance is loading a model onto its host
- */
+/** What an instance does beside being free. */
+export interface IInstanceStates {
+  /** Whether it is loading a model onto its host. */
+  readonly isStaging: (id: InstanceId) => boolean;
+  /** Whether it is set aside because it is slow. */
+  readonly isSlow: (id: InstanceId) => boolean;
+}
+
 export function summarizeDomains(
   groups: readonly IReplicaGroup[],
   free: readonly IEngineView[],
-  isStaging: (id: InstanceId) => boolean,
+  states: IInstanceStates,
 ): readonly IDomainSummary[] {
   const domains = new Map<DomainName, IDomainCounts>();
   for (const { domain, plan, phase } of groups) {
     add(countsOf(domains, domain).groups, `${plan.model}:${phase}`);
   }
   for (const view of free) {
-    const held = view.state?.staged.join("+") || "none";
-    const label = isStaging(view.target.id) ? "staging" : held;
-    add(countsOf(domains, view.state?.domain ?? "").free, label);
+    add(countsOf(domains, view.state?.domain ?? "").free, label(view, states));
   }
   return [...domains].sort(byName).map(([domain, counts]) => ({
     domain,
@@ -36,6 +39,14 @@
   }));
 }
 
+function label({ target, state }: IEngineView, states: IInstanceStates) {
+  if (states.isSlow(target.id)) {
+    return "slow";
+  }
+  const held = state?.staged.join("+") || "none";
+  return states.isStaging(target.id) ? "staging" : held;
+}
+
 interface IDomainCounts {
   readonly groups: Map<string, number>;
   readonly free: Map<string, number>;
--- a/src/common/replicas/engine_book.ts
+++ b/src/common/replicas/engine_book.ts
@@ -49,6 +49,8 @@
   readonly isOutOfReach: boolean;
   /** Start of the process that gave the newest report. */
   readonly startedAt: number;
+  /** Factor on its times, by its newest report; 1 before the first. */
+  readonly pace: number;
 }
 
 interface IKnownEngine {
@@ -59,6 +61,7 @@
   heardAt: MonotonicTime;
   misses: number;
   startedAt: number;
+  pace: number;
 }
 
 /** The engines of one service. */
@@ -100,6 +103,7 @@
     }
     engine.state = report.engine;
     engine.startedAt = report.startedAt;
+    engine.pace = report.pace;
     engine.askedAt = times.askedAt;
     engine.heardAt = times.now;
     engine.misses = 0;
@@ -141,6 +145,7 @@
         isSilent: isSilent(engine),
         isOutOfReach: isSilent(engine) && this.#cutOff.has(engine.target.zone),
         startedAt: engine.startedAt,
+        pace: engine.pace,
       });
     }
     return views;
@@ -196,6 +201,7 @@
         heardAt: now,
         misses: 0,
         startedAt: target.startedAt,
+        pace: 1,
       });
       return;
     }
--- a/src/common/replicas/group_keeper.ts
+++ b/src/common/replicas/group_keeper.ts
@@ -140,6 +140,14 @@
     }
   }
 
+  /** A serving group is given up at once, so that a better one is formed. */
+  giveUp(name: string, trouble: GroupTrouble, now: MonotonicTime): void {
+    const group = this.#groups.get(name);
+    if (group?.phase === GroupPhase.Serving) {
+      this.#dissolve(group, trouble, now);
+    }
+  }
+
   /** The head has taken the order to open, and serves after the open time. */
   opened(name: string, now: MonotonicTime): void {
     const group = this.#groups.get(name);
--- /dev/null
+++ b/src/common/replicas/holding_engine.ts
@@ -0,0 +1,63 @@
+/** Instances with the models they hold, as the planning of groups sees them. */
+import { MemberState } from "../calls/types.ts";
+import type { IModel } from "../calls/types.ts";
+import type { DomainName } from "../types.ts";
+import type { IEngineView } from "./engine_book.ts";
+
+/** An instance with what it holds. */
+export interface IHoldingEngine {
+  readonly view: IEngineView;
+  /** The model of its last group since its start; null without one. */
+  readonly loaded: string | null;
+  /** Whether its report may not show yet what it was last ordered. */
+  readonly isUnconfirmed: boolean;
+}
+
+/** A group that serves or will. */
+export interface IStandingGroup {
+  readonly group: string;
+  readonly model: string;
+  readonly domain: DomainName;
+  readonly isServing: boolean;
+  /** It finishes what it has, and its members are free then. */
+  readonly isClosing: boolean;
+  readonly members: readonly IHoldingEngine[];
+}
+
+/** How fast an instance joins a group of a model. */
+export enum Readiness {
+  /** It must load the weights from the weight store. */
+  Cold = 0,
+  /** The weights are on its host. */
+  Staged = 1,
+  /** The model is that of its last group. */
+  Loaded = 2,
+}
+
+export function readiness(engine: IHoldingEngine, model: IModel): Readiness {
+  if (engine.loaded === model.name) {
+    return Readiness.Loaded;
+  }
+  return isOnHost(engine, model.name) ? Readiness.Staged : Readiness.Cold;
+}
+
+/** Whether it joins a group of the model without a load. */
+export function isFit(engine: IHoldingEngine, model: IModel): boolean {
+  return readiness(engine, model) > Readiness.Cold;
+}
+
+/** Whether the engine still loads the model of its last group. */
+export function isLoading(engine: IHoldingEngine): boolean {
+  const { view, loaded } = engine;
+  if (engine.isUnconfirmed) {
+    return true;
+  }
+  const membership = view.state?.membership ?? null;
+  const isIn = membership !== null && view.state?.model === loaded;
+  const isJoining = membership?.state === MemberState.Joining;
+  return loaded !== null && (isJoining || (membership !== null && !isIn));
+}
+
+export function isOnHost({ view }: IHoldingEngine, model: string): boolean {
+  return view.state?.staged.includes(model) ?? false;
+}
--- a/src/common/replicas/plan_groups.ts
+++ b/src/common/replicas/plan_groups.ts
@@ -12,29 +12,28 @@
  * So each instance is made fit for two models: one by its last group (a free
  * instance is warmed by a group of its own that never opens), the other on its
  * host. Survivors and spares then form whichever model is short. Once callers
- * have come an instance is joined only where it need not load, and groups form
- * up to the number that leaves some of all instances as spares.
+ * have come an instance is joined only where it need not load. Beyond the ideal
+ * numbers groups form as long as a domain keeps its spares: an instance that
+ * the short model cannot use yet serves another meanwhile, and stages besides.
  */
-import { MemberState } from "../calls/types.ts";
 import type { IModel } from "../calls/types.ts";
 import type { DomainName, InstanceId } from "../types.ts";
-import type { IEngineView } from "./engine_book.ts";
+import { isLoading, isOnHost, readiness, Readiness } from "./holding_engine.ts";
+import type { IHoldingEngine, IStandingGroup } from "./holding_engine.ts";
 import { idealGroups } from "./ideal_groups.ts";
+import { groupsToTurnOver } from "./turn_over.ts";
 
 /** Part of a model's groups' time from which another's may be turned over. */
 const PRESSURE_TO_REBALANCE = 0.85;
 
-/** Groups beyond its ideal number that the other model must have. */
-const REBALANCE_EXCESS = 0.5;
-
 /** Members of groups that one spare stands by for: a tenth to a fifth lost. */
 const MEMBERS_PER_SPARE = 4;
 
-/** Loads that run at once after callers have come; more slow each other. */
-const LOADS_AT_ONCE = 7;
-
-/** Of those, loads of a second model: instances without any go first. */
-const SECOND_LOADS_AT_ONCE = 2;
+/**
+ * Part of the loads that run at once that may be of a second model: instances
+ * without any go first, and a load that has begun cannot be put off.
+ */
+const SECOND_LOADS_PART = 0.5;
 
 /** Part of the instances that are in groups, the rest being spares. */
 const PART_IN_GROUPS = 0.85;
@@ -56,30 +55,12 @@
   readonly groups: readonly IProposedGroup[];
   /** Instances to warm with a model by a group of their own. */
   readonly warmings: readonly IProposedModel[];
-  /** A group to close so that its members serve a model that is short. */
-  readonly closing: string | null;
+  /** Groups to close so that their members serve a model that is short. */
+  readonly closing: readonly string[];
   /** Models to stage on hosts. */
   readonly stagings: readonly IProposedModel[];
 }
 
-/** An instance with what it holds. */
-export interface IHoldingEngine {
-  readonly view: IEngineView;
-  /** The model of its last group since its start; null without one. */
-  readonly loaded: string | null;
-  /** Whether its report may not show yet what it was last ordered. */
-  readonly isUnconfirmed: boolean;
-}
-
-/** A group that serves or will. */
-export interface IStandingGroup {
-  readonly group: string;
-  readonly model: string;
-  readonly domain: DomainName;
-  readonly isServing: boolean;
-  readonly members: readonly IHoldingEngine[];
-}
-
 /** What stands, for the decision. */
 export interface IGroupSituation {
   readonly models: readonly IModel[];
@@ -94,6 +75,8 @@
   readonly demand: ReadonlyMap<string, number>;
   /** Whether loads are fast and free, since no caller has come yet. */
   readonly isBeforeTraffic: boolean;
+  /** Loads that run at once after callers have come; more slow each other. */
+  readonly loadsAtOnce: number;
   /** Loads that may begin now. */
   readonly loadsLeft: number;
 }
@@ -110,22 +93,12 @@
   return planner.proposals;
 }
 
-/** How fast an instance joins a group of a model. */
-enum Readiness {
-  /** It must load the weights from the weight store. */
-  Cold = 0,
-  /** The weights are on its host. */
-  Staged = 1,
-  /** The model is that of its last group. */
-  Loaded = 2,
-}
-
 /** Goes through the domains and keeps what was promised. */
 class Planner {
   readonly #situation: IGroupSituation;
   /** Groups of each model, those proposed included. */
   readonly #counts = new Map<string, number>();
-  #closing: string | null = null;
+  #closing: readonly string[] = [];
   readonly #groups: IProposedGroup[] = [];
   readonly #warmings: IProposedModel[] = [];
   readonly #stagings: IProposedModel[] = [];
@@ -167,42 +140,27 @@
     left.forEach((engine) => this.#left.add(engine));
   }
 
-  /**
-   * Closes one group of a model that has room if its members and the free
-   * instances of its domain then make a group of a model that is short.
-   */
+  /** Closes groups of a model that has room for a model that is short. */
   rebalance(): void {
     const { models, standing, isBeforeTraffic } = this.#situation;
     const short = this.#shortest(models);
-    const isChanging = standing.some(({ isServing }) => !isServing);
-    if (short === null || isBeforeTraffic || isChanging) {
+    if (short === null || isBeforeTraffic) {
       return;
     }
-    const pressure = this.#pressure(short);
-    if (this.#groups.length > 0 || pressure < PRESSURE_TO_REBALANCE) {
-      return;
-    }
-    for (const group of standing) {
-      const model = models.find(({ name }) => name === group.model);
-      if (model !== undefined && model !== short) {
-        const isSpareable = this.#excess(model) >= REBALANCE_EXCESS;
-        if (isSpareable && this.#canTurn(group, short)) {
-          this.#closing = group.group;
-          return;
-        }
-      }
-    }
-  }
-
-  /** Whether a group's members and its domain's free ones make a group. */
-  #canTurn(group: IStandingGroup, model: IModel): boolean {
-    const free = [...this.#left].filter(
-      ({ view }) => view.state?.domain === group.domain,
+    const isOnItsWay = standing.some(
+      ({ isServing, isClosing, model }) =>
+        isClosing || (!isServing && model === short.name),
     );
-    const fit = [...free, ...group.members].filter(
-      (engine) => readiness(engine, model) > Readiness.Cold,
-    );
-    return fit.length >= model.size;
+    const isFormed = this.#groups.some(({ model }) => model === short.name);
+    const isPressed = this.#pressure(short) >= PRESSURE_TO_REBALANCE;
+    if (isPressed && !isOnItsWay && !isFormed) {
+      this.#closing = groupsToTurnOver({
+        short,
+        standing,
+        free: [...this.#left],
+        excess: (name) => this.#excessOf(name),
+      });
+    }
   }
 
   /** Warms free instances, and stages a second model wherever one lacks. */
@@ -257,10 +215,10 @@
     if (fit.length < model.size) {
       return null;
     }
-    const isWanted = isBeforeTraffic
-      ? this.#leavesSpares(model, left.size, standing)
-      : this.#excess(model) < 0;
-    if (!isWanted) {
+    const useful = [...left].filter((one) => this.#isOfUse(one));
+    const spares = isBeforeTraffic ? left.size : useful.length;
+    const isShort = !isBeforeTraffic && this.#excess(model) < 0;
+    if (!isShort && !this.#leavesSpares(model, spares, standing)) {
       return null;
     }
     fit.sort((one, other) => readiness(other, model) - readiness(one, model));
@@ -297,10 +255,12 @@
   }
 
   #stage(engine: IHoldingEngine): void {
-    const { models, staging, isBeforeTraffic, loadsLeft } = this.#situation;
+    const { models, staging, isBeforeTraffic, loadsLeft, loadsAtOnce } =
+      this.#situation;
     const { id } = engine.view.target;
     const begun = staging.size + this.#stagings.length;
-    const most = this.#isOfUse(engine) ? SECOND_LOADS_AT_ONCE : LOADS_AT_ONCE;
+    const part = this.#isOfUse(engine) ? SECOND_LOADS_PART : 1;
+    const most = Math.max(1, Math.floor(loadsAtOnce * part));
     const mayLoad =
       isBeforeTraffic || (begun < most && this.#stagings.length < loadsLeft);
     const isWarmed = this.#warmings.some((warming) => warming.engine === id);
@@ -352,7 +312,11 @@
 
   /** Groups beyond the ideal number; negative where there are too few. */
   #excess(model: IModel): number {
-    return this.#groupsOf(model) - (this.#ideal.get(model.name) ?? 0);
+    return this.#excessOf(model.name);
+  }
+
+  #excessOf(name: string): number {
+    return (this.#counts.get(name) ?? 0) - (this.#ideal.get(name) ?? 0);
   }
 
   /** The model that lacks the largest part of its ideal number. */
@@ -379,29 +343,6 @@
 /** Models that an instance holds: of its last group, and on its host. */
 const HELD_MODELS = 2;
 
-function readiness(engine: IHoldingEngine, model: IModel): Readiness {
-  if (engine.loaded === model.name) {
-    return Readiness.Loaded;
-  }
-  return isOnHost(engine, model.name) ? Readiness.Staged : Readiness.Cold;
-}
-
-/** Whether the engine still loads the model of its last group. */
-function isLoading(engine: IHoldingEngine): boolean {
-  const { view, loaded } = engine;
-  if (engine.isUnconfirmed) {
-    return true;
-  }
-  const membership = view.state?.membership ?? null;
-  const isIn = membership !== null && view.state?.model === loaded;
-  const isJoining = membership?.state === MemberState.Joining;
-  return loaded !== null && (isJoining || (membership !== null && !isIn));
-}
-
-function isOnHost({ view }: IHoldingEngine, model: string): boolean {
-  return view.state?.staged.includes(model) ?? false;
-}
-
 function byDomain(
   free: readonly IHoldingEngine[],
 ): ReadonlyMap<DomainName, IHoldingEngine[]> {
--- a/src/common/replicas/plan_groups_test.ts
+++ b/src/common/replicas/plan_groups_test.ts
@@ -1,11 +1,8 @@
 import { expect } from "chai";
 import { MemberState } from "../calls/types.ts";
 import { planGroups } from "./plan_groups.ts";
-import type {
-  IGroupSituation,
-  IHoldingEngine,
-  IStandingGroup,
-} from "./plan_groups.ts";
+import type { IHoldingEngine, IStandingGroup } from "./holding_engine.ts";
+import type { IGroupSituation } from "./plan_groups.ts";
 import {
   engineState,
   engineView,
@@ -39,7 +36,14 @@
   const members = Array.from({ length: size }, (_, index) =>
     holding(`${group}-${index}`, model, [other]),
   );
-  return { group, model, domain: "domain", isServing: true, members };
+  return {
+    group,
+    model,
+    domain: "domain",
+    isServing: true,
+    isClosing: false,
+    members,
+  };
 }
 
 function situation(part: Partial<IGroupSituation>): IGroupSituation {
@@ -54,6 +58,7 @@
       ["small", 2],
     ]),
     isBeforeTraffic: false,
+    loadsAtOnce: 7,
     loadsLeft: 10,
     ...part,
   };
@@ -105,7 +110,43 @@
         ]),
       }),
     );
-    expect(plan.closing).to.be.oneOf(["a", "b", "c", "d", "e", "f"]);
+    expect(plan.closing).to.have.length(1);
+    expect(plan.closing[0]).to.be.oneOf(["a", "b", "c", "d", "e", "f"]);
+  });
+
+  // The same with nothing free. One small group alone does not make a large
+  // one; without a second the large model's callers wait for a load.
+  it("turns several small groups over to a large one", () => {
+    const stands = ["a", "b", "c", "d", "e", "f"].map((name) =>
+      standing("small", name),
+    );
+    const plan = planGroups(
+      situation({
+        standing: stands,
+        demand: new Map([
+          ["large", 2],
+          ["small", 1],
+        ]),
+      }),
+    );
+    expect(plan.closing).to.have.length(2);
+  });
+
+  // The large model is short, but nothing free holds it. Four instances with the
+  // small one would stand idle for the length of a load.
+  it("forms what the free instances hold rather than leave them idle", () => {
+    const free = many(4, "small");
+    const plan = planGroups(
+      situation({
+        free,
+        standing: ["a", "b"].map((name) => standing("small", name)),
+        demand: new Map([
+          ["large", 4],
+          ["small", 1],
+        ]),
+      }),
+    );
+    expect(plan.groups.map(({ model }) => model)).to.deep.equal(["small"]);
   });
 
   it("leaves groups alone while each model has its part", () => {
@@ -119,7 +160,7 @@
         ]),
       }),
     );
-    expect(plan.closing).to.equal(null);
+    expect(plan.closing).to.deep.equal([]);
   });
 
   it("warms a free instance with what its host has", () => {
--- a/src/common/replicas/replica_group.ts
+++ b/src/common/replicas/replica_group.ts
@@ -32,6 +32,8 @@
   Incomplete = "incomplete",
   TooSlow = "too_slow",
   OrderRefused = "order_refused",
+  /** One far slower than its peers holds the others back. */
+  MemberSlow = "member_slow",
   /** Nothing is wrong: its members are needed for another model. */
   TurnedOver = "turned_over",
 }
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -24,9 +24,10 @@
 import { OrderDesk } from "./order_desk.ts";
 import { summarizeDomains } from "./domain_summary.ts";
 import { planGroups } from "./plan_groups.ts";
-import type { IHoldingEngine, IStandingGroup } from "./plan_groups.ts";
-import { GroupPhase } from "./replica_group.ts";
+import type { IHoldingEngine, IStandingGroup } from "./holding_engine.ts";
+import { GroupPhase, GroupTrouble } from "./replica_group.ts";
 import type { IReplicaGroup } from "./replica_group.ts";
+import { groupsToReplace, slowEngines } from "./slow_engines.ts";
 import { OrderKind, OrderOutcome } from "./types.ts";
 import type { EngineOrder, IEngines, IGroupPlan } from "./types.ts";
 
@@ -111,6 +112,8 @@
   #listSize = 0;
   #listGrewAt: MonotonicTime;
   #isSurveyed = false;
+  /** Paces of the serving groups, as last told. */
+  #paces = "";
 
   constructor(
     service: ServiceName,
@@ -179,6 +182,9 @@
             zone,
             slots,
             takesWork: phase === GroupPhase.Serving,
+            pace: Math.max(
+              ...plan.members.map((member) => views.get(member)?.pace ?? 1),
+            ),
             isZoneOnly: plan.members.some(
               (member) => views.get(member)?.isOutOfReach,
             ),
@@ -299,10 +305,16 @@
     this.#expireStagings(now);
     const views = this.#book.views;
     this.#loaded.keepOnly(views);
+    const slow = slowEngines(views.values());
+    const free = this.#keeper
+      .free(views)
+      .filter(({ target }) => !slow.has(target.id))
+      .map((view) => this.#holding(view));
+    this.#replaceSlow(engine, { free, slow });
     const groups = this.#keeper.groups;
     const proposals = planGroups({
       models: engine.models,
-      free: this.#keeper.free(views).map((view) => this.#holding(view)),
+      free,
       serving: groups
         .filter(({ phase }) => phase === GroupPhase.Serving)
         .flatMap(({ plan }) => plan.members)
@@ -316,11 +328,10 @@
         .map((group) => this.#standing(group, views)),
       demand: this.#demand.take(this.#parts.demand(), now),
       isBeforeTraffic: this.#parts.isBeforeTraffic(),
+      loadsAtOnce: engine.loadsAtOnce,
       loadsLeft: this.#allowance.left(engine.loadsPerSecond, now),
     });
-    if (proposals.closing !== null) {
-      this.#keeper.close(proposals.closing, now);
-    }
+    proposals.closing.forEach((name) => this.#keeper.close(name, now));
     for (const { model, members } of proposals.groups) {
       this.#keeper.form(this.#newPlan(model, members), views, now);
     }
@@ -332,6 +343,23 @@
     }
   }
 
+  /** Gives up groups that slow members hold back, where others can be formed. */
+  #replaceSlow(
+    { models }: IEngineModel,
+    engines: {
+      readonly free: readonly IHoldingEngine[];
+      readonly slow: ReadonlySet<InstanceId>;
+    },
+  ): void {
+    const views = this.#book.views;
+    const standing = this.#keeper.groups
+      .filter(({ phase }) => phase !== GroupPhase.Dissolving)
+      .map((group) => this.#standing(group, views));
+    for (const name of groupsToReplace({ models, standing, ...engines })) {
+      this.#keeper.giveUp(name, GroupTrouble.MemberSlow, this.#now);
+    }
+  }
+
   #standing(
     { plan, domain, phase }: IReplicaGroup,
     views: EngineViews,
@@ -341,6 +369,7 @@
       model: plan.model,
       domain,
       isServing: phase === GroupPhase.Serving,
+      isClosing: phase === GroupPhase.Closing,
       members: plan.members
         .flatMap((member) => views.get(member) ?? [])
         .map((view) => this.#holding(view)),
@@ -439,9 +468,11 @@
       return;
     }
     const free = this.#keeper.free(this.#book.views);
-    const lines = summarizeDomains(this.#keeper.groups, free, (id) =>
-      this.#staging.has(id),
-    );
+    const slow = slowEngines(this.#book.views.values());
+    const lines = summarizeDomains(this.#keeper.groups, free, {
+      isStaging: (id) => this.#staging.has(id),
+      isSlow: (id) => slow.has(id),
+    });
     const demand = [...this.#parts.demand()].join(" ");
     for (const line of lines) {
       this.#parts.log.info("domain", { ...line, demand });
@@ -453,7 +484,9 @@
     for (const change of changes) {
       this.#log(change);
     }
-    if (changes.length > 0) {
+    const paces = this.serving.map(({ pace }) => pace).join();
+    if (changes.length > 0 || paces !== this.#paces) {
+      this.#paces = paces;
       this.#parts.onTableChanged();
     }
   }
--- a/src/entry/fleet_control_test.ts
+++ b/src/entry/fleet_control_test.ts
@@ -45,6 +45,7 @@
           stride: 5,
           reportLag: 0,
           loadsPerSecond: 5,
+          loadsAtOnce: 7,
           openTime: 300,
         },
       },
--- a/test/support/engines.ts
+++ b/test/support/engines.ts
@@ -69,6 +69,7 @@
     isSilent: false,
     isOutOfReach: false,
     startedAt: 1,
+    pace: 1,
     ...part,
   };
 }
