Reserve the domains that are turned over, and let the first list settle

Ruled out: too few dual instances (turn-overs were proposed, and closed).

Change: a domain that is being turned over forms only the short model until the groups are gone, and other domains may be turned over meanwhile; the first list has settled after 1 s without growth.

--- a/src/common/replicas/holding_engine.ts
+++ b/src/common/replicas/holding_engine.ts
@@ -19,8 +19,6 @@
   readonly model: string;
   readonly domain: DomainName;
   readonly isServing: boolean;
-  /** It finishes what it has, and its members are free then. */
-  readonly isClosing: boolean;
   readonly members: readonly IHoldingEngine[];
 }
 
--- a/src/common/replicas/plan_groups.ts
+++ b/src/common/replicas/plan_groups.ts
@@ -26,6 +26,9 @@
 /** Part of a model's groups' time from which another's may be turned over. */
 const PRESSURE_TO_REBALANCE = 0.85;
 
+/** Groups that a model lacks of its ideal number before one is turned over. */
+const LACK_TO_REBALANCE = 0.5;
+
 /** Members of groups that one spare stands by for: a tenth to a fifth lost. */
 const MEMBERS_PER_SPARE = 4;
 
@@ -71,6 +74,11 @@
   readonly staging: ReadonlyMap<InstanceId, string>;
   /** Groups that serve or will, by model and domain. */
   readonly standing: readonly IStandingGroup[];
+  /**
+   * Domains in which groups are being closed for a model that is short. Formed
+   * into anything else, their free instances would be missing for it.
+   */
+  readonly reserved: ReadonlySet<DomainName>;
   /** Groups that the calls keep busy, by model. */
   readonly demand: ReadonlyMap<string, number>;
   /** Whether loads are fast and free, since no caller has come yet. */
@@ -135,28 +143,25 @@
     const standing = this.#standingIn(domain);
     let isFormed = true;
     while (isFormed) {
-      isFormed = this.#formNext(left, standing);
+      isFormed = this.#formNext(domain, left, standing);
     }
     left.forEach((engine) => this.#left.add(engine));
   }
 
   /** Closes groups of a model that has room for a model that is short. */
   rebalance(): void {
-    const { models, standing, isBeforeTraffic } = this.#situation;
+    const { models, standing, reserved, isBeforeTraffic } = this.#situation;
     const short = this.#shortest(models);
     if (short === null || isBeforeTraffic) {
       return;
     }
-    const isOnItsWay = standing.some(
-      ({ isServing, isClosing, model }) =>
-        isClosing || (!isServing && model === short.name),
-    );
-    const isFormed = this.#groups.some(({ model }) => model === short.name);
-    const isPressed = this.#pressure(short) >= PRESSURE_TO_REBALANCE;
-    if (isPressed && !isOnItsWay && !isFormed) {
+    const groups = this.#groupsOf(short) + reserved.size;
+    const isPressed = this.#pressure(short, groups) >= PRESSURE_TO_REBALANCE;
+    const lack = (this.#ideal.get(short.name) ?? 0) - groups;
+    if (isPressed && lack >= LACK_TO_REBALANCE) {
       this.#closing = groupsToTurnOver({
         short,
-        standing,
+        standing: standing.filter(({ domain }) => !reserved.has(domain)),
         free: [...this.#left],
         excess: (name) => this.#excessOf(name),
       });
@@ -188,8 +193,14 @@
   }
 
   /** Forms one group if there is a use for it and there are the members. */
-  #formNext(left: Set<IHoldingEngine>, standing: Map<string, number>): boolean {
-    for (const model of this.#byNeed(standing)) {
+  #formNext(
+    domain: DomainName,
+    left: Set<IHoldingEngine>,
+    standing: Map<string, number>,
+  ): boolean {
+    const byNeed = this.#byNeed(standing);
+    const isReserved = this.#situation.reserved.has(domain);
+    for (const model of isReserved ? byNeed.slice(0, 1) : byNeed) {
       const members = this.#membersFor(model, left, standing);
       if (members !== null) {
         members.forEach((member) => left.delete(member));
@@ -305,9 +316,9 @@
   }
 
   /** Part of its groups' time that a model's calls ask for. */
-  #pressure(model: IModel): number {
+  #pressure(model: IModel, groups: number): number {
     const demand = this.#situation.demand.get(model.name) ?? 0;
-    return demand / Math.max(this.#groupsOf(model), 0.5);
+    return demand / Math.max(groups, 0.5);
   }
 
   /** Groups beyond the ideal number; negative where there are too few. */
--- a/src/common/replicas/plan_groups_test.ts
+++ b/src/common/replicas/plan_groups_test.ts
@@ -41,7 +41,6 @@
     model,
     domain: "domain",
     isServing: true,
-    isClosing: false,
     members,
   };
 }
@@ -53,6 +52,7 @@
     serving: [],
     staging: new Map(),
     standing: [],
+    reserved: new Set(),
     demand: new Map([
       ["large", 1],
       ["small", 2],
@@ -149,6 +149,28 @@
     expect(plan.groups.map(({ model }) => model)).to.deep.equal(["small"]);
   });
 
+  // Two small groups are being closed for a large one. Meanwhile the free
+  // instances of their domain make another small one, and when the two have
+  // closed there are too few members: the large model's callers wait on.
+  it("keeps the instances of a domain that is being turned over", () => {
+    const free = many(4, "small");
+    const stands = [standing("small", "a"), standing("small", "b")];
+    const reserved = new Set(["domain"]);
+    const plan = planGroups(
+      situation({
+        free,
+        standing: stands,
+        reserved,
+        demand: new Map([
+          ["large", 4],
+          ["small", 1],
+        ]),
+      }),
+    );
+    expect(plan.groups).to.deep.equal([]);
+    expect(plan.closing).to.deep.equal([]);
+  });
+
   it("leaves groups alone while each model has its part", () => {
     const plan = planGroups(
       situation({
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -52,8 +52,12 @@
 /** How long a suspected group's members are asked often, milliseconds. */
 const SUSPICION_TIME = 1_200;
 
-/** No more engines came for so long: the list is taken for whole. */
-const LIST_SETTLED_AFTER = 400;
+/**
+ * No more engines came for so long, milliseconds: the list is taken for whole.
+ * It grows in bursts at a first start; formed of half a domain, groups are
+ * mostly small ones, and the large model is short for the rest of the day.
+ */
+const LIST_SETTLED_AFTER = 1_000;
 
 /** Gone engines are remembered as long as orders may be carried out late. */
 const FORGET_AFTER = 15_000;
@@ -326,6 +330,11 @@
       standing: groups
         .filter(({ phase }) => phase !== GroupPhase.Dissolving)
         .map((group) => this.#standing(group, views)),
+      reserved: new Set(
+        groups
+          .filter(({ trouble }) => trouble === GroupTrouble.TurnedOver)
+          .map(({ domain }) => domain),
+      ),
       demand: this.#demand.take(this.#parts.demand(), now),
       isBeforeTraffic: this.#parts.isBeforeTraffic(),
       loadsAtOnce: engine.loadsAtOnce,
@@ -369,7 +378,6 @@
       model: plan.model,
       domain,
       isServing: phase === GroupPhase.Serving,
-      isClosing: phase === GroupPhase.Closing,
       members: plan.members
         .flatMap((member) => views.get(member) ?? [])
         .map((view) => this.#holding(view)),
--- a/src/common/replicas/slow_engines_test.ts
+++ b/src/common/replicas/slow_engines_test.ts
@@ -28,7 +28,6 @@
     model,
     domain: "domain",
     isServing: true,
-    isClosing: false,
     members,
   };
 }
