Turn over one domain at a time, and share slots while others are unheard

After a restart of all processes each filled all slots of every group (16 in flight of 12 slots, first events 0.6 s late), since nothing was heard of the others yet.

Change: one domain at a time is turned over, closing groups count for no model, and while the short model has a group being given up or formed it takes twice the pressure. While nothing is heard of the others a process takes its share of a group's slots and half as much again.

--- a/bench/placing/placing_trial.ts
+++ b/bench/placing/placing_trial.ts
@@ -70,7 +70,8 @@
   readonly #queue = new EventQueue();
   readonly #views: IOwnView[] = [];
   #groups: EngineGroup[] = [];
-  #waiting: (() => boolean)[] = [];
+  /** Requests that wait in each process. */
+  readonly #waiting: (() => boolean)[][] = [];
   #made = 0;
   #late = 0;
   #count = 0;
@@ -88,6 +89,7 @@
     }
     for (let index = 0; index < processes; index += 1) {
       this.#views.push(emptyView());
+      this.#waiting.push([]);
       this.#tell(index, (TOLD_EVERY * index) / processes);
     }
     this.#renew(renewEvery);
@@ -122,6 +124,7 @@
       const view = this.#views[index];
       if (view !== undefined) {
         view.others = others;
+        this.#retry(index);
       }
       this.#tell(index, TOLD_EVERY);
     });
@@ -143,8 +146,9 @@
     const output = this.#size(this.#case.output);
     this.#count += 1;
     const place = () => this.#place({ index, arrivedAt, prompt, output });
-    if (this.#waiting.length > 0 || !place()) {
-      this.#waiting.push(place);
+    const waiting = this.#waiting[index] ?? [];
+    if (waiting.length > 0 || !place()) {
+      waiting.push(place);
     }
   }
 
@@ -181,15 +185,16 @@
       },
       onEnd: () => {
         add(view.own, group.name, -1);
-        this.#retry();
+        this.#retry(index);
       },
     });
     return true;
   }
 
-  #retry(): void {
-    while (this.#waiting[0]?.() === true) {
-      this.#waiting.shift();
+  #retry(index: number): void {
+    const waiting = this.#waiting[index] ?? [];
+    while (waiting[0]?.() === true) {
+      waiting.shift();
     }
   }
 
@@ -201,7 +206,7 @@
       pace: 1,
       slots: this.#case.engine.slots,
       own: view?.own.get(name) ?? 0,
-      inFlight: (view?.own.get(name) ?? 0) + (view?.others.get(name) ?? 0),
+      others: view?.others.get(name) ?? 0,
       ownReading: view?.reading.get(name) ?? 0,
       trueInFlight: this.#views.reduce(
         (sum, { own }) => sum + (own.get(name) ?? 0),
--- a/bench/placing/policies.ts
+++ b/bench/placing/policies.ts
@@ -13,7 +13,7 @@
   chooseGroup(groups, { zone: "one", processes, chance })?.group ?? null;
 
 /** The lowest of all known counts, the others' some time old. */
-export const leastInFlight = lowest(({ inFlight, slots }) => inFlight / slots);
+export const leastInFlight = lowest((group) => inFlightOf(group) / group.slots);
 
 /** Any group that is not known to be full. */
 export const anyGroup = lowest(() => 0);
@@ -27,7 +27,7 @@
 
 function lowest(
   score: (group: IKnownGroup) => number,
-  count = (group: IKnownGroup) => group.inFlight,
+  count = inFlightOf,
 ): PlacingPolicy {
   return (groups, _, chance) => {
     const scored = groups
@@ -40,3 +40,8 @@
     return scored[0]?.group ?? null;
   };
 }
+
+/** Requests by the counts that a process has. */
+function inFlightOf({ own, others }: IKnownGroup): number {
+  return own + (others ?? 0);
+}
--- a/src/common/calls/group_choice.ts
+++ b/src/common/calls/group_choice.ts
@@ -22,10 +22,10 @@
 export interface IGroupLoad {
   readonly group: string;
   readonly zone: ZoneName;
-  /** Requests in it: this process's own and those told by others. */
-  readonly inFlight: number;
   /** This process's own requests in it. */
   readonly own: number;
+  /** The others' as last told; null while nothing is heard of them. */
+  readonly others: number | null;
   /** Milliseconds of own prompts in it that are not read yet. */
   readonly ownReading: number;
   readonly slots: number;
@@ -54,6 +54,14 @@
 /** Pace from which it gets none: usual answers would pass their deadlines. */
 const USELESS_PACE = 5;
 
+/**
+ * While nothing is heard of the others, as after a restart of all, each of them
+ * may be filling the same slots: a process takes its share and half as much
+ * again, since calls are spread unevenly, and these at least.
+ */
+const UNHEARD_SHARE = 1.5;
+const FEWEST_UNHEARD_SLOTS = 2;
+
 /** Share of the slots that chance may add: it decides between equals. */
 const SPREAD = 0.08;
 
@@ -71,7 +79,7 @@
   let best: T | null = null;
   let lowest = Number.POSITIVE_INFINITY;
   for (const group of groups) {
-    if (group.inFlight >= group.slots || group.pace >= USELESS_PACE) {
+    if (isFull(group, options) || group.pace >= USELESS_PACE) {
       continue;
     }
     const score = scoreOf(group, options);
@@ -83,6 +91,16 @@
   return best;
 }
 
+/** Whether a group has no slot for this process. */
+function isFull(group: IGroupLoad, { processes }: IChoiceOptions): boolean {
+  const { own, others, slots } = group;
+  if (others === null) {
+    const share = (slots / Math.max(1, processes)) * UNHEARD_SHARE;
+    return own >= Math.max(FEWEST_UNHEARD_SLOTS, Math.ceil(share));
+  }
+  return own + others >= slots;
+}
+
 function scoreOf(group: IGroupLoad, options: IChoiceOptions): number {
   const { zone, processes, chance } = options;
   const handicap = group.zone === zone ? 0 : OTHER_ZONE_HANDICAP;
--- a/src/common/calls/group_choice_test.ts
+++ b/src/common/calls/group_choice_test.ts
@@ -15,8 +15,8 @@
   return {
     group: name,
     zone: "one",
-    inFlight: 4,
     own: 1,
+    others: 4,
     ownReading: 0,
     pace: 1,
     slots: 12,
@@ -43,14 +43,23 @@
   }
 
   it("takes the group with the fewest own calls", () => {
-    const groups = [group("a", { own: 2 }), group("b", { inFlight: 11 })];
+    const groups = [group("a", { own: 2 }), group("b", { others: 9 })];
     expect(choose(groups)).to.equal("b");
   });
 
   it("leaves out what is full", () => {
-    const groups = [group("a", { own: 2 }), group("b", { inFlight: 12 })];
+    const groups = [group("a", { own: 2 }), group("b", { others: 11 })];
     expect(choose(groups)).to.equal("a");
-    expect(choose([group("b", { inFlight: 12 })])).to.equal(undefined);
+    expect(choose([group("b", { others: 11 })])).to.equal(undefined);
+  });
+
+  // All processes were killed and start again together, and all callers come
+  // back. None knows yet what the others send; each fills the whole group, and
+  // the first words come seconds late for all of them.
+  it("takes few slots while nothing is heard of the others", () => {
+    const unheard = { others: null };
+    expect(choose([group("a", { ...unheard, own: 2 })])).to.equal("a");
+    expect(choose([group("a", { ...unheard, own: 3 })])).to.equal(undefined);
   });
 
   // Prompts are read one after the other: behind a long one the first words
@@ -64,7 +73,7 @@
   it("takes a slow group only when no other has room", () => {
     const slow = group("a", { own: 0, pace: 3 });
     expect(choose([slow, group("b", { own: 3 })])).to.equal("b");
-    expect(choose([slow, group("b", { inFlight: 12 })])).to.equal("a");
+    expect(choose([slow, group("b", { others: 11 })])).to.equal("a");
     expect(choose([group("a", { pace: 12 })])).to.equal(undefined);
   });
 
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -561,7 +561,6 @@
   const readTime = run.current?.watched.readTime ?? 0;
   return {
     ...group,
-    inFlight: group.inFlight + 1,
     own: group.own + 1,
     ownReading: group.ownReading + readTime,
   };
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -73,6 +73,7 @@
 
   constructor(names: readonly string[], slack = 100) {
     this.groups.replace(names.map(group));
+    this.groups.tellOthers(new Map());
     this.calls = new ModelCalls({
       groups: this.groups,
       sender: {
--- a/src/common/calls/serving_groups.ts
+++ b/src/common/calls/serving_groups.ts
@@ -29,15 +29,15 @@
   readonly #own = new Map<string, number>();
   /** Milliseconds of this process's unread prompts in each group. */
   readonly #reading = new Map<string, number>();
-  #others: ReadonlyMap<string, number> = new Map();
+  #others: ReadonlyMap<string, number> | null = null;
 
   /** Replaces the belief. */
   replace(groups: readonly IServingGroup[]): void {
     this.#groups = groups;
   }
 
-  /** Requests in each group that other processes have sent. */
-  tellOthers(counts: ReadonlyMap<string, number>): void {
+  /** Requests in each group that others have sent; null when not known. */
+  tellOthers(counts: ReadonlyMap<string, number> | null): void {
     this.#others = counts;
   }
 
@@ -58,8 +58,8 @@
       )
       .map((group) => ({
         ...group,
-        inFlight: this.#inFlight(group.group),
         own: this.#own.get(group.group) ?? 0,
+        others: this.#others && (this.#others.get(group.group) ?? 0),
         ownReading: this.#reading.get(group.group) ?? 0,
       }));
   }
@@ -89,8 +89,4 @@
       this.#reading.delete(group);
     }
   }
-
-  #inFlight(group: string): number {
-    return (this.#own.get(group) ?? 0) + (this.#others.get(group) ?? 0);
-  }
 }
--- a/src/common/replicas/plan_groups.ts
+++ b/src/common/replicas/plan_groups.ts
@@ -26,6 +26,9 @@
 /** Part of a model's groups' time from which another's may be turned over. */
 const PRESSURE_TO_REBALANCE = 0.85;
 
+/** The same while a group of the model is being given up or formed. */
+const PRESSURE_WHILE_HEALING = 2;
+
 /** Groups that a model lacks of its ideal number before one is turned over. */
 const LACK_TO_REBALANCE = 0.5;
 
@@ -79,6 +82,8 @@
    * into anything else, their free instances would be missing for it.
    */
   readonly reserved: ReadonlySet<DomainName>;
+  /** Models of which a group is being given up or formed. */
+  readonly healing: ReadonlySet<string>;
   /** Groups that the calls keep busy, by model. */
   readonly demand: ReadonlyMap<string, number>;
   /** Whether loads are fast and free, since no caller has come yet. */
@@ -150,18 +155,22 @@
 
   /** Closes groups of a model that has room for a model that is short. */
   rebalance(): void {
-    const { models, standing, reserved, isBeforeTraffic } = this.#situation;
+    const { models, standing, reserved, healing } = this.#situation;
     const short = this.#shortest(models);
-    if (short === null || isBeforeTraffic) {
+    if (short === null || this.#situation.isBeforeTraffic) {
       return;
     }
-    const groups = this.#groupsOf(short) + reserved.size;
-    const isPressed = this.#pressure(short, groups) >= PRESSURE_TO_REBALANCE;
-    const lack = (this.#ideal.get(short.name) ?? 0) - groups;
-    if (isPressed && lack >= LACK_TO_REBALANCE) {
+    // One domain at a time, and not for what heals by itself: a lost group is
+    // back in a second or two, and closing others for it meanwhile loses both.
+    const least = healing.has(short.name)
+      ? PRESSURE_WHILE_HEALING
+      : PRESSURE_TO_REBALANCE;
+    const isPressed = this.#pressure(short) >= least;
+    const isLacking = -this.#excess(short) >= LACK_TO_REBALANCE;
+    if (isPressed && isLacking && reserved.size === 0) {
       this.#closing = groupsToTurnOver({
         short,
-        standing: standing.filter(({ domain }) => !reserved.has(domain)),
+        standing,
         free: [...this.#left],
         excess: (name) => this.#excessOf(name),
       });
@@ -316,9 +325,9 @@
   }
 
   /** Part of its groups' time that a model's calls ask for. */
-  #pressure(model: IModel, groups: number): number {
+  #pressure(model: IModel): number {
     const demand = this.#situation.demand.get(model.name) ?? 0;
-    return demand / Math.max(groups, 0.5);
+    return demand / Math.max(this.#groupsOf(model), 0.5);
   }
 
   /** Groups beyond the ideal number; negative where there are too few. */
--- a/src/common/replicas/plan_groups_test.ts
+++ b/src/common/replicas/plan_groups_test.ts
@@ -53,6 +53,7 @@
     staging: new Map(),
     standing: [],
     reserved: new Set(),
+    healing: new Set(),
     demand: new Map([
       ["large", 1],
       ["small", 2],
@@ -171,6 +172,24 @@
     expect(plan.closing).to.deep.equal([]);
   });
 
+  // A large group has just lost a member, and its survivors join a new one.
+  // Closing small groups for it as well would take seconds of their time for
+  // what is back sooner by itself.
+  it("turns nothing over for a model that heals by itself", () => {
+    const names = ["a", "b", "c", "d", "e", "f"];
+    const stands = names.map((name) => standing("small", name));
+    const calm = situation({
+      standing: [...stands, standing("large", "g")],
+      demand: new Map([
+        ["large", 1.5],
+        ["small", 1],
+      ]),
+    });
+    expect(planGroups(calm).closing).to.have.length(2);
+    const healing = new Set(["large"]);
+    expect(planGroups({ ...calm, healing }).closing).to.deep.equal([]);
+  });
+
   it("leaves groups alone while each model has its part", () => {
     const plan = planGroups(
       situation({
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -329,12 +329,19 @@
       ),
       standing: groups
         .filter(({ phase }) => phase !== GroupPhase.Dissolving)
+        .filter(({ trouble }) => trouble !== GroupTrouble.TurnedOver)
         .map((group) => this.#standing(group, views)),
       reserved: new Set(
         groups
           .filter(({ trouble }) => trouble === GroupTrouble.TurnedOver)
           .map(({ domain }) => domain),
       ),
+      healing: new Set(
+        groups
+          .filter(({ phase }) => phase !== GroupPhase.Serving)
+          .filter(({ trouble }) => trouble !== GroupTrouble.TurnedOver)
+          .map(({ plan }) => plan.model),
+      ),
       demand: this.#demand.take(this.#parts.demand(), now),
       isBeforeTraffic: this.#parts.isBeforeTraffic(),
       loadsAtOnce: engine.loadsAtOnce,
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -338,8 +338,8 @@
     }
   }
 
-  get #others(): ReadonlyMap<string, number> {
-    return this.#listener.isFresh ? this.#listener.others : new Map();
+  get #others(): ReadonlyMap<string, number> | null {
+    return this.#listener.isFresh ? this.#listener.others : null;
   }
 
   #believed(): readonly IServingGroup[] {
