Split what is kept of each model, and the record of a call, from the calls

Change: moved only. ModelLanes keeps queue, rate and first events of each model and answers what a call needs of its engine; ModelCallRecord writes the line and the measures of an ended call.

--- /dev/null
+++ b/src/common/calls/model_call_record.ts
@@ -0,0 +1,71 @@
+/** The log line and the measures of a model call that has ended. */
+import type { ILog, IMetrics } from "../services/services.ts";
+import type { MonotonicTime } from "../types.ts";
+import type { ModelRun } from "./model_run.ts";
+
+/** The outcome of a call that was answered whole. */
+export const WHOLE = "whole";
+
+/** How a call ended. */
+export interface IModelCallEnd {
+  readonly outcome: string;
+  /** Further fields of the line, such as the reason. */
+  readonly fields: Readonly<Record<string, string | number>>;
+  readonly now: MonotonicTime;
+}
+
+/** Writes one line a call, and counts it. */
+export class ModelCallRecord {
+  readonly #log: ILog;
+  readonly #metrics: IMetrics;
+
+  constructor(log: ILog, metrics: IMetrics) {
+    this.#log = log;
+    this.#metrics = metrics;
+  }
+
+  ended(run: ModelRun, { outcome, fields, now }: IModelCallEnd): void {
+    const { arrivedAt } = run.call;
+    const { firstSentAt, firstEventAt, longestPause } = run.times;
+    this.#observe(run, now);
+    this.#metrics.count("model_calls", { outcome });
+    const line = {
+      request: run.call.id,
+      route: run.call.route.name,
+      model: run.call.model,
+      outcome,
+      waited_ms: since(arrivedAt, firstSentAt),
+      first_event_ms: since(arrivedAt, firstEventAt),
+      longest_pause_ms: Math.round(longestPause),
+      took_ms: since(arrivedAt, now),
+      sends: run.sends,
+      ...fields,
+    };
+    if (outcome === WHOLE) {
+      this.#log.info("model_call", line);
+    } else {
+      this.#log.warn("model_call", line);
+    }
+  }
+
+  #observe(run: ModelRun, now: MonotonicTime): void {
+    const { arrivedAt, model } = run.call;
+    const { firstSentAt, firstEventAt } = run.times;
+    const stages = [
+      ["waiting", firstSentAt],
+      ["first_event", firstEventAt],
+      ["whole", now],
+    ] as const;
+    for (const [stage, at] of stages) {
+      if (at !== null) {
+        const labels = { model: model ?? "", stage };
+        this.#metrics.observe("model_call_duration", at - arrivedAt, labels);
+      }
+    }
+  }
+}
+
+/** Whole milliseconds; null when it never came to it. */
+function since(start: MonotonicTime, end: MonotonicTime | null): number | null {
+  return end === null ? null : Math.round(end - start);
+}
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -1,33 +1,22 @@
 /** Sends model calls to replica groups, and on to others where one fails. */
 import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
 import type { MonotonicTime, ZoneName } from "../types.ts";
-import {
-  busyGap,
-  fullBatchGap,
-  longestGap,
-  readTime,
-  runTime,
-} from "./engine_timing.ts";
-import { FirstEventTime } from "./first_event_time.ts";
+import { busyGap, longestGap } from "./engine_timing.ts";
 import { chooseGroup } from "./group_choice.ts";
-import { ModelQueue, workOf, workOfBegun } from "./model_queue.ts";
+import { ModelCallRecord, WHOLE } from "./model_call_record.ts";
+import { keyOf, ModelLanes } from "./model_lanes.ts";
+import type { IModelLane } from "./model_lanes.ts";
+import { workOf, workOfBegun } from "./model_queue.ts";
+import type { ModelQueue } from "./model_queue.ts";
 import { ModelRun, SendEnd } from "./model_run.ts";
 import type { IModelRunOwner } from "./model_run.ts";
 import type { RepeatBook } from "./repeat_book.ts";
 import type { ServingGroups } from "./serving_groups.ts";
 import type { ILoadedGroup } from "./serving_groups.ts";
 import { StallWatch } from "./stall_watch.ts";
-import { WorkRate } from "./work_rate.ts";
 import { ZoneReach } from "./zone_reach.ts";
 import { CallEnd, CallReason } from "./types.ts";
-import type {
-  ICall,
-  ICallReply,
-  ICallSender,
-  IEngineModel,
-  IModel,
-  IServiceEntry,
-} from "./types.ts";
+import type { ICall, ICallReply, ICallSender, IServiceEntry } from "./types.ts";
 
 /** How often silences and deadlines are looked at, milliseconds. */
 export const CHECK_PERIOD = 20;
@@ -35,21 +24,9 @@
 /** A silence after which no more of a stream is expected, milliseconds. */
 const HOPELESS_SILENCE = 2_000;
 
-/** Share of the predicted run time below which no run can be in time. */
-const SHORTEST_RUN_SHARE = 0.6;
-
-/** Output tokens are announced as a maximum; the usual answer is shorter. */
-const USUAL_OUTPUT_SHARE = 0.5;
-
 /** Lost groups remembered: all that calls on their way can have been sent to. */
 const MOST_LOST_GROUPS = 500;
 
-/** The outcome of a call that was answered whole. */
-const WHOLE = "whole";
-
-/** Joins a service's name and a model's to a key. */
-const KEY_SEPARATOR = "\n";
-
 /** What one process's calls ask of a model. */
 export interface IModelWork {
   readonly service: string;
@@ -77,17 +54,11 @@
   readonly onSuspected: () => void;
 }
 
-/** What is kept of one model of one service. */
-interface IModelLane {
-  readonly queue: ModelQueue;
-  readonly rate: WorkRate;
-  readonly firstEvents: FirstEventTime;
-}
-
 /** All model calls of one process. */
 export class ModelCalls implements IModelRunOwner {
   readonly #parts: IModelCallParts;
-  readonly #lanes = new Map<string, IModelLane>();
+  readonly #lanes: ModelLanes;
+  readonly #record: ModelCallRecord;
   readonly #stalls = new StallWatch();
   readonly #reach: ZoneReach;
   readonly #sent = new Set<ModelRun>();
@@ -96,6 +67,8 @@
 
   constructor(parts: IModelCallParts) {
     this.#parts = parts;
+    this.#lanes = new ModelLanes(parts.service);
+    this.#record = new ModelCallRecord(parts.log, parts.metrics);
     this.#reach = new ZoneReach(parts.zone);
   }
 
@@ -107,15 +80,12 @@
   /** What this process's calls ask of each model. */
   get work(): readonly IModelWork[] {
     const now = this.#now;
-    return [...this.#lanes].map(([key, { rate, queue }]) => {
-      const [service, model] = key.split(KEY_SEPARATOR);
-      return {
-        service: service ?? "",
-        model: model ?? "",
-        groups: rate.groups(now),
-        waiting: queue.size,
-      };
-    });
+    return this.#lanes.all.map(({ service, model, rate, queue }) => ({
+      service,
+      model,
+      groups: rate.groups(now),
+      waiting: queue.size,
+    }));
   }
 
   /** Returns what to do when the caller leaves. */
@@ -124,9 +94,9 @@
     const { clock } = this.#parts;
     const left = call.deadline - this.#now;
     run.deadlineTimer = clock.after(left, () => this.#timedOut(run));
-    this.#countWork(call);
+    this.#lanes.arrived(call, this.#now);
     this.#wait(run);
-    this.#place(keyOf(call));
+    this.#place(this.#lanes.of(call));
     return () => this.#callerLeft(run);
   }
 
@@ -144,8 +114,8 @@
         }
       }
     }
-    for (const key of this.#lanes.keys()) {
-      this.#place(key);
+    for (const lane of this.#lanes.all) {
+      this.#place(lane);
     }
   }
 
@@ -173,9 +143,9 @@
     if (stalls.groups.length > 0) {
       this.#parts.onSuspected();
     }
-    for (const [key, { queue }] of this.#lanes) {
-      this.#place(key);
-      this.#refuseHopeless(queue);
+    for (const lane of this.#lanes.all) {
+      this.#place(lane);
+      this.#refuseHopeless(lane.queue);
     }
   }
 
@@ -194,7 +164,7 @@
       const { watched, sentAt, group } = current;
       if (watched.heardAt === null) {
         const time = now - sentAt - watched.readTime;
-        this.#laneOf(run.call).firstEvents.add(time);
+        this.#lanes.of(run.call).firstEvents.add(time);
         this.#parts.groups.read(group.group, watched.readTime);
       }
       this.#reach.heard(group.zone);
@@ -206,9 +176,9 @@
     const { group = "", zone = "" } = run.current?.group ?? {};
     this.#release(run);
     if (end === SendEnd.Whole) {
-      const stride = this.#engineOf(run.call)?.engine.stride ?? 0;
+      const stride = this.#lanes.engineOf(run.call)?.engine.stride ?? 0;
       const written = run.events * stride;
-      const { rate } = this.#laneOf(run.call);
+      const { rate } = this.#lanes.of(run.call);
       rate.written(written, run.call.tokens.output);
       this.#finish(run, WHOLE, { group, detail });
       run.reply.end();
@@ -225,7 +195,7 @@
       });
       this.#goOn(run, end);
     }
-    this.#place(keyOf(run.call));
+    this.#place(this.#lanes.of(run.call));
   }
 
   #noteLost(lost: readonly string[]): void {
@@ -242,49 +212,16 @@
     return this.#parts.clock.now();
   }
 
-  #countWork(call: ICall): void {
-    const found = this.#engineOf(call);
-    if (found !== null) {
-      const { tokens } = call;
-      const arrival = { tokens, now: this.#now };
-      const { rate } = this.#laneOf(call);
-      rate.arrived(arrival, found.engine, found.model);
-    }
-  }
-
-  #laneOf(call: ICall): IModelLane {
-    const key = keyOf(call);
-    let lane = this.#lanes.get(key);
-    if (lane === undefined) {
-      const firstEvents = new FirstEventTime();
-      const queue = new ModelQueue(
-        (one) => firstEvents.time + this.#readTime(one),
-      );
-      lane = { queue, firstEvents, rate: new WorkRate() };
-      this.#lanes.set(key, lane);
-    }
-    return lane;
-  }
-
-  /** Milliseconds that a group takes to read a call's prompt. */
-  #readTime(call: ICall): number {
-    const found = this.#engineOf(call);
-    return found === null
-      ? 0
-      : readTime(found.engine, call.tokens.prompt) * found.model.pace;
-  }
-
   #wait(run: ModelRun): void {
-    const { queue } = this.#laneOf(run.call);
+    const { queue } = this.#lanes.of(run.call);
     const pushedOut = queue.add(run);
     if (pushedOut !== null) {
       this.#refuse(pushedOut, CallReason.QueueFull, queue);
     }
   }
 
-  #place(key: string): void {
-    const queue = this.#lanes.get(key)?.queue;
-    if (queue === undefined || queue.size === 0) {
+  #place({ service, model, queue }: IModelLane): void {
+    if (queue.size === 0) {
       return;
     }
     const now = this.#now;
@@ -294,9 +231,8 @@
       processes: processes(),
       chance: () => random.next(),
     };
-    const [service, model] = key.split(KEY_SEPARATOR);
     const usable = groups
-      .of(service ?? "", model ?? "")
+      .of(service, model)
       .filter(({ group }) => !this.#stalls.isSuspect(group, now));
     queue.hasGroups(usable.length > 0, now);
     let open: ILoadedGroup[] = [...usable];
@@ -345,13 +281,13 @@
   #send(run: ModelRun, group: ILoadedGroup): void {
     const now = this.#now;
     const { call } = run;
-    const engine = this.#engineOf(call);
+    const engine = this.#lanes.engineOf(call);
     const watched = {
       group: group.group,
       model: keyOf(call),
       busyGap: engine ? busyGap(engine.engine, engine.model) : 0,
       longestGap: engine ? longestGap(engine.engine, engine.model) : 0,
-      readTime: this.#readTime(call),
+      readTime: this.#lanes.readTime(call),
       sentAt: now,
       heardAt: null,
     };
@@ -431,32 +367,20 @@
 
   #refuseHopeless(queue: ModelQueue): void {
     const hopeless = queue.takeHopeless(this.#now, (run) =>
-      this.#shortestRun(run.call),
+      this.#lanes.shortestRun(run.call),
     );
     for (const run of hopeless) {
       this.#refuse(run, CallReason.Hopeless, queue);
     }
   }
 
-  #shortestRun(call: ICall): number {
-    const found = this.#engineOf(call);
-    if (found === null) {
-      return 0;
-    }
-    const { engine, model } = found;
-    const { prompt, output } = call.tokens;
-    const tokens = { prompt, output: output * USUAL_OUTPUT_SHARE };
-    const whole = runTime(engine, model, { tokens, running: 1 });
-    return whole * SHORTEST_RUN_SHARE + fullBatchGap(engine, model);
-  }
-
   #refuse(run: ModelRun, reason: CallReason, queue: ModelQueue): void {
     const chance = this.#parts.random.next();
     this.#end(run, reason, queue.retryAfter(this.#now, chance));
   }
 
   #giveUp(run: ModelRun, reason: CallReason): void {
-    const { queue } = this.#laneOf(run.call);
+    const { queue } = this.#lanes.of(run.call);
     const chance = this.#parts.random.next();
     this.#end(run, reason, queue.retryAfter(this.#now, chance));
   }
@@ -482,9 +406,9 @@
       run.abort();
       this.#release(run);
     }
-    this.#laneOf(run.call).queue.remove(run);
+    this.#lanes.of(run.call).queue.remove(run);
     this.#end(run, CallReason.DeadlinePassed, 0);
-    this.#place(keyOf(run.call));
+    this.#place(this.#lanes.of(run.call));
   }
 
   #callerLeft(run: ModelRun): void {
@@ -495,9 +419,9 @@
       run.abort();
       this.#release(run);
     }
-    this.#laneOf(run.call).queue.remove(run);
+    this.#lanes.of(run.call).queue.remove(run);
     this.#finish(run, "caller_left", {});
-    this.#place(keyOf(run.call));
+    this.#place(this.#lanes.of(run.call));
   }
 
   #finish(
@@ -507,52 +431,7 @@
   ): void {
     run.isOver = true;
     run.deadlineTimer?.dispose();
-    const { arrivedAt } = run.call;
-    const { firstSentAt, firstEventAt, longestPause } = run.times;
-    this.#observe(run);
-    this.#parts.metrics.count("model_calls", { outcome });
-    const line = {
-      request: run.call.id,
-      route: run.call.route.name,
-      model: run.call.model,
-      outcome,
-      waited_ms: since(arrivedAt, firstSentAt),
-      first_event_ms: since(arrivedAt, firstEventAt),
-      longest_pause_ms: Math.round(longestPause),
-      took_ms: since(arrivedAt, this.#now),
-      sends: run.sends,
-      ...fields,
-    };
-    if (outcome === WHOLE) {
-      this.#parts.log.info("model_call", line);
-    } else {
-      this.#parts.log.warn("model_call", line);
-    }
-  }
-
-  #observe(run: ModelRun): void {
-    const { metrics } = this.#parts;
-    const { arrivedAt, model } = run.call;
-    const { firstSentAt, firstEventAt } = run.times;
-    const stages = [
-      ["waiting", firstSentAt],
-      ["first_event", firstEventAt],
-      ["whole", this.#now],
-    ] as const;
-    for (const [stage, at] of stages) {
-      if (at !== null) {
-        const labels = { model: model ?? "", stage };
-        metrics.observe("model_call_duration", at - arrivedAt, labels);
-      }
-    }
-  }
-
-  #engineOf(
-    call: ICall,
-  ): { readonly engine: IEngineModel; readonly model: IModel } | null {
-    const engine = this.#parts.service(call.service)?.engine ?? null;
-    const model = engine?.models.find(({ name }) => name === call.model);
-    return engine && model ? { engine, model } : null;
+    this.#record.ended(run, { outcome, fields, now: this.#now });
   }
 }
 
@@ -575,12 +454,3 @@
     ? CallEnd.TimedOut
     : CallEnd.TargetFailed;
 }
-
-/** Whole milliseconds; null when it never came to it. */
-function since(start: MonotonicTime, end: MonotonicTime | null): number | null {
-  return end === null ? null : Math.round(end - start);
-}
-
-function keyOf(call: ICall): string {
-  return `${call.service}${KEY_SEPARATOR}${call.model ?? ""}`;
-}
