--- /dev/null
+++ b/src/adapters/log/log_lines.ts
@@ -0,0 +1,34 @@
+/** Reads log lines back as fields. */
+import logfmt from "logfmt";
+import type { ILogLine } from "../../common/reports/request_story.ts";
+
+/** What was read of a text. */
+export interface IReadLines {
+  readonly lines: readonly ILogLine[];
+  /** Lines without a time or an event: not of these logs. */
+  readonly skipped: number;
+}
+
+/** Reads key=value lines; what a collector put before the time is ignored. */
+export function readLogLines(text: string): IReadLines {
+  const lines: ILogLine[] = [];
+  let skipped = 0;
+  for (const raw of text.split("\n")) {
+    const start = raw.indexOf("time=");
+    const line = start < 0 ? {} : logfmt.parse(raw.slice(start));
+    const at = Date.parse(String(line["time"]));
+    if (line["event"] === undefined || Number.isNaN(at)) {
+      skipped += raw.trim() === "" ? 0 : 1;
+      continue;
+    }
+    const fields = Object.entries(line).map(([name, value]) => [
+      name,
+      value === null ? "" : String(value),
+    ]);
+    lines.push({
+      at,
+      fields: Object.fromEntries(fields) as ILogLine["fields"],
+    });
+  }
+  return { lines, skipped };
+}
--- /dev/null
+++ b/src/command_line/commands/explain.ts
@@ -0,0 +1,69 @@
+/** `cranberryledge explain REQUEST`: a request's story from many logs. */
+import { text } from "node:stream/consumers";
+import { Command, Option } from "clipanion";
+import { readLogLines } from "../../adapters/log/log_lines.ts";
+import { readTextFile } from "../../adapters/text_file.ts";
+import { formatFinding } from "../../common/plans/findings.ts";
+import {
+  formatStory,
+  requestStory,
+} from "../../common/reports/request_story.ts";
+import { ExitCode } from "../exit_code.ts";
+
+/** Reads logs from files or standard input; asks nobody. */
+export class ExplainCommand extends Command {
+  static override paths = [["explain"]];
+  static override usage = Command.Usage({
+    description: "tell a request's story from the logs of all processes",
+    details: `
+      Reads the named files, or standard input. Lines marked with a star name
+      the request; the others tell of the groups it was sent to. Ends with 8 if
+      no line names the request, and with 2 if a file cannot be read.
+    `,
+    examples: [
+      ["From the logs of all processes", "cranberryledge explain ID *.log"],
+    ],
+  });
+
+  request = Option.String({ name: "request" });
+  files = Option.Rest();
+  json = Option.Boolean("--json", false, {
+    description: "one JSON document for programs",
+  });
+
+  override async execute(): Promise<number> {
+    const input = await this.#input();
+    if (input === null) {
+      return ExitCode.Findings;
+    }
+    const { lines, skipped } = readLogLines(input);
+    if (skipped > 0) {
+      this.context.stderr.write(`${skipped} lines are of no such log\n`);
+    }
+    const steps = requestStory(lines, this.request);
+    if (steps.length === 0) {
+      this.context.stderr.write(`no line names request ${this.request}\n`);
+      return ExitCode.NotFound;
+    }
+    const story = this.json
+      ? `${JSON.stringify(steps, null, 2)}\n`
+      : formatStory(steps);
+    this.context.stdout.write(story);
+    return ExitCode.Done;
+  }
+
+  /** All text; null when a file cannot be read, which is reported. */
+  async #input(): Promise<string | null> {
+    if (this.files.length === 0) {
+      return text(this.context.stdin);
+    }
+    const read = this.files.map((path) => readTextFile(path));
+    const findings = read.flatMap((one) => (one.isErr() ? one.error : []));
+    for (const finding of findings) {
+      this.context.stderr.write(`${formatFinding(finding)}\n`);
+    }
+    return findings.length > 0
+      ? null
+      : read.map((one) => one.unwrapOr("")).join("\n");
+  }
+}
--- a/src/command_line/exit_code.ts
+++ b/src/command_line/exit_code.ts
@@ -13,4 +13,6 @@
   NotInForce = 6,
   /** The change took effect, and another operator has replaced it since. */
   Replaced = 7,
+  /** What was asked for is not in the input. */
+  NotFound = 8,
 }
--- a/src/command_line/main.ts
+++ b/src/command_line/main.ts
@@ -3,6 +3,7 @@
 import { Builtins, Cli } from "clipanion";
 import { ApplyCommand } from "./commands/apply.ts";
 import { CheckCommand } from "./commands/check.ts";
+import { ExplainCommand } from "./commands/explain.ts";
 import { GetCommand } from "./commands/get.ts";
 import { ReportBurnCommand } from "./commands/report_burn.ts";
 import { StatusCommand } from "./commands/status.ts";
@@ -14,6 +15,7 @@
 cli.register(Builtins.HelpCommand);
 cli.register(ApplyCommand);
 cli.register(CheckCommand);
+cli.register(ExplainCommand);
 cli.register(GetCommand);
 cli.register(ReportBurnCommand);
 cli.register(StatusCommand);
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -288,4 +288,19 @@
     play.event(2, 1);
     expect(prompt.reply.isBegun).to.equal(true);
   });
+
+  // Groups that are only slow say nothing for a while, and a call is taken from
+  // one to the next. Each may have begun to run it all the same: past the
+  // route's attempts its caller pays for work that nobody reads.
+  it("counts a group left silent as one that may have run the call", () => {
+    const play = new Play(["a", "b", "c"]);
+    play.take();
+    play.clock.advance(1_900);
+    expect(play.sends).to.have.length(2);
+    play.groups.replace(["b", "c"].map(group));
+    const first = play.send(0).target.replace("head-", "");
+    play.calls.groupsChanged([first]);
+    play.clock.advance(1_900);
+    expect(play.sends).to.have.length(3);
+  });
 });
