--- a/test/leaving_test.ts
+++ b/test/leaving_test.ts
@@ -9,7 +9,7 @@
 import { StreamFault } from "../src/stand_ins/engine_member/stream_fault.ts";
 import { wholeText } from "../src/stand_ins/engine_member/text.ts";
 import type { IEngineDeed } from "../src/stand_ins/engine_member/types.ts";
-import { ask, askStream } from "./support/caller.ts";
+import { ask, askStream, longBrief } from "./support/caller.ts";
 import type { IStreamReply } from "./support/caller.ts";
 import { Deployment } from "./support/deployment.ts";
 import { waitFor } from "./support/process_handle.ts";
@@ -45,14 +45,9 @@
 
   afterEach(() => deployment[Symbol.asyncDispose]());
 
-  function caller(daemon: string, requestId: string, tokens = TOKENS) {
-    return {
-      address: deployment.process(daemon).field("callers"),
-      credential: "editor-desk-secret",
-      operation: "summarizer/long-brief",
-      requestId,
-      body: { prompt: `story ${requestId}`, maximum_tokens: tokens },
-    };
+  function caller(daemon: string, id: string, tokens = TOKENS) {
+    const address = deployment.process(daemon).field("callers");
+    return longBrief(address, { id, tokens });
   }
 
   function freshId(): string {
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -41,6 +41,20 @@
   readonly wasReset: boolean;
 }
 
+/** A long brief that the editors' desk asks for, of so many tokens. */
+export function longBrief(
+  address: string,
+  { id, tokens }: { readonly id: string; readonly tokens: number },
+): ICall & { readonly requestId: string } {
+  return {
+    address,
+    credential: "editor-desk-secret",
+    operation: "summarizer/long-brief",
+    requestId: id,
+    body: { prompt: `story ${id}`, maximum_tokens: tokens },
+  };
+}
+
 /** Asks for a buffered answer. */
 export async function ask(call: ICall): Promise<IReply> {
   const answer = await send(call);
--- a/test/whole_answers_test.ts
+++ b/test/whole_answers_test.ts
@@ -9,7 +9,7 @@
 import { StreamFault } from "../src/stand_ins/engine_member/stream_fault.ts";
 import { wholeText } from "../src/stand_ins/engine_member/text.ts";
 import type { IEngineDeed } from "../src/stand_ins/engine_member/types.ts";
-import { ask, askStream } from "./support/caller.ts";
+import { ask, askStream, longBrief } from "./support/caller.ts";
 import type { IStreamReply } from "./support/caller.ts";
 import { Deployment } from "./support/deployment.ts";
 import { waitFor } from "./support/process_handle.ts";
@@ -47,14 +47,9 @@
     await deployment.allServe();
   });
 
-  function caller(requestId: string, tokens = TOKENS) {
-    return {
-      address: deployment.process(DAEMON).field("callers"),
-      credential: "editor-desk-secret",
-      operation: "summarizer/long-brief",
-      requestId,
-      body: { prompt: `story ${requestId}`, maximum_tokens: tokens },
-    };
+  function caller(id: string, tokens = TOKENS) {
+    const address = deployment.process(DAEMON).field("callers");
+    return longBrief(address, { id, tokens });
   }
 
   function freshId(): string {
