Let a group finish whose member leaves the list but still answers

Ruled out: the change of the configuration beside it (no route changed); a member that had ended (it went on answering reports).

A test, red without it.

--- a/src/common/replicas/group_keeper_test.ts
+++ b/src/common/replicas/group_keeper_test.ts
@@ -107,6 +107,23 @@
     expect(phases(keeper)).to.deep.equal([GroupPhase.Dissolving]);
   });
 
+  // Members are replaced in turn, and some leave the list without a word while
+  // they still serve. Given up at once, their group breaks off the streams that
+  // it could finish, and callers lose answers to planned work.
+  it("lets a group finish whose member leaves the list but answers", () => {
+    const keeper = serving();
+    const leaving = { isListed: false };
+    const views = members(1_100, MemberState.Open, {
+      state: memberOf(PLAN, 1),
+      ...leaving,
+    });
+    keeper.look(views, 1_200);
+    expect(phases(keeper)).to.deep.equal([GroupPhase.Closing]);
+    const gone = { state: memberOf(PLAN, 1), isSilent: true, ...leaving };
+    keeper.look(members(1_300, MemberState.Open, gone), 1_400);
+    expect(phases(keeper)).to.deep.equal([GroupPhase.Dissolving]);
+  });
+
   // A member dies while its head serves. Were the survivors joined elsewhere
   // at once, the old head would go on taking requests with a hole in it.
   it("frees the others only when the head has left", () => {
--- a/src/common/replicas/replica_group.ts
+++ b/src/common/replicas/replica_group.ts
@@ -105,7 +105,7 @@
   if (view?.isOutOfReach) {
     return null;
   }
-  if (view === undefined || !view.isListed) {
+  if (view === undefined || (!view.isListed && view.isSilent)) {
     return GroupTrouble.MemberGone;
   }
   if (view.isSilent) {
@@ -123,5 +123,8 @@
   if (membershipIn(group, view)?.state === MemberState.Broken) {
     return GroupTrouble.HeadBroken;
   }
-  return view.isDraining ? GroupTrouble.MemberDraining : null;
+  // One that leaves the list but answers goes on serving for a while: given up
+  // at once, its group would break off streams that it could finish.
+  const isLeaving = view.isDraining || !view.isListed;
+  return isLeaving ? GroupTrouble.MemberDraining : null;
 }
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -284,7 +284,9 @@
     const now = this.#now;
     for (const { phase, plan, head } of this.#keeper.groups) {
       const isSuspect = now < (this.#suspects.get(plan.group) ?? 0);
-      if (phase === GroupPhase.Forming || isSuspect) {
+      const isChanging =
+        phase === GroupPhase.Forming || phase === GroupPhase.Closing;
+      if (isChanging || isSuspect) {
         plan.members.forEach((member) => busy.add(member));
       } else if (phase !== GroupPhase.Serving && head !== null) {
         busy.add(head);
