--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -341,6 +341,7 @@
     this.#parts.log.info("send_silent", {
       request: run.call.id,
       group: run.current?.group.group,
+      is_lost: isLost,
       silent_ms: silentFor,
       last_event: run.lastEvent,
     });
--- a/src/common/replicas/holder_listener.ts
+++ b/src/common/replicas/holder_listener.ts
@@ -70,7 +70,12 @@
 
   /** Whether the holder's table is fresh enough to go by. */
   get isFresh(): boolean {
-    return this.#parts.clock.now() - this.#heardAt < TABLE_LIFETIME;
+    return this.age < TABLE_LIFETIME;
+  }
+
+  /** Milliseconds since the holder was last heard. */
+  get age(): number {
+    return this.#parts.clock.now() - this.#heardAt;
   }
 
   /** Whether the holder answered the last exchange and can give orders. */
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -331,6 +331,15 @@
         ? this.#parts.groups.all.filter(({ group }) => !names.has(group))
         : [];
     this.#wasByHolder = isByHolder;
+    if (lost.length > 0) {
+      this.#parts.log.warn("groups_lost", {
+        groups: lost.map(({ group }) => group).join(","),
+        word: this.#isInOffice ? "own" : "holder",
+        age_ms: this.#isInOffice ? 0 : Math.round(this.#listener.age),
+        epoch: this.#lease.epoch,
+        serving: believed.length,
+      });
+    }
     return lost.map(({ group }) => group);
   }
 
