Take a group for lost only by the holder's word that it was given up

Cause: each group that a table lacked was taken for lost. A new holder's table is empty until it has looked at its groups, lacks those of which members are yet to be heard, and a process that gave the lease back went by the former holder's table again.

Change: the holder's word names the groups that it has given up. One that was adopted in part counts only once its head has left it, since it may yet be adopted whole. A word of an older build names none; silence then tells.

--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -31,6 +31,11 @@
   readonly tableVersion: number;
   /** Null where the process has this version already. */
   readonly groups: readonly IServingGroup[] | null;
+  /**
+   * Groups that it has given up of late; null where the process has this
+   * version already. Left out by a process of an older build.
+   */
+  readonly givenUp?: readonly string[] | null;
   /** Requests in each group that other processes have sent. */
   readonly othersInFlight: Readonly<Record<string, number>>;
   /** Whether its lease is in doubt, so that it cannot order anything. */
--- a/src/common/replicas/group_keeper.ts
+++ b/src/common/replicas/group_keeper.ts
@@ -48,6 +48,9 @@
   readonly openTime: () => number;
 }
 
+/** How long the others are told that a group was given up, milliseconds. */
+const GIVEN_UP_TOLD = 10_000;
+
 /** Reports may be somewhat older than their usual lag, milliseconds. */
 export const LAG_MARGIN = 100;
 
@@ -106,6 +109,25 @@
     return [...this.#groups.values()];
   }
 
+  /**
+   * Groups that do not serve again. One that was adopted in part may, until its
+   * head has left it: its other members may yet be heard of.
+   */
+  givenUp(now: MonotonicTime): readonly string[] {
+    const dissolving = this.groups.filter(
+      ({ phase, trouble, hasLeft }) =>
+        phase === GroupPhase.Dissolving &&
+        (hasLeft || trouble !== GroupTrouble.Incomplete),
+    );
+    const released = [...this.#released].filter(
+      ([, releasedAt]) => now - releasedAt < GIVEN_UP_TOLD,
+    );
+    return [
+      ...dissolving.map(({ plan }) => plan.group),
+      ...released.map(([group]) => group),
+    ];
+  }
+
   /** What has changed since the last call. */
   takeChanges(): readonly IGroupChange[] {
     const changes = this.#changes;
--- a/src/common/replicas/holder_desk.ts
+++ b/src/common/replicas/holder_desk.ts
@@ -34,15 +34,24 @@
   readonly #words = new ProcessWords();
   readonly #changed = new Emitter<void>();
   #groups: readonly IServingGroup[] = [];
+  #givenUp: readonly string[] = [];
   #changes = 0;
 
   constructor(parts: IHolderDeskParts) {
     this.#parts = parts;
   }
 
-  /** The groups that serve have changed. */
-  tableChanged(groups: readonly IServingGroup[]): void {
+  /**
+   * The groups that serve have changed.
+   *
+   * @param givenUp - groups that were given up of late
+   */
+  tableChanged(
+    groups: readonly IServingGroup[],
+    givenUp: readonly string[],
+  ): void {
     this.#groups = groups;
+    this.#givenUp = givenUp;
     this.#changes += 1;
     this.#changed.fire();
   }
@@ -51,6 +60,10 @@
     return this.#groups;
   }
 
+  get givenUp(): readonly string[] {
+    return this.#givenUp;
+  }
+
   /** Words of all processes, this one's included. */
   get words(): readonly IProcessWord[] {
     const now = this.#parts.clock.now();
@@ -82,6 +95,7 @@
       word: {
         tableVersion: this.#version,
         groups: hasTable ? null : this.#groups,
+        givenUp: hasTable ? null : this.#givenUp,
         othersInFlight: Object.fromEntries(sumInFlight(others)),
         isInDoubt: !this.#parts.mayOrder(),
         processes: words.length,
--- a/src/common/replicas/holder_listener.ts
+++ b/src/common/replicas/holder_listener.ts
@@ -47,6 +47,7 @@
 export class HolderListener {
   readonly #parts: IHolderListenerParts;
   #groups: readonly IServingGroup[] = [];
+  #givenUp: readonly string[] = [];
   #others: ReadonlyMap<string, number> = new Map();
   #processes = 1;
   #version = 0;
@@ -87,6 +88,11 @@
     return this.#groups;
   }
 
+  /** Groups that the holder has given up of late. */
+  get givenUp(): readonly string[] {
+    return this.#givenUp;
+  }
+
   get others(): ReadonlyMap<string, number> {
     return this.#others;
   }
@@ -153,6 +159,7 @@
     this.#heardAt = this.#parts.clock.now();
     this.#version = word.tableVersion;
     this.#groups = word.groups ?? this.#groups;
+    this.#givenUp = word.givenUp ?? this.#givenUp;
     this.#others = new Map(Object.entries(word.othersInFlight));
     this.#isInDoubt = word.isInDoubt;
     this.#processes = word.processes;
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -131,6 +131,11 @@
     return servingTable(this.#keeper.groups, this.#watch.views, options);
   }
 
+  /** Groups that were given up of late: nothing more comes from them. */
+  get givenUp(): readonly string[] {
+    return this.#keeper.givenUp(this.#now);
+  }
+
   #tick(): void {
     const now = this.#now;
     const wasSurveyed = this.#watch.isSurveyed;
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -7,6 +7,7 @@
 import { TargetClient } from "../../platform/target_client.ts";
 import { decodeTarget } from "../../platform/target_decoder.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
+import { HolderLink } from "../adapters/exchange/holder_link.ts";
 import { InnerServer } from "../adapters/exchange/inner_server.ts";
 import { BoundedLog } from "../adapters/log/bounded_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
@@ -290,6 +291,7 @@
       {
         store: this.#store,
         engines: this.#client,
+        link: new HolderLink(),
         clock: this.#clock,
         random: this.#random,
         log: this.#log,
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -2,7 +2,6 @@
  * The part of a process that knows which groups serve: by ordering them while
  * it holds the lease, else from the holder, else from the platform's list.
  */
-import { HolderLink } from "../adapters/exchange/holder_link.ts";
 import type { ConfigurationBook } from "../common/calls/configuration_book.ts";
 import type { IModelWork } from "../common/calls/model_calls.ts";
 import { listedGroups } from "../common/calls/listed_groups.ts";
@@ -23,6 +22,7 @@
 import type { IReplicaBounds } from "../common/replicas/replica_service.ts";
 import type {
   ExchangeAnswer,
+  IHolderLink,
   IProcessWord,
 } from "../common/replicas/exchange.ts";
 import type { IEngines } from "../common/replicas/types.ts";
@@ -54,6 +54,7 @@
 export interface IFleetControlParts {
   readonly store: IObjectStore;
   readonly engines: IEngines;
+  readonly link: IHolderLink;
   readonly clock: IClock;
   readonly random: IRandom;
   readonly log: ILog;
@@ -87,7 +88,6 @@
   readonly #parts: IFleetControlParts;
   readonly #options: IFleetControlOptions;
   readonly #owned = new DisposableStore();
-  readonly #link = new HolderLink();
   readonly #lease: LeaseKeeper;
   readonly #listener: HolderListener;
   readonly #desk: HolderDesk;
@@ -96,7 +96,8 @@
   readonly #processes = new ProcessCount();
   /** The lease epoch under which the services were started. */
   #servicesEpoch: number | null = null;
-  #wasByHolder = false;
+  /** Groups given up by the holder, as last heard. */
+  #givenUp: ReadonlySet<string> = new Set();
 
   constructor(parts: IFleetControlParts, options: IFleetControlOptions) {
     this.#parts = parts;
@@ -112,7 +113,7 @@
       onLost: () => this.#releaseIfReplaced(),
     });
     this.#listener = new HolderListener({
-      link: this.#link,
+      link: parts.link,
       clock: parts.clock,
       log: parts.log,
       holderAddress: () => this.#holderAddress(),
@@ -306,7 +307,8 @@
       return;
     }
     const serving = [...this.#services.values()].flatMap((one) => one.serving);
-    this.#desk.tableChanged(serving);
+    const givenUp = [...this.#services.values()].flatMap((one) => one.givenUp);
+    this.#desk.tableChanged(serving, givenUp);
     this.#refresh();
   }
 
@@ -315,32 +317,37 @@
     this.#startMissing();
     const { groups, onGroupsChanged } = this.#parts;
     const believed = this.#believed();
-    const lost = this.#lostGroups(believed);
+    const lost = this.#lostGroups();
     groups.replace(believed.map((group) => this.#asListed(group)));
     groups.tellOthers(this.#isInOffice ? this.#desk.others : this.#others);
     onGroupsChanged(lost);
   }
 
-  /** Groups that the holder has given up since the last look. */
-  #lostGroups(believed: readonly IServingGroup[]): readonly string[] {
-    const names = new Set(believed.map(({ group }) => group));
-    const isByHolder = this.#isInOffice || this.#listener.isFresh;
-    // The platform's list lags: what it does not name may well serve.
-    const lost =
-      isByHolder && this.#wasByHolder
-        ? this.#parts.groups.all.filter(({ group }) => !names.has(group))
-        : [];
-    this.#wasByHolder = isByHolder;
+  /**
+   * Groups that the holder has given up since the last look. One that a table
+   * only lacks may well serve: a new holder's first table is empty, and that of
+   * a former one out of date.
+   */
+  #lostGroups(): readonly string[] {
+    const before = this.#givenUp;
+    this.#givenUp = new Set(this.#givenUpByHolder);
+    const lost = [...this.#givenUp].filter((group) => !before.has(group));
     if (lost.length > 0) {
       this.#parts.log.warn("groups_lost", {
-        groups: lost.map(({ group }) => group).join(","),
+        groups: lost.join(","),
         word: this.#isInOffice ? "own" : "holder",
         age_ms: this.#isInOffice ? 0 : Math.round(this.#listener.age),
         epoch: this.#lease.epoch,
-        serving: believed.length,
       });
     }
-    return lost.map(({ group }) => group);
+    return lost;
+  }
+
+  get #givenUpByHolder(): readonly string[] {
+    if (this.#isInOffice) {
+      return this.#desk.givenUp;
+    }
+    return this.#listener.isFresh ? this.#listener.givenUp : [];
   }
 
   /** The lease may be had before the configuration is known. */
--- a/src/entry/fleet_control_test.ts
+++ b/src/entry/fleet_control_test.ts
@@ -13,6 +13,7 @@
   IEngineState,
   IListedTarget,
 } from "../common/calls/types.ts";
+import type { IHolderLink, IHolderWord } from "../common/replicas/exchange.ts";
 import { OrderKind, OrderOutcome } from "../common/replicas/types.ts";
 import type { EngineOrder, IEngines } from "../common/replicas/types.ts";
 import { WriteFailureKind } from "../common/services/services.ts";
@@ -61,7 +62,6 @@
   accountsByKey: null,
 };
 
-/** One object, and whether the store answers. */
 /** Each process asks the store for itself. */
 const NO_RELAY: IStoreRelay = {
   versions: { configuration: 0, targets: 0 },
@@ -69,6 +69,7 @@
   heard: () => undefined,
 };
 
+/** One object, and whether the store answers. */
 class SmallStore implements IObjectStore {
   isAway = false;
   #object: IPlatformObject | null = null;
@@ -148,17 +149,60 @@
   }
 }
 
-/** One process that holds the lease over ten engines of a domain. */
-class Play {
+/** Ten engines of a domain, the store, and the links between processes. */
+class World {
   readonly clock = new ManualClock();
   readonly store = new SmallStore();
   readonly engines = new ObedientEngines();
+  /** By address; one that is not here does not answer. */
+  readonly controls = new Map<string, FleetControl>();
+  /** Changes what the holder says on its way. */
+  edit: (word: IHolderWord) => IHolderWord = (word) => word;
+
+  readonly link: IHolderLink = {
+    exchange: async (address, word) => {
+      const control = this.controls.get(address);
+      if (control === undefined) {
+        return Err(AWAY);
+      }
+      const answer = await control.answer(word);
+      return Ok(
+        answer.isHolder ? { ...answer, word: this.edit(answer.word) } : answer,
+      );
+    },
+  };
+
+  /** Ends a member, not the head, of one open group; returns the group. */
+  killMember(): string {
+    for (const [id, { model, membership }] of this.engines.states) {
+      if (model === "small" && membership?.rank === 1) {
+        this.engines.dead.add(id);
+        return membership.group;
+      }
+    }
+    throw new Error("no group has a second member");
+  }
+
+  /** Moves on in short steps, with time for answers in between. */
+  async advance(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 10) {
+      this.clock.advance(10);
+      for (let turn = 0; turn < 10; turn += 1) {
+        await Promise.resolve();
+      }
+    }
+  }
+}
+
+/** One process over the engines of a world. */
+class Play {
   readonly groups = new ServingGroups();
   readonly log = new KeptLog();
   readonly control: FleetControl;
+  readonly lost: string[] = [];
   hasCalls = false;
 
-  constructor() {
+  constructor(world: World, address = "127.0.0.1:1") {
     const configuration = new ConfigurationBook(
       () => Ok(CONFIGURATION),
       this.log,
@@ -180,9 +224,10 @@
     targets.take({ ...whole, objects }, 0);
     this.control = new FleetControl(
       {
-        store: this.store,
-        engines: this.engines,
-        clock: this.clock,
+        store: world.store,
+        engines: world.engines,
+        clock: world.clock,
+        link: world.link,
         random: new SeededRandom(20261203),
         log: this.log,
         metrics: NO_METRICS,
@@ -193,35 +238,20 @@
         suspects: () => [],
         hasCalls: () => this.hasCalls,
         relay: NO_RELAY,
-        onGroupsChanged: () => undefined,
+        onGroupsChanged: (lost) => this.lost.push(...lost),
       },
       {
-        address: "127.0.0.1:1",
+        address,
         zone: "one",
         isFirstStart: true,
         bounds: { stallTime: 5_000, loads: { window: 5_000, factor: 1.1 } },
       },
     );
+    world.controls.set(address, this.control);
   }
 
-  /** Ends a member, not the head, of one open group of the small model. */
-  killMember(): void {
-    for (const [id, { model, membership }] of this.engines.states) {
-      if (model === "small" && membership?.rank === 1) {
-        this.engines.dead.add(id);
-        return;
-      }
-    }
-  }
-
-  /** Moves on in short steps, with time for answers in between. */
-  async advance(milliseconds: number): Promise<void> {
-    for (let passed = 0; passed < milliseconds; passed += 10) {
-      this.clock.advance(10);
-      for (let turn = 0; turn < 10; turn += 1) {
-        await Promise.resolve();
-      }
-    }
+  get serving(): readonly string[] {
+    return this.groups.all.map(({ group }) => group).sort();
   }
 }
 
@@ -240,9 +270,10 @@
 
 describe("ordering engines under the lease", () => {
   it("opens the groups of a domain, and keeps spares", async () => {
-    const play = new Play();
+    const world = new World();
+    const play = new Play(world);
     play.control.start();
-    await play.advance(4_000);
+    await world.advance(4_000);
     const models = play.groups.all.map(({ model }) => model).sort();
     expect(models).to.deep.equal(["large", "small", "small"]);
     play.control.dispose();
@@ -253,21 +284,22 @@
   // anew, a new group would have the name of one that serves, and members of
   // an open group would be joined elsewhere.
   it("never gives two groups one name when it regains the lease", async () => {
-    const play = new Play();
+    const world = new World();
+    const play = new Play(world);
     play.control.start();
-    await play.advance(4_000);
+    await world.advance(4_000);
     const serving = play.groups.all.map(({ group }) => group);
-    play.store.isAway = true;
-    await play.advance(3_000);
-    play.store.isAway = false;
-    await play.advance(3_000);
+    world.store.isAway = true;
+    await world.advance(3_000);
+    world.store.isAway = false;
+    await world.advance(3_000);
     expect(play.groups.all.map(({ group }) => group)).to.deep.equal(serving);
     play.hasCalls = true;
-    play.killMember();
-    await play.advance(4_000);
+    world.killMember();
+    await world.advance(4_000);
     expect(play.groups.all).to.have.length(serving.length);
     const lists = new Map<string, string>();
-    for (const { order } of play.engines.orders) {
+    for (const { order } of world.engines.orders) {
       if (order.kind === OrderKind.Join) {
         const { group, members } = order.plan;
         const list = members.join(",");
@@ -278,3 +310,62 @@
     play.control.dispose();
   });
 });
+
+describe("hearing which groups are lost", () => {
+  /** A holder, and a process that hears from it. */
+  async function startBoth(world: World): Promise<readonly [Play, Play]> {
+    const holder = new Play(world, "127.0.0.1:1");
+    const other = new Play(world, "127.0.0.1:3");
+    holder.hasCalls = true;
+    other.hasCalls = true;
+    holder.control.start();
+    await world.advance(4_000);
+    other.control.start();
+    await world.advance(500);
+    expect(other.serving).to.have.length(3);
+    return [holder, other];
+  }
+
+  // Guards against a new lease holder that ends the streams of groups it has
+  // yet to look at.
+  it("loses no group by taking over the lease", async () => {
+    const world = new World();
+    const [holder, other] = await startBoth(world);
+    const { serving } = other;
+    await holder.control.giveBack();
+    await world.advance(1_000);
+    expect(other.control.isHolding).to.equal(true);
+    expect(other.lost).to.deep.equal([]);
+    expect(other.serving).to.deep.equal(serving);
+    holder.control.dispose();
+    other.control.dispose();
+  });
+
+  // Guards against streams ended because another holder's table, not yet whole
+  // or long out of date, lacks their group.
+  it("loses no group that a table only lacks", async () => {
+    const world = new World();
+    const [holder, other] = await startBoth(world);
+    world.edit = (word) => ({
+      ...word,
+      tableVersion: word.tableVersion + 1,
+      groups: holder.groups.all.slice(1),
+    });
+    await world.advance(1_000);
+    expect(other.serving).to.have.length(2);
+    expect(other.lost).to.deep.equal([]);
+    holder.control.dispose();
+    other.control.dispose();
+  });
+
+  it("loses a group that the holder gives up, once", async () => {
+    const world = new World();
+    const [holder, other] = await startBoth(world);
+    const group = world.killMember();
+    await world.advance(4_000);
+    expect(holder.lost).to.deep.equal([group]);
+    expect(other.lost).to.deep.equal([group]);
+    holder.control.dispose();
+    other.control.dispose();
+  });
+});
