--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -256,6 +256,37 @@
     expect(reply.isEnded).to.equal(true);
   });
 
+  // Guards against half-read answers cut for a group's loss while its head still
+  // answers.
+  it("lets a stream that moves end in a lost group when it cannot go on", () => {
+    const play = new Play(["a", "b"], 0);
+    const { reply } = play.take();
+    const group = play.send(0).target.replace("head-", "");
+    play.send(0).options.receiver.head(HEAD);
+    play.event(0, 1);
+    play.calls.groupsChanged([group]);
+    for (let id = 2; id <= 5; id += 1) {
+      play.clock.advance(40);
+      play.event(0, id);
+    }
+    expect(reply.isBroken).to.equal(false);
+    play.send(0).options.receiver.ended();
+    expect(reply.isEnded).to.equal(true);
+  });
+
+  // Guards against callers held until the bound on silences although nothing
+  // more can come from their group.
+  it("ends a silent stream of a lost group soon when it cannot go on", () => {
+    const play = new Play(["a", "b"], 0);
+    const { reply } = play.take();
+    const group = play.send(0).target.replace("head-", "");
+    play.send(0).options.receiver.head(HEAD);
+    play.event(0, 1);
+    play.calls.groupsChanged([group]);
+    play.clock.advance(1_000);
+    expect(reply.isBroken).to.equal(true);
+  });
+
   // The links to another zone are cut: connections do not come about, and the
   // call has reached nobody. Counted as repeats, some dozen of them would use
   // up the allowance that broken streams need.
