Publish no table of groups before they were looked at

What callers saw: at each change of the lease the new holder had no group for a moment; its calls waited, and those that could not wait were refused.

Cause: the service told of a changed table as soon as the engines were known, before it had looked for the groups that stand. While most engines are silent from where it is, that look is put off, and the empty table stays.

What it cost beside the streams that were ended is not measured.

Change: a process is in office from its first look on; until then it goes by what it heard last.

--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -80,6 +80,7 @@
   readonly #demand = new SmoothedDemand();
   /** Engines with an order to warm on its way. */
   readonly #warming = new Set<InstanceId>();
+  #hasLooked = false;
   /** Paces of the serving groups, as last told. */
   #paces = "";
 
@@ -119,9 +120,9 @@
     this.#watch.suspect(groups);
   }
 
-  /** Whether what the engines do is known, so that the table can be trusted. */
-  get isSurveyed(): boolean {
-    return this.#watch.isSurveyed;
+  /** Whether the groups that stand were looked for, so that the table is whole. */
+  get hasLooked(): boolean {
+    return this.#hasLooked;
   }
 
   /** The groups that take requests. */
@@ -138,27 +139,22 @@
 
   #tick(): void {
     const now = this.#now;
-    const wasSurveyed = this.#watch.isSurveyed;
     this.#watch.look(this.#keeper.groups, now);
-    if (!this.#watch.isSurveyed) {
-      return;
-    }
-    if (!wasSurveyed) {
-      this.#parts.onTableChanged();
-    }
-    if (this.#watch.isOwnLinkSuspect) {
+    if (!this.#watch.isSurveyed || this.#watch.isOwnLinkSuspect) {
       return;
     }
     // Also while the lease is in doubt: a group that lost a member must get no
     // more requests, though nothing can be ordered about it.
     const orders = this.#keeper.look(this.#watch.views, now);
+    const isFirstLook = !this.#hasLooked;
+    this.#hasLooked = true;
     for (const order of orders) {
       this.#order(order);
     }
     if (this.#parts.mayOrder()) {
       this.#plan(now);
     }
-    this.#reportChanges();
+    this.#reportChanges(isFirstLook);
   }
 
   #plan(now: MonotonicTime): void {
@@ -346,13 +342,13 @@
     }
   }
 
-  #reportChanges(): void {
+  #reportChanges(isFirstLook: boolean): void {
     const changes = this.#keeper.takeChanges();
     for (const change of changes) {
       this.#log(change);
     }
     const paces = this.serving.map(({ pace }) => pace).join();
-    if (changes.length > 0 || paces !== this.#paces) {
+    if (isFirstLook || changes.length > 0 || paces !== this.#paces) {
       this.#paces = paces;
       this.#parts.onTableChanged();
     }
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -191,7 +191,7 @@
 
   get #isInOffice(): boolean {
     const services = [...this.#services.values()];
-    return services.length > 0 && services.every((one) => one.isSurveyed);
+    return services.length > 0 && services.every((one) => one.hasLooked);
   }
 
   #holderAddress(): string | null {
--- a/src/entry/fleet_control_test.ts
+++ b/src/entry/fleet_control_test.ts
@@ -200,6 +200,8 @@
   readonly log = new KeptLog();
   readonly control: FleetControl;
   readonly lost: string[] = [];
+  /** The fewest groups that calls could be sent to since it was set. */
+  fewest = Number.POSITIVE_INFINITY;
   hasCalls = false;
 
   constructor(world: World, address = "127.0.0.1:1") {
@@ -238,7 +240,10 @@
         suspects: () => [],
         hasCalls: () => this.hasCalls,
         relay: NO_RELAY,
-        onGroupsChanged: (lost) => this.lost.push(...lost),
+        onGroupsChanged: (lost) => {
+          this.lost.push(...lost);
+          this.fewest = Math.min(this.fewest, this.groups.all.length);
+        },
       },
       {
         address,
@@ -341,6 +346,20 @@
     other.control.dispose();
   });
 
+  // Guards against calls without a group while a new lease holder has yet to
+  // look at the groups.
+  it("has groups all the while it takes over the lease", async () => {
+    const world = new World();
+    const [holder, other] = await startBoth(world);
+    other.fewest = other.serving.length;
+    await holder.control.giveBack();
+    await world.advance(1_000);
+    expect(other.control.isHolding).to.equal(true);
+    expect(other.fewest).to.equal(3);
+    holder.control.dispose();
+    other.control.dispose();
+  });
+
   // Guards against streams ended because another holder's table, not yet whole
   // or long out of date, lacks their group.
   it("loses no group that a table only lacks", async () => {
