Print what the processes of a failed test have written

Both failures of test/leaving_test.ts in the list of known red left nothing to trace them by: the output of the processes went with them, and the checks did not say what the caller had got.

A root hook prints the last lines of every process that a failed test used, and the checks of leaving_test say status, words, reset and refusal of the reply. The checks are as they were.

--- /dev/null
+++ b/test/failure_evidence_test.ts
@@ -0,0 +1,16 @@
+import { expect } from "chai";
+import { tailOfProcesses } from "./support/failure_evidence.ts";
+
+describe("the evidence of a failed test", () => {
+  // Guards against a failure that leaves nothing to trace it by.
+  it("is the end of what each process has written", () => {
+    const output = Array.from({ length: 60 }, (_, line) => `line ${line}\n`);
+    const text = tailOfProcesses([
+      { name: "daemon-a", output: output.join("") },
+      { name: "engine-a", output: "event=listening\n" },
+    ]);
+    expect(text.split("\n")).to.have.length(43);
+    expect(text).to.match(/^--- daemon-a, 60 lines\nline 20\n/);
+    expect(text).to.match(/line 59\n--- engine-a, 1 lines\nevent=listening$/);
+  });
+});
--- a/test/leaving_test.ts
+++ b/test/leaving_test.ts
@@ -9,7 +9,7 @@
 import { StreamFault } from "../src/stand_ins/engine_member/stream_fault.ts";
 import { wholeText } from "../src/stand_ins/engine_member/text.ts";
 import type { IEngineDeed } from "../src/stand_ins/engine_member/types.ts";
-import { ask, askStream, longBrief } from "./support/caller.ts";
+import { ask, askStream, describeReply, longBrief } from "./support/caller.ts";
 import type { IStreamReply } from "./support/caller.ts";
 import { Deployment } from "./support/deployment.ts";
 import { waitFor } from "./support/process_handle.ts";
@@ -139,12 +139,17 @@
         for (const daemon of deployment.names("daemon-")) {
           const id = freshId();
           const reply = await askStream(caller(daemon, id, FEW_TOKENS));
-          expect(isWhole(reply, id, FEW_TOKENS)).to.equal(true);
+          expect(
+            isWhole(reply, id, FEW_TOKENS),
+            `${id} by ${daemon}: ${describeReply(reply)}`,
+          ).to.equal(true);
         }
       }
       expect(await beganAt(leader, toldAt + NOTICED_WITHIN)).to.equal(0);
       for (const [place, reply] of (await Promise.all(replies)).entries()) {
-        expect(isWhole(reply, running[place]!)).to.equal(true);
+        expect(isWhole(reply, running[place]!), describeReply(reply)).to.equal(
+          true,
+        );
       }
     });
   }
@@ -192,9 +197,12 @@
       const id = ids[index]!;
       const text = wholeText(`story ${id}`, LONG_TOKENS);
       if (begun.has(id) || reply.status === 200) {
-        expect(reply, id).to.include({ isWhole: true, text });
+        expect(reply, `${id}: ${describeReply(reply)}`).to.include({
+          isWhole: true,
+          text,
+        });
       }
-      expect(reply.wasReset, id).to.equal(false);
+      expect(reply.wasReset, `${id}: ${describeReply(reply)}`).to.equal(false);
     }
     await stopping.exited();
     expect(stopping.output).to.include("event=stopped");
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -2,6 +2,8 @@
 import { createParser } from "eventsource-parser";
 import { request } from "undici";
 
+const STATUS_OK = 200;
+
 /** What a caller asks for. */
 export interface ICall {
   readonly address: string;
@@ -39,6 +41,15 @@
   readonly text: string;
   readonly isWhole: boolean;
   readonly wasReset: boolean;
+  /** The body of a refusal; empty for a stream. */
+  readonly refusal: string;
+}
+
+/** A reply in one line, for the message of a failed check. */
+export function describeReply(reply: IStreamReply): string {
+  const { status, text, isWhole, wasReset, refusal } = reply;
+  const words = text.split(" ").length;
+  return JSON.stringify({ status, words, isWhole, wasReset, refusal });
 }
 
 /** A long brief that the editors' desk asks for, of so many tokens. */
@@ -66,6 +77,7 @@
 export async function askStream(call: ICall): Promise<IStreamReply> {
   const answer = await send(call);
   let text = "";
+  let refusal = "";
   let isWhole = false;
   const parser = createParser({
     onEvent: (event) => {
@@ -81,12 +93,14 @@
   try {
     const decoder = new TextDecoder();
     for await (const chunk of answer.body) {
-      parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+      const piece = decoder.decode(chunk as Buffer, { stream: true });
+      refusal += status === STATUS_OK ? "" : piece;
+      parser.feed(piece);
     }
   } catch {
-    return { status, text, isWhole, wasReset: true };
+    return { status, text, isWhole, wasReset: true, refusal };
   }
-  return { status, text, isWhole, wasReset: false };
+  return { status, text, isWhole, wasReset: false, refusal };
 }
 
 function send(call: ICall) {
--- a/test/support/process_handle.ts
+++ b/test/support/process_handle.ts
@@ -27,6 +27,8 @@
 
 /** A started program, with what it has written so far. */
 export class ProcessHandle {
+  /** Processes whose output no test has taken yet; ended ones too. */
+  static #started = new Set<ProcessHandle>();
   readonly name: string;
   readonly #child: ChildProcess;
   #output = "";
@@ -49,6 +51,7 @@
     const path = new URL(`../../dist/src/${program}`, import.meta.url);
     const child = spawn(process.execPath, [path.pathname, ...programArguments]);
     const handle = new ProcessHandle(name, child);
+    ProcessHandle.#started.add(handle);
     await waitFor(`${name} listens`, () => {
       if (handle.#hasExited) {
         throw new Error(`${name} exited: ${handle.#output}`);
@@ -58,6 +61,18 @@
     return handle;
   }
 
+  /**
+   * Processes that a test has used: those started since the last call, and
+   * those still running.
+   */
+  static takeStarted(): readonly ProcessHandle[] {
+    const started = [...ProcessHandle.#started];
+    ProcessHandle.#started = new Set(
+      started.filter(({ hasExited }) => !hasExited),
+    );
+    return started;
+  }
+
   get pid(): number {
     return this.#child.pid ?? 0;
   }
