Give a process that has just started no share of the slack of repeats

Cause, found by a model check: a process that starts takes its share of the common slack again, though the one before it used it in the same window; and one that becomes lease holder just after its start counts itself alone and takes the whole.

Change: until a window has passed since its start a process has only the part that goes by its own first sends. Before, a first start had its share at once; traffic begins later than that there.

The tests of calls now say that their process started long ago; their checks are as they were.

--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -83,7 +83,10 @@
           return { abort: () => (send.isAborted = true) };
         },
       },
-      repeats: new RepeatBook({ ratio: 0.2, window: 10_000, slack }, () => 1),
+      repeats: new RepeatBook(
+        { ratio: 0.2, window: 10_000, slack },
+        { processes: () => 1, startedAt: Number.NEGATIVE_INFINITY },
+      ),
       service: () => ({ name: "summaries", engine: ENGINE }),
       clock: this.clock,
       random: new SeededRandom(20261203),
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -46,7 +46,10 @@
           return { abort: () => (send.isAborted = true) };
         },
       },
-      repeats: new RepeatBook(bounds, () => 1),
+      repeats: new RepeatBook(bounds, {
+        processes: () => 1,
+        startedAt: Number.NEGATIVE_INFINITY,
+      }),
       clock: this.clock,
       log: new KeptLog(),
       metrics: NO_METRICS,
--- a/src/common/calls/repeat_book.ts
+++ b/src/common/calls/repeat_book.ts
@@ -3,16 +3,26 @@
 import { RepeatAllowance } from "./repeat_allowance.ts";
 import type { IRepeatBounds } from "./repeat_allowance.ts";
 
-/** One {@link RepeatAllowance} a service. */
+/** How the bounds are shared. */
+export interface IRepeatSharing {
+  /** How many processes share them. */
+  readonly processes: () => number;
+  /** When this process started. */
+  readonly startedAt: MonotonicTime;
+}
+
+/**
+ * One {@link RepeatAllowance} a service. A process that has just started has no
+ * share of the slack: the one before it may have used it in the same window.
+ */
 export class RepeatBook {
   readonly #bounds: IRepeatBounds;
-  readonly #processes: () => number;
+  readonly #sharing: IRepeatSharing;
   readonly #allowances = new Map<ServiceName, RepeatAllowance>();
 
-  /** @param processes - how many processes share the bounds */
-  constructor(bounds: IRepeatBounds, processes: () => number) {
+  constructor(bounds: IRepeatBounds, sharing: IRepeatSharing) {
     this.#bounds = bounds;
-    this.#processes = processes;
+    this.#sharing = sharing;
   }
 
   firstSend(service: ServiceName, now: MonotonicTime): void {
@@ -20,7 +30,10 @@
   }
 
   take(service: ServiceName, now: MonotonicTime): boolean {
-    return this.#of(service).take(now, this.#processes());
+    const { processes, startedAt } = this.#sharing;
+    const hasShare = now - startedAt >= this.#bounds.window;
+    const sharers = hasShare ? processes() : Number.POSITIVE_INFINITY;
+    return this.#of(service).take(now, sharers);
   }
 
   #of(service: ServiceName): RepeatAllowance {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -280,7 +280,10 @@
         window: bounds.repeat_window_s * MILLISECONDS_A_SECOND,
         slack: bounds.repeat_slack,
       },
-      () => this.#control.processes,
+      {
+        processes: () => this.#control.processes,
+        startedAt: this.#clock.now(),
+      },
     );
   }
 
