Give up a stream only when attempts in a row bring nothing

What callers saw: a half-read answer reset (leaving-2 after 172 of 300 words, at 49.7 s of its 60; four others in the same second), "leaving of a daemon cuts none of a hundred streams".

Cause: a request was given up after six failed attempts in all. On a busy machine the stand-in engines' groups break off every few seconds ("a member is missing"), each attempt brings the stream further, and the seventh was never made, although a stream that has begun is to go on.

Ruled out for it: the deadline (504 comes at 60 s), a refusal taken for a stream (status 200), the stop (the signal came 14 s after the cut).

Change: tokens set the count of vain attempts back. One who breaks off at the same word each time is given up as before.

Test: engine_effort_test "goes on as long as each attempt brings the stream further" failed before.

The whole output of a failed test's processes is now kept in a folder as well; the last lines alone did not reach back to the cut.";

--- a/src/common/services/engine_effort.ts
+++ b/src/common/services/engine_effort.ts
@@ -4,14 +4,17 @@
 import type { IClock, IEngineToken } from "./services.ts";
 import type { ICallerRequest } from "./types.ts";
 
-/** Attempts for one request before it is given up. */
-const MAXIMUM_TRIES = 6;
+/** Attempts in a row that bring nothing before a request is given up. */
+const MAXIMUM_VAIN_TRIES = 6;
 
 /**
  * Keeps position, attempts and suspects of one request. Silence or a broken
  * connection is first taken as the connection's fault: the group becomes a
  * suspect that other groups are preferred to, and may be asked once more, on a
  * new connection. Only when that fails too is it given up for this request.
+ *
+ * Only attempts that bring nothing are counted: a long stream may well outlive
+ * many groups, and its caller would lose what it has.
  */
 export class EngineEffort implements Disposable {
   readonly request: ICallerRequest;
@@ -20,7 +23,8 @@
   readonly #ending = new AbortController();
   readonly #endOfTime: { dispose(): void };
   readonly #end = () => this.#ending.abort();
-  #tries = 0;
+  /** Failed attempts since the last token. */
+  #vainTries = 0;
   #position: number;
   #isWhole = false;
   #isLate = false;
@@ -61,13 +65,14 @@
   }
 
   get mayTry(): boolean {
-    return this.#tries < MAXIMUM_TRIES && !this.signal.aborted;
+    return this.#vainTries < MAXIMUM_VAIN_TRIES && !this.signal.aborted;
   }
 
   /** Tokens have been passed on to the caller. */
   passed(tokens: readonly IEngineToken[]): void {
     const last = tokens.at(-1);
     if (last !== undefined) {
+      this.#vainTries = 0;
       this.#mayHaveRun = true;
       this.#isWhole = last.isEnd;
       this.#position = last.isEnd ? last.sequence : last.sequence + 1;
@@ -76,7 +81,7 @@
 
   /** An attempt at a group has failed. */
   failed(group: string, failure: ICallFailure): void {
-    this.#tries += 1;
+    this.#vainTries += 1;
     const isUnsure = failure.kind === CallFailureKind.Unknown;
     this.#mayHaveRun ||= isUnsure;
     if (!isUnsure || this.suspects.has(group)) {
--- a/test/support/failure_evidence.ts
+++ b/test/support/failure_evidence.ts
@@ -1,7 +1,11 @@
 /**
- * Prints what the processes of a failed test have written. Deployments are
- * disposed of before this runs, and their output would be gone with them.
+ * Keeps what the processes of a failed test have written, and prints its end.
+ * Deployments are disposed of before this runs, and their output would be gone
+ * with them.
  */
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import type { Context } from "mocha";
 import { ProcessHandle } from "./process_handle.ts";
 
@@ -21,13 +25,25 @@
     .join("\n");
 }
 
+/** Writes a file a process and returns the folder. */
+function keepOutput(processes: readonly ProcessHandle[]): string {
+  const folder = mkdtempSync(join(tmpdir(), "cranberryledge-failed-"));
+  for (const { name, output } of processes) {
+    writeFileSync(join(folder, `${name}.log`), output);
+  }
+  return folder;
+}
+
 export const mochaHooks = {
   afterEach(this: Context): void {
     const processes = ProcessHandle.takeStarted();
     const test = this.currentTest;
-    if (test !== undefined && test.state !== "passed" && !test.isPending()) {
+    const hasFailed =
+      test !== undefined && test.state !== "passed" && !test.isPending();
+    if (hasFailed && processes.length > 0) {
       process.stderr.write(
-        `processes of "${test.fullTitle()}":\n${tailOfProcesses(processes)}\n`,
+        `processes of "${test.fullTitle()}", whole in ` +
+          `${keepOutput(processes)}:\n${tailOfProcesses(processes)}\n`,
       );
     }
   },
