Do not take a daemon's own pause for the silence of all targets

Cause: a group counts as complete while the reports of its members are younger than the freshness bound. A daemon that was stopped or starved has old reports of everybody. A stream that broke meanwhile found no group for ten seconds and was given up.

Change: the bound of MemberWatch is a class of its own, PauseWatch, and the directory of targets has one as well: a report from before a pause ages from the pause's end.

MemberWatch's tests are unchanged and pass.

--- a/src/common/groups/member_watch.ts
+++ b/src/common/groups/member_watch.ts
@@ -17,6 +17,7 @@
   ISeenReport,
   MonotonicTime,
 } from "../types.ts";
+import { PauseWatch } from "../pause_watch.ts";
 import { InstanceState, TargetState } from "../types.ts";
 
 /** Bounds on silence and on members that come and go, milliseconds. */
@@ -43,13 +44,13 @@
   readonly #policy: IWatchPolicy;
   readonly #losses = new Map<InstanceId, ILosses>();
   readonly #present = new Map<InstanceId, string>();
-  #lastLook: MonotonicTime | null = null;
-  #since: MonotonicTime = 0;
+  readonly #pauses: PauseWatch;
   #reports: ReadonlyMap<InstanceId, ISeenReport> = new Map();
   #instances: ReadonlyMap<InstanceId, IInstance> = new Map();
 
   constructor(policy: IWatchPolicy) {
     this.#policy = policy;
+    this.#pauses = new PauseWatch(policy.pauseBound);
   }
 
   /** Takes in what is known now; called at every tick. */
@@ -58,11 +59,7 @@
     reports: ReadonlyMap<InstanceId, ISeenReport>,
     now: MonotonicTime,
   ): void {
-    const gap = this.#lastLook === null ? Infinity : now - this.#lastLook;
-    if (gap > this.#policy.pauseBound) {
-      this.#since = now;
-    }
-    this.#lastLook = now;
+    this.#pauses.tick(now);
     this.#reports = reports;
     this.#instances = new Map(instances.map((entry) => [entry.id, entry]));
     for (const { id } of instances) {
@@ -73,7 +70,7 @@
   /** Milliseconds since the instance last answered, as far as watched. */
   silence(id: InstanceId, now: MonotonicTime): number {
     const seenAt = this.#reports.get(id)?.seenAt ?? Number.NEGATIVE_INFINITY;
-    return now - Math.max(seenAt, this.#since);
+    return now - Math.max(seenAt, this.#pauses.runningSince(now));
   }
 
   /** Silent for too long, off the list, or leaving. */
--- a/src/common/groups/orders.ts
+++ b/src/common/groups/orders.ts
@@ -118,7 +118,9 @@
 function inOrderOfUrgency(context: IOrderContext): readonly IReplicaGroup[] {
   const { record, view, policy } = context;
   const instances = new Map(view.instances.map((entry) => [entry.id, entry]));
-  const presence = { ...view, instances, freshness: policy.freshness };
+  const { freshness } = policy;
+  const watchedSince = Number.NEGATIVE_INFINITY;
+  const presence = { ...view, instances, freshness, watchedSince };
   const served = new Set(
     record.groups
       .filter((group) => isComplete(group, presence))
--- a/src/common/groups/presence.ts
+++ b/src/common/groups/presence.ts
@@ -19,6 +19,8 @@
   readonly now: MonotonicTime;
   /** Oldest report that counts, milliseconds. */
   readonly freshness: number;
+  /** Since when reports could be heard without a pause of this daemon. */
+  readonly watchedSince: MonotonicTime;
 }
 
 /** Whether every member is present, ready and in this very generation. */
@@ -26,6 +28,18 @@
   return group.members.every((_, rank) => isPresent(group, rank, view));
 }
 
+/** A report from before a pause of this daemon ages from the pause's end. */
+export function isFresh(
+  { seenAt }: ISeenReport,
+  {
+    now,
+    freshness,
+    watchedSince,
+  }: Pick<IPresenceView, "now" | "freshness" | "watchedSince">,
+): boolean {
+  return now - Math.max(seenAt, watchedSince) <= freshness;
+}
+
 function isPresent(
   group: IReplicaGroup,
   rank: number,
@@ -39,7 +53,7 @@
   }
   const { incarnation, membership, state } = seen.report;
   return (
-    view.now - seen.seenAt <= view.freshness &&
+    isFresh(seen, view) &&
     state === TargetState.Ready &&
     incarnation === group.incarnations[rank] &&
     membership?.group === group.id &&
--- a/src/common/groups/presence_test.ts
+++ b/src/common/groups/presence_test.ts
@@ -41,11 +41,25 @@
   readonly report?: Partial<ITargetReport>;
   readonly instance?: Partial<IInstance>;
   readonly age?: number;
+  readonly watchedFor?: number;
 }
 
 const CASES: readonly ICase[] = [
   { title: "a fresh report of this generation", isPresent: true },
   { title: "an old report", isPresent: false, age: 501 },
+  // Guards against this daemon's pause taken for the silence of all members.
+  {
+    title: "an old report just after a pause",
+    isPresent: true,
+    age: 3_000,
+    watchedFor: 100,
+  },
+  {
+    title: "an old report long after a pause",
+    isPresent: false,
+    age: 3_000,
+    watchedFor: 501,
+  },
   {
     title: "an earlier generation",
     isPresent: false,
@@ -90,6 +104,7 @@
         reports: new Map([["engine", seen]]),
         now: 1_000,
         freshness: 500,
+        watchedSince: 1_000 - (change.watchedFor ?? 1_000),
       };
       expect(isComplete(GROUP, view)).to.equal(isPresent);
     });
--- /dev/null
+++ b/src/common/pause_watch_test.ts
@@ -0,0 +1,21 @@
+import { expect } from "chai";
+import { PauseWatch } from "./pause_watch.ts";
+
+describe("a process's own pauses", () => {
+  it("are none while it ticks in time", () => {
+    const pauses = new PauseWatch(400);
+    for (let now = 100; now <= 1_000; now += 100) {
+      pauses.tick(now);
+    }
+    expect(pauses.runningSince(1_300)).to.equal(100);
+  });
+
+  // Guards against a decision taken after a pause and before the next tick.
+  it("are seen before the next tick, and after it", () => {
+    const pauses = new PauseWatch(400);
+    pauses.tick(100);
+    expect(pauses.runningSince(3_000)).to.equal(3_000);
+    pauses.tick(3_010);
+    expect(pauses.runningSince(3_200)).to.equal(3_010);
+  });
+});
--- a/src/common/services/group_directory.ts
+++ b/src/common/services/group_directory.ts
@@ -6,7 +6,8 @@
   ITargetUse,
 } from "../decisions/target_book.ts";
 import type { IWork } from "../decisions/work.ts";
-import { isComplete } from "../groups/presence.ts";
+import { isComplete, isFresh } from "../groups/presence.ts";
+import type { IPresenceView } from "../groups/presence.ts";
 import type { IReplicaGroup } from "../groups/types.ts";
 import { InstanceState, ServiceKind, TargetState } from "../types.ts";
 import type { IInstance, ISeenReport, ServiceName } from "../types.ts";
@@ -57,13 +58,9 @@
 
   /** Every group of the zone with whether it may serve now. */
   groups(): readonly { group: IReplicaGroup; isComplete: boolean }[] {
-    const { clock, domains, targets } = this.#sources;
-    const view = {
-      instances: targets.instances,
-      reports: targets.reports,
-      now: clock.now(),
-      freshness: this.#freshness,
-    };
+    const { domains, targets } = this.#sources;
+    const { instances, reports } = targets;
+    const view = { instances, reports, ...this.#age };
     const found = [];
     for (const domain of domains()) {
       for (const group of domain.record?.groups ?? []) {
@@ -188,7 +185,17 @@
       seen !== undefined &&
       instance.state === InstanceState.Live &&
       seen.report.state === TargetState.Ready &&
-      this.#sources.clock.now() - seen.seenAt <= this.#freshness
+      isFresh(seen, this.#age)
     );
   }
+
+  /** What the age of reports is judged by. */
+  get #age(): Pick<IPresenceView, "now" | "freshness" | "watchedSince"> {
+    const { clock, targets } = this.#sources;
+    return {
+      now: clock.now(),
+      freshness: this.#freshness,
+      watchedSince: targets.watchedSince,
+    };
+  }
 }
--- a/src/common/services/target_directory.ts
+++ b/src/common/services/target_directory.ts
@@ -6,7 +6,14 @@
 import { Backoff } from "../backoff.ts";
 import { DisposableStore } from "../disposable.ts";
 import type { IDisposable } from "../disposable.ts";
-import type { IInstance, InstanceId, ISeenReport, ZoneName } from "../types.ts";
+import { PauseWatch } from "../pause_watch.ts";
+import type {
+  IInstance,
+  InstanceId,
+  ISeenReport,
+  MonotonicTime,
+  ZoneName,
+} from "../types.ts";
 import type {
   IClock,
   ILiveDaemons,
@@ -32,6 +39,8 @@
   readonly instancesEvery: number;
   /** Age of a report from which a daemon polls a target of others itself. */
   readonly pollOthersAfter: number;
+  /** A longer gap between two looks at the targets is this daemon's pause. */
+  readonly pauseBound: number;
 }
 
 /** What the directory works with. */
@@ -59,6 +68,7 @@
   readonly #live: ILiveDaemons;
   readonly #metrics: IMetrics;
   readonly #retry: Backoff;
+  readonly #pauses: PauseWatch;
   readonly #asking = new Set<InstanceId>();
   /** Whether a target is this daemon's to poll; empty after a change. */
   readonly #shares = new Map<InstanceId, boolean>();
@@ -80,6 +90,7 @@
     this.#clock = ports.clock;
     this.#zone = options.zone;
     this.#timing = options.timing;
+    this.#pauses = new PauseWatch(options.timing.pauseBound);
   }
 
   /** Instances of this zone by the platform's lagging list. */
@@ -92,6 +103,11 @@
     return this.#reports;
   }
 
+  /** Since when this daemon could have heard of all targets. */
+  get watchedSince(): MonotonicTime {
+    return this.#pauses.runningSince(this.#clock.now());
+  }
+
   /** Reports that this daemon polled itself lately, to be shared. */
   ownReports(): readonly ISeenReport[] {
     const { pollEvery, pollTimeout } = this.#timing;
@@ -152,6 +168,7 @@
 
   #pollAll(): void {
     const now = this.#clock.now();
+    this.#pauses.tick(now);
     for (const instance of this.#instances.values()) {
       if (this.#isOwn(instance.id) || this.#isStale(instance.id, now)) {
         void this.#poll(instance);
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -47,6 +47,9 @@
 /** The duty of removing old run records on behalf of the zone. */
 const SWEEP_DUTY = "run_records";
 
+/** A poll later by this share of the freshness shows a pause of the daemon. */
+const PAUSE_SHARE = 0.2;
+
 /** Where a running daemon listens. */
 export interface IDaemonAddresses {
   readonly callers: string;
@@ -267,6 +270,7 @@
           pollTimeout: polling.timeout,
           instancesEvery: polling.instances,
           pollOthersAfter: groups.freshness / 2,
+          pauseBound: polling.targets + groups.freshness * PAUSE_SHARE,
         },
       },
     );
