Let the callers of a test ask again when they are told to

In "leaving of a daemon cuts none of a hundred streams" refused callers asked again at once: on a busy machine 47,169 and 50,353 refusals in the daemon's logs of two runs that then ended at the test's limit of 120 s, with all 160 streams whole. The callers used up the machine that the streams needed, so that a hundred were not open at one time. No check and no bound changes: they wait as long as the refusal says, as real callers do.

--- a/test/leaving_test.ts
+++ b/test/leaving_test.ts
@@ -3,13 +3,20 @@
  * group with it; a daemon that is told to stop cuts nobody off.
  */
 import { connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Socket } from "node:net";
 import { expect } from "chai";
 import { request } from "undici";
 import { StreamFault } from "../src/stand_ins/engine_member/stream_fault.ts";
 import { wholeText } from "../src/stand_ins/engine_member/text.ts";
 import type { IEngineDeed } from "../src/stand_ins/engine_member/types.ts";
-import { ask, askStream, describeReply, longBrief } from "./support/caller.ts";
+import {
+  ask,
+  askStream,
+  describeReply,
+  longBrief,
+  retryAfter,
+} from "./support/caller.ts";
 import type { IStreamReply } from "./support/caller.ts";
 import { Deployment } from "./support/deployment.ts";
 import { waitFor } from "./support/process_handle.ts";
@@ -71,7 +78,7 @@
     return all.filter(({ kind, at }) => kind === "began" && at > after).length;
   }
 
-  /** Asks for a long stream until it is let in: its plan has a rate. */
+  /** Asks for a long stream, as often as told, until it is let in. */
   async function insist(
     id: string,
     watch: { onFirstText: () => void; mayInsist: () => boolean },
@@ -83,6 +90,7 @@
       if (reply.status === 200 || !mayInsist()) {
         return reply;
       }
+      await sleep(retryAfter(reply));
     }
   }
 
--- a/test/support/caller.ts
+++ b/test/support/caller.ts
@@ -52,6 +52,12 @@
   return JSON.stringify({ status, words, isWhole, wasReset, refusal });
 }
 
+/** Milliseconds after which a refused caller is told to ask again. */
+export function retryAfter({ refusal }: IStreamReply): number {
+  const body = JSON.parse(refusal) as IReply["body"];
+  return body.retry_after_ms ?? 0;
+}
+
 /** A long brief that the editors' desk asks for, of so many tokens. */
 export function longBrief(
   address: string,
