Start tests only once all groups that the engines make are complete

What was seen: "leaving of a member ... takes its group out of use" failed, once with "did not come about: both daemons take the group out of use", once with a reply that was not whole (503 not_run, no_replica_available).

Cause: a fault of the harness. A deployment counted as started when every daemon saw complete groups, of which one was enough; eight engines make two. On a busy machine half of the engines come onto the list later: the test takes the only group out of use, and the refusal is true; or the late engines heal it under its id at once, so that it is complete again and the wait never ends.

Change: a start waits on each daemon of a zone for as many complete groups as its engines make. The checks of the tests are as they were. All deployments start so.

--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -29,6 +29,12 @@
   readonly settings?: (daemon: string) => object;
 }
 
+/** How many groups the engines of a domain make. */
+interface IGroupSettings {
+  readonly members: number;
+  readonly spare_share: number;
+}
+
 /** A daemon's status as its operations address gives it. */
 export interface IStatus {
   readonly ready: boolean;
@@ -65,7 +71,7 @@
     this.#plan = plan;
   }
 
-  /** Starts everything, and waits until groups are complete everywhere. */
+  /** Starts everything, and waits until all groups are complete everywhere. */
   static async start(plan: IDeploymentPlan): Promise<Deployment> {
     const deployment = new Deployment(plan);
     try {
@@ -250,10 +256,39 @@
       }
     }
     await Promise.all(starting);
-    await this.allServe();
+    for (const zone of plan.zones) {
+      await this.#allGroupsServe(zone);
+    }
+  }
+
+  /**
+   * Waits until the daemons of a zone see the groups that all its engines make.
+   * Engines may come onto the list one after the other; a test that began with
+   * fewer groups would see the others form under its hands.
+   */
+  async #allGroupsServe(zone: string): Promise<void> {
+    for (const daemon of this.names(`daemon-${zone}-`)) {
+      await waitFor(`${daemon} sees all groups complete`, async () => {
+        const { ready, groups } = await this.status(daemon);
+        const isAll = groups.length === this.#groupsPerZone;
+        return ready && isAll && groups.every(({ complete }) => complete);
+      });
+    }
+  }
+
+  get #groupsPerZone(): number {
+    const text = readFileSync(this.#example("entry.yaml"), "utf8");
+    const { groups } = parse(text) as { groups: IGroupSettings };
+    const { members, spare_share } = {
+      ...groups,
+      spare_share: 0,
+      ...(this.#plan.groups as Partial<IGroupSettings> | undefined),
+    };
+    const engines = this.#plan.enginesPerZone;
+    return Math.floor((engines - Math.floor(engines * spare_share)) / members);
   }
 
-  /** Waits until every daemon is ready and sees complete groups. */
+  /** Waits until every daemon is ready, and all groups that it sees complete. */
   async allServe(): Promise<void> {
     for (const daemon of this.names("daemon-")) {
       await waitFor(`${daemon} sees complete groups`, async () => {
