Bound reports and calls to the platform as a whole

Looked for while the leads of "leaving of a member takes its group out of use" were ruled out: a call that never returns stops its loop for good, since a target is not asked again while a report of it is awaited, and the list is not read again before its last reading has ended.

What callers would see: a daemon that goes on using a target that leaves, or none of a group's, until it is started anew.

Cause: the library's timeouts bound the wait for the head and between two pieces of the body. An answer that trickles in is bounded by neither.

Orders and calls of services are not changed: each has its own deadline.

--- a/src/adapters/http_failure.ts
+++ b/src/adapters/http_failure.ts
@@ -27,6 +27,7 @@
 const SILENCE_CODES: ReadonlySet<string> = new Set([
   "UND_ERR_HEADERS_TIMEOUT",
   "UND_ERR_BODY_TIMEOUT",
+  "TIME_LIMIT",
 ]);
 
 /** Whether a call failed by silence on a connection that seemed open. */
--- a/src/adapters/platform/http_platform.ts
+++ b/src/adapters/platform/http_platform.ts
@@ -15,6 +15,7 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, IInstance } from "../../common/types.ts";
 import { failureOf } from "../http_failure.ts";
+import { withTimeLimit } from "../time_limit.ts";
 import { InstanceList } from "./instance_list.ts";
 import type { ITaggedAnswer } from "./instance_list.ts";
 
@@ -136,21 +137,25 @@
   ): Promise<Result<ITaggedAnswer, ICallFailure>> {
     const timeout = options.timeout ?? CALL_TIMEOUT;
     try {
-      const answer = await request(`${this.#origin}${path}`, {
-        method,
-        dispatcher: this.#agent,
-        headers: options.headers,
-        body: options.body,
-        headersTimeout: timeout,
-        bodyTimeout: timeout,
-        signal: options.signal,
-      });
-      const text = await answer.body.text();
-      const body: unknown = text === "" ? null : JSON.parse(text);
-      return Ok({
-        status: answer.statusCode,
-        body,
-        tag: tagOf(answer.headers),
+      const limit = timeout + CONNECT_TIMEOUT;
+      return await withTimeLimit(limit, async (limited) => {
+        const { signal = limited } = options;
+        const answer = await request(`${this.#origin}${path}`, {
+          method,
+          dispatcher: this.#agent,
+          headers: options.headers,
+          body: options.body,
+          headersTimeout: timeout,
+          bodyTimeout: timeout,
+          signal: AbortSignal.any([signal, limited]),
+        });
+        const text = await answer.body.text();
+        const body: unknown = text === "" ? null : JSON.parse(text);
+        return Ok({
+          status: answer.statusCode,
+          body,
+          tag: tagOf(answer.headers),
+        });
       });
     } catch (error) {
       return Err(failureOf(`platform ${method} ${path}`, error));
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -17,6 +17,7 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
 import { failureOf, isSilence } from "../http_failure.ts";
+import { withTimeLimit } from "../time_limit.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
 import { Cancel } from "./cancel.ts";
 import { checkServiceAnswer, refusalOf } from "./target_answers.ts";
@@ -54,12 +55,16 @@
   ): Promise<Result<ITargetReport, ICallFailure>> {
     const { dispatcher } = this.#connections.pool(address);
     try {
-      const answer = await request(`http://${address}/report`, {
-        dispatcher,
-        headersTimeout: timeout,
-        bodyTimeout: timeout,
+      const limit = timeout + CONNECT_TIMEOUT;
+      const report = await withTimeLimit(limit, async (signal) => {
+        const answer = await request(`http://${address}/report`, {
+          dispatcher,
+          headersTimeout: timeout,
+          bodyTimeout: timeout,
+          signal,
+        });
+        return (await answer.body.json()) as ITargetReport;
       });
-      const report = (await answer.body.json()) as ITargetReport;
       this.#connections.proved(address);
       return Ok(report);
     } catch (error) {
--- a/src/adapters/targets/http_targets_test.ts
+++ b/src/adapters/targets/http_targets_test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { OrderKind } from "../../common/services/services.ts";
 import { CallFailureKind } from "../../common/types.ts";
+import { TricklingTarget } from "../../../test/support/trickling_target.ts";
 import { addressOfServer } from "../listen.ts";
 import { HttpTargets } from "./http_targets.ts";
 
@@ -46,3 +47,17 @@
     server.close();
   });
 });
+
+describe("reports of targets", () => {
+  // Guards against a target that is never asked again, since its last report
+  // trickles in and never ends.
+  it("end in time though they trickle in", async () => {
+    await using trickle = new TricklingTarget();
+    const address = await trickle.listen();
+    await using targets = new HttpTargets();
+    const startedAt = performance.now();
+    const report = await targets.report(address, 300);
+    expect(report.isErr()).to.equal(true);
+    expect(performance.now() - startedAt).to.be.lessThan(1_500);
+  });
+});
