Name what a send is moved on for

Read as a newcomer: mayEnd told what the caller wanted, isSilent tells what it found; and a new holder's first table is no longer empty, as a comment said. No decision changes.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -110,7 +110,7 @@
     if (lost.length > 0) {
       for (const run of [...this.#sent]) {
         if (lost.includes(run.current?.group.group ?? "")) {
-          this.#moveOn(run, { mayEnd: false });
+          this.#moveOn(run, { isSilent: false });
         }
       }
     }
@@ -127,7 +127,7 @@
     if (silent.size > 0) {
       for (const run of [...this.#sent]) {
         if (run.current !== null && silent.has(run.current.watched)) {
-          this.#moveOn(run, { mayEnd: true });
+          this.#moveOn(run, { isSilent: true });
         }
       }
     }
@@ -323,21 +323,19 @@
   }
 
   /**
-   * The present send is silent, or its group was given up: it is given up and
-   * made elsewhere. A call that may not be sent once more, or for which no
+   * The present send is silent, or its group was given up: the send is given
+   * up and made elsewhere. A call that may not be sent once more, or for which no
    * repeat is left, is ended only when it is silent and its group is known to
    * be lost: its caller can ask again at once, while a wait would be in vain.
    * A group may only be slow, and then its answers are late but whole; a lost
    * one may still send the last of them.
-   *
-   * @param mayEnd - whether the send was found silent
    */
-  #moveOn(run: ModelRun, { mayEnd }: { readonly mayEnd: boolean }): void {
+  #moveOn(run: ModelRun, { isSilent }: { readonly isSilent: boolean }): void {
     const silentFor = Math.round(
       this.#now - (run.current?.watched.heardAt ?? run.current?.sentAt ?? 0),
     );
     const isLost = this.isLost(run.current?.group.group ?? "");
-    const isHopeless = mayEnd && (isLost || silentFor > HOPELESS_SILENCE);
+    const isHopeless = isSilent && (isLost || silentFor > HOPELESS_SILENCE);
     const mayGoOn = run.mayGoOnAfterAbort && this.#hasRepeat(run);
     if (!mayGoOn && !isHopeless) {
       return;
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -325,8 +325,8 @@
 
   /**
    * Groups that the holder has given up since the last look. One that a table
-   * only lacks may well serve: a new holder's first table is empty, and that of
-   * a former one out of date.
+   * only lacks may well serve: a new holder may yet have to hear of its members,
+   * and the table of a former one is out of date.
    */
   #lostGroups(): readonly string[] {
     const before = this.#givenUp;
