--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -323,12 +323,12 @@
   }
 
   /**
-   * The present send is silent, or its group was given up: the send is given
-   * up and made elsewhere. A call that may not be sent once more, or for which no
-   * repeat is left, is ended only when it is silent and its group is known to
-   * be lost: its caller can ask again at once, while a wait would be in vain.
-   * A group may only be slow, and then its answers are late but whole; a lost
-   * one may still send the last of them.
+   * The present send is silent, or its group was given up: the call is sent
+   * elsewhere. One that may not be sent once more, or for which no repeat is
+   * left, is ended only when it is silent and its group is known to be lost:
+   * its caller can ask again at once, while a wait would be in vain. A group
+   * may only be slow, and then its answers are late but whole; a lost one may
+   * still send the last of them.
    */
   #moveOn(run: ModelRun, { isSilent }: { readonly isSilent: boolean }): void {
     const silentFor = Math.round(
