Never use a digest's version again for other reports

What callers saw: 503 not_run from a daemon whose group was in order, 5 ms after it had served; engines were ordered to join the generation that they were in.

Cause: a row of reports is left out of a digest when the asker holds its version. A daemon that has no fresh report (it was stopped) drops its row and numbered the next from 1 again; a peer that holds an old row of that number took its content with the new one's age, so that reports eleven seconds old passed for fresh.

Change: versions go on from the newest row ever published.

Test: digest_board_test "are told from older ones after a daemon had none to share" failed before (incarnation first for second) and passes.

--- a/src/common/membership/digest_board.ts
+++ b/src/common/membership/digest_board.ts
@@ -27,6 +27,11 @@
 export class DigestBoard {
   readonly #self: number;
   readonly #rows = new Map<number, IRow>();
+  /**
+   * This daemon's newest row, kept also while it shares none: its versions may
+   * not be used again for other reports.
+   */
+  #newest: IRow | undefined;
 
   /** @param self - hash of this daemon's identifier */
   constructor(self: number) {
@@ -35,7 +40,7 @@
 
   /** Replaces this daemon's own row by its fresh polls. */
   publish(seen: readonly ISeenReport[]): void {
-    const before = this.#rows.get(this.#self);
+    const before = this.#newest;
     if (seen.length === 0) {
       this.#rows.delete(this.#self);
       return;
@@ -52,13 +57,14 @@
     const isSameLoad =
       identityVersion === before?.identityVersion &&
       isSame(before.loads, loads);
-    this.#rows.set(this.#self, {
+    this.#newest = {
       identityVersion,
       loadVersion: nextVersion(before?.loadVersion, isSameLoad),
       identities,
       loads,
       seenAt: Math.min(...seen.map(({ seenAt }) => seenAt)),
-    });
+    };
+    this.#rows.set(this.#self, this.#newest);
   }
 
   /** What this daemon holds, to be sent with a pull. */
--- a/src/common/membership/digest_board_test.ts
+++ b/src/common/membership/digest_board_test.ts
@@ -57,6 +57,24 @@
     fc.assert(property, { seed: 6005, numRuns: 2_000 });
   });
 
+  // Guards against old reports taken for fresh ones, once a daemon that stood
+  // still shares again what it polls.
+  it("are told from older ones after a daemon had none to share", () => {
+    const asker = new DigestBoard(0);
+    const answerer = new DigestBoard(1);
+    const pull = (now: number) =>
+      asker.take(answerer.answer(asker.held(now), now), now);
+    answerer.publish([polled("target", 100, 100)]);
+    pull(200);
+    answerer.publish([]);
+    const restarted = polled("target", 5_000, 5_000);
+    answerer.publish([
+      { ...restarted, report: { ...restarted.report, incarnation: "second" } },
+    ]);
+    const [seen] = pull(5_100);
+    expect(seen?.report).to.include({ incarnation: "second", tokens: 5_000 });
+  });
+
   it("leave out what the asker holds already", () => {
     const [asker, answerer] = [new DigestBoard(1), new DigestBoard(2)];
     answerer.publish([polled("target", 5, 10)]);
