Give processes of the first start their share of the slack at once

A process that had sent five calls has 0.85 of a repeat by the ratio, and the stream of a silent group none.

Change: only a process that takes another one's place goes without: the platform says which start is the first of all. The model check is as strict as before; its processes of the first start are told apart from those that start again.

Test: repeat_book_test "are had at once by a process of the first start" (no repeat before).

--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -85,7 +85,7 @@
       },
       repeats: new RepeatBook(
         { ratio: 0.2, window: 10_000, slack },
-        { processes: () => 1, startedAt: Number.NEGATIVE_INFINITY },
+        { processes: () => 1, replacesAnotherSince: null },
       ),
       service: () => ({ name: "summaries", engine: ENGINE }),
       clock: this.clock,
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -48,7 +48,7 @@
       },
       repeats: new RepeatBook(bounds, {
         processes: () => 1,
-        startedAt: Number.NEGATIVE_INFINITY,
+        replacesAnotherSince: null,
       }),
       clock: this.clock,
       log: new KeptLog(),
--- a/src/common/calls/repeat_book.ts
+++ b/src/common/calls/repeat_book.ts
@@ -7,13 +7,14 @@
 export interface IRepeatSharing {
   /** How many processes share them. */
   readonly processes: () => number;
-  /** When this process started. */
-  readonly startedAt: MonotonicTime;
+  /** When this process took another one's place; null at a first start. */
+  readonly replacesAnotherSince: MonotonicTime | null;
 }
 
 /**
- * One {@link RepeatAllowance} a service. A process that has just started has no
- * share of the slack: the one before it may have used it in the same window.
+ * One {@link RepeatAllowance} a service. A process that has just taken another
+ * one's place has no share of the slack: the one before it may have used it in
+ * the same window.
  */
 export class RepeatBook {
   readonly #bounds: IRepeatBounds;
@@ -30,8 +31,10 @@
   }
 
   take(service: ServiceName, now: MonotonicTime): boolean {
-    const { processes, startedAt } = this.#sharing;
-    const hasShare = now - startedAt >= this.#bounds.window;
+    const { processes, replacesAnotherSince } = this.#sharing;
+    const hasShare =
+      replacesAnotherSince === null ||
+      now - replacesAnotherSince >= this.#bounds.window;
     const sharers = hasShare ? processes() : Number.POSITIVE_INFINITY;
     return this.#of(service).take(now, sharers);
   }
--- a/src/common/calls/repeat_book_test.ts
+++ b/src/common/calls/repeat_book_test.ts
@@ -20,7 +20,11 @@
 class Fleet {
   now = 0;
   readonly sent: ISent[] = [];
-  readonly #startedAt = Array.from({ length: PROCESSES }, () => 0);
+  /** When each took another's place; null for those of the first start. */
+  readonly #startedAt = Array.from(
+    { length: PROCESSES },
+    (): number | null => null,
+  );
   readonly #counts = this.#startedAt.map(() => new ProcessCount());
   readonly #books = this.#startedAt.map((_, process) => this.#book(process));
   /** Processes that hear of one another only, until a time. */
@@ -64,14 +68,15 @@
     return new RepeatBook(BOUNDS, {
       processes: () =>
         this.#counts[process]?.take(this.#heard(process), this.now) ?? 1,
-      startedAt: this.now,
+      replacesAnotherSince: this.#startedAt[process] ?? null,
     });
   }
 
   /** How many processes one hears of, itself included. */
   #heard(process: number): number {
-    const age = this.now - (this.#startedAt[process] ?? 0);
-    if (age < HEARS_ALL_AFTER && this.now > HEARS_ALL_AFTER) {
+    const startedAt = this.#startedAt[process] ?? null;
+    const age = this.now - (startedAt ?? 0);
+    if (startedAt !== null && age < HEARS_ALL_AFTER) {
       return age < HEARS_ALL_AFTER / 2 ? 0 : 1;
     }
     const { part, until } = this.#cut;
@@ -102,6 +107,14 @@
 );
 
 describe("the repeats of processes that come and go", () => {
+  // Guards against a half-read answer cut for want of a repeat soon after the
+  // first start, where no other process can have used the share.
+  it("are had at once by a process of the first start", () => {
+    const sharing = { processes: () => PROCESSES, replacesAnotherSince: null };
+    const book = new RepeatBook(BOUNDS, sharing);
+    expect(book.take(SERVICE, 100)).to.equal(true);
+  });
+
   // Guards against a share of the common allowance that is taken anew by each
   // process that starts, or whole by one that hears of no other.
   it("stay within the bound in every window", () => {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -273,7 +273,7 @@
   }
 
   #createRepeats(): RepeatBook {
-    const { bounds } = this.#settings;
+    const { bounds, first_start } = this.#settings;
     return new RepeatBook(
       {
         ratio: bounds.repeat_ratio,
@@ -282,7 +282,7 @@
       },
       {
         processes: () => this.#control.processes,
-        startedAt: this.#clock.now(),
+        replacesAnotherSince: first_start ? null : this.#clock.now(),
       },
     );
   }
