--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -121,6 +121,16 @@
   }
 }
 
+/** A stream with one event, whose group is then given up; returns its reply. */
+function beginAndLoseGroup(play: Play): KeptReply {
+  const { reply } = play.take();
+  const group = play.send(0).target.replace("head-", "");
+  play.send(0).options.receiver.head(HEAD);
+  play.event(0, 1);
+  play.calls.groupsChanged([group]);
+  return reply;
+}
+
 describe("model calls", () => {
   it("passes events on as they come, and the end", () => {
     const play = new Play(["a"]);
@@ -263,11 +273,7 @@
   // answers.
   it("lets a stream that moves end in a lost group when it cannot go on", () => {
     const play = new Play(["a", "b"], 0);
-    const { reply } = play.take();
-    const group = play.send(0).target.replace("head-", "");
-    play.send(0).options.receiver.head(HEAD);
-    play.event(0, 1);
-    play.calls.groupsChanged([group]);
+    const reply = beginAndLoseGroup(play);
     for (let id = 2; id <= 5; id += 1) {
       play.clock.advance(40);
       play.event(0, id);
@@ -281,11 +287,7 @@
   // more can come from their group.
   it("ends a silent stream of a lost group soon when it cannot go on", () => {
     const play = new Play(["a", "b"], 0);
-    const { reply } = play.take();
-    const group = play.send(0).target.replace("head-", "");
-    play.send(0).options.receiver.head(HEAD);
-    play.event(0, 1);
-    play.calls.groupsChanged([group]);
+    const reply = beginAndLoseGroup(play);
     play.clock.advance(1_000);
     expect(reply.isBroken).to.equal(true);
   });
