--- a/src/common/replicas/holder_listener.ts
+++ b/src/common/replicas/holder_listener.ts
@@ -43,6 +43,17 @@
   readonly onOtherProcess: (process: string) => void;
 }
 
+/** What a holder knows of the groups and of the other processes. */
+export interface IHolderTable {
+  readonly groups: readonly IServingGroup[];
+  /** Groups that were given up of late. */
+  readonly givenUp: readonly string[];
+  /** Requests in each group that the others have sent. */
+  readonly others: ReadonlyMap<string, number>;
+  /** Processes heard of, the holder included. */
+  readonly processes: number;
+}
+
 /** Hears from the holder. */
 export class HolderListener {
   readonly #parts: IHolderListenerParts;
@@ -102,6 +113,19 @@
     return this.#processes;
   }
 
+  /**
+   * Goes by this process's own last table until another holder is heard: what
+   * the holder before it told is out of date.
+   */
+  leaveOffice(table: IHolderTable): void {
+    this.#heardAt = this.#parts.clock.now();
+    this.#address = null;
+    this.#groups = table.groups;
+    this.#givenUp = table.givenUp;
+    this.#others = table.others;
+    this.#processes = table.processes;
+  }
+
   /**
    * Tells the holder at once, beside the exchange that waits: a group found
    * standing still is healed sooner by the wait.
--- a/src/entry/fleet_control.ts
+++ b/src/entry/fleet_control.ts
@@ -185,6 +185,11 @@
   }
 
   async giveBack(): Promise<void> {
+    if (this.#isInOffice) {
+      const { groups, givenUp, others, words } = this.#desk;
+      const processes = words.length;
+      this.#listener.leaveOffice({ groups, givenUp, others, processes });
+    }
     this.#release();
     await this.#lease.giveBack();
   }
--- a/src/entry/fleet_control_test.ts
+++ b/src/entry/fleet_control_test.ts
@@ -183,6 +183,23 @@
     throw new Error("no group has a second member");
   }
 
+  /** Moves on until the next group is told to open. */
+  async advanceUntilOpened(): Promise<void> {
+    const known = this.#opened;
+    for (let passed = 0; passed < 5_000; passed += 10) {
+      await this.advance(10);
+      if (this.#opened > known) {
+        return;
+      }
+    }
+    throw new Error("no group was opened");
+  }
+
+  get #opened(): number {
+    const { orders } = this.engines;
+    return orders.filter(({ order }) => order.kind === OrderKind.Open).length;
+  }
+
   /** Moves on in short steps, with time for answers in between. */
   async advance(milliseconds: number): Promise<void> {
     for (let passed = 0; passed < milliseconds; passed += 10) {
@@ -377,6 +394,30 @@
     other.control.dispose();
   });
 
+  // Guards against streams ended by a process that gives the lease back, in a
+  // group that opened after it last heard the former holder's table.
+  it("loses no group that serves by giving the lease back", async () => {
+    const world = new World();
+    const [holder, other] = await startBoth(world);
+    const before = new Set(other.serving);
+    world.killMember();
+    await world.advanceUntilOpened();
+    await holder.control.giveBack();
+    await world.advance(600);
+    expect(other.control.isHolding).to.equal(true);
+    const opened = other.serving.filter((group) => !before.has(group));
+    expect(opened).to.have.length(1);
+    other.lost.length = 0;
+    other.fewest = other.serving.length;
+    await other.control.giveBack();
+    await world.advance(1_000);
+    expect(other.lost).to.deep.equal([]);
+    expect(other.fewest).to.equal(3);
+    expect(other.serving).to.include(opened[0]);
+    holder.control.dispose();
+    other.control.dispose();
+  });
+
   it("loses a group that the holder gives up, once", async () => {
     const world = new World();
     const [holder, other] = await startBoth(world);
