--- /dev/null
+++ b/src/common/calls/model_attempts_test.ts
@@ -0,0 +1,147 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import {
+  HEAD,
+  ModelCallsPlay,
+} from "../../../test/support/model_calls_play.ts";
+import type { ISend } from "../../../test/support/model_calls_play.ts";
+import { SendFailure } from "./types.ts";
+
+const ATTEMPTS = 2;
+const GROUPS = ["a", "b", "c", "d", "e"];
+const STEP = 20;
+/** Longer than the latest deadline, milliseconds. */
+const PLAYED_TIME = 10_000;
+/** Milliseconds that requests, events and aborts take. */
+const LATENCY = 60;
+const EVENT_GAP = 40;
+const LAST_EVENT = 5;
+
+enum Outcome {
+  Whole = "whole",
+  /** The group has lost a member and begins nothing. */
+  Still = "still",
+  /** It answers with a failure of its own. */
+  Failure = "failure",
+  /** The connection is reset after some events. */
+  Reset = "reset",
+}
+
+/** What a target does with one send. */
+interface ITargetPlan {
+  readonly outcome: Outcome;
+  /** Milliseconds until it begins to run the call. */
+  readonly delay: number;
+}
+
+const PLAN: fc.Arbitrary<ITargetPlan> = fc.record({
+  outcome: fc.constantFrom(...Object.values(Outcome)),
+  delay: fc.nat({ max: 600 }),
+});
+
+/** One send and the target that has it. */
+class Target {
+  readonly #play: ModelCallsPlay;
+  readonly #index: number;
+  readonly #plan: ITargetPlan;
+  readonly #sentAt: number;
+  #abortedAt = Number.POSITIVE_INFINITY;
+  #events = 0;
+  #isOver = false;
+  hasRun = false;
+
+  constructor(play: ModelCallsPlay, index: number, plan: ITargetPlan) {
+    this.#play = play;
+    this.#index = index;
+    this.#plan = plan;
+    this.#sentAt = play.clock.now();
+  }
+
+  get call(): string {
+    return this.#send.call;
+  }
+
+  step(): void {
+    const now = this.#play.clock.now();
+    if (this.#send.isAborted) {
+      this.#abortedAt = Math.min(this.#abortedAt, now);
+    }
+    const beginsAt = this.#sentAt + LATENCY + this.#plan.delay;
+    const isStill = this.#plan.outcome === Outcome.Still;
+    if (!isStill && now >= beginsAt && beginsAt < this.#abortedAt + LATENCY) {
+      this.hasRun = true;
+      this.#answer(now - beginsAt - LATENCY);
+    }
+  }
+
+  get #send(): ISend {
+    return this.#play.send(this.#index);
+  }
+
+  /** @param age - milliseconds since the first of the answer is here */
+  #answer(age: number): void {
+    if (this.#isOver || this.#send.isAborted || age < 0) {
+      return;
+    }
+    const { receiver } = this.#send.options;
+    if (this.#plan.outcome === Outcome.Failure) {
+      this.#isOver = true;
+      receiver.head({ ...HEAD, status: 500 });
+      receiver.ended();
+      return;
+    }
+    if (this.#events === 0) {
+      receiver.head(HEAD);
+    }
+    while (this.#events < LAST_EVENT && age >= this.#events * EVENT_GAP) {
+      this.#events += 1;
+      this.#play.event(this.#index, this.#events);
+      if (this.#plan.outcome === Outcome.Reset && this.#events > 1) {
+        this.#isOver = true;
+        receiver.failed(SendFailure.Broken, "reset");
+        return;
+      }
+    }
+    if (this.#events === LAST_EVENT) {
+      this.#isOver = true;
+      receiver.ended();
+    }
+  }
+}
+
+describe("the attempts of model calls", () => {
+  // Guards against calls that run on more targets than their route allows when
+  // they are taken from one silent or failing group to the next.
+  it("are never exceeded by the targets that run a call", () => {
+    fc.assert(
+      fc.property(
+        fc.array(PLAN, { minLength: 12, maxLength: 40 }),
+        fc.integer({ min: 1, max: 6 }),
+        (plans, calls) => {
+          const play = new ModelCallsPlay(GROUPS);
+          for (let call = 0; call < calls; call += 1) {
+            play.take({ id: `attempt-${call}` });
+          }
+          const targets: Target[] = [];
+          for (let time = 0; time < PLAYED_TIME; time += STEP) {
+            for (let next = targets.length; next < play.sends.length; next++) {
+              const plan = plans[next % plans.length];
+              if (plan !== undefined) {
+                targets.push(new Target(play, next, plan));
+              }
+            }
+            targets.forEach((target) => target.step());
+            play.clock.advance(STEP);
+          }
+          for (let call = 0; call < calls; call += 1) {
+            const ran = targets.filter(
+              (target) => target.call === `attempt-${call}` && target.hasRun,
+            );
+            expect(ran.length).to.be.at.most(ATTEMPTS);
+          }
+        },
+      ),
+      { seed: 20261203, numRuns: 300 },
+    );
+  });
+});
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -1,125 +1,12 @@
 import { expect } from "chai";
-import { callOf, KeptReply, routeOf } from "../../../test/support/calls.ts";
-import { LARGE } from "../../../test/support/engines.ts";
-import { ManualClock } from "../../../test/support/manual_clock.ts";
-import { KeptLog, NO_METRICS } from "../../../test/support/quiet_services.ts";
-import { SeededRandom } from "../../../test/support/seeded_random.ts";
-import { CHECK_PERIOD, ModelCalls } from "./model_calls.ts";
-import { RepeatBook } from "./repeat_book.ts";
-import { ServingGroups } from "./serving_groups.ts";
-import type { IServingGroup } from "./serving_groups.ts";
+import { routeOf } from "../../../test/support/calls.ts";
+import type { KeptReply } from "../../../test/support/calls.ts";
+import {
+  group,
+  HEAD,
+  ModelCallsPlay as Play,
+} from "../../../test/support/model_calls_play.ts";
 import { CallEnd, CallReason, SendFailure } from "./types.ts";
-import type {
-  IAnswerHead,
-  IAnswerReceiver,
-  ICall,
-  IEngineModel,
-  ISendOptions,
-} from "./types.ts";
-
-const ENGINE: IEngineModel = {
-  models: [LARGE],
-  slots: 2,
-  memoryTokens: 1_000_000,
-  stepTime: 8,
-  stepTimePerRequest: 0.1,
-  stepTimePerThousandTokens: 0,
-  promptTokensPerMillisecond: 46,
-  timePerMillionPairs: 0.4,
-  chunk: 2_048,
-  stride: 5,
-  reportLag: 200,
-  loadsPerSecond: 5,
-  loadsAtOnce: 7,
-  openTime: 300,
-};
-
-const HEAD: IAnswerHead = {
-  status: 200,
-  headers: [],
-  isNotRun: false,
-  isForeign: false,
-  load: null,
-};
-
-function group(name: string): IServingGroup {
-  return {
-    group: name,
-    service: "summaries",
-    model: "large",
-    head: { id: `head-${name}`, address: "10.0.0.1:80" },
-    zone: "one",
-    slots: ENGINE.slots,
-    takesWork: true,
-    pace: 1,
-    isZoneOnly: false,
-  };
-}
-
-/** One send that the calls made. */
-interface ISend {
-  readonly target: string;
-  readonly options: ISendOptions & { readonly receiver: IAnswerReceiver };
-  isAborted: boolean;
-}
-
-/** The calls of one process with targets that do as the test says. */
-class Play {
-  readonly clock = new ManualClock();
-  readonly log = new KeptLog();
-  readonly groups = new ServingGroups();
-  readonly sends: ISend[] = [];
-  readonly calls: ModelCalls;
-
-  constructor(names: readonly string[], slack = 100) {
-    this.groups.replace(names.map(group));
-    this.groups.tellOthers(new Map());
-    this.calls = new ModelCalls({
-      groups: this.groups,
-      sender: {
-        send: (target, _, options) => {
-          const send = { target: target.id, options, isAborted: false };
-          this.sends.push(send);
-          return { abort: () => (send.isAborted = true) };
-        },
-      },
-      repeats: new RepeatBook(
-        { ratio: 0.2, window: 10_000, slack },
-        { processes: () => 1, replacesAnotherSince: null },
-      ),
-      service: () => ({ name: "summaries", engine: ENGINE }),
-      clock: this.clock,
-      random: new SeededRandom(20261203),
-      log: this.log,
-      metrics: NO_METRICS,
-      zone: "one",
-      processes: () => 1,
-      onSuspected: () => undefined,
-    });
-    this.clock.every(CHECK_PERIOD, () => this.calls.check());
-  }
-
-  take(part: Partial<ICall> = {}): { reply: KeptReply; leave: () => void } {
-    const reply = new KeptReply();
-    const now = this.clock.now();
-    const call = callOf({ arrivedAt: now, deadline: now + 8_000, ...part });
-    return { reply, leave: this.calls.take(call, reply) };
-  }
-
-  send(index: number): ISend {
-    const send = this.sends[index];
-    if (send === undefined) {
-      throw new Error(`send ${index} was not made`);
-    }
-    return send;
-  }
-
-  event(index: number, id: number): void {
-    const { receiver } = this.send(index).options;
-    const text = `id: ${id}\ndata: x\n\n`;
-    receiver.piece(new TextEncoder().encode(text));
-  }
-}
 
 /** A stream with one event, whose group is then given up; returns its reply. */
 function beginAndLoseGroup(play: Play): KeptReply {
@@ -339,4 +226,19 @@
     play.clock.advance(1_900);
     expect(play.sends).to.have.length(3);
   });
+
+  // Guards against a call that runs on more targets than its route allows
+  // because each that it was resumed at answered with a failure.
+  it("counts a failure on resuming as an attempt", () => {
+    const play = new Play(["a", "b", "c"]);
+    const { reply } = play.take();
+    play.send(0).options.receiver.head(HEAD);
+    play.event(0, 1);
+    play.send(0).options.receiver.failed(SendFailure.Broken, "reset");
+    const { receiver } = play.send(1).options;
+    receiver.head({ ...HEAD, status: 500 });
+    receiver.ended();
+    expect(play.sends).to.have.length(2);
+    expect(reply.isBroken).to.equal(true);
+  });
 });
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -282,6 +282,7 @@
   #passWhole(head: IAnswerHead): void {
     this.mayHaveRun = true;
     if (this.reply.isBegun) {
+      this.#targetsThatRan += 1;
       this.#giveUp(SendEnd.Broken, `status ${head.status} on resuming`);
       return;
     }
--- /dev/null
+++ b/test/support/model_calls_play.ts
@@ -0,0 +1,131 @@
+/** The model calls of one process, with targets that do as a test says. */
+import {
+  CHECK_PERIOD,
+  ModelCalls,
+} from "../../src/common/calls/model_calls.ts";
+import { RepeatBook } from "../../src/common/calls/repeat_book.ts";
+import { ServingGroups } from "../../src/common/calls/serving_groups.ts";
+import type { IServingGroup } from "../../src/common/calls/serving_groups.ts";
+import type {
+  IAnswerHead,
+  IAnswerReceiver,
+  ICall,
+  IEngineModel,
+  ISendOptions,
+} from "../../src/common/calls/types.ts";
+import { callOf, KeptReply } from "./calls.ts";
+import { LARGE } from "./engines.ts";
+import { ManualClock } from "./manual_clock.ts";
+import { KeptLog, NO_METRICS } from "./quiet_services.ts";
+import { SeededRandom } from "./seeded_random.ts";
+
+const ENGINE: IEngineModel = {
+  models: [LARGE],
+  slots: 2,
+  memoryTokens: 1_000_000,
+  stepTime: 8,
+  stepTimePerRequest: 0.1,
+  stepTimePerThousandTokens: 0,
+  promptTokensPerMillisecond: 46,
+  timePerMillionPairs: 0.4,
+  chunk: 2_048,
+  stride: 5,
+  reportLag: 200,
+  loadsPerSecond: 5,
+  loadsAtOnce: 7,
+  openTime: 300,
+};
+
+export const HEAD: IAnswerHead = {
+  status: 200,
+  headers: [],
+  isNotRun: false,
+  isForeign: false,
+  load: null,
+};
+
+export function group(name: string): IServingGroup {
+  return {
+    group: name,
+    service: "summaries",
+    model: "large",
+    head: { id: `head-${name}`, address: "10.0.0.1:80" },
+    zone: "one",
+    slots: ENGINE.slots,
+    takesWork: true,
+    pace: 1,
+    isZoneOnly: false,
+  };
+}
+
+/** One send that the calls made. */
+export interface ISend {
+  readonly target: string;
+  /** The id of the call. */
+  readonly call: string;
+  readonly options: ISendOptions & { readonly receiver: IAnswerReceiver };
+  isAborted: boolean;
+}
+
+/** The calls of one process; its targets do what the test tells them. */
+export class ModelCallsPlay {
+  readonly clock = new ManualClock();
+  readonly log = new KeptLog();
+  readonly groups = new ServingGroups();
+  readonly sends: ISend[] = [];
+  readonly calls: ModelCalls;
+
+  constructor(names: readonly string[], slack = 100) {
+    this.groups.replace(names.map(group));
+    this.groups.tellOthers(new Map());
+    this.calls = new ModelCalls({
+      groups: this.groups,
+      sender: {
+        send: (target, call, options) => {
+          const send = {
+            target: target.id,
+            call: call.id,
+            options,
+            isAborted: false,
+          };
+          this.sends.push(send);
+          return { abort: () => (send.isAborted = true) };
+        },
+      },
+      repeats: new RepeatBook(
+        { ratio: 0.2, window: 10_000, slack },
+        { processes: () => 1, replacesAnotherSince: null },
+      ),
+      service: () => ({ name: "summaries", engine: ENGINE }),
+      clock: this.clock,
+      random: new SeededRandom(20261203),
+      log: this.log,
+      metrics: NO_METRICS,
+      zone: "one",
+      processes: () => 1,
+      onSuspected: () => undefined,
+    });
+    this.clock.every(CHECK_PERIOD, () => this.calls.check());
+  }
+
+  take(part: Partial<ICall> = {}): { reply: KeptReply; leave: () => void } {
+    const reply = new KeptReply();
+    const now = this.clock.now();
+    const call = callOf({ arrivedAt: now, deadline: now + 8_000, ...part });
+    return { reply, leave: this.calls.take(call, reply) };
+  }
+
+  send(index: number): ISend {
+    const send = this.sends[index];
+    if (send === undefined) {
+      throw new Error(`send ${index} was not made`);
+    }
+    return send;
+  }
+
+  event(index: number, id: number): void {
+    const { receiver } = this.send(index).options;
+    const text = `id: ${id}\ndata: x\n\n`;
+    receiver.piece(new TextEncoder().encode(text));
+  }
+}
