--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -21,7 +21,7 @@
 /** How often silences and deadlines are looked at, milliseconds. */
 export const CHECK_PERIOD = 20;
 
-/** A silence after which no more of a stream is expected, milliseconds. */
+/** A silence after which no answer is expected any more, milliseconds. */
 const HOPELESS_SILENCE = 2_000;
 
 /** Lost groups remembered: all that calls on their way can have been sent to. */
@@ -325,17 +325,18 @@
   /**
    * The present send is silent, or its group was given up: the call is sent
    * elsewhere. One that may not be sent once more, or for which no repeat is
-   * left, is ended only when it is silent and its group is known to be lost:
-   * its caller can ask again at once, while a wait would be in vain. A group
-   * may only be slow, and then its answers are late but whole; a lost one may
-   * still send the last of them.
+   * left, is ended only when it is silent and its group is known to be lost, or
+   * nothing came of it for long: its caller can ask again at once, while a wait
+   * would be in vain. A group may only be slow, and then its answers are late
+   * but whole; a lost one may still send the last of them.
    */
   #moveOn(run: ModelRun, { isSilent }: { readonly isSilent: boolean }): void {
     const silentFor = Math.round(
       this.#now - (run.current?.watched.heardAt ?? run.current?.sentAt ?? 0),
     );
     const isLost = this.isLost(run.current?.group.group ?? "");
-    const isHopeless = isSilent && (isLost || silentFor > HOPELESS_SILENCE);
+    const isUnanswered = !run.reply.isBegun && silentFor > HOPELESS_SILENCE;
+    const isHopeless = isSilent && (isLost || isUnanswered);
     const mayGoOn = run.mayGoOnAfterAbort && this.#hasRepeat(run);
     if (!mayGoOn && !isHopeless) {
       return;
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -241,4 +241,19 @@
     expect(play.sends).to.have.length(2);
     expect(reply.isBroken).to.equal(true);
   });
+
+  // Guards against a half-read answer cut although its target, silent for some
+  // seconds, goes on with it.
+  it("waits for a silent target when the answer cannot go on elsewhere", () => {
+    const play = new Play(["a", "b"], 0);
+    const { reply } = play.take();
+    play.send(0).options.receiver.head(HEAD);
+    play.event(0, 1);
+    play.clock.advance(3_000);
+    expect(play.send(0).isAborted).to.equal(false);
+    play.event(0, 2);
+    play.send(0).options.receiver.ended();
+    expect(reply.text).to.contain("id: 2");
+    expect(reply.isEnded).to.equal(true);
+  });
 });
