--- a/src/common/decisions/service_scheduler.ts
+++ b/src/common/decisions/service_scheduler.ts
@@ -139,8 +139,8 @@
   advance(now: MonotonicTime): readonly ScheduleAction[] {
     const actions: ScheduleAction[] = [];
     const expired = this.#queue.removeWhere((work) => {
-      const needed = this.#isTrial(work) ? 0 : this.#runTime.of(work);
-      return now + needed > work.deadline;
+      const isLate = now + this.#runTime.of(work) > work.deadline;
+      return isLate && !this.#isKept(work, now);
     });
     for (const work of expired) {
       this.#endTrial(work);
@@ -168,11 +168,23 @@
    * at a time, so a wrong guess costs one slot for one answer.
    */
   #mayTry(work: IWork, now: MonotonicTime): boolean {
-    const hasTrial = this.#trials.has(work.account);
-    const isActive =
-      this.#queue.has(work.account) ||
-      [...this.#started].some(({ account }) => account === work.account);
-    return !hasTrial && !isActive && now < work.deadline;
+    return !this.#queue.has(work.account) && this.#mayBeTrial(work, now);
+  }
+
+  /**
+   * Whether work that waits is kept although it seems too late. The estimate
+   * may rise only after the work was let in; its account is judged as then.
+   */
+  #isKept(work: IWork, now: MonotonicTime): boolean {
+    if (this.#mayBeTrial(work, now)) {
+      this.#trials.set(work.account, work);
+    }
+    return this.#isTrial(work) && now < work.deadline;
+  }
+
+  #mayBeTrial({ account, deadline }: IWork, now: MonotonicTime): boolean {
+    const isStarted = [...this.#started].some((one) => one.account === account);
+    return !this.#trials.has(account) && !isStarted && now < deadline;
   }
 
   #isTrial(work: IWork): boolean {
--- a/src/common/decisions/service_scheduler_test.ts
+++ b/src/common/decisions/service_scheduler_test.ts
@@ -72,4 +72,42 @@
       reason: Reason.DeadlineTooNear,
     });
   });
+
+  // Guards against a refusal, by times learned from another account's flood, of
+  // work that was let in before the flood's answers came.
+  it("keeps waiting work of an account that is not part of the load", () => {
+    const scheduler = new ServiceScheduler();
+    const targets = [{ id: "only", reported: 0, describes: 0 }];
+    scheduler.report({ targets, daemons: 1 }, 0);
+    const started = Array.from({ length: 100 }, (_, index) =>
+      workOf("flood", index, 0),
+    )
+      .flatMap((work) => scheduler.offer(work, 0))
+      .map(({ work }) => ({
+        work,
+        use: scheduler.targets.begin("only", work, 0),
+      }));
+    const [first, second] = started;
+    if (first === undefined || second === undefined) {
+      throw new Error("no two calls were started");
+    }
+    const quiet = workOf("quiet", 0, 100);
+    expect(scheduler.offer(quiet, 100)).to.deep.equal([]);
+    for (let round = 0; round < 40; round += 1) {
+      for (const { use } of started) {
+        scheduler.targets.tokens(use, 1, 1_000 + round * 500);
+      }
+    }
+    const actions = scheduler.finished(first.work, TOKENS, 2_000);
+    const refused = actions
+      .filter(({ kind }) => kind === ScheduleActionKind.Refuse)
+      .map(({ work }) => work.account);
+    expect(refused).to.include("flood");
+    expect(refused).to.not.include("quiet");
+    const begun = [
+      ...actions,
+      ...scheduler.finished(second.work, TOKENS, 2_500),
+    ].filter(({ kind }) => kind === ScheduleActionKind.Start);
+    expect(begun.map(({ work }) => work.account)).to.include("quiet");
+  });
 });
