--- a/src/common/decisions/service_scheduler.ts
+++ b/src/common/decisions/service_scheduler.ts
@@ -172,8 +172,9 @@
   }
 
   /**
-   * Whether work that waits is kept although it seems too late. The estimate
-   * may rise only after the work was let in; its account is judged as then.
+   * Whether work that waits is kept although it seems too late by now. The
+   * estimate may have risen since it was let in, and then a trial is due to it
+   * as to work that arrives.
    */
   #isKept(work: IWork, now: MonotonicTime): boolean {
     if (this.#mayBeTrial(work, now)) {
