--- a/test/support/model_calls_play.ts
+++ b/test/support/model_calls_play.ts
@@ -36,6 +36,7 @@
   openTime: 300,
 };
 
+/** The head of a successful answer. */
 export const HEAD: IAnswerHead = {
   status: 200,
   headers: [],
@@ -44,6 +45,7 @@
   load: null,
 };
 
+/** A group whose head is named after it. */
 export function group(name: string): IServingGroup {
   return {
     group: name,
