--- /dev/null
+++ b/test/free_address_test.ts
@@ -0,0 +1,27 @@
+import { createServer } from "node:net";
+import { expect } from "chai";
+import { FIRST_PORT, freeAddress, PORTS } from "./support/free_address.ts";
+
+function portOf(address: string): number {
+  return Number(address.split(":")[1]);
+}
+
+describe("free addresses", () => {
+  // Guards against a process that cannot listen because an outgoing connection
+  // was given its port just before.
+  it("have ports that no outgoing connection is given", async () => {
+    const port = portOf(await freeAddress());
+    expect(port).to.be.at.least(FIRST_PORT);
+    expect(port).to.be.below(FIRST_PORT + PORTS);
+  });
+
+  it("are not those on which something listens", async () => {
+    const port = portOf(await freeAddress()) + 1;
+    const server = createServer();
+    await new Promise<void>((resolve) =>
+      server.listen(port, "127.0.0.1", resolve),
+    );
+    expect(portOf(await freeAddress())).to.not.equal(port);
+    server.close();
+  });
+});
--- a/test/platform_path_test.ts
+++ b/test/platform_path_test.ts
@@ -1,13 +1,12 @@
 /** The entry process, a process of its own, before stand-ins in memory. */
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { expect } from "chai";
 import { request } from "undici";
 import { stringify } from "yaml";
-import { addressOfServer } from "../src/adapters/listen.ts";
 import type { EntrySettings } from "../src/entry/settings.ts";
+import { freeAddress } from "./support/free_address.ts";
 import { PlatformEngine } from "./support/platform_engine.ts";
 import { PlatformStore } from "./support/platform_store.ts";
 import { ProcessHandle, waitFor } from "./support/process_handle.ts";
@@ -57,14 +56,6 @@
   };
 }
 
-/** A port that was free a moment ago. */
-async function freeAddress(): Promise<string> {
-  const server = createServer();
-  const address = await addressOfServer(server, "127.0.0.1:0");
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return address;
-}
-
 /** One entry process before some engines of one domain. */
 class Platform {
   readonly store = new PlatformStore();
--- /dev/null
+++ b/test/support/free_address.ts
@@ -0,0 +1,43 @@
+/** Addresses for processes whose port must be known before they start. */
+import { createServer } from "node:net";
+import type { Server } from "node:net";
+
+/**
+ * Ports below those that common systems give to outgoing connections, which
+ * could take a port between its choice and the start of its process.
+ */
+export const FIRST_PORT = 15_000;
+export const PORTS = 15_000;
+
+/** Sets processes that choose at the same time apart. */
+const PORTS_PER_PROCESS = 37;
+
+let chosen = process.pid * PORTS_PER_PROCESS;
+
+/** An address of this machine on which nothing listens. */
+export async function freeAddress(): Promise<string> {
+  for (let tried = 0; tried < PORTS; tried += 1) {
+    chosen += 1;
+    const port = FIRST_PORT + (chosen % PORTS);
+    if (await isFree(port)) {
+      return `127.0.0.1:${port}`;
+    }
+  }
+  throw new Error("no port is free");
+}
+
+async function isFree(port: number): Promise<boolean> {
+  const server = createServer();
+  const isListening = await listen(server, port);
+  if (isListening) {
+    await new Promise<void>((resolve) => server.close(() => resolve()));
+  }
+  return isListening;
+}
+
+function listen(server: Server, port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => resolve(true));
+  });
+}
