Log why the members of a dissolved group are free, and its head

Cause: a line `group ... to=released` did not say whether the head had left, reported so, was unknown or was taken for dead, nor which engine it was.

Change: the decision moves from GroupController to head_release.ts and returns its reason instead of a boolean; the line has `head` and `release`. No decision changes: the tests of the controller and the coordinator pass unchanged.

--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -16,6 +16,8 @@
 import type { IEngineView } from "./engine_registry.ts";
 import { GroupAdoption } from "./group_adoption.ts";
 import type { IDiscoveredGroup } from "./group_adoption.ts";
+import { findHeadRelease } from "./head_release.ts";
+import type { HeadRelease } from "./head_release.ts";
 import {
   GroupPhase,
   GroupTrouble,
@@ -85,6 +87,8 @@
   readonly from: GroupPhase | null;
   /** Null once the group is removed. */
   readonly to: GroupPhase | null;
+  /** Why its head serves it no more; null unless the group is removed. */
+  readonly release: HeadRelease | null;
 }
 
 /** Controls the replica groups of one service. */
@@ -254,10 +258,11 @@
     now: MonotonicTime,
   ): void {
     if (group.phase === GroupPhase.Dissolving) {
-      if (this.#isHeadReleased(group, views, now)) {
+      const release = this.#findRelease(group, views, now);
+      if (release !== null) {
         this.#groups.delete(group.plan.group);
         this.#releasedAt.set(group.plan.group, now);
-        this.#changes.push({ group, from: group.phase, to: null });
+        this.#changes.push({ group, from: group.phase, to: null, release });
       }
       return;
     }
@@ -340,33 +345,17 @@
     return draining;
   }
 
-  /**
-   * Whether the head no longer takes requests for this group: it has left, or
-   * reports so, or has been unknown for so long that it is dead or broken, or
-   * is silent and no longer listed.
-   */
-  #isHeadReleased(
+  #findRelease(
     group: IManagedGroup,
     views: EngineViews,
     now: MonotonicTime,
-  ): boolean {
-    if (group.hasLeft) {
-      return true;
-    }
-    const brokenAfter = this.#times.stallTime + STALL_MARGIN;
-    const head = views.get(group.head ?? "");
-    if (head === undefined) {
-      // It may be alive and return to the list at any moment.
-      return now - group.phaseSince > brokenAfter;
-    }
-    const hasReported = head.askedAt > group.phaseSince + this.#maxReportLag;
-    if (hasReported) {
-      const member = membershipIn(group, head);
-      return member === null || member.state === GroupMemberState.Broken;
-    }
-    // The platform has dropped it after missed heartbeats, and it does not
-    // answer this process either: it has ended.
-    return !head.isListed && head.isSilent && !head.isUnreachable;
+  ): HeadRelease | null {
+    const head = views.get(group.head ?? "") ?? null;
+    const timing = {
+      brokenAfter: this.#times.stallTime + STALL_MARGIN,
+      reportLag: this.#maxReportLag,
+    };
+    return findHeadRelease(group, head, { now, timing });
   }
 
   #ordersFor(
@@ -481,7 +470,12 @@
 
   #add(group: IManagedGroup): void {
     this.#groups.set(group.plan.group, group);
-    this.#changes.push({ group, from: null, to: group.phase });
+    this.#changes.push({
+      group,
+      from: null,
+      to: group.phase,
+      release: null,
+    });
   }
 
   #dissolve(
@@ -495,7 +489,12 @@
 
   #setPhase(group: IManagedGroup, phase: GroupPhase, now: MonotonicTime): void {
     if (group.phase !== phase) {
-      this.#changes.push({ group, from: group.phase, to: phase });
+      this.#changes.push({
+        group,
+        from: group.phase,
+        to: phase,
+        release: null,
+      });
       group.phase = phase;
       group.phaseSince = now;
     }
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -378,7 +378,7 @@
     }
   }
 
-  #logChange({ group, from, to }: IGroupChange): void {
+  #logChange({ group, from, to, release }: IGroupChange): void {
     this.#parts.metrics.count("group_changes", { to: to ?? "released" });
     this.#parts.log.info("group", {
       group: group.plan.group,
@@ -387,6 +387,8 @@
       from,
       to: to ?? "released",
       trouble: group.trouble,
+      head: group.head,
+      release,
     });
   }
 
