Test that no member is taken from a group whose head may serve (red)

What the operators saw: TWO, a member of a group was joined to another while the head of the first was open, which it had not left.

--- a/src/common/replicas/group_controller_test.ts
+++ b/src/common/replicas/group_controller_test.ts
@@ -273,6 +273,34 @@
     expect(phases(controller)).to.deep.equal([GroupPhase.Serving]);
   });
 
+  // Guards against requests that stall in a group whose head serves on without
+  // its members: the platform has dropped the head, which a new holder does not
+  // know.
+  it("frees the members of an unknown head only when they have left", () => {
+    const controller = newController();
+    const tailAt = (askedAt: number) =>
+      viewsOf(engineView("tail", { state: memberOf(PLAN, 1), askedAt }));
+    expect(kinds(controller.reconcile(tailAt(100), 100))).to.deep.equal([]);
+    const late = tailAt(9_000);
+    expect(kinds(controller.reconcile(late, 9_000))).to.deep.equal([
+      "leave tail",
+    ]);
+    expect(controller.freeEngines(late)).to.deep.equal([]);
+  });
+
+  // Guards against the same stall when the head is known: it is cut off from
+  // the platform and from this process, and its members still reach it.
+  it("frees the members of a silent head only when they have left", () => {
+    const controller = servingController();
+    const state = memberOf(PLAN, 0, GroupMemberState.Open);
+    const gone = { state, askedAt: 900, isSilent: true, isListed: false };
+    const tail = engineView("tail", { state: memberOf(PLAN, 1) });
+    const views = viewsOf(engineView("head", gone), tail);
+    controller.reconcile(views, 5_000);
+    expect(kinds(controller.reconcile(views, 5_050))).to.include("leave tail");
+    expect(controller.freeEngines(views)).to.deep.equal([]);
+  });
+
   // Guards against a head that waits for a member that restarted under the same
   // id and does not know the group.
   it("dissolves a group when a member has restarted", () => {
--- a/src/entry/fleet_coordinator_test.ts
+++ b/src/entry/fleet_coordinator_test.ts
@@ -12,6 +12,7 @@
 } from "../../test/support/recording_services.ts";
 import { SeededRandom } from "../../test/support/seeded_random.ts";
 import { ActiveConfiguration } from "../common/calls/active_configuration.ts";
+import type { IModelDemand } from "../common/calls/model_calls.ts";
 import { ServingGroups } from "../common/calls/serving_groups.ts";
 import { TargetRegistry } from "../common/calls/target_registry.ts";
 import { ListedState, GroupMemberState } from "../common/calls/types.ts";
@@ -122,6 +123,8 @@
   readonly states = new Map<string, IEngineState>();
   /** Engines that no longer answer. */
   readonly dead = new Set<string>();
+  /** Engines that were joined to a group while the head of another was open. */
+  readonly taken: string[] = [];
   readonly orders: { readonly engine: string; readonly order: EngineOrder }[] =
     [];
 
@@ -141,6 +144,9 @@
     const state = this.states.get(id) ?? engineState();
     if (order.kind === OrderKind.Join) {
       const { group, epoch, model, members } = order.plan;
+      if (state.membership?.group !== group && this.#hasOpenHead(state)) {
+        this.taken.push(id);
+      }
       const rank = members.indexOf(id);
       const membership = { group, epoch, rank, state: GroupMemberState.Ready };
       this.states.set(id, { ...state, model, staged: [model], membership });
@@ -154,6 +160,14 @@
     }
     return OrderOutcome.Accepted;
   }
+
+  #hasOpenHead({ membership }: IEngineState): boolean {
+    return [...this.states.values()].some(
+      ({ membership: other }) =>
+        other?.group === membership?.group &&
+        other?.state === GroupMemberState.Open,
+    );
+  }
 }
 
 /** Ten engines of a domain, the store, and the links between processes. */
@@ -181,6 +195,16 @@
     },
   };
 
+  /** Returns the head of a serving group of the large model. */
+  get largeHead(): string {
+    for (const [id, { model, membership }] of this.engines.states) {
+      if (model === "large" && membership?.state === GroupMemberState.Open) {
+        return id;
+      }
+    }
+    throw new Error("no group of the large model is open");
+  }
+
   /** Kills a member other than the head of an open group; returns the group. */
   killMember(): string {
     for (const [id, { model, membership }] of this.engines.states) {
@@ -229,8 +253,14 @@
   /** The fewest known groups since it was set. */
   fewestGroups = Number.POSITIVE_INFINITY;
   hasCalls = false;
+  demand: readonly IModelDemand[] = [];
 
-  constructor(deployment: TestDeployment, address = "127.0.0.1:1") {
+  /** @param unlisted - an engine that the platform has dropped */
+  constructor(
+    deployment: TestDeployment,
+    address = "127.0.0.1:1",
+    unlisted: string | null = null,
+  ) {
     const configuration = new ActiveConfiguration(
       () => Ok(CONFIGURATION),
       this.log,
@@ -242,7 +272,7 @@
       name: `engine-${index}`,
       version: 1,
       value: {},
-    }));
+    })).filter(({ name }) => name !== unlisted);
     const fullList = {
       isFullList: true,
       isAfterOutage: false,
@@ -262,7 +292,7 @@
         configuration,
         targets,
         groups: this.groups,
-        modelDemand: () => [],
+        modelDemand: () => this.demand,
         suspects: () => [],
         hasCalls: () => this.hasCalls,
         relay: NO_RELAY,
@@ -313,6 +343,32 @@
     process.coordinator.dispose();
   });
 
+  // Guards against requests that stall in a group whose head serves on without
+  // its members: the platform has dropped the head, which a new holder does not
+  // know.
+  it("takes no member from a group whose head is not listed", async () => {
+    const deployment = new TestDeployment();
+    const first = new TestProcess(deployment);
+    first.coordinator.start();
+    await deployment.advance(4_000);
+    const head = deployment.largeHead;
+    await first.coordinator.releaseLease();
+    first.coordinator.dispose();
+    const second = new TestProcess(deployment, "127.0.0.1:2", head);
+    second.hasCalls = true;
+    const demand = { service: "summaries", waiting: 0 };
+    second.demand = [{ ...demand, model: "large", groups: 9 }];
+    second.coordinator.start();
+    await deployment.advance(12_000);
+    const joins = deployment.engines.orders.filter(
+      ({ order }) =>
+        order.kind === OrderKind.Join && order.plan.epoch > 2_000_000,
+    );
+    expect(joins).to.not.have.length(0);
+    expect(deployment.engines.taken).to.deep.equal([]);
+    second.coordinator.dispose();
+  });
+
   // Guards against group numbers that restart when a process regains its lease
   // after a store outage: a new group would take the name of a serving one, and
   // members of an open group would be ordered to join another.
