Free the members of a group only when its head has stopped or they have left

Cause: the holder took a head for dead by time or silence alone. A new holder that did not know the head, because the platform had dropped its entry while it served on (cut off from the store), freed the members after the stall time and a margin. The reason given, that the head must be broken by then, does not hold: a head breaks only after it has lost a member, and its members are all there until they are joined elsewhere. A known head that is silent and dropped was taken for dead in the same way.

Change: where no order reaches the head, each member that can be joined is ordered to leave, and the group is released once all of them have acknowledged it or report that they are out. An engine in no group can be joined whatever its old head does, and an order to leave names group and epoch, so that a late one has no effect elsewhere. Departures remembers who left, so that an outdated report does not bring the group back, and a member that was out of reach meanwhile is ordered to leave when it returns. A head that reported after its group was dissolved and then ended no longer holds its members until it is forgotten.

Two older tests held that members are free as soon as the platform drops a silent head, which is the fault; they now demand the order to leave and its acknowledgement first.

--- a/src/common/replicas/group_adoption.ts
+++ b/src/common/replicas/group_adoption.ts
@@ -7,7 +7,7 @@
  * given a short time.
  */
 import { GroupMemberState } from "../calls/types.ts";
-import type { IMembership, IModel } from "../calls/types.ts";
+import type { IModel } from "../calls/types.ts";
 import type { MonotonicTime } from "../types.ts";
 import type { IEngineView } from "./engine_registry.ts";
 import type { IGroupPlan } from "./types.ts";
@@ -32,8 +32,8 @@
 
 /** What the controller knows of reported groups. */
 export interface IKnownGroups {
-  /** Whether a reported membership needs no action. */
-  isKnown(membership: IMembership, askedAt: MonotonicTime): boolean;
+  /** Whether the membership that an engine reports needs no action. */
+  isKnown(view: IEngineView): boolean;
   /** Whether a group of this name was abandoned before. */
   isReleased(name: string): boolean;
 }
@@ -62,7 +62,7 @@
     const reported = new Map<string, IEngineView[]>();
     for (const view of views.values()) {
       const membership = view.state?.membership ?? null;
-      if (membership && !this.#known.isKnown(membership, view.askedAt)) {
+      if (membership && !this.#known.isKnown(view)) {
         const key = `${membership.group}\n${membership.epoch}`;
         reported.set(key, [...(reported.get(key) ?? []), view]);
       }
--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -6,18 +6,19 @@
  *
  * Two rules prevent requests that stall in a group whose members all look
  * healthy. A member joins another group only after its old head has stopped
- * taking requests; otherwise that head serves without one of its members, and
- * its requests stall. A group opens only when each member has its weights;
- * otherwise it answers from a partly loaded model.
+ * taking requests, or after it has left that group itself; otherwise that head
+ * serves without one of its members, and its requests stall. A group opens only
+ * when each member has its weights; otherwise it answers from a partly loaded
+ * model.
  */
 import { GroupMemberState } from "../calls/types.ts";
-import type { IMembership, IModel } from "../calls/types.ts";
+import type { IModel } from "../calls/types.ts";
 import type { InstanceId, MonotonicTime } from "../types.ts";
+import { Departures } from "./departures.ts";
 import type { IEngineView } from "./engine_registry.ts";
 import { GroupAdoption } from "./group_adoption.ts";
 import type { IDiscoveredGroup } from "./group_adoption.ts";
-import { findHeadRelease } from "./head_release.ts";
-import type { HeadRelease } from "./head_release.ts";
+import { findHeadRelease, isStopped } from "./head_release.ts";
 import {
   GroupPhase,
   GroupTrouble,
@@ -39,8 +40,9 @@
 const FORMING_FACTOR = 2.5;
 
 /**
- * Time beyond the platform's stall time after which a silent head counts as
- * broken, milliseconds.
+ * Time beyond the platform's stall time that a new holder waits for a head that
+ * is not listed, milliseconds. One that is cut off from its members is broken
+ * by then.
  */
 const STALL_MARGIN = 1_000;
 
@@ -81,14 +83,19 @@
   readonly order: EngineOrder;
 }
 
+/** A group whose members were freed. */
+interface IReleasedGroup {
+  readonly at: MonotonicTime;
+  /** Otherwise its members have left it, and it may still be open. */
+  readonly hasHeadStopped: boolean;
+}
+
 /** A phase change of a group, for the log. */
 export interface IGroupChange {
   readonly group: IManagedGroup;
   readonly from: GroupPhase | null;
   /** Null once the group is removed. */
   readonly to: GroupPhase | null;
-  /** Why its head serves it no more; null unless the group is removed. */
-  readonly release: HeadRelease | null;
 }
 
 /** Controls the replica groups of one service. */
@@ -99,17 +106,18 @@
   readonly #findModel: (name: string) => IModel | null;
   #changes: IGroupChange[] = [];
   /**
-   * When the head of each released group was found to have stopped serving. The
-   * other members keep reporting the group until they join another one.
+   * Groups that were released. Members that have not left one keep reporting it
+   * until they join another.
    */
-  readonly #releasedAt = new Map<string, MonotonicTime>();
+  readonly #released = new Map<string, IReleasedGroup>();
+  readonly #departures = new Departures();
 
   constructor(times: IGroupTiming, findModel: (name: string) => IModel | null) {
     this.#times = times;
     this.#findModel = findModel;
     this.#adoption = new GroupAdoption(findModel, {
-      isKnown: (membership, askedAt) => this.#isKnown(membership, askedAt),
-      isReleased: (name) => this.#releasedAt.has(name),
+      isKnown: (view) => this.#isKnown(view),
+      isReleased: (name) => this.#released.has(name),
     });
   }
 
@@ -119,16 +127,18 @@
 
   /**
    * Groups that will not serve again. An incomplete adopted group may serve
-   * again until its head has left it, since its other members may still report.
+   * again until its members are released, since others may still report.
    */
   abandonedGroups(now: MonotonicTime): readonly string[] {
     const dissolving = this.groups.filter(
-      ({ phase, trouble, hasLeft }) =>
-        phase === GroupPhase.Dissolving &&
-        (hasLeft || trouble !== GroupTrouble.Incomplete),
+      (group) =>
+        group.phase === GroupPhase.Dissolving &&
+        (group.trouble !== GroupTrouble.Incomplete ||
+          group.release !== null ||
+          this.#hasHeadLeft(group)),
     );
-    const released = [...this.#releasedAt].filter(
-      ([, releasedAt]) => now - releasedAt < ABANDONED_REPORT_TIME,
+    const released = [...this.#released].filter(
+      ([, { at }]) => now - at < ABANDONED_REPORT_TIME,
     );
     return [
       ...dissolving.map(({ plan }) => plan.group),
@@ -146,7 +156,8 @@
   /** Discards all state, since another holder may have acted. */
   clear(): void {
     this.#groups.clear();
-    this.#releasedAt.clear();
+    this.#released.clear();
+    this.#departures.clear();
     this.#adoption.clear();
   }
 
@@ -193,14 +204,9 @@
     }
   }
 
-  /**
-   * Handles the head's acceptance of the order to leave, which acts at once.
-   */
-  handleLeft(name: string): void {
-    const group = this.#groups.get(name);
-    if (group?.phase === GroupPhase.Dissolving) {
-      group.hasLeft = true;
-    }
+  /** Handles a member's acceptance of the order to leave, which acts at once. */
+  handleLeft(name: string, member: InstanceId, now: MonotonicTime): void {
+    this.#departures.record(member, name, now);
   }
 
   /** Handles a refused order: the group cannot become complete. */
@@ -216,6 +222,7 @@
     views: EngineViews,
     now: MonotonicTime,
   ): readonly IAddressedOrder[] {
+    this.#departures.retainOnly(views);
     this.#adopt(views, now);
     const orders: IAddressedOrder[] = [];
     for (const group of this.#groups.values()) {
@@ -233,9 +240,8 @@
     }
     return [...views.values()].filter(
       (view) =>
-        view.isListed &&
+        isJoinable(view) &&
         !view.isDraining &&
-        !view.isSilent &&
         view.state !== null &&
         !taken.has(view.target.id) &&
         this.#isUnassigned(view),
@@ -243,13 +249,13 @@
   }
 
   /** Whether the engine's own report ties it to no group that may be open. */
-  #isUnassigned({ state, askedAt }: IEngineView): boolean {
-    const membership = state?.membership ?? null;
+  #isUnassigned(view: IEngineView): boolean {
+    const membership = view.state?.membership ?? null;
     if (membership === null) {
       return true;
     }
     const isManaged = this.#groups.has(membership.group);
-    return !isManaged && this.#isKnown(membership, askedAt);
+    return !isManaged && this.#isKnown(view);
   }
 
   #updatePhase(
@@ -258,12 +264,7 @@
     now: MonotonicTime,
   ): void {
     if (group.phase === GroupPhase.Dissolving) {
-      const release = this.#findRelease(group, views, now);
-      if (release !== null) {
-        this.#groups.delete(group.plan.group);
-        this.#releasedAt.set(group.plan.group, now);
-        this.#changes.push({ group, from: group.phase, to: null, release });
-      }
+      this.#updateDissolving(group, views, now);
       return;
     }
     const trouble = this.#troubleOf(group, views);
@@ -345,17 +346,51 @@
     return draining;
   }
 
-  #findRelease(
+  #updateDissolving(
     group: IManagedGroup,
     views: EngineViews,
     now: MonotonicTime,
-  ): HeadRelease | null {
-    const head = views.get(group.head ?? "") ?? null;
-    const timing = {
-      brokenAfter: this.#times.stallTime + STALL_MARGIN,
-      reportLag: this.#maxReportLag,
-    };
-    return findHeadRelease(group, head, { now, timing });
+  ): void {
+    const name = group.plan.group;
+    const isReleasedBefore = this.#released.has(name);
+    group.release = findHeadRelease(group, {
+      head: views.get(group.head ?? "") ?? null,
+      hasLeft: this.#hasHeadLeft(group),
+      now,
+      timing: {
+        returnTime: isReleasedBefore ? 0 : this.#times.stallTime + STALL_MARGIN,
+        reportLag: this.#maxReportLag,
+      },
+    });
+    if (group.release === null) {
+      return;
+    }
+    const hasHeadStopped = isStopped(group.release);
+    const members = group.plan.members.map((member) => views.get(member));
+    if (
+      hasHeadStopped ||
+      members.every((member) => this.#isOut(group, member))
+    ) {
+      this.#groups.delete(name);
+      this.#released.set(name, { at: now, hasHeadStopped });
+      this.#changes.push({ group, from: group.phase, to: null });
+    }
+  }
+
+  #hasHeadLeft({ head, plan }: IManagedGroup): boolean {
+    return head !== null && this.#departures.hasLeft(head, plan.group);
+  }
+
+  /** Whether a member has left a group, or cannot be joined to another. */
+  #isOut(group: IManagedGroup, member: IEngineView | undefined): boolean {
+    if (member === undefined || !isJoinable(member)) {
+      return true;
+    }
+    const hasReported = member.askedAt > group.phaseSince + this.#maxReportLag;
+    return (
+      this.#departures.hasLeft(member.target.id, group.plan.group) ||
+      (hasReported && membershipIn(group, member) === null)
+    );
   }
 
   #ordersFor(
@@ -377,12 +412,33 @@
           ? addressed(head, { kind: OrderKind.Close, group: name, epoch })
           : [];
       case GroupPhase.Dissolving:
-        return addressed(head, { kind: OrderKind.Leave, group: name, epoch });
+        return this.#leavingMembers(group, views).map((engine) => ({
+          engine,
+          order: { kind: OrderKind.Leave, group: name, epoch },
+        }));
       default:
         return [];
     }
   }
 
+  /** The members to order to leave: the head, or all where it may serve on. */
+  #leavingMembers(
+    { plan, head, release }: IManagedGroup,
+    views: EngineViews,
+  ): readonly InstanceId[] {
+    if (release === null) {
+      return head === null ? [] : [head];
+    }
+    if (isStopped(release)) {
+      return [];
+    }
+    return plan.members.filter((member) => {
+      const view = views.get(member);
+      const hasLeft = this.#departures.hasLeft(member, plan.group);
+      return view !== undefined && isJoinable(view) && !hasLeft;
+    });
+  }
+
   /** Adopts groups that engines report and this process does not know. */
   #adopt(views: EngineViews, now: MonotonicTime): void {
     this.#removeOutgrown(views);
@@ -396,13 +452,14 @@
    * the group is adopted again with it: that member may be its open head.
    */
   #removeOutgrown(views: EngineViews): void {
-    for (const { target, state } of views.values()) {
-      const group = this.#groups.get(state?.membership?.group ?? "");
+    for (const view of views.values()) {
+      const group = this.#groups.get(view.state?.membership?.group ?? "");
       const isOutgrown =
         group !== undefined &&
         group.trouble === GroupTrouble.Incomplete &&
-        !group.hasLeft &&
-        !group.plan.members.includes(target.id);
+        !this.#hasHeadLeft(group) &&
+        !group.plan.members.includes(view.target.id) &&
+        !this.#hasNoEffect(view);
       if (isOutgrown) {
         this.#groups.delete(group.plan.group);
       }
@@ -413,19 +470,37 @@
     return this.#times.reportLag() + REPORT_LAG_MARGIN;
   }
 
+  /** Whether the membership that an engine reports needs no action. */
+  #isKnown(view: IEngineView): boolean {
+    const group = view.state?.membership?.group ?? "";
+    return this.#groups.has(group) || this.#hasNoEffect(view);
+  }
+
   /**
-   * Whether a reported membership needs no action: its group is managed here,
-   * or it can have no effect. A delayed order may reopen a released group; a
-   * report from before the release says nothing about that.
+   * Whether the membership that an engine reports can have no effect. A delayed
+   * order may reopen a released group; a report from before the release says
+   * nothing about that.
    */
-  #isKnown({ group, state }: IMembership, askedAt: MonotonicTime): boolean {
+  #hasNoEffect(view: IEngineView): boolean {
+    const membership = view.state?.membership ?? null;
+    if (
+      membership === null ||
+      this.#departures.isOutdated(view, this.#maxReportLag)
+    ) {
+      return true;
+    }
+    const { group, state } = membership;
     const isOpen =
       state === GroupMemberState.Open || state === GroupMemberState.Closing;
-    const releasedAt = this.#releasedAt.get(group);
+    const released = this.#released.get(group);
+    const hasHeadStopped = released?.hasHeadStopped ?? isWarmGroup(group);
     const isOld =
-      releasedAt !== undefined && askedAt <= releasedAt + this.#maxReportLag;
-    const isIdle = releasedAt !== undefined || isWarmGroup(group);
-    return this.#groups.has(group) || (isIdle && !isOpen) || isOld;
+      released !== undefined &&
+      view.askedAt <= released.at + this.#maxReportLag;
+    return (
+      (hasHeadStopped && !isOpen) ||
+      (isOld && (hasHeadStopped || !isJoinable(view)))
+    );
   }
 
   #adoptGroup(
@@ -440,6 +515,7 @@
     for (const view of members) {
       group.joined.set(view.target.id, view.askedAt);
     }
+    this.#departures.forget(plan.members);
     group.trouble = isComplete ? null : GroupTrouble.Incomplete;
     this.#add(hasHead ? group : { ...group, head: null });
   }
@@ -464,18 +540,13 @@
       trouble: null,
       head: head ?? null,
       openedAt: null,
-      hasLeft: false,
+      release: null,
     };
   }
 
   #add(group: IManagedGroup): void {
     this.#groups.set(group.plan.group, group);
-    this.#changes.push({
-      group,
-      from: null,
-      to: group.phase,
-      release: null,
-    });
+    this.#changes.push({ group, from: null, to: group.phase });
   }
 
   #dissolve(
@@ -489,18 +560,18 @@
 
   #setPhase(group: IManagedGroup, phase: GroupPhase, now: MonotonicTime): void {
     if (group.phase !== phase) {
-      this.#changes.push({
-        group,
-        from: group.phase,
-        to: phase,
-        release: null,
-      });
+      this.#changes.push({ group, from: group.phase, to: phase });
       group.phase = phase;
       group.phaseSince = now;
     }
   }
 }
 
+/** Whether the engine is in reach and may be ordered to join a group. */
+function isJoinable({ isListed, isSilent }: IEngineView): boolean {
+  return isListed && !isSilent;
+}
+
 function addressed(
   engine: InstanceId | null,
   order: EngineOrder,
--- a/src/common/replicas/group_controller_test.ts
+++ b/src/common/replicas/group_controller_test.ts
@@ -136,7 +136,7 @@
       "leave head",
     ]);
     expect(controller.freeEngines(views)).to.deep.equal([]);
-    controller.handleLeft(PLAN.group);
+    controller.handleLeft(PLAN.group, "head", 1_550);
     controller.reconcile(views, 1_600);
     const free = controller.freeEngines(views).map(({ target }) => target.id);
     expect(free).to.deep.equal(["head"]);
@@ -155,7 +155,12 @@
     controller.reconcile(viewsOf(silent, tail), 1_500);
     controller.reconcile(viewsOf(silent, tail), 9_000);
     expect(phases(controller)).to.deep.equal([GroupPhase.Dissolving]);
-    controller.reconcile(viewsOf({ ...silent, isListed: false }, tail), 9_100);
+    const dropped = viewsOf({ ...silent, isListed: false }, tail);
+    expect(kinds(controller.reconcile(dropped, 9_100))).to.deep.equal([
+      "leave tail",
+    ]);
+    controller.handleLeft(PLAN.group, "tail", 9_120);
+    controller.reconcile(dropped, 9_150);
     expect(controller.groups).to.deep.equal([]);
   });
 
@@ -208,7 +213,7 @@
     const controller = servingController();
     const lost = { isSilent: true };
     controller.reconcile(members(1_500, GroupMemberState.Open, lost), 1_500);
-    controller.handleLeft(PLAN.group);
+    controller.handleLeft(PLAN.group, "head", 1_550);
     controller.reconcile(members(1_600, GroupMemberState.Ready, lost), 1_600);
     expect(controller.groups).to.deep.equal([]);
     const late = members(3_000, GroupMemberState.Open, lost);
@@ -286,6 +291,9 @@
       "leave tail",
     ]);
     expect(controller.freeEngines(late)).to.deep.equal([]);
+    controller.handleLeft(PLAN.group, "tail", 9_020);
+    controller.reconcile(late, 9_050);
+    expect(controller.freeEngines(late)).to.have.length(1);
   });
 
   // Guards against the same stall when the head is known: it is cut off from
@@ -301,6 +309,26 @@
     expect(controller.freeEngines(views)).to.deep.equal([]);
   });
 
+  // Guards against the same stall when a member is silent as well and answers
+  // again after the others were freed: it has not left its open head.
+  it("does not free a member that returns to a head that may be open", () => {
+    const controller = servingController();
+    const lost = { isSilent: true, isListed: false };
+    const state = memberOf(PLAN, 0, GroupMemberState.Open);
+    const head = engineView("head", { state, askedAt: 900, ...lost });
+    const tail = { state: memberOf(PLAN, 1), askedAt: 900 };
+    const views = viewsOf(head, engineView("tail", { ...tail, ...lost }));
+    controller.reconcile(views, 5_000);
+    controller.reconcile(views, 5_050);
+    expect(controller.groups).to.deep.equal([]);
+    const returned = viewsOf(head, engineView("tail", tail));
+    controller.reconcile(returned, 5_100);
+    expect(kinds(controller.reconcile(returned, 5_150))).to.deep.equal([
+      "leave tail",
+    ]);
+    expect(controller.freeEngines(returned)).to.deep.equal([]);
+  });
+
   // Guards against a head that waits for a member that restarted under the same
   // id and does not know the group.
   it("dissolves a group when a member has restarted", () => {
@@ -323,6 +351,8 @@
     const views = viewsOf(engineView("head", gone), tail);
     controller.reconcile(views, 5_000);
     controller.reconcile(views, 5_050);
+    controller.handleLeft(PLAN.group, "tail", 5_060);
+    controller.reconcile(views, 5_080);
     expect(controller.groups).to.deep.equal([]);
     controller.takeChanges();
     controller.reconcile(views, 5_100);
--- a/src/common/replicas/head_release.ts
+++ b/src/common/replicas/head_release.ts
@@ -1,56 +1,74 @@
-/** Decides when the head of a group that is dissolved serves it no more. */
+/**
+ * Decides when the members of a group that is dissolved may join another.
+ *
+ * A head takes requests until it leaves or breaks, and it breaks only some time
+ * after it has lost a member. So its members are free once it is known to have
+ * stopped. A head that no order can reach may still serve: then each member is
+ * ordered to leave.
+ */
 import { GroupMemberState } from "../calls/types.ts";
 import type { MonotonicTime } from "../types.ts";
 import type { IEngineView } from "./engine_registry.ts";
 import { membershipIn } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
 
-/** Why the head of a group is considered to serve it no more. */
+/** What releases the members of a group from its head. */
 export enum HeadRelease {
   /** It acknowledged the order to leave, which acts at once. */
   Left = "left",
   /** It reports that it is broken or no longer in the group. */
   Reported = "reported",
-  /** It has not been listed for so long that it is dead or broken. */
+  /** It is not listed and never was while this process held the lease. */
   Unknown = "unknown",
   /** The platform has dropped it, and it does not answer this process. */
-  Ended = "ended",
+  Silent = "silent",
+}
+
+/** Whether the head has stopped for certain, so that its members are free. */
+export function isStopped(release: HeadRelease): boolean {
+  return release === HeadRelease.Left || release === HeadRelease.Reported;
 }
 
 /** Milliseconds. */
 export interface IReleaseTiming {
-  /** Time after which a head that is not listed counts as broken. */
-  readonly brokenAfter: number;
+  /** How long a head that is not listed may return and serve again. */
+  readonly returnTime: number;
   /** How far reports lag behind. */
   readonly reportLag: number;
 }
 
+/** State that the decision depends on. */
+export interface IReleaseState {
+  /** Null where no such engine is known. */
+  readonly head: IEngineView | null;
+  /** Whether the head acknowledged the order to leave. */
+  readonly hasLeft: boolean;
+  readonly now: MonotonicTime;
+  readonly timing: IReleaseTiming;
+}
+
 /**
- * Returns why the head of a dissolving group serves it no more, or null while
- * it may.
- *
- * @param head - null where no such engine is known
+ * Returns what releases the members of a dissolving group, or null while the
+ * head can be ordered to leave or is waited for.
  */
 export function findHeadRelease(
   group: IManagedGroup,
-  head: IEngineView | null,
-  at: { readonly now: MonotonicTime; readonly timing: IReleaseTiming },
+  { head, hasLeft, now, timing }: IReleaseState,
 ): HeadRelease | null {
-  const { now, timing } = at;
-  if (group.hasLeft) {
+  if (hasLeft) {
     return HeadRelease.Left;
   }
   if (head === null) {
-    // It may be alive and return to the list at any moment.
-    const isOverdue = now - group.phaseSince > timing.brokenAfter;
+    const isOverdue = now - group.phaseSince > timing.returnTime;
     return isOverdue ? HeadRelease.Unknown : null;
   }
-  if (head.askedAt > group.phaseSince + timing.reportLag) {
-    const member = membershipIn(group, head);
-    const isStopped =
-      member === null || member.state === GroupMemberState.Broken;
-    return isStopped ? HeadRelease.Reported : null;
+  const hasReported = head.askedAt > group.phaseSince + timing.reportLag;
+  const member = membershipIn(group, head);
+  const hasStopped =
+    member === null || member.state === GroupMemberState.Broken;
+  if (hasReported && hasStopped) {
+    return HeadRelease.Reported;
   }
-  const hasEnded = !head.isListed && head.isSilent && !head.isUnreachable;
-  return hasEnded ? HeadRelease.Ended : null;
+  const isOutOfReach = !head.isListed && head.isSilent && !head.isUnreachable;
+  return isOutOfReach ? HeadRelease.Silent : null;
 }
--- a/src/common/replicas/replica_group.ts
+++ b/src/common/replicas/replica_group.ts
@@ -6,6 +6,7 @@
 import type { IMembership } from "../calls/types.ts";
 import type { DomainName, InstanceId, MonotonicTime } from "../types.ts";
 import type { IEngineView } from "./engine_registry.ts";
+import type { HeadRelease } from "./head_release.ts";
 import type { IGroupPlan } from "./types.ts";
 
 /** Lifecycle phase of a group. */
@@ -56,8 +57,8 @@
   readonly head: InstanceId | null;
   /** When the head acknowledged the order to open; null before. */
   openedAt: MonotonicTime | null;
-  /** Whether the head acknowledged the order to leave, which acts at once. */
-  hasLeft: boolean;
+  /** What releases its members while it is dissolved; null before. */
+  release: HeadRelease | null;
 }
 
 /** Returns the membership that an engine reports, if it is of this group. */
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -326,7 +326,7 @@
     if (order.kind === OrderKind.Open && isAccepted) {
       this.#controller.handleOpened(order.group, this.#now);
     } else if (order.kind === OrderKind.Leave && isAccepted) {
-      this.#controller.handleLeft(order.group);
+      this.#controller.handleLeft(order.group, engine, this.#now);
     } else if (order.kind === OrderKind.Join) {
       this.#warming.delete(engine);
       const view = this.#monitor.views.get(engine);
@@ -378,7 +378,7 @@
     }
   }
 
-  #logChange({ group, from, to, release }: IGroupChange): void {
+  #logChange({ group, from, to }: IGroupChange): void {
     this.#parts.metrics.count("group_changes", { to: to ?? "released" });
     this.#parts.log.info("group", {
       group: group.plan.group,
@@ -388,7 +388,7 @@
       to: to ?? "released",
       trouble: group.trouble,
       head: group.head,
-      release,
+      release: group.release,
     });
   }
 
