Read the request limits that targets name, and log them

Cause: no line tells when a process was told a target's limit, so that the first two hypotheses of docs/incidents/request-limit-not-read.md look alike.

Change: the platform's decoder reads the limit of each response into a typed field; all calls, model and plain, go through LimitObservingSender, and a line `target_limit` tells the first limit, each other value, and the end of it. Nothing is decided by it yet: calls are placed as before. A number that is not a plain decimal counts as no limit.

--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -34,6 +34,7 @@
     headers: [],
     isNotRun,
     isForOtherRequest: false,
+    rateLimit: null,
     load: null,
   };
 }
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -228,6 +228,11 @@
   readonly isForOtherRequest: boolean;
   /** Requests running and waiting, and slots; null if not reported. */
   readonly load: ITargetLoad | null;
+  /**
+   * Requests per second that the target takes from all processes together;
+   * null if it names no limit.
+   */
+  readonly rateLimit: number | null;
 }
 
 /** A plain target's load as reported in its responses. */
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -13,6 +13,7 @@
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { ActiveConfiguration } from "../common/calls/active_configuration.ts";
+import { LimitObservingSender } from "../common/calls/limit_observing_sender.ts";
 import { CHECK_PERIOD, ModelCalls } from "../common/calls/model_calls.ts";
 import { ObjectFollower } from "../common/calls/object_follower.ts";
 import type { IFollowerParts } from "../common/calls/object_follower.ts";
@@ -20,6 +21,7 @@
 import { PlainTargetSelector } from "../common/calls/plain_target_selector.ts";
 import { ServiceRetryAllowances } from "../common/calls/service_retry_allowances.ts";
 import { ServingGroups } from "../common/calls/serving_groups.ts";
+import { TargetRateLimits } from "../common/calls/target_rate_limits.ts";
 import { TargetRegistry } from "../common/calls/target_registry.ts";
 import { CallRefusalReason, CallRefusalKind } from "../common/calls/types.ts";
 import type { ICall, ICallReply } from "../common/calls/types.ts";
@@ -106,8 +108,9 @@
       onTargetsUpdated: () => this.#coordinator.handleTargetsChanged(),
     });
     const retries = this.#createRetryAllowances();
+    const limits = new TargetRateLimits(log);
     const shared = {
-      sender: this.#client,
+      sender: new LimitObservingSender(this.#client, limits),
       retries,
       clock: this.#clock,
       random: this.#random,
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -43,6 +43,7 @@
   isNotRun: false,
   isForOtherRequest: false,
   load: null,
+  rateLimit: null,
 };
 
 /** A group whose head engine is named after it. */
