--- /dev/null
+++ b/test/support/fleet_deployment.ts
@@ -0,0 +1,333 @@
+/** Processes that coordinate the engines of one domain, in one clock. */
+import { Err, None, Ok, Some } from "ts-results-es";
+import { ActiveConfiguration } from "../../src/common/calls/active_configuration.ts";
+import type { IModelDemand } from "../../src/common/calls/model_calls.ts";
+import { ServingGroups } from "../../src/common/calls/serving_groups.ts";
+import { TargetRegistry } from "../../src/common/calls/target_registry.ts";
+import { ListedState, GroupMemberState } from "../../src/common/calls/types.ts";
+import type {
+  IConfiguration,
+  IEngineState,
+  IListedTarget,
+} from "../../src/common/calls/types.ts";
+import type {
+  IHolderLink,
+  IHolderReply,
+} from "../../src/common/replicas/exchange.ts";
+import { OrderKind, OrderOutcome } from "../../src/common/replicas/types.ts";
+import type {
+  EngineOrder,
+  IEngineClient,
+} from "../../src/common/replicas/types.ts";
+import { WriteFailureKind } from "../../src/common/services/services.ts";
+import type {
+  IObjectStore,
+  IPlatformObject,
+} from "../../src/common/services/services.ts";
+import { FleetCoordinator } from "../../src/entry/fleet_coordinator.ts";
+import type { IStoreRelay } from "../../src/entry/fleet_coordinator.ts";
+import { engineState, LARGE, SMALL } from "./engine_fixtures.ts";
+import { ManualClock } from "./manual_clock.ts";
+import { RecordingLog, NO_METRICS } from "./recording_services.ts";
+import { SeededRandom } from "./seeded_random.ts";
+
+const ENGINES = 10;
+
+/** One service whose engines run two models. */
+export const CONFIGURATION: IConfiguration = {
+  version: 1,
+  routes: [],
+  services: new Map([
+    [
+      "summaries",
+      {
+        name: "summaries",
+        engine: {
+          models: [LARGE, SMALL],
+          slots: 12,
+          memoryTokens: 1_000_000,
+          stepTime: 8,
+          stepTimePerRequest: 0.1,
+          stepTimePerThousandTokens: 0,
+          promptTokensPerMillisecond: 46,
+          timePerMillionPairs: 0.4,
+          chunk: 2_048,
+          stride: 5,
+          reportLag: 0,
+          loadsPerSecond: 5,
+          loadsAtOnce: 7,
+          openTime: 300,
+        },
+      },
+    ],
+  ]),
+  limits: {
+    headerBytes: 16_384,
+    bodyBytes: 4_194_304,
+    headerTimeout: 3_000,
+    idleTimeout: 15_000,
+  },
+  accountsByKey: null,
+};
+
+/** Relays nothing: each process reads the store itself. */
+const NO_RELAY: IStoreRelay = {
+  versions: { configuration: 0, targets: 0 },
+  updateFor: () => null,
+  applyUpdate: () => undefined,
+};
+
+/** A store of one object that can be made unavailable. */
+class InMemoryStore implements IObjectStore {
+  isUnavailable = false;
+  #object: IPlatformObject | null = null;
+
+  async read() {
+    return this.isUnavailable
+      ? Err(UNAVAILABLE)
+      : Ok(this.#object ? Some(this.#object) : None);
+  }
+  async list() {
+    return Err(UNAVAILABLE);
+  }
+  async watch() {
+    return Err(UNAVAILABLE);
+  }
+  async write(write: {
+    readonly kind: string;
+    readonly name: string;
+    readonly value: unknown;
+    readonly expectedVersion: number | null;
+  }) {
+    const { kind, name, value, expectedVersion } = write;
+    if (this.isUnavailable) {
+      return Err({ kind: WriteFailureKind.NotApplied, detail: "unavailable" });
+    }
+    const version = this.#object?.version ?? null;
+    if (version !== expectedVersion) {
+      return Err({ kind: WriteFailureKind.Conflict, detail: "newer" });
+    }
+    const next = (version ?? 0) + 1;
+    this.#object = { kind, name, value, version: next };
+    return Ok(next);
+  }
+  async remove() {
+    return Err({ kind: WriteFailureKind.NotApplied, detail: "not supported" });
+  }
+}
+
+const UNAVAILABLE = { kind: "unknown", detail: "unavailable" } as never;
+
+/** Engines that carry out orders at once and record them. */
+class FakeEngines implements IEngineClient {
+  readonly states = new Map<string, IEngineState>();
+  /** Engines that no longer answer. */
+  readonly dead = new Set<string>();
+  /** Engines that were joined to a group while the head of another was open. */
+  readonly taken: string[] = [];
+  readonly orders: { readonly engine: string; readonly order: EngineOrder }[] =
+    [];
+
+  async fetchReport({ id }: { readonly id: string }) {
+    if (this.dead.has(id)) {
+      return Err(UNAVAILABLE);
+    }
+    const engine = this.states.get(id) ?? engineState();
+    return Ok({ startedAt: 1, queued: 0, running: 0, pace: 1, engine });
+  }
+
+  async sendOrder({ id }: { readonly id: string }, order: EngineOrder) {
+    if (this.dead.has(id)) {
+      return OrderOutcome.Unknown;
+    }
+    this.orders.push({ engine: id, order });
+    const state = this.states.get(id) ?? engineState();
+    if (order.kind === OrderKind.Join) {
+      const { group, epoch, model, members } = order.plan;
+      if (state.membership?.group !== group && this.#hasOpenHead(state)) {
+        this.taken.push(id);
+      }
+      const rank = members.indexOf(id);
+      const membership = { group, epoch, rank, state: GroupMemberState.Ready };
+      this.states.set(id, { ...state, model, staged: [model], membership });
+    } else if (order.kind === OrderKind.Stage) {
+      this.states.set(id, { ...state, staged: [order.model] });
+    } else if (order.kind === OrderKind.Open && state.membership) {
+      const membership = { ...state.membership, state: GroupMemberState.Open };
+      this.states.set(id, { ...state, membership });
+    } else if (order.kind === OrderKind.Leave) {
+      this.states.set(id, { ...state, membership: null });
+    }
+    return OrderOutcome.Accepted;
+  }
+
+  #hasOpenHead({ membership }: IEngineState): boolean {
+    return [...this.states.values()].some(
+      ({ membership: other }) =>
+        other?.group === membership?.group &&
+        other?.state === GroupMemberState.Open,
+    );
+  }
+}
+
+/** Ten engines of a domain, the store, and the links between processes. */
+export class TestDeployment {
+  readonly clock = new ManualClock();
+  readonly store = new InMemoryStore();
+  readonly engines = new FakeEngines();
+  /** By address; without an entry, an address does not answer. */
+  readonly coordinators = new Map<string, FleetCoordinator>();
+  /** Modifies the holder's replies in transit. */
+  editReply: (reply: IHolderReply) => IHolderReply = (reply) => reply;
+
+  readonly link: IHolderLink = {
+    exchange: async (address, report) => {
+      const coordinator = this.coordinators.get(address);
+      if (coordinator === undefined) {
+        return Err(UNAVAILABLE);
+      }
+      const answer = await coordinator.answerReport(report);
+      return Ok(
+        answer.isHolder
+          ? { ...answer, word: this.editReply(answer.word) }
+          : answer,
+      );
+    },
+  };
+
+  /** Returns the head of a serving group of the large model. */
+  get largeHead(): string {
+    for (const [id, { model, membership }] of this.engines.states) {
+      if (model === "large" && membership?.state === GroupMemberState.Open) {
+        return id;
+      }
+    }
+    throw new Error("no group of the large model is open");
+  }
+
+  /** Kills a member other than the head of an open group; returns the group. */
+  killMember(): string {
+    for (const [id, { model, membership }] of this.engines.states) {
+      if (model === "small" && membership?.rank === 1) {
+        this.engines.dead.add(id);
+        return membership.group;
+      }
+    }
+    throw new Error("no group has a second member");
+  }
+
+  /** Advances until the next group is ordered to open. */
+  async advanceUntilOpened(): Promise<void> {
+    const known = this.#openOrders;
+    for (let passed = 0; passed < 5_000; passed += 10) {
+      await this.advance(10);
+      if (this.#openOrders > known) {
+        return;
+      }
+    }
+    throw new Error("no group was opened");
+  }
+
+  get #openOrders(): number {
+    const { orders } = this.engines;
+    return orders.filter(({ order }) => order.kind === OrderKind.Open).length;
+  }
+
+  /** Advances in short steps, with time for answers in between. */
+  async advance(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 10) {
+      this.clock.advance(10);
+      for (let turn = 0; turn < 10; turn += 1) {
+        await Promise.resolve();
+      }
+    }
+  }
+}
+
+/** One process in a test deployment. */
+export class TestProcess {
+  readonly groups = new ServingGroups();
+  readonly log = new RecordingLog();
+  readonly coordinator: FleetCoordinator;
+  readonly lost: string[] = [];
+  /** The fewest known groups since it was set. */
+  fewestGroups = Number.POSITIVE_INFINITY;
+  hasCalls = false;
+  demand: readonly IModelDemand[] = [];
+
+  /** @param unlisted - an engine that the platform has dropped */
+  constructor(
+    deployment: TestDeployment,
+    address = "127.0.0.1:1",
+    unlisted: string | null = null,
+  ) {
+    const configuration = new ActiveConfiguration(
+      () => Ok(CONFIGURATION),
+      this.log,
+    );
+    configuration.update({});
+    const targets = new TargetRegistry(decode, 2_000);
+    const objects = Array.from({ length: ENGINES }, (_, index) => ({
+      kind: "targets",
+      name: `engine-${index}`,
+      version: 1,
+      value: {},
+    })).filter(({ name }) => name !== unlisted);
+    const fullList = {
+      isFullList: true,
+      isAfterOutage: false,
+      removed: [],
+      version: 1,
+    };
+    targets.applyStoreChanges({ ...fullList, objects }, 0);
+    this.coordinator = new FleetCoordinator(
+      {
+        store: deployment.store,
+        engines: deployment.engines,
+        clock: deployment.clock,
+        link: deployment.link,
+        random: new SeededRandom(20261203),
+        log: this.log,
+        metrics: NO_METRICS,
+        configuration,
+        targets,
+        groups: this.groups,
+        modelDemand: () => this.demand,
+        suspects: () => [],
+        hasCalls: () => this.hasCalls,
+        relay: NO_RELAY,
+        onGroupsChanged: (lost) => {
+          this.lost.push(...lost);
+          this.fewestGroups = Math.min(
+            this.fewestGroups,
+            this.groups.all.length,
+          );
+        },
+      },
+      {
+        address,
+        zone: "one",
+        isFirstStart: true,
+        bounds: { stallTime: 5_000, loads: { window: 5_000, factor: 1.1 } },
+      },
+    );
+    deployment.coordinators.set(address, this.coordinator);
+  }
+
+  get serving(): readonly string[] {
+    return this.groups.all.map(({ group }) => group).sort();
+  }
+}
+
+function decode(id: string): IListedTarget {
+  return {
+    id,
+    startedAt: 1,
+    service: "summaries",
+    address: "127.0.0.1:2",
+    zone: "one",
+    slots: 12,
+    state: ListedState.Ready,
+    engine: engineState(),
+  };
+}
