Test that all processes together keep the request limits of targets (red)

A fleet of processes with their own model calls, lease, and exchange with the holder runs in one manual clock; the heads of its groups name limits and count what arrives by the platform's rule. A plain target with a limit gets every call.

--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -10,9 +10,11 @@
   RecordingLog,
   NO_METRICS,
 } from "../../../test/support/recording_services.ts";
+import { LimitObservingSender } from "./limit_observing_sender.ts";
 import { PlainCalls } from "./plain_calls.ts";
 import { PlainTargetSelector } from "./plain_target_selector.ts";
 import { ServiceRetryAllowances } from "./service_retry_allowances.ts";
+import { TargetRateLimits } from "./target_rate_limits.ts";
 import { CallRefusalKind, CallKind, SendFailure } from "./types.ts";
 import type {
   IResponseHead,
@@ -54,16 +56,20 @@
   constructor() {
     const listed = ["a", "b", "c"].map((id) => listedEngine(id));
     const bounds = { ratio: 0.2, window: 10_000, slack: 100 };
+    const limits = new TargetRateLimits(new RecordingLog());
     this.#calls = new PlainCalls({
       targets: new PlainTargetSelector(),
       readyTargets: () => listed,
-      sender: {
-        send: (target, _, options) => {
-          const send = { target: target.id, options, isAborted: false };
-          this.sends.push(send);
-          return { abort: () => (send.isAborted = true) };
+      sender: new LimitObservingSender(
+        {
+          send: (target, _, options) => {
+            const send = { target: target.id, options, isAborted: false };
+            this.sends.push(send);
+            return { abort: () => (send.isAborted = true) };
+          },
         },
-      },
+        limits,
+      ),
       retries: new ServiceRetryAllowances(bounds, {
         processes: () => 1,
         replacesAnotherSince: null,
@@ -169,4 +175,21 @@
     expect(reply.head?.status).to.equal(500);
     expect(reply.text).to.equal("second");
   });
+
+  // Guards against overloading a plain target that asks for fewer requests.
+  it("sends a plain target no more requests than it takes", () => {
+    const harness = new PlainCallsHarness();
+    const limited = { ...headOf(200), rateLimit: 1.5 };
+    const atLimited: number[] = [];
+    for (let index = 0; index < 100; index += 1) {
+      harness.submit(UNSAFE);
+      const isLimited = harness.sends.at(-1)?.target === "a";
+      if (isLimited) {
+        atLimited.push(harness.clock.now());
+      }
+      harness.answer(index, isLimited ? limited : headOf(200), "done");
+      harness.clock.advance(100);
+    }
+    expect(atLimited.length).to.be.within(2, 1.5 * 10 + 2);
+  });
 });
--- /dev/null
+++ b/test/support/calling_fleet.ts
@@ -0,0 +1,135 @@
+/** Processes of one deployment that take calls and share its groups. */
+import { LimitObservingSender } from "../../src/common/calls/limit_observing_sender.ts";
+import {
+  CHECK_PERIOD,
+  ModelCalls,
+} from "../../src/common/calls/model_calls.ts";
+import { ServiceRetryAllowances } from "../../src/common/calls/service_retry_allowances.ts";
+import { callOf, RecordingReply } from "./call_fixtures.ts";
+import {
+  CONFIGURATION,
+  TestDeployment,
+  TestProcess,
+} from "./fleet_deployment.ts";
+import { LimitingHeads } from "./limiting_heads.ts";
+import { NO_METRICS } from "./recording_services.ts";
+import { SeededRandom } from "./seeded_random.ts";
+
+/** Milliseconds between two steps of a run. */
+const STEP = 10;
+
+/** Milliseconds until all groups of a deployment serve. */
+const START_TIME = 4_000;
+
+/** One process with its model calls. */
+class CallingProcess extends TestProcess {
+  readonly calls: ModelCalls;
+
+  constructor(
+    deployment: TestDeployment,
+    heads: LimitingHeads,
+    address: string,
+  ) {
+    super(deployment, address);
+    const { clock } = deployment;
+    this.hasCalls = true;
+    this.calls = new ModelCalls({
+      groups: this.groups,
+      sender: new LimitObservingSender(heads.senderOf(address), this.limits),
+      retries: new ServiceRetryAllowances(
+        { ratio: 0.2, window: 10_000, slack: 100 },
+        { processes: () => 1, replacesAnotherSince: null },
+      ),
+      service: (name) => CONFIGURATION.services.get(name) ?? null,
+      clock,
+      random: new SeededRandom(20261203),
+      log: this.log,
+      metrics: NO_METRICS,
+      zone: "one",
+      processes: () => this.coordinator.processCount,
+      onGroupsSuspected: () => undefined,
+    });
+    clock.every(CHECK_PERIOD, () => this.calls.check());
+    this.coordinator.start();
+  }
+}
+
+/** A deployment whose processes get calls at a steady rate. */
+export class CallingFleet {
+  readonly deployment = new TestDeployment();
+  readonly heads = new LimitingHeads(this.deployment.clock);
+  readonly processes: CallingProcess[] = [];
+  readonly #random: SeededRandom;
+  readonly #callsPerSecond: number;
+  #started = 0;
+  #calls = 0;
+
+  constructor(options: {
+    readonly seed: number;
+    readonly callsPerSecond: number;
+  }) {
+    this.#random = new SeededRandom(options.seed);
+    this.#callsPerSecond = options.callsPerSecond;
+  }
+
+  /** Starts processes and waits until the groups serve. */
+  async start(count: number): Promise<void> {
+    for (let index = 0; index < count; index += 1) {
+      this.startProcess();
+    }
+    await this.deployment.advance(START_TIME);
+  }
+
+  startProcess(): void {
+    this.#started += 1;
+    const address = `10.0.0.${this.#started}:1`;
+    this.processes.push(
+      new CallingProcess(this.deployment, this.heads, address),
+    );
+  }
+
+  /** Kills the process that holds the lease. */
+  killHolder(): void {
+    const index = this.processes.findIndex(
+      ({ coordinator }) => coordinator.isHolder,
+    );
+    for (const { coordinator } of this.processes.splice(index, 1)) {
+      coordinator.dispose();
+      this.deployment.disconnect(coordinator);
+    }
+  }
+
+  /** Heads of the serving groups, in a fixed order. */
+  get serving(): readonly string[] {
+    const groups = this.processes[0]?.groups.all ?? [];
+    return groups.map(({ head }) => head.id).sort();
+  }
+
+  /** Sends calls to random processes for some time. */
+  async run(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += STEP) {
+      if (this.#random.next() < (this.#callsPerSecond * STEP) / 1_000) {
+        this.#submit();
+      }
+      await this.deployment.advance(STEP);
+    }
+  }
+
+  dispose(): void {
+    this.processes.forEach(({ coordinator }) => coordinator.dispose());
+  }
+
+  #submit(): void {
+    const chosen = Math.floor(this.#random.next() * this.processes.length);
+    const now = this.deployment.clock.now();
+    this.#calls += 1;
+    const call = callOf({
+      id: `attempt-${this.#calls}`,
+      model: this.#random.next() < 0.5 ? "large" : "small",
+      tokens: { prompt: 100, output: 50 },
+      arrivedAt: now,
+      deadline: now + 8_000,
+    });
+    this.processes[chosen]?.calls.submit(call, new RecordingReply());
+  }
+}
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -3,6 +3,7 @@
 import { ActiveConfiguration } from "../../src/common/calls/active_configuration.ts";
 import type { IModelDemand } from "../../src/common/calls/model_calls.ts";
 import { ServingGroups } from "../../src/common/calls/serving_groups.ts";
+import { TargetRateLimits } from "../../src/common/calls/target_rate_limits.ts";
 import { TargetRegistry } from "../../src/common/calls/target_registry.ts";
 import { ListedState, GroupMemberState } from "../../src/common/calls/types.ts";
 import type {
@@ -195,6 +196,15 @@
     },
   };
 
+  /** Makes a process unreachable for the others. */
+  disconnect(coordinator: FleetCoordinator): void {
+    for (const [address, one] of this.coordinators) {
+      if (one === coordinator) {
+        this.coordinators.delete(address);
+      }
+    }
+  }
+
   /** Returns the head of a serving group of the large model. */
   get largeHead(): string {
     for (const [id, { model, membership }] of this.engines.states) {
@@ -248,6 +258,7 @@
 export class TestProcess {
   readonly groups = new ServingGroups();
   readonly log = new RecordingLog();
+  readonly limits = new TargetRateLimits(this.log);
   readonly coordinator: FleetCoordinator;
   readonly lost: string[] = [];
   /** The fewest known groups since it was set. */
--- /dev/null
+++ b/test/support/limiting_heads.ts
@@ -0,0 +1,124 @@
+/** Heads of groups that name request limits, and check that they are kept. */
+import type { ICallSender } from "../../src/common/calls/types.ts";
+import type { IClock } from "../../src/common/services/services.ts";
+import { SUCCESS_HEAD } from "./model_calls_harness.ts";
+
+/** Milliseconds from a request to the head of its response. */
+const FIRST_EVENT_TIME = 150;
+/** Milliseconds from a request to the end of its response. */
+const RUN_TIME = 400;
+
+/**
+ * The platform's rule: from `SETTLING_TIME` after a target first named its
+ * limit, it gets in any `WINDOW` at most the limit's part of it times
+ * `TOLERANCE`, and `SLACK` requests, from processes that passed a response with
+ * a limit on at least `NOTICE_TIME` before. Times in milliseconds.
+ */
+const SETTLING_TIME = 3_000;
+const WINDOW = 4_000;
+const TOLERANCE = 1.5;
+const SLACK = 5;
+const NOTICE_TIME = 500;
+
+interface IArrival {
+  readonly target: string;
+  readonly at: number;
+  /** Whether the sender had been told of a limit long enough before. */
+  readonly isNoticed: boolean;
+}
+
+interface INamedLimit {
+  readonly rate: number;
+  readonly since: number;
+}
+
+/** Answers the requests of all processes, and records when they arrive. */
+export class LimitingHeads {
+  readonly #clock: IClock;
+  readonly #limits = new Map<string, INamedLimit>();
+  readonly #toldAt = new Map<string, number>();
+  readonly #arrivals: IArrival[] = [];
+
+  constructor(clock: IClock) {
+    this.#clock = clock;
+  }
+
+  /** @param rate - requests per second; null ends the limit */
+  setLimit(target: string, rate: number | null): void {
+    if (rate === null) {
+      this.#limits.delete(target);
+    } else {
+      this.#limits.set(target, { rate, since: this.#clock.now() });
+    }
+  }
+
+  /** The sender of one process. */
+  senderOf(process: string): ICallSender {
+    return {
+      send: (target, _, { receiver }) => {
+        this.#recordArrival(process, target.id);
+        const timers = [
+          this.#clock.after(FIRST_EVENT_TIME, () => {
+            const rateLimit = this.#limits.get(target.id)?.rate ?? null;
+            this.#recordTold(process, target.id, rateLimit);
+            receiver.onHead({ ...SUCCESS_HEAD, rateLimit });
+            receiver.onData(new TextEncoder().encode("id: 1\ndata: x\n\n"));
+          }),
+          this.#clock.after(RUN_TIME, () => receiver.onEnd()),
+        ];
+        return { abort: () => timers.forEach((timer) => timer.dispose()) };
+      },
+    };
+  }
+
+  /** Requests that a target received in the last milliseconds. */
+  arrivalsIn(target: string, milliseconds: number): number {
+    const since = this.#clock.now() - milliseconds;
+    return this.#arrivals.filter(
+      (one) => one.target === target && one.at > since,
+    ).length;
+  }
+
+  /** For each target, the window that exceeds its limit the most, if any. */
+  get exceededWindows(): readonly string[] {
+    return [...this.#limits].flatMap(([target, { rate, since }]) => {
+      const allowed = (rate * WINDOW * TOLERANCE) / 1_000 + SLACK;
+      const noticed = this.#arrivals.filter(
+        (one) => one.target === target && one.isNoticed,
+      );
+      const counts = noticed
+        .filter(({ at }) => at >= since + SETTLING_TIME)
+        .map(({ at }) => countBetween(noticed, at - WINDOW, at));
+      const most = Math.max(0, ...counts);
+      return most > allowed ? [`${target}: ${most} of ${allowed}`] : [];
+    });
+  }
+
+  #recordArrival(process: string, target: string): void {
+    const at = this.#clock.now();
+    const toldAt = this.#toldAt.get(keyOf(process, target));
+    const isNoticed = toldAt !== undefined && at - toldAt >= NOTICE_TIME;
+    this.#arrivals.push({ target, at, isNoticed });
+  }
+
+  #recordTold(process: string, target: string, rate: number | null): void {
+    const key = keyOf(process, target);
+    if (rate === null) {
+      this.#toldAt.delete(key);
+    } else if (!this.#toldAt.has(key)) {
+      this.#toldAt.set(key, this.#clock.now());
+    }
+  }
+}
+
+function keyOf(process: string, target: string): string {
+  return `${process} ${target}`;
+}
+
+function countBetween(
+  arrivals: readonly IArrival[],
+  after: number,
+  until: number,
+): number {
+  return arrivals.filter(({ at }) => at > after && at <= until).length;
+}
