Keep the request limits of targets, all processes together

Cause: nothing read the limit that a target names in its answers; each process placed calls by free slots alone.

Change: every send of a model or plain call counts against the limit of its target, by the sender that all of them use, and every response updates the limit. The exchange passes on what any process was told; the lease holder assigns each limit to as few processes as can use it, and a process without an assignment keeps to an even part. A model group whose limit is assigned elsewhere does not count as one that calls can wait for; a plain call without a target left is refused as not run (rate_limited). The messages of the exchange have new optional fields: a process of an older build sends and reads none.

Why it works: the shares of a limit add up to it, whoever holds the lease, and each allows at most one request beyond what has accrued.

Looked for elsewhere: the product's own interface (src/daemon) has no such field in its protocol; its targets bound their queue by refusals.

--- a/src/adapters/exchange/inner_server.ts
+++ b/src/adapters/exchange/inner_server.ts
@@ -38,6 +38,12 @@
   versions: z
     .object({ configuration: z.number(), targets: z.number() })
     .default({ configuration: 0, targets: 0 }),
+  rateLimits: z
+    .record(
+      z.string(),
+      z.object({ rate: z.number().nullable(), age: z.number() }),
+    )
+    .optional(),
 });
 
 /** Answers the requests of the inner server. */
--- a/src/common/calls/limit_observing_sender.ts
+++ b/src/common/calls/limit_observing_sender.ts
@@ -1,4 +1,7 @@
-/** Reads the request limits of targets from the responses to all calls. */
+/**
+ * Counts all calls against the request limits of targets, and reads the limits
+ * from their responses.
+ */
 import type { TargetRateLimits } from "./target_rate_limits.ts";
 import type {
   ICall,
@@ -11,7 +14,7 @@
   SendFailure,
 } from "./types.ts";
 
-/** Sends calls, and passes what targets name of their limits on. */
+/** Sends calls and keeps the limits of their targets up to date. */
 export class LimitObservingSender implements ICallSender {
   readonly #sender: ICallSender;
   readonly #limits: TargetRateLimits;
@@ -29,6 +32,7 @@
     const receiver = new ObservingReceiver(options.receiver, (head) =>
       this.#limits.recordResponse(target.id, head),
     );
+    this.#limits.recordSend(target.id);
     return this.#sender.send(target, call, { ...options, receiver });
   }
 }
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -13,6 +13,7 @@
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import type { ServingGroups } from "./serving_groups.ts";
 import type { ILoadedGroup } from "./serving_groups.ts";
+import type { TargetRateLimits } from "./target_rate_limits.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { ZoneReachability } from "./zone_reachability.ts";
 import { CallRefusalKind, CallRefusalReason } from "./types.ts";
@@ -42,6 +43,7 @@
   readonly groups: ServingGroups;
   readonly sender: ICallSender;
   readonly retries: ServiceRetryAllowances;
+  readonly limits: Pick<TargetRateLimits, "maySend" | "isAssignedElsewhere">;
   readonly service: (name: string) => IServiceEntry | null;
   readonly clock: IClock;
   readonly random: IRandom;
@@ -226,7 +228,7 @@
       return;
     }
     const now = this.#now;
-    const { groups, zone, random, processes } = this.#parts;
+    const { groups, limits, zone, random, processes } = this.#parts;
     const options = {
       zone,
       processes: processes(),
@@ -238,14 +240,16 @@
     };
     const usable = groups
       .ofModel(service, model)
-      .filter(({ group }) => !this.#stallDetector.isSuspected(group, now));
+      .filter(({ group }) => !this.#stallDetector.isSuspected(group, now))
+      .filter(({ head }) => !limits.isAssignedElsewhere(head.id));
     queue.setHasGroups(usable.length > 0, now);
     let open: ILoadedGroup[] = [...usable];
     while (queue.size > 0) {
-      const inReach = open.filter((one) =>
-        this.#reachability.mayTry(one.zone, now),
+      const candidates = open.filter(
+        ({ head, zone: groupZone }) =>
+          this.#reachability.mayTry(groupZone, now) && limits.maySend(head.id),
       );
-      const group = chooseGroup(inReach, options);
+      const group = chooseGroup(candidates, options);
       if (group === null) {
         return;
       }
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -7,6 +7,7 @@
 import type { InstanceId, MonotonicTime, ZoneName } from "../types.ts";
 import type { PlainTargetSelector } from "./plain_target_selector.ts";
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
+import type { TargetRateLimits } from "./target_rate_limits.ts";
 import {
   CallRefusalKind,
   CallKind,
@@ -45,6 +46,7 @@
   readonly readyTargets: (service: string) => readonly IListedTarget[];
   readonly sender: ICallSender;
   readonly retries: ServiceRetryAllowances;
+  readonly limits: Pick<TargetRateLimits, "maySend">;
   readonly clock: IClock;
   readonly log: ILog;
   readonly metrics: IMetrics;
@@ -110,20 +112,13 @@
   #send(): void {
     const now = this.#parts.clock.now();
     const { service } = this.#call;
-    const target = this.#parts.targets.choose(
-      this.#parts.readyTargets(service),
-      {
-        zone: this.#parts.zone,
-        excluded: this.#triedTargets,
-        now,
-      },
-    );
+    const target = this.#parts.targets.choose(this.#usableTargets, {
+      zone: this.#parts.zone,
+      excluded: this.#triedTargets,
+      now,
+    });
     if (target === null) {
-      this.#refuse(
-        this.#mayHaveRun
-          ? CallRefusalReason.TargetLost
-          : CallRefusalReason.NoTarget,
-      );
+      this.#refuse(this.#reasonWithoutTarget);
       return;
     }
     if (this.#triedTargets.size === 0) {
@@ -143,6 +138,26 @@
     this.#scheduleRetry(send, now);
   }
 
+  /** Ready targets that take another request. */
+  get #usableTargets(): readonly IListedTarget[] {
+    const { limits, readyTargets } = this.#parts;
+    return readyTargets(this.#call.service).filter(({ id }) =>
+      limits.maySend(id),
+    );
+  }
+
+  get #reasonWithoutTarget(): CallRefusalReason {
+    if (this.#mayHaveRun) {
+      return CallRefusalReason.TargetLost;
+    }
+    const hasOther = this.#parts
+      .readyTargets(this.#call.service)
+      .some(({ id }) => !this.#triedTargets.has(id));
+    return hasOther
+      ? CallRefusalReason.RateLimited
+      : CallRefusalReason.NoTarget;
+  }
+
   /** Retries a safe call elsewhere if the target does not respond soon. */
   #scheduleRetry(send: PlainSend, now: MonotonicTime): void {
     if (!this.#isSafe) {
@@ -216,10 +231,10 @@
 
   /** Takes a retry from the allowance if the call may be sent again. */
   #takeRetry(): boolean {
-    const { clock, retries, readyTargets } = this.#parts;
+    const { clock, retries } = this.#parts;
     const { service, route, deadline } = this.#call;
     const now = clock.now();
-    const hasOther = readyTargets(service).some(
+    const hasOther = this.#usableTargets.some(
       ({ id }) => !this.#triedTargets.has(id),
     );
     return (
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -56,10 +56,15 @@
   constructor() {
     const listed = ["a", "b", "c"].map((id) => listedEngine(id));
     const bounds = { ratio: 0.2, window: 10_000, slack: 100 };
-    const limits = new TargetRateLimits(new RecordingLog());
+    const limits = new TargetRateLimits({
+      clock: this.clock,
+      log: new RecordingLog(),
+      processes: () => 1,
+    });
     this.#calls = new PlainCalls({
       targets: new PlainTargetSelector(),
       readyTargets: () => listed,
+      limits,
       sender: new LimitObservingSender(
         {
           send: (target, _, options) => {
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -305,6 +305,8 @@
   Stopping = "stopping",
   NoGroup = "no_group",
   NoTarget = "no_target",
+  /** All targets left have got as many requests as they take. */
+  RateLimited = "rate_limited",
   Hopeless = "hopeless",
   QueueFull = "queue_full",
   TargetRefused = "target_refused",
--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -6,6 +6,10 @@
 import type { Result } from "ts-results-es";
 import type { IModelDemand } from "../calls/model_calls.ts";
 import type { IServingGroup } from "../calls/serving_groups.ts";
+import type {
+  RateLimitObservations,
+  RateShares,
+} from "../calls/target_rate_limits.ts";
 import type { IStoreVersions, IStoreUpdate } from "../relay/types.ts";
 import type { ICallFailure } from "../types.ts";
 
@@ -24,6 +28,11 @@
   readonly suspects: readonly string[];
   /** Versions of the store that it has. */
   readonly versions: IStoreVersions;
+  /**
+   * Request limits that targets named. Absent if the process is of an older
+   * build.
+   */
+  readonly rateLimits?: RateLimitObservations;
 }
 
 /** The holder's reply to a process. */
@@ -42,6 +51,12 @@
   readonly isInDoubt: boolean;
   /** Number of processes known to the holder, including itself. */
   readonly processes: number;
+  /**
+   * Request limits that targets named to any process, and what this process may
+   * send of them. Absent if the holder is of an older build.
+   */
+  readonly rateLimits?: RateLimitObservations;
+  readonly rateShares?: RateShares;
   /**
    * State of the store; null before all of it is known. Absent if the holder is
    * of an older build, during a rolling update.
--- a/src/common/replicas/exchange_client.ts
+++ b/src/common/replicas/exchange_client.ts
@@ -6,6 +6,10 @@
  * a second or more later, and never of other processes' requests.
  */
 import type { IServingGroup } from "../calls/serving_groups.ts";
+import type {
+  RateLimitObservations,
+  RateShares,
+} from "../calls/target_rate_limits.ts";
 import type { IStoreUpdate } from "../relay/types.ts";
 import type { IClock, ILog } from "../services/services.ts";
 import type { MonotonicTime } from "../types.ts";
@@ -42,6 +46,7 @@
   readonly report: (tableVersion: number) => IProcessReport;
   readonly onReply: () => void;
   readonly onStoreUpdate: (update: IStoreUpdate) => void;
+  readonly onRateLimits: (limits: RateLimitObservations) => void;
   /** Called when another process answers at the holder's address. */
   readonly onOtherProcess: (process: string) => void;
 }
@@ -64,6 +69,7 @@
   #abandonedGroups: readonly string[] = [];
   #othersInFlight: ReadonlyMap<string, number> = new Map();
   #processes = 1;
+  #rateShares: RateShares | null = null;
   #version = 0;
   #address: string | null = null;
   #repliedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
@@ -111,6 +117,14 @@
     return this.#othersInFlight;
   }
 
+  /**
+   * Requests per second that this process may send to limited targets; null
+   * while the holder has not replied.
+   */
+  get rateShares(): RateShares | null {
+    return this.isFresh ? this.#rateShares : null;
+  }
+
   /** Number of processes known to the holder. */
   get processes(): number {
     return this.#processes;
@@ -127,6 +141,7 @@
     this.#abandonedGroups = table.abandonedGroups;
     this.#othersInFlight = table.othersInFlight;
     this.#processes = table.processes;
+    this.#rateShares = null;
   }
 
   /**
@@ -190,6 +205,8 @@
     this.#othersInFlight = new Map(Object.entries(reply.othersInFlight));
     this.#isInDoubt = reply.isInDoubt;
     this.#processes = reply.processes;
+    this.#rateShares = reply.rateShares ?? null;
+    this.#parts.onRateLimits(reply.rateLimits ?? {});
     if (reply.store) {
       this.#parts.onStoreUpdate(reply.store);
     }
--- a/src/common/replicas/exchange_client_test.ts
+++ b/src/common/replicas/exchange_client_test.ts
@@ -55,6 +55,7 @@
     holderAddress: () => "holder:1",
     report: processReport,
     onReply: () => undefined,
+    onRateLimits: () => undefined,
     onStoreUpdate: (update) => store.push(update),
     onOtherProcess: () => undefined,
   });
--- a/src/common/replicas/exchange_server.ts
+++ b/src/common/replicas/exchange_server.ts
@@ -3,12 +3,17 @@
  * and replies to processes at once when it changes or else after a short wait.
  */
 import type { IServingGroup } from "../calls/serving_groups.ts";
+import type {
+  RateShares,
+  TargetRateLimits,
+} from "../calls/target_rate_limits.ts";
 import { Emitter } from "../emitter.ts";
 import type { IStoreVersions, IStoreUpdate } from "../relay/types.ts";
 import type { IClock } from "../services/services.ts";
 import { EXCHANGE_WAIT } from "./exchange_client.ts";
 import type { ExchangeAnswer, IProcessReport } from "./exchange.ts";
 import { ProcessReports, sumInFlight } from "./process_reports.ts";
+import { RateShareAssignment } from "./rate_share_assignment.ts";
 
 /** Table versions within one epoch of the lease. */
 const TABLES_PER_EPOCH = 1_000_000;
@@ -20,6 +25,10 @@
   readonly isActiveHolder: () => boolean;
   readonly mayOrder: () => boolean;
   readonly leaseEpoch: () => number;
+  readonly rateLimits: Pick<
+    TargetRateLimits,
+    "merge" | "observations" | "rates"
+  >;
   /** Called with groups that a process found stalled. */
   readonly onGroupsSuspected: (groups: readonly string[]) => void;
   /** Returns this process's own report. */
@@ -32,6 +41,7 @@
 export class ExchangeServer {
   readonly #parts: IExchangeServerParts;
   readonly #reports = new ProcessReports();
+  readonly #rateShares = new RateShareAssignment();
   readonly #changed = new Emitter<void>();
   #groups: readonly IServingGroup[] = [];
   #abandonedGroups: readonly string[] = [];
@@ -75,12 +85,23 @@
     return sumInFlight(this.#reports.recent(this.#parts.clock.now()));
   }
 
+  /** Requests per second that a process may send to limited targets. */
+  rateSharesOf(process: string): RateShares {
+    const { reports } = this;
+    const calling = reports.filter(({ hasCalls }) => hasCalls);
+    const sharing = calling.length > 0 ? calling : reports;
+    const names = sharing.map((one) => one.process);
+    this.#rateShares.update(this.#parts.rateLimits.rates, names);
+    return this.#rateShares.sharesOf(process);
+  }
+
   async answer(report: IProcessReport): Promise<ExchangeAnswer> {
     if (!this.#parts.isActiveHolder()) {
       return this.#notHolder();
     }
     this.#reports.record(report, this.#parts.clock.now());
     this.#parts.onGroupsSuspected(report.suspects);
+    this.#parts.rateLimits.merge(report.rateLimits ?? {});
     if (report.tableVersion === this.#version) {
       await this.#waitForChange();
     }
@@ -99,6 +120,8 @@
         othersInFlight: Object.fromEntries(sumInFlight(others)),
         isInDoubt: !this.#parts.mayOrder(),
         processes: reports.length,
+        rateLimits: this.#parts.rateLimits.observations,
+        rateShares: this.rateSharesOf(report.process),
         store: this.#parts.storeUpdate(report.versions),
       },
     };
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -79,6 +79,7 @@
   readonly #targets = new TargetRegistry(decodeTarget, REAPPEARANCE_TIME);
   readonly #groups = new ServingGroups();
   readonly #plainTargets = new PlainTargetSelector();
+  readonly #rateLimits: TargetRateLimits;
   readonly #followers: readonly ObjectFollower[];
   readonly #relay: StoreRelay;
   readonly #coordinator: FleetCoordinator;
@@ -97,6 +98,11 @@
     const log = this.#log;
     this.#store = new ObjectStoreClient(settings.store.address);
     this.#configuration = new ActiveConfiguration(decodeConfiguration, log);
+    this.#rateLimits = new TargetRateLimits({
+      clock: this.#clock,
+      log,
+      processes: () => this.#coordinator.processCount,
+    });
     const configuration = this.#followConfiguration();
     const targetList = this.#followTargets();
     this.#followers = [configuration, targetList];
@@ -108,9 +114,10 @@
       onTargetsUpdated: () => this.#coordinator.handleTargetsChanged(),
     });
     const retries = this.#createRetryAllowances();
-    const limits = new TargetRateLimits(log);
+    const limits = this.#rateLimits;
     const shared = {
       sender: new LimitObservingSender(this.#client, limits),
+      limits,
       retries,
       clock: this.#clock,
       random: this.#random,
@@ -310,6 +317,7 @@
         hasCalls: () => this.#hasCalls,
         suspects: () => this.#models.suspectedGroups,
         relay: this.#relay,
+        rateLimits: this.#rateLimits,
         onGroupsChanged: (lost) => this.#models.handleGroupsChanged(lost),
       },
       {
@@ -332,6 +340,7 @@
       this.#coordinator.handleTargetsChanged();
     }
     this.#plainTargets.keepOnly(this.#targets.all);
+    this.#rateLimits.cleanUp(this.#targets.all);
   }
 
   #waitUntil(condition: () => boolean): Promise<void> {
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -9,6 +9,10 @@
   IServingGroup,
   ServingGroups,
 } from "../common/calls/serving_groups.ts";
+import type {
+  RateShares,
+  TargetRateLimits,
+} from "../common/calls/target_rate_limits.ts";
 import type { TargetRegistry } from "../common/calls/target_registry.ts";
 import { DisposableStore } from "../common/disposable.ts";
 import type { IDisposable } from "../common/disposable.ts";
@@ -73,6 +77,7 @@
   readonly hasCalls: () => boolean;
   /** Relays updates of the store between this process and the holder. */
   readonly relay: IStoreRelay;
+  readonly rateLimits: TargetRateLimits;
   /** @param lost - groups that the holder has abandoned */
   readonly onGroupsChanged: (lost: readonly string[]) => void;
 }
@@ -126,6 +131,7 @@
       report: (tableVersion) => this.#composeReport(tableVersion),
       onReply: () => this.#refresh(),
       onStoreUpdate: (update) => parts.relay.applyUpdate(update),
+      onRateLimits: (limits) => parts.rateLimits.merge(limits),
       onOtherProcess: (process) => this.#handleNotHolder(process),
     });
     this.#exchangeServer = new ExchangeServer({
@@ -135,6 +141,7 @@
       leaseEpoch: () => this.#lease.epoch,
       ownReport: () => this.#composeReport(0),
       storeUpdate: (versions) => parts.relay.updateFor(versions),
+      rateLimits: parts.rateLimits,
       onGroupsSuspected: (groups) => this.#suspectGroups(groups),
     });
   }
@@ -232,6 +239,7 @@
       tableVersion,
       suspects: this.#parts.suspects(),
       versions: this.#parts.relay.versions,
+      rateLimits: this.#parts.rateLimits.observations,
     };
   }
 
@@ -340,7 +348,7 @@
   #refresh(): void {
     this.#stopServicesIfReplaced();
     this.#startMissingServices();
-    const { groups, onGroupsChanged } = this.#parts;
+    const { groups, rateLimits, onGroupsChanged } = this.#parts;
     const known = this.#knownGroups();
     const lost = this.#updateAbandoned();
     groups.replace(known.map((group) => this.#withReachability(group)));
@@ -349,9 +357,16 @@
         ? this.#exchangeServer.othersInFlight
         : this.#othersInFlight,
     );
+    rateLimits.assignShares(this.#rateShares);
     onGroupsChanged(lost);
   }
 
+  get #rateShares(): RateShares | null {
+    return this.#isActiveHolder
+      ? this.#exchangeServer.rateSharesOf(this.#lease.process)
+      : this.#exchangeClient.rateShares;
+  }
+
   /**
    * Groups that the holder has abandoned since the last refresh. One that is
    * only missing from a table may still serve: a new holder may not know its
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -36,6 +36,7 @@
     this.calls = new ModelCalls({
       groups: this.groups,
       sender: new LimitObservingSender(heads.senderOf(address), this.limits),
+      limits: this.limits,
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack: 100 },
         { processes: () => 1, replacesAnotherSince: null },
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -258,7 +258,7 @@
 export class TestProcess {
   readonly groups = new ServingGroups();
   readonly log = new RecordingLog();
-  readonly limits = new TargetRateLimits(this.log);
+  readonly limits: TargetRateLimits;
   readonly coordinator: FleetCoordinator;
   readonly lost: string[] = [];
   /** The fewest known groups since it was set. */
@@ -272,6 +272,11 @@
     address = "127.0.0.1:1",
     unlisted: string | null = null,
   ) {
+    this.limits = new TargetRateLimits({
+      clock: deployment.clock,
+      log: this.log,
+      processes: () => this.coordinator.processCount,
+    });
     const configuration = new ActiveConfiguration(
       () => Ok(CONFIGURATION),
       this.log,
@@ -307,6 +312,7 @@
         suspects: () => [],
         hasCalls: () => this.hasCalls,
         relay: NO_RELAY,
+        rateLimits: this.limits,
         onGroupsChanged: (lost) => {
           this.lost.push(...lost);
           this.fewestGroups = Math.min(
--- a/test/support/limiting_heads.ts
+++ b/test/support/limiting_heads.ts
@@ -1,13 +1,22 @@
 /** Heads of groups that name request limits, and check that they are kept. */
+import { DisposableStore } from "../../src/common/disposable.ts";
 import type { ICallSender } from "../../src/common/calls/types.ts";
 import type { IClock } from "../../src/common/services/services.ts";
 import { SUCCESS_HEAD } from "./model_calls_harness.ts";
 
 /** Milliseconds from a request to the head of its response. */
 const FIRST_EVENT_TIME = 150;
+/** Milliseconds between two events of a response. */
+const EVENT_PERIOD = 30;
 /** Milliseconds from a request to the end of its response. */
 const RUN_TIME = 400;
 
+/** Milliseconds from a request to each event of its response. */
+const EVENT_TIMES = Array.from(
+  { length: Math.floor((RUN_TIME - FIRST_EVENT_TIME) / EVENT_PERIOD) + 1 },
+  (_, index) => FIRST_EVENT_TIME + index * EVENT_PERIOD,
+);
+
 /**
  * The platform's rule: from `SETTLING_TIME` after a target first named its
  * limit, it gets in any `WINDOW` at most the limit's part of it times
@@ -57,16 +66,23 @@
     return {
       send: (target, _, { receiver }) => {
         this.#recordArrival(process, target.id);
-        const timers = [
-          this.#clock.after(FIRST_EVENT_TIME, () => {
-            const rateLimit = this.#limits.get(target.id)?.rate ?? null;
-            this.#recordTold(process, target.id, rateLimit);
-            receiver.onHead({ ...SUCCESS_HEAD, rateLimit });
-            receiver.onData(new TextEncoder().encode("id: 1\ndata: x\n\n"));
-          }),
-          this.#clock.after(RUN_TIME, () => receiver.onEnd()),
-        ];
-        return { abort: () => timers.forEach((timer) => timer.dispose()) };
+        const timers = new DisposableStore();
+        const { length } = EVENT_TIMES;
+        for (const [index, time] of EVENT_TIMES.entries()) {
+          const answer = () => {
+            if (index === 0) {
+              const rateLimit = this.#limits.get(target.id)?.rate ?? null;
+              this.#recordTold(process, target.id, rateLimit);
+              receiver.onHead({ ...SUCCESS_HEAD, rateLimit });
+            }
+            receiver.onData(encodeEvent(index + 1));
+            if (index === length - 1) {
+              receiver.onEnd();
+            }
+          };
+          timers.add(this.#clock.after(time, answer));
+        }
+        return { abort: () => timers.dispose() };
       },
     };
   }
@@ -111,6 +127,10 @@
   }
 }
 
+function encodeEvent(id: number): Uint8Array {
+  return new TextEncoder().encode(`id: ${id}\ndata: x\n\n`);
+}
+
 function keyOf(process: string, target: string): string {
   return `${process} ${target}`;
 }
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -95,6 +95,7 @@
           return { abort: () => (send.isAborted = true) };
         },
       },
+      limits: { maySend: () => true, isAssignedElsewhere: () => false },
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack },
         { processes: () => 1, replacesAnotherSince: null },
