Compute no shares while no target names a limit

The holder composed its own report once more for each exchange, although there was nothing to share: about 400 times a second with 91 processes. Also a return type and the comments of two message fields. No limit, no change: the tests of the exchange and of the fleet pass as before.

--- a/src/common/replicas/departures.ts
+++ b/src/common/replicas/departures.ts
@@ -24,7 +24,10 @@
    *
    * @param reportLag - milliseconds by which reports lag behind
    */
-  isOutdated({ target, state, askedAt }: IEngineView, reportLag: number) {
+  isOutdated(
+    { target, state, askedAt }: IEngineView,
+    reportLag: number,
+  ): boolean {
     const departure = this.#departures.get(target.id);
     return (
       departure !== undefined &&
--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -52,10 +52,14 @@
   /** Number of processes known to the holder, including itself. */
   readonly processes: number;
   /**
-   * Request limits that targets named to any process, and what this process may
-   * send of them. Absent if the holder is of an older build.
+   * Request limits that targets named to any process. Absent if the holder is
+   * of an older build.
    */
   readonly rateLimits?: RateLimitObservations;
+  /**
+   * What the process may send of these limits. Absent if the holder is of an
+   * older build.
+   */
   readonly rateShares?: RateShares;
   /**
    * State of the store; null before all of it is known. Absent if the holder is
--- a/src/common/replicas/exchange_server.ts
+++ b/src/common/replicas/exchange_server.ts
@@ -87,11 +87,15 @@
 
   /** Requests per second that a process may send to limited targets. */
   rateSharesOf(process: string): RateShares {
+    const { rates } = this.#parts.rateLimits;
+    if (rates.size === 0) {
+      return {};
+    }
     const { reports } = this;
     const calling = reports.filter(({ hasCalls }) => hasCalls);
     const sharing = calling.length > 0 ? calling : reports;
     const names = sharing.map((one) => one.process);
-    this.#rateShares.update(this.#parts.rateLimits.rates, names);
+    this.#rateShares.update(rates, names);
     return this.#rateShares.sharesOf(process);
   }
 
