Keep a member free of other groups while a late join may return it

Cause: a member that has left a group whose head may serve is free. An order to join that it never answered (the next copy was accepted) is carried out after that, so that it is a member again, and the holder joins it elsewhere before the next report shows it.

Change: unanswered joins are remembered for as long as orders may be late; an engine with one to a group that was released without its head having stopped does not count as free until then.

The unit test fails without the change; the fake engines of the coordinator's tests refuse old epochs and orders of other groups now, as the platform's do.

--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -27,6 +27,7 @@
   troubleOf,
 } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
+import { UnansweredJoins } from "./unanswered_joins.ts";
 import { OrderKind } from "./types.ts";
 import type { EngineOrder, IGroupPlan } from "./types.ts";
 
@@ -111,6 +112,7 @@
    */
   readonly #released = new Map<string, IReleasedGroup>();
   readonly #departures = new Departures();
+  readonly #unansweredJoins = new UnansweredJoins();
 
   constructor(times: IGroupTiming, findModel: (name: string) => IModel | null) {
     this.#times = times;
@@ -158,6 +160,7 @@
     this.#groups.clear();
     this.#released.clear();
     this.#departures.clear();
+    this.#unansweredJoins.clear();
     this.#adoption.clear();
   }
 
@@ -173,6 +176,15 @@
     this.#groups.get(name)?.joined.set(member, now);
   }
 
+  /** Handles an order to join that a member has not answered. */
+  handleUnansweredJoin(
+    name: string,
+    member: InstanceId,
+    now: MonotonicTime,
+  ): void {
+    this.#unansweredJoins.record(member, name, now);
+  }
+
   /**
    * Closes a serving group so that its members can serve another model: it
    * finishes its running requests.
@@ -223,6 +235,7 @@
     now: MonotonicTime,
   ): readonly IAddressedOrder[] {
     this.#departures.retainOnly(views);
+    this.#unansweredJoins.removeExpired(now);
     this.#adopt(views, now);
     const orders: IAddressedOrder[] = [];
     for (const group of this.#groups.values()) {
@@ -244,10 +257,18 @@
         !view.isDraining &&
         view.state !== null &&
         !taken.has(view.target.id) &&
+        !this.#mayJoinOpenGroup(view.target.id) &&
         this.#isUnassigned(view),
     );
   }
 
+  /** Whether an unanswered order may still join it to a group that is open. */
+  #mayJoinOpenGroup(engine: InstanceId): boolean {
+    return this.#unansweredJoins
+      .groupsOf(engine)
+      .some((group) => this.#released.get(group)?.hasHeadStopped === false);
+  }
+
   /** Whether the engine's own report ties it to no group that may be open. */
   #isUnassigned(view: IEngineView): boolean {
     const membership = view.state?.membership ?? null;
--- a/src/common/replicas/group_controller_test.ts
+++ b/src/common/replicas/group_controller_test.ts
@@ -309,6 +309,25 @@
     expect(controller.freeEngines(views)).to.deep.equal([]);
   });
 
+  // Guards against joining a member elsewhere that has become one again: an
+  // order to join that it never answered is carried out after it has left.
+  it("does not free a member that may still join an open head", () => {
+    const controller = servingController();
+    controller.handleUnansweredJoin(PLAN.group, "tail", 20);
+    const state = memberOf(PLAN, 0, GroupMemberState.Open);
+    const gone = { state, askedAt: 900, isSilent: true, isListed: false };
+    const viewsAt = (askedAt: number) =>
+      viewsOf(engineView("head", gone), engineView("tail", { askedAt }));
+    const member = engineView("tail", { state: memberOf(PLAN, 1) });
+    controller.reconcile(viewsOf(engineView("head", gone), member), 5_000);
+    controller.handleLeft(PLAN.group, "tail", 5_010);
+    controller.reconcile(viewsAt(6_000), 6_000);
+    expect(controller.groups).to.deep.equal([]);
+    expect(controller.freeEngines(viewsAt(6_000))).to.deep.equal([]);
+    controller.reconcile(viewsAt(16_000), 16_000);
+    expect(controller.freeEngines(viewsAt(16_000))).to.have.length(1);
+  });
+
   // Guards against the same stall when a member is silent as well and answers
   // again after the others were freed: it has not left its open head.
   it("does not free a member that returns to a head that may be open", () => {
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -337,6 +337,9 @@
         this.#controller.handleJoined(order.plan.group, engine, this.#now);
       } else if (outcome === OrderOutcome.Refused) {
         this.#controller.handleRefused(order.plan.group, this.#now);
+      } else {
+        const { group } = order.plan;
+        this.#controller.handleUnansweredJoin(group, engine, this.#now);
       }
     } else if (
       order.kind === OrderKind.Stage &&
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -2,6 +2,7 @@
 import { Err, None, Ok, Some } from "ts-results-es";
 import { ActiveConfiguration } from "../../src/common/calls/active_configuration.ts";
 import type { IModelDemand } from "../../src/common/calls/model_calls.ts";
+import type { IObjectChanges } from "../../src/common/calls/object_follower.ts";
 import { ServingGroups } from "../../src/common/calls/serving_groups.ts";
 import { TargetRateLimits } from "../../src/common/calls/target_rate_limits.ts";
 import { TargetRegistry } from "../../src/common/calls/target_registry.ts";
@@ -19,9 +20,11 @@
 import type {
   EngineOrder,
   IEngineClient,
+  IGroupPlan,
 } from "../../src/common/replicas/types.ts";
 import { WriteFailureKind } from "../../src/common/services/services.ts";
 import type {
+  IClock,
   IObjectStore,
   IPlatformObject,
 } from "../../src/common/services/services.ts";
@@ -119,7 +122,7 @@
 
 const UNAVAILABLE = { kind: "unknown", detail: "unavailable" } as never;
 
-/** Engines that carry out orders at once and record them. */
+/** Engines that carry out orders and record them. */
 class FakeEngines implements IEngineClient {
   readonly states = new Map<string, IEngineState>();
   /** Engines that no longer answer. */
@@ -128,6 +131,17 @@
   readonly taken: string[] = [];
   readonly orders: { readonly engine: string; readonly order: EngineOrder }[] =
     [];
+  /**
+   * Milliseconds after which an order is carried out without an answer; null
+   * for one that is carried out at once.
+   */
+  delayOf: () => number | null = () => null;
+  readonly #clock: IClock;
+  readonly #highestEpochs = new Map<string, number>();
+
+  constructor(clock: IClock) {
+    this.#clock = clock;
+  }
 
   async fetchReport({ id }: { readonly id: string }) {
     if (this.dead.has(id)) {
@@ -141,27 +155,62 @@
     if (this.dead.has(id)) {
       return OrderOutcome.Unknown;
     }
+    const delay = this.delayOf();
+    if (delay !== null) {
+      this.#clock.after(delay, () => this.#applyOrder(id, order));
+      return OrderOutcome.Unknown;
+    }
+    return this.#applyOrder(id, order);
+  }
+
+  #applyOrder(id: string, order: EngineOrder): OrderOutcome {
     this.orders.push({ engine: id, order });
     const state = this.states.get(id) ?? engineState();
     if (order.kind === OrderKind.Join) {
-      const { group, epoch, model, members } = order.plan;
-      if (state.membership?.group !== group && this.#hasOpenHead(state)) {
-        this.taken.push(id);
-      }
-      const rank = members.indexOf(id);
-      const membership = { group, epoch, rank, state: GroupMemberState.Ready };
-      this.states.set(id, { ...state, model, staged: [model], membership });
-    } else if (order.kind === OrderKind.Stage) {
+      return this.#join(id, order.plan);
+    }
+    if (order.kind === OrderKind.Stage) {
       this.states.set(id, { ...state, staged: [order.model] });
-    } else if (order.kind === OrderKind.Open && state.membership) {
-      const membership = { ...state.membership, state: GroupMemberState.Open };
-      this.states.set(id, { ...state, membership });
-    } else if (order.kind === OrderKind.Leave) {
+      return OrderOutcome.Accepted;
+    }
+    const { membership } = state;
+    if (membership?.group !== order.group || membership.epoch !== order.epoch) {
+      return OrderOutcome.Refused;
+    }
+    if (order.kind === OrderKind.Leave) {
       this.states.set(id, { ...state, membership: null });
+    } else {
+      const next =
+        order.kind === OrderKind.Open
+          ? GroupMemberState.Open
+          : GroupMemberState.Ready;
+      this.states.set(id, {
+        ...state,
+        membership: { ...membership, state: next },
+      });
     }
     return OrderOutcome.Accepted;
   }
 
+  #join(id: string, plan: IGroupPlan): OrderOutcome {
+    const { group, epoch, model, members } = plan;
+    const state = this.states.get(id) ?? engineState();
+    if (epoch < (this.#highestEpochs.get(id) ?? 0)) {
+      return OrderOutcome.Refused;
+    }
+    this.#highestEpochs.set(id, epoch);
+    if (state.membership?.group === group) {
+      return OrderOutcome.Accepted;
+    }
+    if (this.#hasOpenHead(state)) {
+      this.taken.push(`${id} to ${group}`);
+    }
+    const rank = members.indexOf(id);
+    const membership = { group, epoch, rank, state: GroupMemberState.Ready };
+    this.states.set(id, { ...state, model, staged: [model], membership });
+    return OrderOutcome.Accepted;
+  }
+
   #hasOpenHead({ membership }: IEngineState): boolean {
     return [...this.states.values()].some(
       ({ membership: other }) =>
@@ -175,7 +224,7 @@
 export class TestDeployment {
   readonly clock = new ManualClock();
   readonly store = new InMemoryStore();
-  readonly engines = new FakeEngines();
+  readonly engines = new FakeEngines(this.clock);
   /** By address; without an entry, an address does not answer. */
   readonly coordinators = new Map<string, FleetCoordinator>();
   /** Modifies the holder's replies in transit. */
@@ -254,6 +303,14 @@
   }
 }
 
+const NO_CHANGES: IObjectChanges = {
+  isFullList: false,
+  isAfterOutage: false,
+  objects: [],
+  removed: [],
+  version: 1,
+};
+
 /** One process in a test deployment. */
 export class TestProcess {
   readonly groups = new ServingGroups();
@@ -265,6 +322,7 @@
   fewestGroups = Number.POSITIVE_INFINITY;
   hasCalls = false;
   demand: readonly IModelDemand[] = [];
+  readonly #targets = new TargetRegistry(decode, 2_000);
 
   /** @param unlisted - an engine that the platform has dropped */
   constructor(
@@ -282,20 +340,14 @@
       this.log,
     );
     configuration.update({});
-    const targets = new TargetRegistry(decode, 2_000);
+    const targets = this.#targets;
     const objects = Array.from({ length: ENGINES }, (_, index) => ({
       kind: "targets",
       name: `engine-${index}`,
       version: 1,
       value: {},
     })).filter(({ name }) => name !== unlisted);
-    const fullList = {
-      isFullList: true,
-      isAfterOutage: false,
-      removed: [],
-      version: 1,
-    };
-    targets.applyStoreChanges({ ...fullList, objects }, 0);
+    targets.applyStoreChanges({ ...NO_CHANGES, isFullList: true, objects }, 0);
     this.coordinator = new FleetCoordinator(
       {
         store: deployment.store,
@@ -331,6 +383,18 @@
     deployment.coordinators.set(address, this.coordinator);
   }
 
+  /** Handles that the platform has dropped an engine. */
+  removeEngine(id: string): void {
+    const removed = [id];
+    this.#targets.applyStoreChanges({ ...NO_CHANGES, removed }, 0);
+  }
+
+  /** Handles that the platform lists an engine again. */
+  addEngine(id: string): void {
+    const object = { kind: "targets", name: id, version: 1, value: {} };
+    this.#targets.applyStoreChanges({ ...NO_CHANGES, objects: [object] }, 0);
+  }
+
   get serving(): readonly string[] {
     return this.groups.all.map(({ group }) => group).sort();
   }
