--- a/src/common/calls/target_rate_limits.ts
+++ b/src/common/calls/target_rate_limits.ts
@@ -2,13 +2,12 @@
  * Keeps to the request rates that targets name in their responses, each for all
  * processes together.
  *
- * A target in need gets too many requests if each process goes by what it was
- * told itself, even if each takes an even part: dozens of processes with one
- * request each exceed a limit of two a second. So the lease holder collects
- * what all processes were told, and assigns each limit to as few of them as can
- * use it. A process without an assignment, while there is no holder, keeps to
- * an even part. Each part accrues from zero, so that a reassigned limit is not
- * used twice.
+ * An overloaded target still gets too many requests if each process applies the
+ * limit by itself, even divided by their number: dozens of processes with one
+ * request each exceed a limit of two a second. So the lease holder collects the
+ * limits that all processes have received, and assigns each one to as few
+ * processes as can use it. Without a holder, a process uses an even part. Each
+ * part accrues from zero, so that a reassigned limit is not used twice.
  */
 import type { IClock, ILog } from "../services/services.ts";
 import type { InstanceId, MonotonicTime } from "../types.ts";
--- a/src/entry/fleet_rate_limits_test.ts
+++ b/src/entry/fleet_rate_limits_test.ts
@@ -4,7 +4,7 @@
 
 const SEED = 20261203;
 
-/** Requests per second that a head in need takes. */
+/** Requests per second that an overloaded head takes. */
 const LIMIT = 1.6;
 
 /** Starts a fleet whose first head names a limit; returns that head. */
@@ -34,7 +34,7 @@
   }
 
   // Guards against a limit that is exceeded while the lease changes hands: the
-  // new holder shares it anew while processes still use their former shares.
+  // new holder assigns it while processes still use their former shares.
   it("keeps a limit while the lease holder is replaced", async () => {
     const { fleet } = await startLimited(6);
     for (let round = 0; round < 3; round += 1) {
--- a/test/support/limiting_heads.ts
+++ b/test/support/limiting_heads.ts
@@ -32,7 +32,7 @@
 interface IArrival {
   readonly target: string;
   readonly at: number;
-  /** Whether the sender had been told of a limit long enough before. */
+  /** Whether the sender had received a limit long enough before. */
   readonly isNoticed: boolean;
 }
 
@@ -45,7 +45,7 @@
 export class LimitingHeads {
   readonly #clock: IClock;
   readonly #limits = new Map<string, INamedLimit>();
-  readonly #toldAt = new Map<string, number>();
+  readonly #noticedAt = new Map<string, number>();
   readonly #arrivals: IArrival[] = [];
 
   constructor(clock: IClock) {
@@ -72,7 +72,7 @@
           const answer = () => {
             if (index === 0) {
               const rateLimit = this.#limits.get(target.id)?.rate ?? null;
-              this.#recordTold(process, target.id, rateLimit);
+              this.#recordNotice(process, target.id, rateLimit);
               receiver.onHead({ ...SUCCESS_HEAD, rateLimit });
             }
             receiver.onData(encodeEvent(index + 1));
@@ -112,17 +112,17 @@
 
   #recordArrival(process: string, target: string): void {
     const at = this.#clock.now();
-    const toldAt = this.#toldAt.get(keyOf(process, target));
-    const isNoticed = toldAt !== undefined && at - toldAt >= NOTICE_TIME;
+    const noticedAt = this.#noticedAt.get(keyOf(process, target));
+    const isNoticed = noticedAt !== undefined && at - noticedAt >= NOTICE_TIME;
     this.#arrivals.push({ target, at, isNoticed });
   }
 
-  #recordTold(process: string, target: string, rate: number | null): void {
+  #recordNotice(process: string, target: string, rate: number | null): void {
     const key = keyOf(process, target);
     if (rate === null) {
-      this.#toldAt.delete(key);
-    } else if (!this.#toldAt.has(key)) {
-      this.#toldAt.set(key, this.#clock.now());
+      this.#noticedAt.delete(key);
+    } else if (!this.#noticedAt.has(key)) {
+      this.#noticedAt.set(key, this.#clock.now());
     }
   }
 }
