--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -216,7 +216,7 @@
     }
   }
 
-  /** Handles a member's acceptance of the order to leave, which acts at once. */
+  /** Handles a member's acceptance of an order to leave, which acts at once. */
   handleLeft(name: string, member: InstanceId, now: MonotonicTime): void {
     this.#departures.record(member, name, now);
   }
