Read and log the time that a rejecting target names

The logs could not tell the hypotheses on BUDGET apart: a rejected send named neither its target nor Retry-After nor when it was sent. The sender that all model and plain calls go through logs target_rejected with the target, the request, the time and how long ago the call was sent; it is named ObservingSender now, since it reads more than limits. No decision changes.

--- /dev/null
+++ b/src/common/calls/observing_sender.ts
@@ -0,0 +1,103 @@
+/**
+ * Sends all calls to targets and evaluates what their responses state about the
+ * targets themselves, such as request limits.
+ */
+import type { IClock, ILog } from "../services/services.ts";
+import type { MonotonicTime } from "../types.ts";
+import type { TargetRateLimits } from "./target_rate_limits.ts";
+import type {
+  ICall,
+  ICallSender,
+  IResponseHead,
+  IResponseReceiver,
+  ISendHandle,
+  ISendOptions,
+  ISendTarget,
+  SendFailure,
+} from "./types.ts";
+
+/** Dependencies of {@link ObservingSender}. */
+export interface IObservingSenderParts {
+  readonly sender: ICallSender;
+  readonly limits: TargetRateLimits;
+  readonly clock: IClock;
+  readonly log: ILog;
+}
+
+/** Sends calls and keeps what is known of their targets up to date. */
+export class ObservingSender implements ICallSender {
+  readonly #parts: IObservingSenderParts;
+
+  constructor(parts: IObservingSenderParts) {
+    this.#parts = parts;
+  }
+
+  send(
+    target: ISendTarget,
+    call: ICall,
+    options: ISendOptions & { readonly receiver: IResponseReceiver },
+  ): ISendHandle {
+    const { sender, limits, clock } = this.#parts;
+    const sentAt = clock.now();
+    const receiver = new ObservingReceiver(options.receiver, (head) =>
+      this.#evaluate(head, { target, call, sentAt }),
+    );
+    limits.recordSend(target.id);
+    return sender.send(target, call, { ...options, receiver });
+  }
+
+  #evaluate(
+    head: IResponseHead,
+    sent: {
+      readonly target: ISendTarget;
+      readonly call: ICall;
+      readonly sentAt: MonotonicTime;
+    },
+  ): void {
+    const { limits, clock, log } = this.#parts;
+    const { target, call, sentAt } = sent;
+    if (!head.isForOtherRequest) {
+      limits.recordResponse(target.id, head);
+    }
+    if (head.retryAfter !== null) {
+      log.info("target_rejected", {
+        target: target.id,
+        request: call.id,
+        status: head.status,
+        retry_after_ms: head.retryAfter,
+        answered_after_ms: Math.round(clock.now() - sentAt),
+      });
+    }
+  }
+}
+
+/** Passes a response on and shows its head to an observer first. */
+class ObservingReceiver implements IResponseReceiver {
+  readonly #receiver: IResponseReceiver;
+  readonly #observe: (head: IResponseHead) => void;
+
+  constructor(
+    receiver: IResponseReceiver,
+    observe: (head: IResponseHead) => void,
+  ) {
+    this.#receiver = receiver;
+    this.#observe = observe;
+  }
+
+  onHead(head: IResponseHead): void {
+    this.#observe(head);
+    this.#receiver.onHead(head);
+  }
+
+  onData(bytes: Uint8Array): void {
+    this.#receiver.onData(bytes);
+  }
+
+  onEnd(): void {
+    this.#receiver.onEnd();
+  }
+
+  onFailure(failure: SendFailure, detail: string): void {
+    this.#receiver.onFailure(failure, detail);
+  }
+}
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -10,7 +10,7 @@
   RecordingLog,
   NO_METRICS,
 } from "../../../test/support/recording_services.ts";
-import { LimitObservingSender } from "./limit_observing_sender.ts";
+import { ObservingSender } from "./observing_sender.ts";
 import { PlainCalls } from "./plain_calls.ts";
 import { PlainTargetSelector } from "./plain_target_selector.ts";
 import { ServiceRetryAllowances } from "./service_retry_allowances.ts";
@@ -37,6 +37,7 @@
     isNotRun,
     isForOtherRequest: false,
     rateLimit: null,
+    retryAfter: null,
     load: null,
   };
 }
@@ -65,8 +66,8 @@
       targets: new PlainTargetSelector(),
       readyTargets: () => listed,
       limits,
-      sender: new LimitObservingSender(
-        {
+      sender: new ObservingSender({
+        sender: {
           send: (target, _, options) => {
             const send = { target: target.id, options, isAborted: false };
             this.sends.push(send);
@@ -74,7 +75,9 @@
           },
         },
         limits,
-      ),
+        clock: this.clock,
+        log: new RecordingLog(),
+      }),
       retries: new ServiceRetryAllowances(bounds, {
         processes: () => 1,
         replacesAnotherSince: null,
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -233,6 +233,11 @@
    * null if it names no limit.
    */
   readonly rateLimit: number | null;
+  /**
+   * Milliseconds for which a target that rejected the call wants no more from
+   * this process; null if it names no time.
+   */
+  readonly retryAfter: number | null;
 }
 
 /** A plain target's load as reported in its responses. */
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -13,7 +13,7 @@
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { ActiveConfiguration } from "../common/calls/active_configuration.ts";
-import { LimitObservingSender } from "../common/calls/limit_observing_sender.ts";
+import { ObservingSender } from "../common/calls/observing_sender.ts";
 import { CHECK_PERIOD, ModelCalls } from "../common/calls/model_calls.ts";
 import { ObjectFollower } from "../common/calls/object_follower.ts";
 import type { IFollowerParts } from "../common/calls/object_follower.ts";
@@ -116,7 +116,12 @@
     const retries = this.#createRetryAllowances();
     const limits = this.#rateLimits;
     const shared = {
-      sender: new LimitObservingSender(this.#client, limits),
+      sender: new ObservingSender({
+        sender: this.#client,
+        limits,
+        clock: this.#clock,
+        log,
+      }),
       limits,
       retries,
       clock: this.#clock,
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -1,5 +1,5 @@
 /** Processes of one deployment that take calls and share its groups. */
-import { LimitObservingSender } from "../../src/common/calls/limit_observing_sender.ts";
+import { ObservingSender } from "../../src/common/calls/observing_sender.ts";
 import {
   CHECK_PERIOD,
   ModelCalls,
@@ -35,7 +35,12 @@
     this.hasCalls = true;
     this.calls = new ModelCalls({
       groups: this.groups,
-      sender: new LimitObservingSender(heads.senderOf(address), this.limits),
+      sender: new ObservingSender({
+        sender: heads.senderOf(address),
+        limits: this.limits,
+        clock,
+        log: this.log,
+      }),
       limits: this.limits,
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack: 100 },
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -44,6 +44,7 @@
   isForOtherRequest: false,
   load: null,
   rateLimit: null,
+  retryAfter: null,
 };
 
 /** A group whose head engine is named after it. */
