Test that targets get no calls for the time that they name (red)

The heads of the fleet test reject for a time, reject without one, break streams off and name limits, and count by the rule (RetryAfterRule).

--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -10,6 +10,7 @@
   RecordingLog,
   NO_METRICS,
 } from "../../../test/support/recording_services.ts";
+import { RetryAfterRule } from "../../../test/support/retry_after_rule.ts";
 import { ObservingSender } from "./observing_sender.ts";
 import { PlainCalls } from "./plain_calls.ts";
 import { PlainTargetSelector } from "./plain_target_selector.ts";
@@ -19,6 +20,7 @@
 import type {
   IResponseHead,
   IResponseReceiver,
+  IRoute,
   ISendOptions,
 } from "./types.ts";
 
@@ -42,6 +44,11 @@
   };
 }
 
+/** Milliseconds for which an overloaded target wants no calls. */
+const RETRY_AFTER = 3_000;
+
+const OVERLOADED = { ...headOf(503, true), retryAfter: RETRY_AFTER };
+
 interface ISend {
   readonly target: string;
   readonly options: ISendOptions & { readonly receiver: IResponseReceiver };
@@ -106,6 +113,30 @@
   }
 }
 
+/** Submits a call, and has targets answer until it ends. */
+function submitAnswered(
+  harness: PlainCallsHarness,
+  options: {
+    readonly route: IRoute;
+    readonly rule: RetryAfterRule;
+    readonly answerOf: (target: string) => IResponseHead;
+  },
+): RecordingReply {
+  const { route, rule, answerOf } = options;
+  let answered = harness.sends.length;
+  const reply = harness.submit(route);
+  for (; answered < harness.sends.length; answered += 1) {
+    const target = harness.sends[answered]?.target ?? "";
+    rule.recordArrival("process", target);
+    const head = answerOf(target);
+    if (head.retryAfter !== null) {
+      rule.recordRejection("process", target, head.retryAfter);
+    }
+    harness.answer(answered, head, "done");
+  }
+  return reply;
+}
+
 describe("plain calls", () => {
   it("passes on a complete response", () => {
     const harness = new PlainCallsHarness();
@@ -184,6 +215,47 @@
     expect(reply.text).to.equal("second");
   });
 
+  // Guards against sending calls to a plain target that has rejected one and
+  // named a time for which it wants no more, while the others fail at times.
+  for (const route of [SAFE, UNSAFE]) {
+    it(`sends an overloaded plain target nothing, ${route.kind} calls`, () => {
+      const harness = new PlainCallsHarness();
+      const rule = new RetryAfterRule(harness.clock);
+      let answers = 0;
+      const answerOf = (target: string) => {
+        answers += 1;
+        if (target === "a") {
+          return OVERLOADED;
+        }
+        return answers % 10 < 6 ? headOf(503, true) : headOf(200);
+      };
+      for (let count = 0; count < 400; count += 1) {
+        submitAnswered(harness, { route, rule, answerOf });
+        harness.clock.advance(20);
+      }
+      expect(rule.rejections).to.be.greaterThan(0);
+      expect(rule.violations).to.deep.equal([]);
+    });
+  }
+
+  // Guards against callers that come back too soon, or only one by one learn
+  // that no target takes their calls.
+  it("refuses plain calls at once while no target takes any", () => {
+    const harness = new PlainCallsHarness();
+    const rule = new RetryAfterRule(harness.clock);
+    const answerOf = () => OVERLOADED;
+    for (let count = 0; count < 3; count += 1) {
+      submitAnswered(harness, { route: UNSAFE, rule, answerOf });
+    }
+    expect(harness.sends).to.have.length(3);
+    harness.clock.advance(1_000);
+    const reply = harness.submit(UNSAFE);
+    expect(harness.sends).to.have.length(3);
+    expect(reply.refusal?.kind).to.equal(CallRefusalKind.NotRun);
+    const left = RETRY_AFTER - 1_000;
+    expect(reply.refusal?.retryAfter).to.be.within(left, left + 1_500);
+  });
+
   // Guards against overloading a plain target that asks for fewer requests.
   it("sends a plain target no more requests than it takes", () => {
     const harness = new PlainCallsHarness();
--- a/src/stand_ins/engine_member/engine_member.ts
+++ b/src/stand_ins/engine_member/engine_member.ts
@@ -11,7 +11,13 @@
 import { TargetState } from "../../common/types.ts";
 import type { IGroupMembership, ITargetReport } from "../../common/types.ts";
 import { requestIdOf } from "../../adapters/targets/wire_id.ts";
-import { JsonServer, okAnswer, errorAnswer } from "../shared/json_server.ts";
+import {
+  errorAnswer,
+  JsonServer,
+  okAnswer,
+  OVERLOAD_RETRY_AFTER,
+  overloadAnswer,
+} from "../shared/json_server.ts";
 import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
 import { StreamFaultInjector } from "./stream_fault_injector.ts";
 import { tokenText } from "./text.ts";
@@ -226,6 +232,10 @@
     if (this.#state === TargetState.Leaving || this.#faults.isRefusing) {
       return errorAnswer(STATUS_UNAVAILABLE, "leaving");
     }
+    if (this.#faults.isOverloaded) {
+      this.#record("rejected", membership, engineCall.requestId);
+      return overloadAnswer(OVERLOAD_RETRY_AFTER);
+    }
     if (!(await this.#areMembersPresent(membership, engineCall.requestId))) {
       return errorAnswer(STATUS_UNAVAILABLE, "a member is missing");
     }
--- a/src/stand_ins/engine_member/stream_fault_injector.ts
+++ b/src/stand_ins/engine_member/stream_fault_injector.ts
@@ -17,6 +17,8 @@
   MalformedEvent = "garble",
   /** Refuses calls as a leaving instance does, but does not report it. */
   Refuse = "refuse",
+  /** Rejects new answers and names a time for which it wants no more. */
+  Overload = "overload",
   /** Like {@link Reset}, for every answer from now on. */
   ResetAlways = "reset_always",
 }
@@ -42,6 +44,11 @@
     return this.#fault === StreamFault.Refuse;
   }
 
+  /** Whether new answers are rejected because of overload. */
+  get isOverloaded(): boolean {
+    return this.#fault === StreamFault.Overload;
+  }
+
   /** Sets the fault by its name; an unknown name clears it. */
   set(name: unknown): void {
     this.#fault =
--- a/src/stand_ins/engine_member/types.ts
+++ b/src/stand_ins/engine_member/types.ts
@@ -36,7 +36,8 @@
     | "began"
     | "worked"
     | "ended"
-    | "cancelled";
+    | "cancelled"
+    | "rejected";
   readonly at: number;
   readonly group: string;
   readonly generation: number;
--- a/src/stand_ins/plain_service/call_fault_injector.ts
+++ b/src/stand_ins/plain_service/call_fault_injector.ts
@@ -17,6 +17,8 @@
   ForeignAnswer = "cross_answer",
   /** Refuses calls as a leaving instance does, but does not report it. */
   Refuse = "refuse",
+  /** Rejects calls and names a time for which it wants no more. */
+  Overload = "overload",
 }
 
 /** Points in a call at which faults occur. */
--- a/src/stand_ins/plain_service/plain_service.ts
+++ b/src/stand_ins/plain_service/plain_service.ts
@@ -5,7 +5,13 @@
 import { TargetState } from "../../common/types.ts";
 import type { ITargetReport } from "../../common/types.ts";
 import { requestIdOf } from "../../adapters/targets/wire_id.ts";
-import { JsonServer, okAnswer, errorAnswer } from "../shared/json_server.ts";
+import {
+  errorAnswer,
+  JsonServer,
+  okAnswer,
+  OVERLOAD_RETRY_AFTER,
+  overloadAnswer,
+} from "../shared/json_server.ts";
 import type { IJsonAnswer, IJsonRequest } from "../shared/json_server.ts";
 import { RunLog } from "./run_log.ts";
 import {
@@ -38,6 +44,8 @@
   readonly #runLog: RunLog;
   readonly #server = new JsonServer((request) => this.#handle(request));
   readonly #faults = new CallFaultInjector();
+  /** Calendar milliseconds of the calls rejected because of overload. */
+  readonly #rejections: number[] = [];
   #state = TargetState.Ready;
   #running = 0;
 
@@ -70,6 +78,7 @@
         return okAnswer({
           runs: this.#runLog.entries,
           paused: this.#faults.pausedCalls,
+          rejections: this.#rejections,
         });
       default:
         return errorAnswer(STATUS_NOT_FOUND, "no such path");
@@ -84,6 +93,10 @@
     if (this.#state === TargetState.Leaving || isRefusing) {
       return errorAnswer(STATUS_UNAVAILABLE, "leaving");
     }
+    if (this.#faults.fault === CallFault.Overload) {
+      this.#rejections.push(Date.now());
+      return overloadAnswer(OVERLOAD_RETRY_AFTER);
+    }
     this.#running += 1;
     await this.#faults.applyAt(CallPoint.BeforeRun);
     await sleep(this.#options.workTime);
--- a/src/stand_ins/shared/json_server.ts
+++ b/src/stand_ins/shared/json_server.ts
@@ -7,6 +7,11 @@
 /** Above the platform's limit, so that the object API checks that itself. */
 const MAXIMUM_BODY_BYTES = 4_000_000;
 
+const STATUS_UNAVAILABLE = 503;
+
+/** Seconds for which overloaded stand-ins want no requests. */
+export const OVERLOAD_RETRY_AFTER = 2;
+
 /** A parsed request. */
 export interface IJsonRequest {
   readonly method: string;
@@ -21,6 +26,7 @@
 export interface IJsonAnswer {
   readonly status: number;
   readonly body: unknown;
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** Answers one request; null if it wrote the response itself. */
@@ -68,7 +74,10 @@
           response,
         });
     if (answer !== null) {
-      response.writeHead(answer.status, { "content-type": "application/json" });
+      response.writeHead(answer.status, {
+        ...answer.headers,
+        "content-type": "application/json",
+      });
       response.end(JSON.stringify(answer.body));
     }
   }
@@ -82,3 +91,13 @@
 export function errorAnswer(status: number, error: string): IJsonAnswer {
   return { status, body: { error } };
 }
+
+/**
+ * Rejects a request because of overload.
+ *
+ * @param retryAfter - seconds for which the sender is to send no more
+ */
+export function overloadAnswer(retryAfter: number): IJsonAnswer {
+  const headers = { "retry-after": String(retryAfter) };
+  return { ...errorAnswer(STATUS_UNAVAILABLE, "overloaded"), headers };
+}
--- a/test/support/call_fixtures.ts
+++ b/test/support/call_fixtures.ts
@@ -59,6 +59,7 @@
   text = "";
   failure: SendFailure | null = null;
   detail = "";
+  isFinished = false;
   readonly finished: Promise<void>;
   #resolve: () => void = () => undefined;
 
@@ -77,12 +78,14 @@
   }
 
   onEnd(): void {
+    this.isFinished = true;
     this.#resolve();
   }
 
   onFailure(failure: SendFailure, detail: string): void {
     this.failure = failure;
     this.detail = detail;
+    this.isFinished = true;
     this.#resolve();
   }
 }
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -4,6 +4,8 @@
   CHECK_PERIOD,
   ModelCalls,
 } from "../../src/common/calls/model_calls.ts";
+import type { ICallRefusal } from "../../src/common/calls/types.ts";
+import type { IClock } from "../../src/common/services/services.ts";
 import { ServiceRetryAllowances } from "../../src/common/calls/service_retry_allowances.ts";
 import { callOf, RecordingReply } from "./call_fixtures.ts";
 import {
@@ -21,6 +23,28 @@
 /** Milliseconds until all groups of a deployment serve. */
 const START_TIME = 4_000;
 
+/** Records what a caller receives, and when it is refused. */
+class TimedReply extends RecordingReply {
+  refusedAt: number | null = null;
+  readonly #clock: IClock;
+
+  constructor(clock: IClock) {
+    super();
+    this.#clock = clock;
+  }
+
+  override refuse(refusal: ICallRefusal): void {
+    super.refuse(refusal);
+    this.refusedAt = this.#clock.now();
+  }
+}
+
+/** A submitted call and its answer. */
+export interface ITimedAnswer {
+  readonly submittedAt: number;
+  readonly reply: TimedReply;
+}
+
 /** One process with its model calls. */
 class CallingProcess extends TestProcess {
   readonly calls: ModelCalls;
@@ -63,7 +87,9 @@
 /** A deployment whose processes get calls at a steady rate. */
 export class CallingFleet {
   readonly deployment = new TestDeployment();
-  readonly heads = new LimitingHeads(this.deployment.clock);
+  readonly heads: LimitingHeads;
+  /** All calls that were submitted, in order. */
+  readonly answers: ITimedAnswer[] = [];
   readonly processes: CallingProcess[] = [];
   readonly #random: SeededRandom;
   readonly #callsPerSecond: number;
@@ -75,6 +101,7 @@
     readonly callsPerSecond: number;
   }) {
     this.#random = new SeededRandom(options.seed);
+    this.heads = new LimitingHeads(this.deployment.clock, options.seed);
     this.#callsPerSecond = options.callsPerSecond;
   }
 
@@ -127,7 +154,8 @@
 
   #submit(): void {
     const chosen = Math.floor(this.#random.next() * this.processes.length);
-    const now = this.deployment.clock.now();
+    const { clock } = this.deployment;
+    const now = clock.now();
     this.#calls += 1;
     const call = callOf({
       id: `attempt-${this.#calls}`,
@@ -136,6 +164,8 @@
       arrivedAt: now,
       deadline: now + 8_000,
     });
-    this.processes[chosen]?.calls.submit(call, new RecordingReply());
+    const reply = new TimedReply(clock);
+    this.answers.push({ submittedAt: now, reply });
+    this.processes[chosen]?.calls.submit(call, reply);
   }
 }
--- a/test/support/limiting_heads.ts
+++ b/test/support/limiting_heads.ts
@@ -1,8 +1,18 @@
-/** Heads of groups that name request limits, and check that they are kept. */
+/**
+ * Heads of groups that name request limits, or reject requests for a time, and
+ * check that processes keep to both.
+ */
 import { DisposableStore } from "../../src/common/disposable.ts";
-import type { ICallSender } from "../../src/common/calls/types.ts";
+import type {
+  ICallSender,
+  IResponseHead,
+  IResponseReceiver,
+} from "../../src/common/calls/types.ts";
+import { SendFailure } from "../../src/common/calls/types.ts";
 import type { IClock } from "../../src/common/services/services.ts";
 import { SUCCESS_HEAD } from "./model_calls_harness.ts";
+import { RetryAfterRule } from "./retry_after_rule.ts";
+import { SeededRandom } from "./seeded_random.ts";
 
 /** Milliseconds from a request to the head of its response. */
 const FIRST_EVENT_TIME = 150;
@@ -11,6 +21,12 @@
 /** Milliseconds from a request to the end of its response. */
 const RUN_TIME = 400;
 
+/** Milliseconds from a request to its rejection. */
+const REJECTION_TIME = 10;
+
+/** Events of a response that breaks off. */
+const EVENTS_BEFORE_BREAK = 2;
+
 /** Milliseconds from a request to each event of its response. */
 const EVENT_TIMES = Array.from(
   { length: Math.floor((RUN_TIME - FIRST_EVENT_TIME) / EVENT_PERIOD) + 1 },
@@ -29,6 +45,21 @@
 const SLACK = 5;
 const NOTICE_TIME = 500;
 
+/** A rejection that names no time. */
+const REJECTION_HEAD: IResponseHead = {
+  ...SUCCESS_HEAD,
+  status: 503,
+  isNotRun: true,
+};
+
+/** What goes wrong with a request. */
+enum Fault {
+  /** It is rejected, without a time. */
+  Reject = "reject",
+  /** Its response breaks off after some events. */
+  Break = "break",
+}
+
 interface IArrival {
   readonly target: string;
   readonly at: number;
@@ -47,9 +78,36 @@
   readonly #limits = new Map<string, INamedLimit>();
   readonly #noticedAt = new Map<string, number>();
   readonly #arrivals: IArrival[] = [];
+  /** Milliseconds that each overloaded target names when it rejects. */
+  readonly #retryAfter = new Map<string, number>();
+  readonly #faultRandom: SeededRandom;
+  readonly #retryAfterRule: RetryAfterRule;
+  /** Share of the requests that meet a fault, 0 to 1. */
+  faultShare = 0;
 
-  constructor(clock: IClock) {
+  constructor(clock: IClock, seed: number) {
     this.#clock = clock;
+    this.#faultRandom = new SeededRandom(seed);
+    this.#retryAfterRule = new RetryAfterRule(clock);
+  }
+
+  /** What broke the rule on rejections for a time. */
+  get rejectionViolations(): readonly string[] {
+    return this.#retryAfterRule.violations;
+  }
+
+  /** Number of rejections for a time. */
+  get rejections(): number {
+    return this.#retryAfterRule.rejections;
+  }
+
+  /** @param retryAfter - milliseconds; null ends the overload */
+  setOverloaded(target: string, retryAfter: number | null): void {
+    if (retryAfter === null) {
+      this.#retryAfter.delete(target);
+    } else {
+      this.#retryAfter.set(target, retryAfter);
+    }
   }
 
   /** @param rate - requests per second; null ends the limit */
@@ -66,27 +124,85 @@
     return {
       send: (target, _, { receiver }) => {
         this.#recordArrival(process, target.id);
+        this.#retryAfterRule.recordArrival(process, target.id);
         const timers = new DisposableStore();
-        const { length } = EVENT_TIMES;
-        for (const [index, time] of EVENT_TIMES.entries()) {
-          const answer = () => {
-            if (index === 0) {
-              const rateLimit = this.#limits.get(target.id)?.rate ?? null;
-              this.#recordNotice(process, target.id, rateLimit);
-              receiver.onHead({ ...SUCCESS_HEAD, rateLimit });
-            }
-            receiver.onData(encodeEvent(index + 1));
-            if (index === length - 1) {
-              receiver.onEnd();
-            }
-          };
-          timers.add(this.#clock.after(time, answer));
+        const fault = this.#drawFault();
+        const retryAfter = this.#retryAfter.get(target.id) ?? null;
+        if (retryAfter !== null) {
+          const head = { ...REJECTION_HEAD, retryAfter };
+          this.#reject(receiver, timers, head, () =>
+            this.#retryAfterRule.recordRejection(
+              process,
+              target.id,
+              retryAfter,
+            ),
+          );
+        } else if (fault === Fault.Reject) {
+          this.#reject(receiver, timers, REJECTION_HEAD);
+        } else {
+          this.#respond(receiver, timers, {
+            process,
+            target: target.id,
+            fault,
+          });
         }
         return { abort: () => timers.dispose() };
       },
     };
   }
 
+  #drawFault(): Fault | null {
+    if (this.#faultRandom.next() >= this.faultShare) {
+      return null;
+    }
+    return this.#faultRandom.next() < 0.5 ? Fault.Reject : Fault.Break;
+  }
+
+  #reject(
+    receiver: IResponseReceiver,
+    timers: DisposableStore,
+    head: IResponseHead,
+    onRejected: () => void = () => undefined,
+  ): void {
+    const answer = () => {
+      onRejected();
+      receiver.onHead(head);
+      receiver.onEnd();
+    };
+    timers.add(this.#clock.after(REJECTION_TIME, answer));
+  }
+
+  #respond(
+    receiver: IResponseReceiver,
+    timers: DisposableStore,
+    sent: {
+      readonly process: string;
+      readonly target: string;
+      readonly fault: Fault | null;
+    },
+  ): void {
+    const { length } = EVENT_TIMES;
+    for (const [index, time] of EVENT_TIMES.entries()) {
+      const answer = () => {
+        if (index === 0) {
+          const rateLimit = this.#limits.get(sent.target)?.rate ?? null;
+          this.#recordNotice(sent.process, sent.target, rateLimit);
+          receiver.onHead({ ...SUCCESS_HEAD, rateLimit });
+        }
+        if (sent.fault === Fault.Break && index === EVENTS_BEFORE_BREAK) {
+          timers.dispose();
+          receiver.onFailure(SendFailure.Broken, "reset");
+          return;
+        }
+        receiver.onData(encodeEvent(index + 1));
+        if (index === length - 1) {
+          receiver.onEnd();
+        }
+      };
+      timers.add(this.#clock.after(time, answer));
+    }
+  }
+
   /** Requests that a target received in the last milliseconds. */
   arrivalsIn(target: string, milliseconds: number): number {
     const since = this.#clock.now() - milliseconds;
