Send a target no calls for the time that it names when it rejects one

Cause: nothing read the time. A rejection suspected the group for 1.5 s only, and the next event of another stream there cleared the suspicion; a group that rejects at once also looks idle to the placing. Plain targets were ejected only after several failures in a row. Evidence: the collected logs (eleven further sends to one head in 0.6 s, four of them retries and seven first sends, then one each 1.5 s), and the tests, whose sends are answered 10 ms after they were made, so that they were not under way already.

Change: TargetCooldowns keeps the times that this process was told. The one sender of model and plain calls records them and has a call that waited for a connection checked again before it is written. A target in its time is offered nothing and is no place to wait for; afterwards one call tests it before the others follow. While all targets or groups reject calls, callers are refused at once (overloaded) with the time until the first takes calls again, spread over half a second. Reports and orders go on. The daemon had the same fault: it does the same by the address of a target, and no longer says that a call may have run which only rejecting targets got.

Why it works: every path that sends a call goes through that sender, and the check before writing covers what lies between the choice and the connection.

--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -135,7 +135,7 @@
       cancel.unlink(connectionLost);
       if (answer.statusCode !== STATUS_OK) {
         const text = await answer.body.text();
-        yield Err(failureOfStatus(attempted, answer.statusCode, text));
+        yield Err(failureOfStatus(attempted, answer, text));
         return;
       }
       const reader = new EngineStreamReader(sent);
@@ -185,7 +185,7 @@
       if (answer.statusCode === STATUS_OK) {
         return Ok(JSON.parse(text) as unknown);
       }
-      return Err(failureOfStatus(attempted, answer.statusCode, text));
+      return Err(failureOfStatus(attempted, answer, text));
     } catch (error) {
       return Err(this.#failureOf(error, { attempted, address, dispatcher }));
     } finally {
--- a/src/adapters/targets/target_answers.ts
+++ b/src/adapters/targets/target_answers.ts
@@ -1,8 +1,12 @@
 /** Interprets responses of targets: valid, refused, or outcome unknown. */
+import type { IncomingHttpHeaders } from "node:http";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure } from "../../common/types.ts";
+import { decodeRetryAfter } from "../retry_after.ts";
+
+const STATUS_UNAVAILABLE = 503;
 
 /** Status codes with which a target states that it has not acted. */
 const REFUSAL_STATUSES: ReadonlySet<number> = new Set([
@@ -25,11 +29,20 @@
 /** Converts a status code other than 200 into a failure. */
 export function failureOfStatus(
   attempted: string,
-  status: number,
+  answer: {
+    readonly statusCode: number;
+    readonly headers: IncomingHttpHeaders;
+  },
   text: string,
 ): ICallFailure {
+  const { statusCode: status, headers } = answer;
   const kind = REFUSAL_STATUSES.has(status)
     ? CallFailureKind.Refused
     : CallFailureKind.Unknown;
-  return { kind, detail: `${attempted}: answered ${status} ${text}` };
+  const detail = `${attempted}: answered ${status} ${text}`;
+  const retryAfter =
+    status === STATUS_UNAVAILABLE
+      ? decodeRetryAfter(headers["retry-after"])
+      : null;
+  return retryAfter === null ? { kind, detail } : { kind, detail, retryAfter };
 }
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -13,6 +13,7 @@
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import type { ServingGroups } from "./serving_groups.ts";
 import type { ILoadedGroup } from "./serving_groups.ts";
+import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
 import { StallDetector } from "./stall_detector.ts";
 import { ZoneReachability } from "./zone_reachability.ts";
@@ -25,6 +26,12 @@
 /** Silence after which a call without a response is ended, milliseconds. */
 const HOPELESS_SILENCE = 2_000;
 
+/**
+ * Milliseconds over which callers return that were refused until a target takes
+ * calls again.
+ */
+const RETURN_SPREAD = 500;
+
 /** Lost groups remembered: enough for all that open calls were sent to. */
 const MAXIMUM_LOST_GROUPS = 500;
 
@@ -44,6 +51,10 @@
   readonly sender: ICallSender;
   readonly retries: ServiceRetryAllowances;
   readonly limits: Pick<TargetRateLimits, "maySend" | "isAssignedElsewhere">;
+  readonly cooldowns: Pick<
+    TargetCooldowns,
+    "isActive" | "maySend" | "shortestWait"
+  >;
   readonly service: (name: string) => IServiceEntry | null;
   readonly clock: IClock;
   readonly random: IRandom;
@@ -227,8 +238,9 @@
     if (queue.size === 0) {
       return;
     }
+    this.#refuseWhileOverloaded(state);
     const now = this.#now;
-    const { groups, limits, zone, random, processes } = this.#parts;
+    const { groups, limits, cooldowns, zone, random, processes } = this.#parts;
     const options = {
       zone,
       processes: processes(),
@@ -241,13 +253,16 @@
     const usable = groups
       .ofModel(service, model)
       .filter(({ group }) => !this.#stallDetector.isSuspected(group, now))
-      .filter(({ head }) => !limits.isAssignedElsewhere(head.id));
+      .filter(({ head }) => !limits.isAssignedElsewhere(head.id))
+      .filter(({ head }) => !cooldowns.isActive(head.id));
     queue.setHasGroups(usable.length > 0, now);
     let open: ILoadedGroup[] = [...usable];
     while (queue.size > 0) {
       const candidates = open.filter(
         ({ head, zone: groupZone }) =>
-          this.#reachability.mayTry(groupZone, now) && limits.maySend(head.id),
+          this.#reachability.mayTry(groupZone, now) &&
+          limits.maySend(head.id) &&
+          cooldowns.maySend(head.id),
       );
       const group = chooseGroup(candidates, options);
       if (group === null) {
@@ -265,6 +280,33 @@
     }
   }
 
+  /**
+   * Refuses the waiting calls while no group of a model takes any. A started
+   * stream waits if its caller is still there when the first one does.
+   */
+  #refuseWhileOverloaded({ service, model, queue }: IModelState): void {
+    const wait = this.#overloadedFor(service, model);
+    if (wait === 0) {
+      return;
+    }
+    const end = this.#now + wait;
+    const refused = queue.removeWhere(({ call, reply, times }) => {
+      const leavesAt = (times.lastEventAt ?? 0) + call.route.patience;
+      return !reply.isStarted || end > Math.min(call.deadline, leavesAt);
+    });
+    for (const run of refused) {
+      this.#refuse(run, CallRefusalReason.Overloaded, queue);
+    }
+  }
+
+  /** Milliseconds until a group of a model takes calls; 0 if one does. */
+  #overloadedFor(service: string, model: string): number {
+    const heads = this.#parts.groups
+      .ofModel(service, model)
+      .map(({ head }) => head.id);
+    return this.#parts.cooldowns.shortestWait(heads);
+  }
+
   /**
    * Takes a further send from the retry allowance; without one the call ends. A
    * call that has reached no target yet, for lack of a connection, needs none.
@@ -399,14 +441,18 @@
   }
 
   #refuse(run: ModelRun, reason: CallRefusalReason, queue: ModelQueue): void {
+    const { service, model } = run.call;
     const chance = this.#parts.random.next();
-    this.#end(run, reason, queue.retryAfter(this.#now, chance));
+    const wait = this.#overloadedFor(service, model ?? "");
+    const retryAfter =
+      wait > 0
+        ? wait + chance * RETURN_SPREAD
+        : queue.retryAfter(this.#now, chance);
+    this.#end(run, reason, retryAfter);
   }
 
   #abandon(run: ModelRun, reason: CallRefusalReason): void {
-    const { queue } = this.#models.getOrCreate(run.call);
-    const chance = this.#parts.random.next();
-    this.#end(run, reason, queue.retryAfter(this.#now, chance));
+    this.#refuse(run, reason, this.#models.getOrCreate(run.call).queue);
   }
 
   #end(run: ModelRun, reason: CallRefusalReason, retryAfter: number): void {
--- a/src/common/calls/model_queue.ts
+++ b/src/common/calls/model_queue.ts
@@ -75,6 +75,17 @@
     }
   }
 
+  /** Removes and returns the runs that meet a condition. */
+  removeWhere(condition: (run: ModelRun) => boolean): readonly ModelRun[] {
+    const removed = this.#queue.removeWhere((item) => {
+      const run = this.#runs.get(item);
+      return run === undefined || condition(run);
+    });
+    return removed
+      .map((item) => this.#forget(item))
+      .filter((run) => run !== null);
+  }
+
   /**
    * Removes and returns the runs that can no longer be answered in time.
    *
@@ -87,19 +98,13 @@
     this.#demoteOverdue(now);
     const hopelessOverdue = new Set(this.#findHopelessOverdue(now));
     const hasTimedOut = this.#grouplessFor(now) > GROUPLESS_TIMEOUT;
-    const hopeless = this.#queue.removeWhere((item) => {
-      const run = this.#runs.get(item);
-      if (run === undefined) {
-        return true;
-      }
-      const isLate = now + shortestRun(run) > item.deadline;
-      const hasWaited = now - item.arrivedAt > GROUPLESS_TIMEOUT;
+    return this.removeWhere((run) => {
+      const { arrivedAt, deadline } = run.queueItem;
+      const isLate = now + shortestRun(run) > deadline;
+      const hasWaited = now - arrivedAt > GROUPLESS_TIMEOUT;
       const isGroupless = hasTimedOut && hasWaited && !run.reply.isStarted;
       return isLate || isGroupless || hopelessOverdue.has(run);
     });
-    return hopeless
-      .map((item) => this.#forget(item))
-      .filter((run) => run !== null);
   }
 
   /** Called at each placement with whether the model has a usable group. */
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -235,6 +235,9 @@
     if (failure === SendFailure.NotSent) {
       this.#undeliveredSends += 1;
       this.#endSend(SendOutcome.NotDelivered, detail);
+    } else if (failure === SendFailure.Withheld) {
+      this.#undeliveredSends += 1;
+      this.#endSend(SendOutcome.NotRun, detail);
     } else {
       this.#endSend(SendOutcome.Broken, detail);
     }
--- a/src/common/calls/observing_sender.ts
+++ b/src/common/calls/observing_sender.ts
@@ -3,6 +3,7 @@
  * targets themselves, such as request limits.
  */
 import type { IClock, ILog } from "../services/services.ts";
+import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { MonotonicTime } from "../types.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
 import type {
@@ -20,6 +21,7 @@
 export interface IObservingSenderParts {
   readonly sender: ICallSender;
   readonly limits: TargetRateLimits;
+  readonly cooldowns: TargetCooldowns;
   readonly clock: IClock;
   readonly log: ILog;
 }
@@ -37,13 +39,15 @@
     call: ICall,
     options: ISendOptions & { readonly receiver: IResponseReceiver },
   ): ISendHandle {
-    const { sender, limits, clock } = this.#parts;
+    const { sender, limits, cooldowns, clock } = this.#parts;
     const sentAt = clock.now();
     const receiver = new ObservingReceiver(options.receiver, (head) =>
       this.#evaluate(head, { target, call, sentAt }),
     );
     limits.recordSend(target.id);
-    return sender.send(target, call, { ...options, receiver });
+    cooldowns.recordSend(target.id);
+    const mayWrite = () => !cooldowns.isActive(target.id);
+    return sender.send(target, call, { ...options, receiver, mayWrite });
   }
 
   #evaluate(
@@ -54,12 +58,15 @@
       readonly sentAt: MonotonicTime;
     },
   ): void {
-    const { limits, clock, log } = this.#parts;
+    const { limits, cooldowns, clock, log } = this.#parts;
     const { target, call, sentAt } = sent;
     if (!head.isForOtherRequest) {
       limits.recordResponse(target.id, head);
     }
-    if (head.retryAfter !== null) {
+    if (head.retryAfter === null) {
+      cooldowns.recordResponse(target.id);
+    } else {
+      cooldowns.recordRejection(target.id, head.retryAfter);
       log.info("target_rejected", {
         target: target.id,
         request: call.id,
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -3,7 +3,8 @@
  * that a call with a broken response can be retried where that is safe.
  */
 import type { IDisposable } from "../disposable.ts";
-import type { IClock, ILog, IMetrics } from "../services/services.ts";
+import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
+import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { InstanceId, MonotonicTime, ZoneName } from "../types.ts";
 import type { PlainTargetSelector } from "./plain_target_selector.ts";
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
@@ -36,6 +37,12 @@
 /** Retry-after time of refused calls, milliseconds. */
 const RETRY_AFTER = 250;
 
+/**
+ * Milliseconds over which callers return that were refused until a target takes
+ * calls again.
+ */
+const RETURN_SPREAD = 500;
+
 /** Outcome of a call whose target's response was passed on. */
 const WHOLE = "whole";
 
@@ -47,7 +54,9 @@
   readonly sender: ICallSender;
   readonly retries: ServiceRetryAllowances;
   readonly limits: Pick<TargetRateLimits, "maySend">;
+  readonly cooldowns: Pick<TargetCooldowns, "isActive" | "shortestWait">;
   readonly clock: IClock;
+  readonly random: IRandom;
   readonly log: ILog;
   readonly metrics: IMetrics;
   readonly zone: ZoneName;
@@ -140,9 +149,9 @@
 
   /** Ready targets that take another request. */
   get #usableTargets(): readonly IListedTarget[] {
-    const { limits, readyTargets } = this.#parts;
-    return readyTargets(this.#call.service).filter(({ id }) =>
-      limits.maySend(id),
+    const { limits, cooldowns, readyTargets } = this.#parts;
+    return readyTargets(this.#call.service).filter(
+      ({ id }) => limits.maySend(id) && !cooldowns.isActive(id),
     );
   }
 
@@ -150,10 +159,14 @@
     if (this.#mayHaveRun) {
       return CallRefusalReason.TargetLost;
     }
-    const hasOther = this.#parts
-      .readyTargets(this.#call.service)
-      .some(({ id }) => !this.#triedTargets.has(id));
-    return hasOther
+    const { cooldowns, readyTargets } = this.#parts;
+    const others = readyTargets(this.#call.service)
+      .map(({ id }) => id)
+      .filter((id) => !this.#triedTargets.has(id));
+    if (cooldowns.shortestWait(others) > 0) {
+      return CallRefusalReason.Overloaded;
+    }
+    return others.length > 0
       ? CallRefusalReason.RateLimited
       : CallRefusalReason.NoTarget;
   }
@@ -192,8 +205,10 @@
     const { targets, clock } = this.#parts;
     targets.recordEnd(send.target);
     const { head, failure } = answer;
-    const isNotRun = failure === SendFailure.NotSent || head?.isNotRun === true;
-    this.#sendCount -= failure === SendFailure.NotSent ? 1 : 0;
+    const isUnsent =
+      failure === SendFailure.NotSent || failure === SendFailure.Withheld;
+    const isNotRun = isUnsent || head?.isNotRun === true;
+    this.#sendCount -= isUnsent ? 1 : 0;
     this.#mayHaveRun ||= !isNotRun;
     const isGood =
       failure === null && head !== null && head.status < STATUS_SERVER_ERROR;
@@ -201,7 +216,7 @@
       targets.recordSuccess(send.target, head.load, clock.now());
     } else if (failure === SendFailure.NotSent) {
       targets.recordNoResponse(send.target, clock.now());
-    } else {
+    } else if (failure !== SendFailure.Withheld) {
       targets.recordFailure(send.target, clock.now());
     }
     if (isGood && !isNotRun) {
@@ -283,7 +298,15 @@
   #refuse(reason: CallRefusalReason): void {
     const kind = this.#refusalKindOf(reason);
     this.#finish(kind, { reason });
-    this.#reply.refuse({ kind, reason, retryAfter: RETRY_AFTER });
+    this.#reply.refuse({ kind, reason, retryAfter: this.#retryAfter });
+  }
+
+  /** Milliseconds after which a target takes calls. */
+  get #retryAfter(): number {
+    const { cooldowns, random, readyTargets } = this.#parts;
+    const ids = readyTargets(this.#call.service).map(({ id }) => id);
+    const wait = cooldowns.shortestWait(ids);
+    return wait > 0 ? wait + random.next() * RETURN_SPREAD : RETRY_AFTER;
   }
 
   #refusalKindOf(reason: CallRefusalReason): CallRefusalKind {
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -11,6 +11,8 @@
   NO_METRICS,
 } from "../../../test/support/recording_services.ts";
 import { RetryAfterRule } from "../../../test/support/retry_after_rule.ts";
+import { SeededRandom } from "../../../test/support/seeded_random.ts";
+import { TargetCooldowns } from "../target_cooldowns.ts";
 import { ObservingSender } from "./observing_sender.ts";
 import { PlainCalls } from "./plain_calls.ts";
 import { PlainTargetSelector } from "./plain_target_selector.ts";
@@ -64,15 +66,19 @@
   constructor() {
     const listed = ["a", "b", "c"].map((id) => listedEngine(id));
     const bounds = { ratio: 0.2, window: 10_000, slack: 100 };
+    const log = new RecordingLog();
     const limits = new TargetRateLimits({
       clock: this.clock,
-      log: new RecordingLog(),
+      log,
       processes: () => 1,
     });
+    const cooldowns = new TargetCooldowns({ clock: this.clock, log });
     this.#calls = new PlainCalls({
       targets: new PlainTargetSelector(),
       readyTargets: () => listed,
       limits,
+      cooldowns,
+      random: new SeededRandom(20261203),
       sender: new ObservingSender({
         sender: {
           send: (target, _, options) => {
@@ -82,15 +88,16 @@
           },
         },
         limits,
+        cooldowns,
         clock: this.clock,
-        log: new RecordingLog(),
+        log,
       }),
       retries: new ServiceRetryAllowances(bounds, {
         processes: () => 1,
         replacesAnotherSince: null,
       }),
       clock: this.clock,
-      log: new RecordingLog(),
+      log,
       metrics: NO_METRICS,
       zone: "one",
     });
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -251,6 +251,8 @@
 export enum SendFailure {
   /** Nothing was written to the target: it cannot have run. */
   NotSent = "not_sent",
+  /** Nothing was written, since the target wants no calls any more. */
+  Withheld = "withheld",
   /** The connection broke, or its bytes were not a valid response. */
   Broken = "broken",
 }
@@ -283,6 +285,11 @@
   readonly lastEventId: string | null;
   /** Whether to open a connection, since a pooled one may have gone dead. */
   readonly needsNewConnection: boolean;
+  /**
+   * Checked immediately before the call is written, which may have waited for a
+   * connection. If false, the send fails as {@link SendFailure.Withheld}.
+   */
+  readonly mayWrite?: () => boolean;
 }
 
 /** Sends calls to targets. */
@@ -312,6 +319,8 @@
   NoTarget = "no_target",
   /** All targets left have got as many requests as they take. */
   RateLimited = "rate_limited",
+  /** All targets have rejected calls and want no more for a time. */
+  Overloaded = "overloaded",
   Hopeless = "hopeless",
   QueueFull = "queue_full",
   TargetRefused = "target_refused",
--- a/src/common/decisions/service_scheduler.ts
+++ b/src/common/decisions/service_scheduler.ts
@@ -121,6 +121,16 @@
     return this.advance(now);
   }
 
+  /** Refuses all queued work, with a retry-after time in milliseconds. */
+  refuseAll(reason: Reason, retryAfter: number): readonly ScheduleAction[] {
+    return this.#queue
+      .removeWhere(() => true)
+      .map((work) => {
+        this.#endTrial(work);
+        return { kind: ScheduleActionKind.Refuse, work, reason, retryAfter };
+      });
+  }
+
   /** Removes queued work whose caller has disconnected. */
   cancel(work: IWorkItem): boolean {
     this.#endTrial(work);
--- a/src/common/services/admission_service.ts
+++ b/src/common/services/admission_service.ts
@@ -119,7 +119,7 @@
       const refusal = notRun(
         Reason.NoReplicaAvailable,
         detail,
-        NO_REPLICA_RETRY_AFTER,
+        groups.overloadedFor(name) ?? NO_REPLICA_RETRY_AFTER,
       );
       return Promise.resolve(refusal);
     }
@@ -182,7 +182,12 @@
     clock.after(ADVANCE_INTERVAL, () => {
       this.#scheduled.delete(service);
       groups.refresh(service);
-      this.#apply(scheduler.advance(clock.now()));
+      const overloadedFor = groups.overloadedFor(service);
+      this.#apply(
+        overloadedFor === null
+          ? scheduler.advance(clock.now())
+          : scheduler.refuseAll(Reason.NoReplicaAvailable, overloadedFor),
+      );
       this.#scheduleAdvance(service);
     });
   }
--- a/src/common/services/at_most_once_runner.ts
+++ b/src/common/services/at_most_once_runner.ts
@@ -62,7 +62,7 @@
       return Err(notRun(Reason.IdempotencyKeyRequired, detail));
     }
     if (this.#chooseTarget(request, new Set()) === null) {
-      return Err(noTarget(request));
+      return Err(noTarget(request, this.#parts.groups));
     }
     const start = await this.#beginRun(request, request.key);
     if (start.isErr()) {
@@ -101,9 +101,9 @@
     request: ICallerRequest,
     permit: IRunPermit,
   ): Promise<RunResult> {
-    const { clock, records } = this.#parts;
+    const { clock, groups, records } = this.#parts;
     const avoid = new Set<string>();
-    let refusal = noTarget(request);
+    let refusal = noTarget(request, groups);
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
       const target = this.#chooseTarget(request, avoid);
       if (clock.now() >= request.deadline) {
@@ -123,7 +123,9 @@
         return Err(outcomeUnknown(Reason.TargetLost, detail));
       }
       avoid.add(target.id);
-      refusal = notRun(Reason.TargetRefused, detail, NO_TARGET_RETRY_AFTER);
+      const retryAfter =
+        groups.overloadedFor(request.service.name) ?? NO_TARGET_RETRY_AFTER;
+      refusal = notRun(Reason.TargetRefused, detail, retryAfter);
     }
     await records.finish(permit, RunState.NotRun, null);
     return Err(refusal);
@@ -184,7 +186,12 @@
 }
 
 /** Creates the refusal for a service without a usable target. */
-export function noTarget(request: ICallerRequest): IRefusal {
-  const detail = `no target of ${request.service.name} in this zone`;
-  return notRun(Reason.NoReplicaAvailable, detail, NO_TARGET_RETRY_AFTER);
+export function noTarget(
+  request: ICallerRequest,
+  groups: GroupDirectory,
+): IRefusal {
+  const { name } = request.service;
+  const detail = `no target of ${name} in this zone takes calls now`;
+  const retryAfter = groups.overloadedFor(name) ?? NO_TARGET_RETRY_AFTER;
+  return notRun(Reason.NoReplicaAvailable, detail, retryAfter);
 }
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -231,11 +231,13 @@
       const createRefusal = mayHaveRun ? outcomeUnknown : notRun;
       return createRefusal(Reason.DeadlinePassed, detail);
     }
+    const retryAfter =
+      this.#parts.groups.overloadedFor(name) ?? NO_REPLICA_RETRY_AFTER;
     if (!mayHaveRun) {
       const detail = `no complete replica group of ${name} took the request`;
-      return notRun(Reason.NoReplicaAvailable, detail, NO_REPLICA_RETRY_AFTER);
+      return notRun(Reason.NoReplicaAvailable, detail, retryAfter);
     }
     const detail = `the replica groups of ${name} broke off`;
-    return outcomeUnknown(Reason.TargetLost, detail, NO_REPLICA_RETRY_AFTER);
+    return outcomeUnknown(Reason.TargetLost, detail, retryAfter);
   }
 }
--- a/src/common/services/group_directory.ts
+++ b/src/common/services/group_directory.ts
@@ -12,6 +12,7 @@
 import { InstanceState, ServiceKind, TargetState } from "../types.ts";
 import type { IInstance, ITimestampedReport, ServiceName } from "../types.ts";
 import type { DomainController } from "./domain_controller.ts";
+import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { IClock, ILiveDaemons, IRandom } from "./services.ts";
 import type { TargetDirectory } from "./target_directory.ts";
 import type { ICallerRequest } from "./types.ts";
@@ -29,6 +30,12 @@
   readonly work: IWorkItem;
 }
 
+/**
+ * Milliseconds over which callers return that were refused until a target takes
+ * calls again.
+ */
+const RETURN_SPREAD = 500;
+
 /** Dependencies of {@link GroupDirectory}. */
 export interface IGroupSources {
   readonly targets: TargetDirectory;
@@ -36,6 +43,8 @@
   readonly clock: IClock;
   readonly random: IRandom;
   readonly live: ILiveDaemons;
+  /** By address. */
+  readonly cooldowns: Pick<TargetCooldowns, "isActive" | "shortestWait">;
 }
 
 /** A group's first member or a plain target that can serve now. */
@@ -83,6 +92,19 @@
     return this.#refresh(service, this.#findServable(service)) > 0;
   }
 
+  /**
+   * Milliseconds after which a target takes calls, if all that could serve have
+   * rejected some and want no more until then; null otherwise.
+   */
+  overloadedFor(service: ServiceName): number | null {
+    const { cooldowns, random } = this.#sources;
+    const addresses = [...this.#findPresent(service).values()].map(
+      ({ instance }) => instance.address,
+    );
+    const wait = cooldowns.shortestWait(addresses);
+    return wait > 0 ? Math.ceil(wait + random.next() * RETURN_SPREAD) : null;
+  }
+
   /** The best group for a request, or null. */
   chooseGroup(
     request: ICallerRequest,
@@ -173,6 +195,17 @@
 
   /** Groups and plain targets that can serve it now, by target id. */
   #findServable(service: ServiceName): ReadonlyMap<string, IServableTarget> {
+    const { cooldowns } = this.#sources;
+    const present = [...this.#findPresent(service)];
+    return new Map(
+      present.filter(
+        ([, { instance }]) => !cooldowns.isActive(instance.address),
+      ),
+    );
+  }
+
+  /** Those that are complete and ready, whether they take calls or not. */
+  #findPresent(service: ServiceName): ReadonlyMap<string, IServableTarget> {
     const servable = new Map<string, IServableTarget>();
     const { instances, reports } = this.#sources.targets;
     for (const { group, isComplete } of this.groups()) {
--- a/src/common/services/plain_service_runner.ts
+++ b/src/common/services/plain_service_runner.ts
@@ -1,7 +1,7 @@
 /** Runs calls on plain services; non-repeatable calls run at most once. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { Reason } from "../types.ts";
+import { CallFailureKind, Reason } from "../types.ts";
 import type { ICallFailure, IRefusal } from "../types.ts";
 import type { IChosenTarget } from "./group_directory.ts";
 import { noTarget, AtMostOnceRunner } from "./at_most_once_runner.ts";
@@ -57,6 +57,7 @@
   ): Promise<Result<IBufferedAnswer, IRefusal>> {
     const { clock, groups, retries } = this.#parts;
     const avoid = new Set<string>();
+    let mayHaveRun = false;
     retries.recordFirstAttempt(request);
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
       const target = groups.choosePlain(request, avoid);
@@ -71,11 +72,12 @@
         return Err(outcomeUnknown(Reason.CallerLeft, "the caller is gone"));
       }
       avoid.add(target.id);
+      mayHaveRun ||= answer.error.kind === CallFailureKind.Unknown;
       if (!(await retries.waitForRetry(request))) {
         break;
       }
     }
-    return Err(this.#createRefusal(request, avoid.size > 0));
+    return Err(this.#createRefusal(request, mayHaveRun));
   }
 
   async #call(
@@ -103,16 +105,17 @@
     }
   }
 
-  #createRefusal(request: ICallerRequest, wasAttempted: boolean): IRefusal {
-    const isLate = this.#parts.clock.now() >= request.deadline;
+  #createRefusal(request: ICallerRequest, mayHaveRun: boolean): IRefusal {
+    const { clock, groups } = this.#parts;
+    const isLate = clock.now() >= request.deadline;
     if (isLate) {
       const detail = "no answer by the deadline";
-      return wasAttempted
+      return mayHaveRun
         ? outcomeUnknown(Reason.DeadlinePassed, detail)
         : notRun(Reason.DeadlinePassed, detail);
     }
-    if (!wasAttempted) {
-      return noTarget(request);
+    if (!mayHaveRun) {
+      return noTarget(request, groups);
     }
     const detail = `no target of ${request.service.name} answered`;
     return outcomeUnknown(Reason.TargetLost, detail, NO_TARGET_RETRY_AFTER);
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -174,6 +174,11 @@
   readonly kind: CallFailureKind;
   /** What was attempted, on which object, and the observed error. */
   readonly detail: string;
+  /**
+   * Milliseconds for which a target that refused a call wants no more; absent
+   * if it names no time.
+   */
+  readonly retryAfter?: number;
 }
 
 /** The reply to a caller that gets no answer. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -21,6 +21,7 @@
 import { BurnRecorder } from "../common/reports/burn_recorder.ts";
 import type { IDaemonBurn } from "../common/reports/burn_types.ts";
 import { Alarms } from "../common/services/alarms.ts";
+import { CooldownObservingTargets } from "../common/services/cooldown_observing_targets.ts";
 import type { IDaemonStatus } from "../common/services/daemon_status.ts";
 import { DigestService } from "../common/services/digest_service.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
@@ -33,7 +34,12 @@
 import { ZoneDomains } from "../common/services/zone_domains.ts";
 import { zoneLoads } from "../common/services/zone_loads.ts";
 import { formatFinding } from "../common/plans/findings.ts";
-import type { IDaemonEntry, IPlatform } from "../common/services/services.ts";
+import type {
+  IDaemonEntry,
+  IPlatform,
+  ITargets,
+} from "../common/services/services.ts";
+import { TargetCooldowns } from "../common/target_cooldowns.ts";
 import { OperationsServer } from "./operations_server.ts";
 import type { IStatusSource } from "./operations_server.ts";
 import { RequestPipeline } from "./request_pipeline.ts";
@@ -70,7 +76,10 @@
   readonly #id: string;
   readonly #httpPlatform: HttpPlatform;
   readonly #platform: IPlatform;
-  readonly #targets = new HttpTargets();
+  readonly #httpTargets = new HttpTargets();
+  /** By address of the target. */
+  readonly #cooldowns: TargetCooldowns;
+  readonly #targets: ITargets;
   readonly #hash: XxhashHash;
   readonly #credentials: IPeerCredentials;
   readonly #peers: GrpcPeers;
@@ -106,6 +115,11 @@
       `http://${settings.platform.address}`,
     );
     this.#platform = new MeteredPlatform(this.#httpPlatform, this.#metrics);
+    this.#cooldowns = new TargetCooldowns({ clock: this.#clock, log });
+    this.#targets = new CooldownObservingTargets(
+      this.#httpTargets,
+      this.#cooldowns,
+    );
     this.#alarms = new Alarms(this.#clock, log, { metrics: this.#metrics });
     this.#burn = new BurnRecorder(this.#clock, burnObjectives(settings));
     this.#planLists = this.#createPlanLists();
@@ -118,6 +132,7 @@
         clock: this.#clock,
         random: this.#random,
         live: this.#liveDaemons,
+        cooldowns: this.#cooldowns,
       },
       settings.groups.freshness,
     );
@@ -211,7 +226,7 @@
     await this.#peers[Symbol.asyncDispose]();
     await this.#forwarder[Symbol.asyncDispose]();
     await this.#operationsServer[Symbol.asyncDispose]();
-    await this.#targets[Symbol.asyncDispose]();
+    await this.#httpTargets[Symbol.asyncDispose]();
     await this.#httpPlatform[Symbol.asyncDispose]();
     this.#log.info("stopped");
     await this.#log[Symbol.asyncDispose]();
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -26,6 +26,7 @@
 import { CallRefusalReason, CallRefusalKind } from "../common/calls/types.ts";
 import type { ICall, ICallReply } from "../common/calls/types.ts";
 import { DisposableStore } from "../common/disposable.ts";
+import { TargetCooldowns } from "../common/target_cooldowns.ts";
 import { StoreRelay } from "../common/relay/store_relay.ts";
 import { FleetCoordinator } from "./fleet_coordinator.ts";
 import type { EntrySettings } from "./settings.ts";
@@ -80,6 +81,7 @@
   readonly #groups = new ServingGroups();
   readonly #plainTargets = new PlainTargetSelector();
   readonly #rateLimits: TargetRateLimits;
+  readonly #cooldowns: TargetCooldowns;
   readonly #followers: readonly ObjectFollower[];
   readonly #relay: StoreRelay;
   readonly #coordinator: FleetCoordinator;
@@ -103,6 +105,7 @@
       log,
       processes: () => this.#coordinator.processCount,
     });
+    this.#cooldowns = new TargetCooldowns({ clock: this.#clock, log });
     const configuration = this.#followConfiguration();
     const targetList = this.#followTargets();
     this.#followers = [configuration, targetList];
@@ -115,14 +118,17 @@
     });
     const retries = this.#createRetryAllowances();
     const limits = this.#rateLimits;
+    const cooldowns = this.#cooldowns;
     const shared = {
       sender: new ObservingSender({
         sender: this.#client,
         limits,
+        cooldowns,
         clock: this.#clock,
         log,
       }),
       limits,
+      cooldowns,
       retries,
       clock: this.#clock,
       random: this.#random,
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -7,6 +7,7 @@
 import type { ICallRefusal } from "../../src/common/calls/types.ts";
 import type { IClock } from "../../src/common/services/services.ts";
 import { ServiceRetryAllowances } from "../../src/common/calls/service_retry_allowances.ts";
+import { TargetCooldowns } from "../../src/common/target_cooldowns.ts";
 import { callOf, RecordingReply } from "./call_fixtures.ts";
 import {
   CONFIGURATION,
@@ -57,15 +58,18 @@
     super(deployment, address);
     const { clock } = deployment;
     this.hasCalls = true;
+    const cooldowns = new TargetCooldowns({ clock, log: this.log });
     this.calls = new ModelCalls({
       groups: this.groups,
       sender: new ObservingSender({
         sender: heads.senderOf(address),
         limits: this.limits,
+        cooldowns,
         clock,
         log: this.log,
       }),
       limits: this.limits,
+      cooldowns,
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack: 100 },
         { processes: () => 1, replacesAnotherSince: null },
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -97,6 +97,11 @@
         },
       },
       limits: { maySend: () => true, isAssignedElsewhere: () => false },
+      cooldowns: {
+        isActive: () => false,
+        maySend: () => true,
+        shortestWait: () => 0,
+      },
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack },
         { processes: () => 1, replacesAnotherSince: null },
