--- a/src/common/calls/observing_sender.ts
+++ b/src/common/calls/observing_sender.ts
@@ -63,6 +63,9 @@
     if (!head.isForOtherRequest) {
       limits.recordResponse(target.id, head);
     }
+    if (head.isLeaving) {
+      log.info("target_leaving", { target: target.id, request: call.id });
+    }
     if (head.retryAfter === null) {
       cooldowns.recordResponse(target.id);
     } else {
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -42,6 +42,7 @@
     isForOtherRequest: false,
     rateLimit: null,
     retryAfter: null,
+    isLeaving: false,
     load: null,
   };
 }
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -238,6 +238,8 @@
    * this process; null if it names no time.
    */
   readonly retryAfter: number | null;
+  /** The target is about to leave and takes calls only for a little longer. */
+  readonly isLeaving: boolean;
 }
 
 /** A plain target's load as reported in its responses. */
--- a/src/common/replicas/engine_registry_test.ts
+++ b/src/common/replicas/engine_registry_test.ts
@@ -11,6 +11,7 @@
   running: 0,
   pace: 1,
   engine: engineState(),
+  isLeaving: false,
 };
 
 function registryOf(count: number): {
--- a/src/common/replicas/types.ts
+++ b/src/common/replicas/types.ts
@@ -12,6 +12,8 @@
   /** Multiplier on its times; above 1 it is slow. */
   readonly pace: number;
   readonly engine: IEngineState;
+  /** Whether the engine is about to leave. */
+  readonly isLeaving: boolean;
 }
 
 /** Kind of order to an engine. */
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -127,6 +127,8 @@
   readonly states = new Map<string, IEngineState>();
   /** Engines that no longer answer. */
   readonly dead = new Set<string>();
+  /** Engines that say in their answers that they are about to leave. */
+  readonly leaving = new Set<string>();
   /** Engines that were joined to a group while the head of another was open. */
   readonly taken: string[] = [];
   readonly orders: { readonly engine: string; readonly order: EngineOrder }[] =
@@ -148,7 +150,9 @@
       return Err(UNAVAILABLE);
     }
     const engine = this.states.get(id) ?? engineState();
-    return Ok({ startedAt: 1, queued: 0, running: 0, pace: 1, engine });
+    const isLeaving = this.leaving.has(id);
+    const figures = { startedAt: 1, queued: 0, running: 0, pace: 1 };
+    return Ok({ ...figures, engine, isLeaving });
   }
 
   async sendOrder({ id }: { readonly id: string }, order: EngineOrder) {
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -45,6 +45,7 @@
   load: null,
   rateLimit: null,
   retryAfter: null,
+  isLeaving: false,
 };
 
 /** A group whose head engine is named after it. */
