Test that leaving targets get no calls after they have said so (red)

The heads of the fleet test say so in their answers while the list shows them as ready, and LeavingRule counts by the rule.

--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -18,6 +18,7 @@
 import { PlainTargetSelector } from "./plain_target_selector.ts";
 import { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import { TargetRateLimits } from "./target_rate_limits.ts";
+import { TargetRegistry } from "./target_registry.ts";
 import { CallRefusalKind, CallKind, SendFailure } from "./types.ts";
 import type {
   IResponseHead,
@@ -62,10 +63,14 @@
 class PlainCallsHarness {
   readonly clock = new ManualClock();
   readonly sends: ISend[] = [];
+  readonly targets = new TargetRegistry(() => null, 0);
   readonly #calls: PlainCalls;
 
   constructor() {
-    const listed = ["a", "b", "c"].map((id) => listedEngine(id));
+    this.targets.applyRelayedChanges(
+      { targets: ["a", "b", "c"].map((id) => listedEngine(id)), removed: [] },
+      0,
+    );
     const bounds = { ratio: 0.2, window: 10_000, slack: 100 };
     const log = new RecordingLog();
     const limits = new TargetRateLimits({
@@ -76,7 +81,7 @@
     const cooldowns = new TargetCooldowns({ clock: this.clock, log });
     this.#calls = new PlainCalls({
       targets: new PlainTargetSelector(),
-      readyTargets: () => listed,
+      readyTargets: (service) => this.targets.ready(service),
       limits,
       cooldowns,
       random: new SeededRandom(20261203),
@@ -246,6 +251,29 @@
     });
   }
 
+  // Guards against calls sent to a plain target that has said in an answer that
+  // it is about to leave, while the platform's list still shows it as ready.
+  it("sends a leaving plain target nothing more", () => {
+    const harness = new PlainCallsHarness();
+    const rule = new RetryAfterRule(harness.clock);
+    const answerOf = (target: string) => ({
+      ...headOf(200),
+      isLeaving: target === "a",
+    });
+    const submitMany = () => {
+      for (let count = 0; count < 50; count += 1) {
+        submitAnswered(harness, { route: SAFE, rule, answerOf });
+        harness.clock.advance(50);
+      }
+    };
+    submitMany();
+    const since = harness.sends.length;
+    submitMany();
+    const targets = harness.sends.slice(since).map(({ target }) => target);
+    expect(targets).to.not.include("a");
+    expect(targets).to.have.length(50);
+  });
+
   // Guards against callers that come back too soon, or only one by one learn
   // that no target takes their calls.
   it("refuses plain calls at once while no target takes any", () => {
--- a/test/support/limiting_heads.ts
+++ b/test/support/limiting_heads.ts
@@ -10,6 +10,7 @@
 } from "../../src/common/calls/types.ts";
 import { SendFailure } from "../../src/common/calls/types.ts";
 import type { IClock } from "../../src/common/services/services.ts";
+import { LeavingRule } from "./leaving_rule.ts";
 import { SUCCESS_HEAD } from "./model_calls_harness.ts";
 import { RetryAfterRule } from "./retry_after_rule.ts";
 import { SeededRandom } from "./seeded_random.ts";
@@ -82,6 +83,9 @@
   readonly #retryAfter = new Map<string, number>();
   readonly #faultRandom: SeededRandom;
   readonly #retryAfterRule: RetryAfterRule;
+  readonly #leavingRule: LeavingRule;
+  /** Targets that say in their answers that they are about to leave. */
+  readonly leaving = new Set<string>();
   /** Share of the requests that meet a fault, 0 to 1. */
   faultShare = 0;
 
@@ -89,6 +93,17 @@
     this.#clock = clock;
     this.#faultRandom = new SeededRandom(seed);
     this.#retryAfterRule = new RetryAfterRule(clock);
+    this.#leavingRule = new LeavingRule(clock);
+  }
+
+  /** What broke the rule on targets that are about to leave. */
+  get leavingViolations(): readonly string[] {
+    return this.#leavingRule.violations;
+  }
+
+  /** Number of processes that were told so, over all targets. */
+  get leavingNotices(): number {
+    return this.#leavingRule.notices;
   }
 
   /** What broke the rule on rejections for a time. */
@@ -122,8 +137,10 @@
   /** The sender of one process. */
   senderOf(process: string): ICallSender {
     return {
-      send: (target, _, { receiver }) => {
+      send: (target, call, { receiver: given }) => {
         this.#recordArrival(process, target.id);
+        this.#leavingRule.recordArrival(process, target.id, call.arrivedAt);
+        const receiver = this.#announceLeaving(given, process, target.id);
         this.#retryAfterRule.recordArrival(process, target.id);
         const timers = new DisposableStore();
         const fault = this.#drawFault();
@@ -151,6 +168,26 @@
     };
   }
 
+  /** Adds to each answer of a leaving target that it is about to leave. */
+  #announceLeaving(
+    receiver: IResponseReceiver,
+    process: string,
+    target: string,
+  ): IResponseReceiver {
+    return {
+      onHead: (head) => {
+        const isLeaving = this.leaving.has(target);
+        if (isLeaving) {
+          this.#leavingRule.recordNotice(process, target);
+        }
+        receiver.onHead({ ...head, isLeaving });
+      },
+      onData: (bytes) => receiver.onData(bytes),
+      onEnd: () => receiver.onEnd(),
+      onFailure: (failure, detail) => receiver.onFailure(failure, detail),
+    };
+  }
+
   #drawFault(): Fault | null {
     if (this.#faultRandom.next() >= this.faultShare) {
       return null;
