Treat a target that says that it leaves as draining

A call could reach a target long after it had said in an answer that it was leaving, and be cut off when it ended.

Cause: only the platform's list was read. It lags, and some targets never report that they drain. Evidence: in the tests calls go on reaching the head and the plain target for as long as they run.

Change: the sender of all calls records it from every answer, for the run of the target that the call was sent to: the registry then shows that target as draining, on every path, until it starts again under its id. The coordinator is called at once. The lease holder reads it in the reports of engines, so that a group whose member leaves is closed.

Why it works: ready targets, groups' heads and the holder's views all come from these two places.

New: the same id again, with and without a start time.

--- a/src/common/calls/observing_sender.ts
+++ b/src/common/calls/observing_sender.ts
@@ -6,6 +6,7 @@
 import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { MonotonicTime } from "../types.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
+import type { TargetRegistry } from "./target_registry.ts";
 import type {
   ICall,
   ICallSender,
@@ -22,10 +23,22 @@
   readonly sender: ICallSender;
   readonly limits: TargetRateLimits;
   readonly cooldowns: TargetCooldowns;
+  readonly targets: Pick<TargetRegistry, "startOf" | "recordLeaving">;
+  /** Called when a target is found to be about to leave. */
+  readonly onTargetLeaving: () => void;
   readonly clock: IClock;
   readonly log: ILog;
 }
 
+/** A call and the target that it was sent to. */
+interface ISentCall {
+  readonly target: ISendTarget;
+  readonly call: ICall;
+  readonly sentAt: MonotonicTime;
+  /** Start of the target in calendar milliseconds; 0 if unknown. */
+  readonly startedAt: number;
+}
+
 /** Sends calls and keeps what is known of their targets up to date. */
 export class ObservingSender implements ICallSender {
   readonly #parts: IObservingSenderParts;
@@ -39,10 +52,15 @@
     call: ICall,
     options: ISendOptions & { readonly receiver: IResponseReceiver },
   ): ISendHandle {
-    const { sender, limits, cooldowns, clock } = this.#parts;
-    const sentAt = clock.now();
+    const { sender, limits, cooldowns, targets, clock } = this.#parts;
+    const sent = {
+      target,
+      call,
+      sentAt: clock.now(),
+      startedAt: targets.startOf(target.id) ?? 0,
+    };
     const receiver = new ObservingReceiver(options.receiver, (head) =>
-      this.#evaluate(head, { target, call, sentAt }),
+      this.#evaluate(head, sent),
     );
     limits.recordSend(target.id);
     cooldowns.recordSend(target.id);
@@ -50,21 +68,14 @@
     return sender.send(target, call, { ...options, receiver, mayWrite });
   }
 
-  #evaluate(
-    head: IResponseHead,
-    sent: {
-      readonly target: ISendTarget;
-      readonly call: ICall;
-      readonly sentAt: MonotonicTime;
-    },
-  ): void {
+  #evaluate(head: IResponseHead, sent: ISentCall): void {
     const { limits, cooldowns, clock, log } = this.#parts;
     const { target, call, sentAt } = sent;
     if (!head.isForOtherRequest) {
       limits.recordResponse(target.id, head);
     }
     if (head.isLeaving) {
-      log.info("target_leaving", { target: target.id, request: call.id });
+      this.#recordLeaving(sent);
     }
     if (head.retryAfter === null) {
       cooldowns.recordResponse(target.id);
@@ -79,6 +90,14 @@
       });
     }
   }
+
+  #recordLeaving({ target, call, startedAt }: ISentCall): void {
+    const { targets, log, onTargetLeaving } = this.#parts;
+    if (targets.recordLeaving(target.id, startedAt)) {
+      log.info("target_leaving", { target: target.id, request: call.id });
+      onTargetLeaving();
+    }
+  }
 }
 
 /** Passes a response on and shows its head to an observer first. */
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -95,6 +95,8 @@
         },
         limits,
         cooldowns,
+        targets: this.targets,
+        onTargetLeaving: () => undefined,
         clock: this.clock,
         log,
       }),
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -4,6 +4,10 @@
  * within about two seconds after the outage. So entries that are missing after
  * an outage are kept for that long. Otherwise an outage would empty the list,
  * and every call would be refused at its end.
+ *
+ * A target that has said in an answer that it is about to leave counts as
+ * draining, whatever the list shows: some never report it to the platform, and
+ * the list lags.
  */
 import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
 import type { ITargetChanges } from "../relay/types.ts";
@@ -14,6 +18,12 @@
 /** Decodes an entry; null if it is not a target. */
 export type DecodeTarget = (id: string, value: unknown) => IListedTarget | null;
 
+/** Start of targets that do not report it. */
+const NO_START_TIME = 0;
+
+/** Leaving targets remembered; beyond it the oldest is forgotten. */
+const MAXIMUM_LEAVING = 10_000;
+
 /** Targets by id. */
 export class TargetRegistry {
   readonly #decode: DecodeTarget;
@@ -22,6 +32,8 @@
   readonly #targets = new Map<InstanceId, IListedTarget>();
   /** Entries missing after an outage, and until when they are kept. */
   readonly #missing = new Map<InstanceId, MonotonicTime>();
+  /** Targets that are about to leave, with the start of that run. */
+  readonly #leaving = new Map<InstanceId, number>();
   #storeReturnedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
 
   constructor(decode: DecodeTarget, reappearTime: number) {
@@ -29,14 +41,19 @@
     this.#reappearTime = reappearTime;
   }
 
+  /** The targets as listed. */
   get all(): ReadonlyMap<InstanceId, IListedTarget> {
     return this.#targets;
   }
 
   ofService(service: ServiceName): readonly IListedTarget[] {
-    return [...this.#targets.values()].filter(
-      (target) => target.service === service,
-    );
+    return [...this.#targets.values()]
+      .filter((target) => target.service === service)
+      .map((target) =>
+        this.#isLeaving(target)
+          ? { ...target, state: ListedState.Draining }
+          : target,
+      );
   }
 
   /** The targets of a service that accept new calls. */
@@ -46,6 +63,30 @@
     );
   }
 
+  /** Start of a target in calendar milliseconds; null if it is not listed. */
+  startOf(id: InstanceId): number | null {
+    return this.#targets.get(id)?.startedAt ?? null;
+  }
+
+  /**
+   * Records that a target is about to leave; returns whether that is new.
+   *
+   * @param startedAt - start of the run that is about to end: the same id may
+   *   start again
+   */
+  recordLeaving(id: InstanceId, startedAt: number): boolean {
+    const known = this.#leaving.get(id);
+    if (known !== undefined && known >= startedAt) {
+      return false;
+    }
+    this.#leaving.set(id, startedAt);
+    const [oldest] = this.#leaving.keys();
+    if (this.#leaving.size > MAXIMUM_LEAVING && oldest !== undefined) {
+      this.#leaving.delete(oldest);
+    }
+    return true;
+  }
+
   applyStoreChanges(change: IObjectChanges, now: MonotonicTime): void {
     if (change.isAfterOutage) {
       this.#storeReturnedAt = now;
@@ -89,18 +130,31 @@
     for (const [id, until] of this.#missing) {
       if (now >= until) {
         this.#missing.delete(id);
-        isChanged = this.#targets.delete(id) || isChanged;
+        isChanged = this.#delete(id) || isChanged;
       }
     }
     return isChanged;
   }
 
+  #isLeaving({ id, startedAt }: IListedTarget): boolean {
+    const leaving = this.#leaving.get(id);
+    return leaving !== undefined && startedAt <= leaving;
+  }
+
   #remove(id: InstanceId, now: MonotonicTime): void {
     const until = this.#storeReturnedAt + this.#reappearTime;
     if (now < until) {
       this.#missing.set(id, until);
     } else {
-      this.#targets.delete(id);
+      this.#delete(id);
+    }
+  }
+
+  #delete(id: InstanceId): boolean {
+    // Without a start time, only its removal tells that it may start again.
+    if (this.startOf(id) === NO_START_TIME) {
+      this.#leaving.delete(id);
     }
+    return this.#targets.delete(id);
   }
 }
--- a/src/common/calls/target_registry_test.ts
+++ b/src/common/calls/target_registry_test.ts
@@ -91,4 +91,44 @@
     );
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
+
+  // Guards against calls sent to a target that leaves while the list still shows
+  // it as ready, or lists it again after an outage of the store.
+  it("counts a target that has said that it leaves as draining", () => {
+    const registry = registryOf("a", "b");
+    const startedAt = registry.startOf("a") ?? -1;
+    expect(registry.recordLeaving("a", startedAt)).to.equal(true);
+    expect(registry.recordLeaving("a", startedAt)).to.equal(false);
+    const objects = [entry("a", "10.0.0.1:80")];
+    registry.applyStoreChanges(change({ objects }), 1_000);
+    expect(registry.ready("orders").map(({ id }) => id)).to.deep.equal(["b"]);
+    const states = registry.ofService("orders").map(({ state }) => state);
+    expect(states).to.deep.equal([ListedState.Draining, ListedState.Ready]);
+  });
+
+  // Guards against a target that is never used again because a former run of
+  // the same id has left.
+  it("uses a target that has started again under the same id", () => {
+    const registry = new TargetRegistry(decode, REAPPEAR_TIME);
+    const listAs = (startedAt: number) => {
+      const target = decode("a", "10.0.0.1:80");
+      const targets = target === null ? [] : [{ ...target, startedAt }];
+      registry.applyRelayedChanges({ targets, removed: [] }, 0);
+    };
+    listAs(1_000);
+    registry.recordLeaving("a", 1_000);
+    listAs(1_000);
+    expect(registry.ready("orders")).to.have.length(0);
+    listAs(2_000);
+    expect(registry.ready("orders")).to.have.length(1);
+  });
+
+  it("uses a target without a start time that is listed again", () => {
+    const registry = registryOf("a");
+    registry.recordLeaving("a", 0);
+    registry.applyStoreChanges(change({ removed: ["a"] }), 10_000);
+    const objects = [entry("a", "10.0.0.1:80")];
+    registry.applyStoreChanges(change({ objects }), 11_000);
+    expect(registry.ready("orders")).to.have.length(1);
+  });
 });
--- a/src/common/replicas/engine_registry.ts
+++ b/src/common/replicas/engine_registry.ts
@@ -47,6 +47,7 @@
 export interface IEngineView {
   readonly target: IListedTarget;
   readonly isListed: boolean;
+  /** By the list, or by its latest report. */
   readonly isDraining: boolean;
   /** Null before the first report. */
   readonly state: IEngineState | null;
@@ -77,6 +78,8 @@
   silentAt: MonotonicTime;
   startedAt: number;
   pace: number;
+  /** Whether its latest report says that it is about to leave. */
+  isLeaving: boolean;
 }
 
 /** Tracks the engines of one service. */
@@ -130,6 +133,7 @@
     engine.state = report.engine;
     engine.startedAt = report.startedAt;
     engine.pace = report.pace;
+    engine.isLeaving = report.isLeaving;
     engine.askedAt = times.askedAt;
     engine.answeredAt = times.now;
     engine.misses = 0;
@@ -182,7 +186,8 @@
       views.set(id, {
         target: engine.target,
         isListed: engine.isListed,
-        isDraining: engine.target.state === ListedState.Draining,
+        isDraining:
+          engine.isLeaving || engine.target.state === ListedState.Draining,
         state: engine.state,
         askedAt: engine.askedAt,
         answeredAt: engine.answeredAt,
@@ -272,6 +277,7 @@
         silentAt: Number.NEGATIVE_INFINITY,
         startedAt: target.startedAt,
         pace: 1,
+        isLeaving: false,
       });
       return;
     }
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -124,6 +124,8 @@
         sender: this.#client,
         limits,
         cooldowns,
+        targets: this.#targets,
+        onTargetLeaving: () => this.#coordinator.handleTargetsChanged(),
         clock: this.#clock,
         log,
       }),
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -65,6 +65,8 @@
         sender: heads.senderOf(address),
         limits: this.limits,
         cooldowns,
+        targets: this.targets,
+        onTargetLeaving: () => this.coordinator.handleTargetsChanged(),
         clock,
         log: this.log,
       }),
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -326,7 +326,7 @@
   fewestGroups = Number.POSITIVE_INFINITY;
   hasCalls = false;
   demand: readonly IModelDemand[] = [];
-  readonly #targets = new TargetRegistry(decode, 2_000);
+  readonly targets = new TargetRegistry(decode, 2_000);
 
   /** @param unlisted - an engine that the platform has dropped */
   constructor(
@@ -344,7 +344,7 @@
       this.log,
     );
     configuration.update({});
-    const targets = this.#targets;
+    const targets = this.targets;
     const objects = Array.from({ length: ENGINES }, (_, index) => ({
       kind: "targets",
       name: `engine-${index}`,
@@ -390,13 +390,13 @@
   /** Handles that the platform has dropped an engine. */
   removeEngine(id: string): void {
     const removed = [id];
-    this.#targets.applyStoreChanges({ ...NO_CHANGES, removed }, 0);
+    this.targets.applyStoreChanges({ ...NO_CHANGES, removed }, 0);
   }
 
   /** Handles that the platform lists an engine again. */
   addEngine(id: string): void {
     const object = { kind: "targets", name: id, version: 1, value: {} };
-    this.#targets.applyStoreChanges({ ...NO_CHANGES, objects: [object] }, 0);
+    this.targets.applyStoreChanges({ ...NO_CHANGES, objects: [object] }, 0);
   }
 
   get serving(): readonly string[] {
