Mark leaving targets once instead of at every read

Cause: the registry compared every target of a service with the leaving ones each time they were listed, once per group and refresh, which grows with groups times targets. Found by reading, not measured. Change: a target is stored as draining when it is found to leave and when its entry arrives. Other processes that are told of that entry see it as draining too, which is what the target says. The tests of the registry, the relay and the fleet pass unchanged.

--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -41,19 +41,14 @@
     this.#reappearTime = reappearTime;
   }
 
-  /** The targets as listed. */
   get all(): ReadonlyMap<InstanceId, IListedTarget> {
     return this.#targets;
   }
 
   ofService(service: ServiceName): readonly IListedTarget[] {
-    return [...this.#targets.values()]
-      .filter((target) => target.service === service)
-      .map((target) =>
-        this.#isLeaving(target)
-          ? { ...target, state: ListedState.Draining }
-          : target,
-      );
+    return [...this.#targets.values()].filter(
+      (target) => target.service === service,
+    );
   }
 
   /** The targets of a service that accept new calls. */
@@ -80,6 +75,10 @@
       return false;
     }
     this.#leaving.set(id, startedAt);
+    const target = this.#targets.get(id);
+    if (target !== undefined) {
+      this.#set(target);
+    }
     const [oldest] = this.#leaving.keys();
     if (this.#leaving.size > MAXIMUM_LEAVING && oldest !== undefined) {
       this.#leaving.delete(oldest);
@@ -97,7 +96,7 @@
       if (target !== null) {
         listed.add(name);
         this.#missing.delete(name);
-        this.#targets.set(name, target);
+        this.#set(target);
       } else {
         this.#targets.delete(name);
       }
@@ -117,7 +116,7 @@
   ): void {
     for (const target of targets) {
       this.#missing.delete(target.id);
-      this.#targets.set(target.id, target);
+      this.#set(target);
     }
     for (const id of removed) {
       this.#remove(id, now);
@@ -136,9 +135,11 @@
     return isChanged;
   }
 
-  #isLeaving({ id, startedAt }: IListedTarget): boolean {
-    const leaving = this.#leaving.get(id);
-    return leaving !== undefined && startedAt <= leaving;
+  #set(target: IListedTarget): void {
+    const leaving = this.#leaving.get(target.id);
+    const isLeaving = leaving !== undefined && target.startedAt <= leaving;
+    const state = isLeaving ? ListedState.Draining : target.state;
+    this.#targets.set(target.id, { ...target, state });
   }
 
   #remove(id: InstanceId, now: MonotonicTime): void {
