Compute the retry-after of overloaded targets in one place

The time until the first target takes calls, with its random part, was put together in model calls, plain calls and the daemon's directory alike. It is TargetCooldowns.retryAfter now.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -26,12 +26,6 @@
 /** Silence after which a call without a response is ended, milliseconds. */
 const HOPELESS_SILENCE = 2_000;
 
-/**
- * Milliseconds over which callers return that were refused until a target takes
- * calls again.
- */
-const RETURN_SPREAD = 500;
-
 /** Lost groups remembered: enough for all that open calls were sent to. */
 const MAXIMUM_LOST_GROUPS = 500;
 
@@ -53,7 +47,7 @@
   readonly limits: Pick<TargetRateLimits, "maySend" | "isAssignedElsewhere">;
   readonly cooldowns: Pick<
     TargetCooldowns,
-    "isActive" | "maySend" | "shortestWait"
+    "isActive" | "maySend" | "retryAfter" | "shortestWait"
   >;
   readonly service: (name: string) => IServiceEntry | null;
   readonly clock: IClock;
@@ -285,7 +279,8 @@
    * stream waits if its caller is still there when the first one does.
    */
   #refuseWhileOverloaded({ service, model, queue }: IModelState): void {
-    const wait = this.#overloadedFor(service, model);
+    const heads = this.#headsOf(service, model);
+    const wait = this.#parts.cooldowns.shortestWait(heads);
     if (wait === 0) {
       return;
     }
@@ -299,12 +294,9 @@
     }
   }
 
-  /** Milliseconds until a group of a model takes calls; 0 if one does. */
-  #overloadedFor(service: string, model: string): number {
-    const heads = this.#parts.groups
-      .ofModel(service, model)
-      .map(({ head }) => head.id);
-    return this.#parts.cooldowns.shortestWait(heads);
+  #headsOf(service: string, model: string): readonly string[] {
+    const groups = this.#parts.groups.ofModel(service, model);
+    return groups.map(({ head }) => head.id);
   }
 
   /**
@@ -443,11 +435,10 @@
   #refuse(run: ModelRun, reason: CallRefusalReason, queue: ModelQueue): void {
     const { service, model } = run.call;
     const chance = this.#parts.random.next();
-    const wait = this.#overloadedFor(service, model ?? "");
+    const heads = this.#headsOf(service, model ?? "");
     const retryAfter =
-      wait > 0
-        ? wait + chance * RETURN_SPREAD
-        : queue.retryAfter(this.#now, chance);
+      this.#parts.cooldowns.retryAfter(heads, chance) ??
+      queue.retryAfter(this.#now, chance);
     this.#end(run, reason, retryAfter);
   }
 
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -37,12 +37,6 @@
 /** Retry-after time of refused calls, milliseconds. */
 const RETRY_AFTER = 250;
 
-/**
- * Milliseconds over which callers return that were refused until a target takes
- * calls again.
- */
-const RETURN_SPREAD = 500;
-
 /** Outcome of a call whose target's response was passed on. */
 const WHOLE = "whole";
 
@@ -54,7 +48,10 @@
   readonly sender: ICallSender;
   readonly retries: ServiceRetryAllowances;
   readonly limits: Pick<TargetRateLimits, "maySend">;
-  readonly cooldowns: Pick<TargetCooldowns, "isActive" | "shortestWait">;
+  readonly cooldowns: Pick<
+    TargetCooldowns,
+    "isActive" | "retryAfter" | "shortestWait"
+  >;
   readonly clock: IClock;
   readonly random: IRandom;
   readonly log: ILog;
@@ -305,8 +302,7 @@
   get #retryAfter(): number {
     const { cooldowns, random, readyTargets } = this.#parts;
     const ids = readyTargets(this.#call.service).map(({ id }) => id);
-    const wait = cooldowns.shortestWait(ids);
-    return wait > 0 ? wait + random.next() * RETURN_SPREAD : RETRY_AFTER;
+    return cooldowns.retryAfter(ids, random.next()) ?? RETRY_AFTER;
   }
 
   #refusalKindOf(reason: CallRefusalReason): CallRefusalKind {
--- a/src/common/services/group_directory.ts
+++ b/src/common/services/group_directory.ts
@@ -30,12 +30,6 @@
   readonly work: IWorkItem;
 }
 
-/**
- * Milliseconds over which callers return that were refused until a target takes
- * calls again.
- */
-const RETURN_SPREAD = 500;
-
 /** Dependencies of {@link GroupDirectory}. */
 export interface IGroupSources {
   readonly targets: TargetDirectory;
@@ -44,7 +38,7 @@
   readonly random: IRandom;
   readonly live: ILiveDaemons;
   /** By address. */
-  readonly cooldowns: Pick<TargetCooldowns, "isActive" | "shortestWait">;
+  readonly cooldowns: Pick<TargetCooldowns, "isActive" | "retryAfter">;
 }
 
 /** A group's first member or a plain target that can serve now. */
@@ -101,8 +95,8 @@
     const addresses = [...this.#findPresent(service).values()].map(
       ({ instance }) => instance.address,
     );
-    const wait = cooldowns.shortestWait(addresses);
-    return wait > 0 ? Math.ceil(wait + random.next() * RETURN_SPREAD) : null;
+    const retryAfter = cooldowns.retryAfter(addresses, random.next());
+    return retryAfter && Math.ceil(retryAfter);
   }
 
   /** The best group for a request, or null. */
--- a/src/common/target_cooldowns.ts
+++ b/src/common/target_cooldowns.ts
@@ -12,6 +12,9 @@
 /** Milliseconds after which another call may test a target. */
 const TRIAL_TIMEOUT = 500;
 
+/** Milliseconds over which refused callers return. */
+const RETURN_SPREAD = 500;
+
 /** Milliseconds for which a target is remembered after its time. */
 const RETENTION_TIME = 60_000;
 
@@ -83,6 +86,17 @@
     return waits.length === 0 ? 0 : Math.min(...waits);
   }
 
+  /**
+   * When callers may return that were refused because some targets want no
+   * calls, milliseconds; null if one of the targets takes calls.
+   *
+   * @param chance - random number in [0, 1), which spreads the callers
+   */
+  retryAfter(targets: readonly string[], chance: number): number | null {
+    const wait = this.shortestWait(targets);
+    return wait > 0 ? wait + chance * RETURN_SPREAD : null;
+  }
+
   #remaining(target: string): number {
     const until = this.#cooldowns.get(target)?.until ?? 0;
     return Math.max(0, until - this.#now);
--- a/src/common/target_cooldowns_test.ts
+++ b/src/common/target_cooldowns_test.ts
@@ -66,6 +66,9 @@
     expect(cooldowns.shortestWait(["a", "b"])).to.equal(1_500);
     expect(cooldowns.shortestWait(["a", "b", "c"])).to.equal(0);
     expect(cooldowns.shortestWait([])).to.equal(0);
+    expect(cooldowns.retryAfter(["a", "b"], 0)).to.equal(1_500);
+    expect(cooldowns.retryAfter(["a", "b"], 0.5)).to.equal(1_750);
+    expect(cooldowns.retryAfter(["a", "b", "c"], 0.5)).to.equal(null);
   });
 
   it("are logged with their begin and end", () => {
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -101,6 +101,7 @@
       cooldowns: {
         isActive: () => false,
         maySend: () => true,
+        retryAfter: () => null,
         shortestWait: () => 0,
       },
       retries: new ServiceRetryAllowances(
