Test a stopped entry process against engines that take no calls

The entry process runs against the stand-ins over real connections, is stopped for a second, and 20 calls pile up for it: a head in its time and one that leaves get nothing.

--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -1,8 +1,10 @@
 /** An engine member that speaks the users' platform's protocol. */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { PlatformStore } from "./platform_store.ts";
+import { RetryAfterRule } from "./retry_after_rule.ts";
 
 /** Milliseconds between two events of a stream. */
 const EVENT_PERIOD = 20;
@@ -26,6 +28,13 @@
   #staged: string[] = [];
   /** While true, streams write nothing and no request is answered. */
   isStalled = false;
+  /** Seconds for which it wants no requests; null while it takes them. */
+  retryAfter: number | null = null;
+  /** Whether it says in its answers that it is about to leave. */
+  isLeaving = false;
+  readonly rejectionRule = new RetryAfterRule(performance);
+  /** Ids of the attempts that reached this engine. */
+  readonly arrivals: string[] = [];
   /** Ids of the attempts that this engine started to run. */
   readonly runs: string[] = [];
 
@@ -81,6 +90,9 @@
     for await (const chunk of request as AsyncIterable<Buffer>) {
       text += chunk.toString();
     }
+    if (this.isLeaving) {
+      response.setHeader("server-leaving", "1");
+    }
     if (request.url === "/report") {
       response.end(JSON.stringify(this.#report()));
     } else if (request.url === "/order") {
@@ -89,7 +101,7 @@
       );
       response.writeHead(isDone ? 200 : 409).end();
     } else if (this.#group?.rank === 0 && this.#group.state === "open") {
-      this.#stream(request, response);
+      this.#handleCall(request, response);
     } else {
       response.writeHead(503, { "x-not-executed": "1" }).end();
     }
@@ -120,6 +132,22 @@
     return true;
   }
 
+  #handleCall(request: IncomingMessage, response: ServerResponse): void {
+    this.arrivals.push(String(request.headers["x-attempt-id"]));
+    this.rejectionRule.recordArrival("entry", this.id);
+    if (this.retryAfter === null) {
+      this.#stream(request, response);
+      return;
+    }
+    const milliseconds = this.retryAfter * 1_000;
+    this.rejectionRule.recordRejection("entry", this.id, milliseconds);
+    response.writeHead(503, {
+      "x-not-executed": "1",
+      "retry-after": String(this.retryAfter),
+    });
+    response.end();
+  }
+
   #stream(request: IncomingMessage, response: ServerResponse): void {
     const attempt = String(request.headers["x-attempt-id"]);
     this.runs.push(attempt);
