--- a/test/support/limiting_heads.ts
+++ b/test/support/limiting_heads.ts
@@ -1,6 +1,6 @@
 /**
- * Heads of groups that name request limits, or reject requests for a time, and
- * check that processes keep to both.
+ * Heads of groups that name request limits, reject requests for a time or are
+ * about to leave, and check that processes keep to all three.
  */
 import { DisposableStore } from "../../src/common/disposable.ts";
 import type {
