--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -137,7 +137,7 @@
    * Milliseconds after which an order is carried out without an answer; null
    * for one that is carried out at once.
    */
-  delayOf: () => number | null = () => null;
+  delayOf: (engine: string, order: EngineOrder) => number | null = () => null;
   readonly #clock: IClock;
   readonly #highestEpochs = new Map<string, number>();
 
@@ -159,7 +159,7 @@
     if (this.dead.has(id)) {
       return OrderOutcome.Unknown;
     }
-    const delay = this.delayOf();
+    const delay = this.delayOf(id, order);
     if (delay !== null) {
       this.#clock.after(delay, () => this.#applyOrder(id, order));
       return OrderOutcome.Unknown;
