--- a/src/common/replicas/engine_registry.ts
+++ b/src/common/replicas/engine_registry.ts
@@ -65,6 +65,8 @@
   readonly startedAt: number;
   /** Multiplier on its times, by its latest report; 1 before the first. */
   readonly pace: number;
+  /** Orders that it has begun, by its latest report; 0 before the first. */
+  readonly orderCount: number;
 }
 
 interface ITrackedEngine {
@@ -78,6 +80,7 @@
   silentAt: MonotonicTime;
   startedAt: number;
   pace: number;
+  orderCount: number;
   /** Whether its latest report says that it is about to leave. */
   isLeaving: boolean;
 }
@@ -133,6 +136,7 @@
     engine.state = report.engine;
     engine.startedAt = report.startedAt;
     engine.pace = report.pace;
+    engine.orderCount = report.orderCount;
     engine.isLeaving = report.isLeaving;
     engine.askedAt = times.askedAt;
     engine.answeredAt = times.now;
@@ -195,6 +199,7 @@
         isUnreachable: isSilent(engine) && !this.#isZoneReachable(engine),
         startedAt: engine.startedAt,
         pace: engine.pace,
+        orderCount: engine.orderCount,
       });
     }
     return views;
@@ -277,6 +282,7 @@
         silentAt: Number.NEGATIVE_INFINITY,
         startedAt: target.startedAt,
         pace: 1,
+        orderCount: 0,
         isLeaving: false,
       });
       return;
--- a/src/common/replicas/engine_registry_test.ts
+++ b/src/common/replicas/engine_registry_test.ts
@@ -11,6 +11,7 @@
   running: 0,
   pace: 1,
   engine: engineState(),
+  orderCount: 0,
   isLeaving: false,
 };
 
--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -10,6 +10,10 @@
  * serves without one of its members, and its requests stall. A group opens only
  * when each member has its weights; otherwise it answers from a partly loaded
  * model.
+ *
+ * Orders may be carried out seconds after they were sent, also those of a
+ * former holder. So a join names the number of orders that its engine had begun
+ * when it was found free, and the engine refuses it after any other order.
  */
 import { GroupMemberState } from "../calls/types.ts";
 import type { IModel } from "../calls/types.ts";
@@ -28,6 +32,8 @@
 } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
 import { UnansweredJoins } from "./unanswered_joins.ts";
+import { OrderAnswers } from "./order_answers.ts";
+import type { IJoinConflict } from "./order_answers.ts";
 import { OrderKind } from "./types.ts";
 import type { EngineOrder, IGroupPlan } from "./types.ts";
 
@@ -113,6 +119,7 @@
   readonly #released = new Map<string, IReleasedGroup>();
   readonly #departures = new Departures();
   readonly #unansweredJoins = new UnansweredJoins();
+  readonly #answers = new OrderAnswers();
 
   constructor(times: IGroupTiming, findModel: (name: string) => IModel | null) {
     this.#times = times;
@@ -161,6 +168,7 @@
     this.#released.clear();
     this.#departures.clear();
     this.#unansweredJoins.clear();
+    this.#answers.clear();
     this.#adoption.clear();
   }
 
@@ -176,6 +184,25 @@
     this.#groups.get(name)?.joined.set(member, now);
   }
 
+  /** Handles an engine's answer to any order. */
+  handleAnswered(engine: InstanceId, now: MonotonicTime): void {
+    this.#answers.record(engine, now);
+  }
+
+  /** Handles a join that did not fit the state of the engine. */
+  handleConflict(
+    engine: InstanceId,
+    conflict: IJoinConflict,
+    now: MonotonicTime,
+  ): void {
+    this.#answers.recordConflict(engine, conflict, now);
+  }
+
+  /** Whether an engine's report shows all orders that it has answered. */
+  isCurrent(view: IEngineView): boolean {
+    return this.#answers.areShown(view, this.#maxReportLag);
+  }
+
   /** Handles an order to join that a member has not answered. */
   handleUnansweredJoin(
     name: string,
@@ -236,6 +263,7 @@
   ): readonly IAddressedOrder[] {
     this.#departures.retainOnly(views);
     this.#unansweredJoins.removeExpired(now);
+    this.#answers.retainOnly(views);
     this.#adopt(views, now);
     const orders: IAddressedOrder[] = [];
     for (const group of this.#groups.values()) {
@@ -327,6 +355,12 @@
     now: MonotonicTime,
   ): void {
     const { members, model } = group.plan;
+    this.#recordReportedJoins(group, views);
+    const trouble = this.#joinTroubleOf(group, views);
+    if (trouble !== null) {
+      this.#dissolve(group, trouble, now);
+      return;
+    }
     if (members.every((member) => isReady(group, member, views.get(member)))) {
       this.#setPhase(group, GroupPhase.Opening, now);
       return;
@@ -337,6 +371,36 @@
     }
   }
 
+  /** An unanswered join may have been carried out. */
+  #recordReportedJoins(group: IManagedGroup, views: EngineViews): void {
+    for (const member of unjoinedMembers(group)) {
+      const view = views.get(member);
+      if (view !== undefined && membershipIn(group, view) !== null) {
+        group.joined.set(member, view.askedAt);
+      }
+    }
+  }
+
+  /** Returns why a member cannot be ordered to join; null if nothing is wrong. */
+  #joinTroubleOf(
+    group: IManagedGroup,
+    views: EngineViews,
+  ): GroupTrouble | null {
+    for (const member of unjoinedMembers(group)) {
+      const view = views.get(member);
+      if (view === undefined || !this.isCurrent(view)) {
+        continue;
+      }
+      if (!this.#isUnassigned(view)) {
+        return GroupTrouble.MemberElsewhere;
+      }
+      if (this.#answers.isConflictUnexplained(view, group.plan.group)) {
+        return GroupTrouble.OrderRefused;
+      }
+    }
+    return null;
+  }
+
   #updateClosing(
     group: IManagedGroup,
     views: EngineViews,
@@ -422,9 +486,7 @@
     const { group: name, epoch } = plan;
     switch (group.phase) {
       case GroupPhase.Forming:
-        return plan.members
-          .filter((member) => !group.joined.has(member))
-          .map((engine) => ({ engine, order: { kind: OrderKind.Join, plan } }));
+        return this.#joinOrders(group, views);
       case GroupPhase.Opening:
         return addressed(head, { kind: OrderKind.Open, group: name, epoch });
       case GroupPhase.Closing:
@@ -442,6 +504,26 @@
     }
   }
 
+  #joinOrders(
+    group: IManagedGroup,
+    views: EngineViews,
+  ): readonly IAddressedOrder[] {
+    const { plan } = group;
+    return unjoinedMembers(group).flatMap((engine) => {
+      const view = views.get(engine);
+      if (
+        view === undefined ||
+        !this.isCurrent(view) ||
+        !this.#isUnassigned(view)
+      ) {
+        return [];
+      }
+      const expectedOrderCount = view.orderCount;
+      const order = { kind: OrderKind.Join as const, plan, expectedOrderCount };
+      return [{ engine, order }];
+    });
+  }
+
   /** The members to order to leave: the head, or all where it may serve on. */
   #leavingMembers(
     { plan, head, release }: IManagedGroup,
@@ -593,6 +675,14 @@
   return isListed && !isSilent;
 }
 
+/** Members that are not known to have joined. */
+function unjoinedMembers({
+  plan,
+  joined,
+}: IManagedGroup): readonly InstanceId[] {
+  return plan.members.filter((member) => !joined.has(member));
+}
+
 function addressed(
   engine: InstanceId | null,
   order: EngineOrder,
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -289,13 +289,20 @@
    * model is loaded when a member is needed.
    */
   #warm(id: InstanceId, model: string): void {
-    if (this.#warming.has(id)) {
+    const view = this.#monitor.views.get(id);
+    if (
+      this.#warming.has(id) ||
+      view === undefined ||
+      !this.#controller.isCurrent(view)
+    ) {
       return;
     }
     this.#warming.add(id);
     const numbered = this.#createPlan(model, [id]);
     const plan = { ...numbered, group: warmGroupName(numbered.epoch) };
-    this.#sendOrder({ engine: id, order: { kind: OrderKind.Join, plan } });
+    const expectedOrderCount = view.orderCount;
+    const order = { kind: OrderKind.Join as const, plan, expectedOrderCount };
+    this.#sendOrder({ engine: id, order });
   }
 
   #stage(id: InstanceId, model: string, now: MonotonicTime): void {
@@ -323,6 +330,9 @@
       outcome,
     });
     const isAccepted = outcome === OrderOutcome.Accepted;
+    if (outcome !== OrderOutcome.Unknown) {
+      this.#controller.handleAnswered(engine, this.#now);
+    }
     if (order.kind === OrderKind.Open && isAccepted) {
       this.#controller.handleOpened(order.group, this.#now);
     } else if (order.kind === OrderKind.Leave && isAccepted) {
@@ -335,6 +345,10 @@
           this.#loadedModels.recordJoin(view, order.plan.model, this.#now);
         }
         this.#controller.handleJoined(order.plan.group, engine, this.#now);
+      } else if (outcome === OrderOutcome.Conflict) {
+        const { plan, expectedOrderCount } = order;
+        const conflict = { group: plan.group, expectedOrderCount };
+        this.#controller.handleConflict(engine, conflict, this.#now);
       } else if (outcome === OrderOutcome.Refused) {
         this.#controller.handleRefused(order.plan.group, this.#now);
       } else {
--- a/src/common/replicas/types.ts
+++ b/src/common/replicas/types.ts
@@ -12,6 +12,8 @@
   /** Multiplier on its times; above 1 it is slow. */
   readonly pace: number;
   readonly engine: IEngineState;
+  /** Orders that it has begun since its start. */
+  readonly orderCount: number;
   /** Whether the engine is about to leave. */
   readonly isLeaving: boolean;
 }
@@ -41,7 +43,15 @@
 
 /** An order to one engine. */
 export type EngineOrder =
-  | { readonly kind: OrderKind.Join; readonly plan: IGroupPlan }
+  | {
+      readonly kind: OrderKind.Join;
+      readonly plan: IGroupPlan;
+      /**
+       * The engine refuses the order once it has begun more or fewer orders
+       * since its start.
+       */
+      readonly expectedOrderCount: number;
+    }
   | {
       readonly kind: OrderKind.Open | OrderKind.Close | OrderKind.Leave;
       readonly group: string;
@@ -53,7 +63,12 @@
 export enum OrderOutcome {
   /** It has begun, or its result holds already. */
   Accepted = "accepted",
-  /** It conflicts with the state of the engine. */
+  /**
+   * It does not fit the state of the engine, which may have changed since its
+   * report.
+   */
+  Conflict = "conflict",
+  /** It is out of date, or did not reach the engine. */
   Refused = "refused",
   /** No answer: it may be carried out at any later time. */
   Unknown = "unknown",
--- a/test/support/engine_fixtures.ts
+++ b/test/support/engine_fixtures.ts
@@ -70,6 +70,7 @@
     isUnreachable: false,
     startedAt: 1,
     pace: 1,
+    orderCount: 0,
     ...part,
   };
 }
