Join engines only in the state that they reported

What callers saw: requests that stall in a group whose head is open while one of its members serves in another group (TWO).

Cause: an acknowledged order to leave, or a report that shows an engine free, was taken as final. An earlier order to join that was never answered and was sent again and accepted is carried out 2 to 12 s later, after the leave, and makes the engine a member again; for a head, a late order to open does the rest. No process can know of all such orders: the sender may have ended, and the late order may act between the report and the next join.

Change: a join names the number of orders that its engine had begun by the report on which the choice rests (`expect`, PROTOCOL.md). The engine refuses it with 409 once it has begun another order. So a late copy has no effect after a leave, whoever sent it, and a join does nothing to an engine whose state has changed since its report.

Why it holds: leaving, opening and closing name a group, and each of them that has an effect raises the number, as do join and stage. A membership that has ended therefore cannot come back by any earlier order, except in an engine that has restarted under its id, whose numbers start anew.

--- a/src/common/replicas/order_dispatcher.ts
+++ b/src/common/replicas/order_dispatcher.ts
@@ -1,8 +1,9 @@
 /**
  * Sends orders. Callers request an order again until it has had its effect,
  * and it is then resent. An unanswered order may still be carried out seconds
- * later. Resending it is harmless, since it names its group and epoch, while
- * dropping it would leave a group partly formed.
+ * later. Resending it is harmless: it names its group and epoch, and a join the
+ * number of orders that its engine had begun, so that a copy has no effect after
+ * another order. Dropping it would leave a group partly formed.
  */
 import type { IClock } from "../services/services.ts";
 import type { MonotonicTime } from "../types.ts";
