Remove the memory of unanswered joins

Since joins name the number of orders that their engine had begun, a copy of a join has no effect after the engine has left. The process that sent it need not remember it for 15 s, nor keep the engine idle meanwhile; a successor never knew of it.

The test "does not free a member that may still join an open head" demanded that idle time. Its case, a member that a late join returns to an open head after it has left, is now checked further: the member may be chosen, its join names the number of the report from after the leave, and once a report shows it in the old group it is neither joined nor free and the new group is given up. late_orders_test delivers that join to the engine, with the sender still holding the lease, and passes.

--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -31,7 +31,6 @@
   troubleOf,
 } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
-import { UnansweredJoins } from "./unanswered_joins.ts";
 import { OrderAnswers } from "./order_answers.ts";
 import type { IJoinConflict } from "./order_answers.ts";
 import { OrderKind } from "./types.ts";
@@ -118,7 +117,6 @@
    */
   readonly #released = new Map<string, IReleasedGroup>();
   readonly #departures = new Departures();
-  readonly #unansweredJoins = new UnansweredJoins();
   readonly #answers = new OrderAnswers();
 
   constructor(times: IGroupTiming, findModel: (name: string) => IModel | null) {
@@ -167,7 +165,6 @@
     this.#groups.clear();
     this.#released.clear();
     this.#departures.clear();
-    this.#unansweredJoins.clear();
     this.#answers.clear();
     this.#adoption.clear();
   }
@@ -203,15 +200,6 @@
     return this.#answers.areShown(view, this.#maxReportLag);
   }
 
-  /** Handles an order to join that a member has not answered. */
-  handleUnansweredJoin(
-    name: string,
-    member: InstanceId,
-    now: MonotonicTime,
-  ): void {
-    this.#unansweredJoins.record(member, name, now);
-  }
-
   /**
    * Closes a serving group so that its members can serve another model: it
    * finishes its running requests.
@@ -262,7 +250,6 @@
     now: MonotonicTime,
   ): readonly IAddressedOrder[] {
     this.#departures.retainOnly(views);
-    this.#unansweredJoins.removeExpired(now);
     this.#answers.retainOnly(views);
     this.#adopt(views, now);
     const orders: IAddressedOrder[] = [];
@@ -285,18 +272,10 @@
         !view.isDraining &&
         view.state !== null &&
         !taken.has(view.target.id) &&
-        !this.#mayJoinOpenGroup(view.target.id) &&
         this.#isUnassigned(view),
     );
   }
 
-  /** Whether an unanswered order may still join it to a group that is open. */
-  #mayJoinOpenGroup(engine: InstanceId): boolean {
-    return this.#unansweredJoins
-      .groupsOf(engine)
-      .some((group) => this.#released.get(group)?.hasHeadStopped === false);
-  }
-
   /** Whether the engine's own report ties it to no group that may be open. */
   #isUnassigned(view: IEngineView): boolean {
     const membership = view.state?.membership ?? null;
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -351,9 +351,6 @@
         this.#controller.handleConflict(engine, conflict, this.#now);
       } else if (outcome === OrderOutcome.Refused) {
         this.#controller.handleRefused(order.plan.group, this.#now);
-      } else {
-        const { group } = order.plan;
-        this.#controller.handleUnansweredJoin(group, engine, this.#now);
       }
     } else if (
       order.kind === OrderKind.Stage &&
