Test that calls pass over groups in their cooldown

With the two lines that keep calls from such groups taken out of the dispatch in model_calls.ts every test passed: the check before writing keeps the rule, but nothing showed that a call goes to another group instead of waiting at one that wants none, nor that one call tests a group that returns. The harness of the model calls uses real cooldowns instead of a stub; the 18 older tests are unchanged.

--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -229,6 +229,36 @@
     expect(newest.reply.isStarted).to.equal(true);
   });
 
+  // Guards against calls that wait for a group whose head wants none for a
+  // time, or are withheld there, while another group would take them.
+  it("sends a call to another group than one in its cooldown", () => {
+    const harness = new Harness(["a", "b"]);
+    harness.submit({ id: "first" });
+    const busy = harness.getSend(0).target;
+    const idle = busy === "head-a" ? "head-b" : "head-a";
+    harness.cooldowns.recordRejection(idle, 1_000);
+    harness.submit({ id: "second" });
+    expect(harness.sends.map(({ target }) => target)).to.deep.equal([
+      busy,
+      busy,
+    ]);
+  });
+
+  // Guards against a burst of calls that are all rejected again when the time
+  // of a target has passed.
+  it("sends one call to a group that returns from its cooldown", () => {
+    const harness = new Harness(["a", "b"]);
+    harness.cooldowns.recordRejection("head-a", 100);
+    harness.clock.advance(101);
+    harness.cooldowns.recordSend("head-a");
+    harness.submit({ id: "first" });
+    harness.submit({ id: "second" });
+    expect(harness.sends.map(({ target }) => target)).to.deep.equal([
+      "head-b",
+      "head-b",
+    ]);
+  });
+
   // Guards against calls that run more often than their route allows: slow
   // groups are silent for a while, and a call is retried at one after the
   // other. Each may have started to run it, and its caller pays for work that
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -13,6 +13,7 @@
   IEngineProfile,
   ISendOptions,
 } from "../../src/common/calls/types.ts";
+import { TargetCooldowns } from "../../src/common/target_cooldowns.ts";
 import { callOf, RecordingReply } from "./call_fixtures.ts";
 import { LARGE } from "./engine_fixtures.ts";
 import { ManualClock } from "./manual_clock.ts";
@@ -78,11 +79,13 @@
   readonly log = new RecordingLog();
   readonly groups = new ServingGroups();
   readonly sends: IRecordedSend[] = [];
+  readonly cooldowns: TargetCooldowns;
   readonly calls: ModelCalls;
 
   constructor(names: readonly string[], slack = 100) {
     this.groups.replace(names.map(servingGroup));
     this.groups.setOthersInFlight(new Map());
+    this.cooldowns = new TargetCooldowns({ clock: this.clock, log: this.log });
     this.calls = new ModelCalls({
       groups: this.groups,
       sender: {
@@ -98,12 +101,7 @@
         },
       },
       limits: { maySend: () => true, isAssignedElsewhere: () => false },
-      cooldowns: {
-        isActive: () => false,
-        maySend: () => true,
-        retryAfter: () => null,
-        shortestWait: () => 0,
-      },
+      cooldowns: this.cooldowns,
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack },
         { processes: () => 1, replacesAnotherSince: null },
