Test late orders to engines that have started again

An engine that starts again under its id counts its orders anew, so its first join, which expects 0, is accepted late. A head so put back and opened keeps members that its holder takes for free; a member so put back makes the next holder serve a group whose head has lost it. The fake engines can start again.

--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -36,6 +36,9 @@
 
 const ENGINES = 10;
 
+/** First start of each engine, calendar milliseconds. */
+const FIRST_START = 1;
+
 /** One service whose engines run two models. */
 export const CONFIGURATION: IConfiguration = {
   version: 1,
@@ -141,6 +144,8 @@
   readonly #highestEpochs = new Map<string, number>();
   /** Orders that each engine has begun. */
   readonly #orderCounts = new Map<string, number>();
+  /** Start of each engine that has restarted, calendar milliseconds. */
+  readonly #startedAt = new Map<string, number>();
 
   constructor(clock: IClock) {
     this.#clock = clock;
@@ -152,11 +157,21 @@
     }
     const engine = this.states.get(id) ?? engineState();
     const isLeaving = this.leaving.has(id);
-    const figures = { startedAt: 1, queued: 0, running: 0, pace: 1 };
+    const startedAt = this.#startedAt.get(id) ?? FIRST_START;
+    const figures = { startedAt, queued: 0, running: 0, pace: 1 };
     const orderCount = this.#orderCountOf(id);
     return Ok({ ...figures, engine, orderCount, isLeaving });
   }
 
+  /** Starts an engine again under its id: only what its host stages is left. */
+  restart(id: string): void {
+    const { staged } = this.states.get(id) ?? engineState();
+    this.states.set(id, engineState({ staged }));
+    this.#startedAt.set(id, FIRST_START + this.#clock.calendar());
+    this.#orderCounts.delete(id);
+    this.#highestEpochs.delete(id);
+  }
+
   async sendOrder({ id }: { readonly id: string }, order: EngineOrder) {
     if (this.dead.has(id)) {
       return OrderOutcome.Unknown;
@@ -424,7 +439,7 @@
 function decode(id: string): IListedTarget {
   return {
     id,
-    startedAt: 1,
+    startedAt: FIRST_START,
     service: "summaries",
     address: "127.0.0.1:2",
     zone: "one",
