Free members only while the head that left is known to be the same

What callers saw: nothing yet; a review forced the order of events. A request at the head would stall, since members serve in another group (TWO).

Cause: a head that leaves, starts again under its id and carries out its first orders to join and to open late is open again: its numbers start anew, so that they fit. Its old members still report the group and counted as free for good, since the head had once acknowledged its leave.

Change: a head that has left or reported itself out counts as stopped only while the same run of it is listed and answers. Otherwise each member is ordered to leave before it counts as free, as for a head out of reach. The groups that were released get a module of their own.

Why it holds: a member that has left takes part in no group, and a join acts on it only in the state of its report. What remains: a restart, a late join and a late open of a listed head between two reports.

--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -22,7 +22,7 @@
 import type { IEngineView } from "./engine_registry.ts";
 import { GroupAdoption } from "./group_adoption.ts";
 import type { IDiscoveredGroup } from "./group_adoption.ts";
-import { findHeadRelease, isStopped } from "./head_release.ts";
+import { findHeadRelease, hasStopped } from "./head_release.ts";
 import {
   GroupPhase,
   GroupTrouble,
@@ -31,6 +31,7 @@
   troubleOf,
 } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
+import { ReleasedGroups } from "./released_groups.ts";
 import { OrderAnswers } from "./order_answers.ts";
 import type { IJoinConflict } from "./order_answers.ts";
 import { OrderKind } from "./types.ts";
@@ -62,9 +63,6 @@
   readonly openTime: () => number;
 }
 
-/** How long an abandoned group is reported to other processes, milliseconds. */
-const ABANDONED_REPORT_TIME = 10_000;
-
 /** Tolerance for reports older than their usual lag, milliseconds. */
 export const REPORT_LAG_MARGIN = 100;
 
@@ -89,13 +87,6 @@
   readonly order: EngineOrder;
 }
 
-/** A group whose members were freed. */
-interface IReleasedGroup {
-  readonly at: MonotonicTime;
-  /** Otherwise its members have left it, and it may still be open. */
-  readonly hasHeadStopped: boolean;
-}
-
 /** A phase change of a group, for the log. */
 export interface IGroupChange {
   readonly group: IManagedGroup;
@@ -111,11 +102,7 @@
   readonly #times: IGroupTiming;
   readonly #findModel: (name: string) => IModel | null;
   #changes: IGroupChange[] = [];
-  /**
-   * Groups that were released. Members that have not left one keep reporting it
-   * until they join another.
-   */
-  readonly #released = new Map<string, IReleasedGroup>();
+  readonly #released = new ReleasedGroups();
   readonly #departures = new Departures();
   readonly #answers = new OrderAnswers();
 
@@ -144,12 +131,9 @@
           group.release !== null ||
           this.#hasHeadLeft(group)),
     );
-    const released = [...this.#released].filter(
-      ([, { at }]) => now - at < ABANDONED_REPORT_TIME,
-    );
     return [
       ...dissolving.map(({ plan }) => plan.group),
-      ...released.map(([group]) => group),
+      ...this.#released.recent(now),
     ];
   }
 
@@ -251,6 +235,7 @@
   ): readonly IAddressedOrder[] {
     this.#departures.retainOnly(views);
     this.#answers.retainOnly(views);
+    this.#released.updateHeads(views);
     this.#adopt(views, now);
     const orders: IAddressedOrder[] = [];
     for (const group of this.#groups.values()) {
@@ -417,8 +402,9 @@
   ): void {
     const name = group.plan.group;
     const isReleasedBefore = this.#released.has(name);
+    const head = views.get(group.head ?? "") ?? null;
     group.release = findHeadRelease(group, {
-      head: views.get(group.head ?? "") ?? null,
+      head,
       hasLeft: this.#hasHeadLeft(group),
       now,
       timing: {
@@ -429,14 +415,15 @@
     if (group.release === null) {
       return;
     }
-    const hasHeadStopped = isStopped(group.release);
+    const hasHeadStopped = hasStopped(group, head);
     const members = group.plan.members.map((member) => views.get(member));
     if (
       hasHeadStopped ||
       members.every((member) => this.#isOut(group, member))
     ) {
       this.#groups.delete(name);
-      this.#released.set(name, { at: now, hasHeadStopped });
+      const stoppedHead = hasHeadStopped ? head : null;
+      this.#released.add(name, { at: now, stoppedHead });
       this.#changes.push({ group, from: group.phase, to: null });
     }
   }
@@ -505,13 +492,14 @@
 
   /** The members to order to leave: the head, or all where it may serve on. */
   #leavingMembers(
-    { plan, head, release }: IManagedGroup,
+    group: IManagedGroup,
     views: EngineViews,
   ): readonly InstanceId[] {
+    const { plan, head, release } = group;
     if (release === null) {
       return head === null ? [] : [head];
     }
-    if (isStopped(release)) {
+    if (hasStopped(group, views.get(head ?? "") ?? null)) {
       return [];
     }
     return plan.members.filter((member) => {
@@ -574,11 +562,13 @@
     const { group, state } = membership;
     const isOpen =
       state === GroupMemberState.Open || state === GroupMemberState.Closing;
-    const released = this.#released.get(group);
-    const hasHeadStopped = released?.hasHeadStopped ?? isWarmGroup(group);
+    const releasedAt = this.#released.releasedAt(group);
+    const hasHeadStopped =
+      releasedAt === null
+        ? isWarmGroup(group)
+        : this.#released.hasHeadStopped(group);
     const isOld =
-      released !== undefined &&
-      view.askedAt <= released.at + this.#maxReportLag;
+      releasedAt !== null && view.askedAt <= releasedAt + this.#maxReportLag;
     return (
       (hasHeadStopped && !isOpen) ||
       (isOld && (hasHeadStopped || !isJoinable(view)))
--- a/src/common/replicas/head_release.ts
+++ b/src/common/replicas/head_release.ts
@@ -9,6 +9,7 @@
 import { GroupMemberState } from "../calls/types.ts";
 import type { MonotonicTime } from "../types.ts";
 import type { IEngineView } from "./engine_registry.ts";
+import { isObserved } from "./released_groups.ts";
 import { membershipIn } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
 
@@ -24,9 +25,20 @@
   Silent = "silent",
 }
 
-/** Whether the head has stopped for certain, so that its members are free. */
-export function isStopped(release: HeadRelease): boolean {
-  return release === HeadRelease.Left || release === HeadRelease.Reported;
+/**
+ * Whether the head of a group has stopped for certain, so that its members are
+ * free. One that has started again since, or may have unseen, counts its orders
+ * anew: its first ones, carried out late, may open it again.
+ */
+export function hasStopped(
+  { release, starts }: IManagedGroup,
+  head: IEngineView | null,
+): boolean {
+  const isKnown =
+    release === HeadRelease.Left || release === HeadRelease.Reported;
+  return (
+    isKnown && isObserved(head) && head.startedAt === starts.get(head.target.id)
+  );
 }
 
 /** Milliseconds. */
