--- a/src/common/replicas/engine_monitor.ts
+++ b/src/common/replicas/engine_monitor.ts
@@ -17,7 +17,7 @@
  * Each report is charged, and the streams of a stalled group show the stall
  * before a report would.
  */
-const CALM_REPORT_PERIOD = 900;
+export const CALM_REPORT_PERIOD = 900;
 
 /**
  * Time between two reports of an engine whose group changes or is suspected,
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -40,10 +40,10 @@
  * Time beyond the published open time until an opened head is sent requests,
  * milliseconds.
  */
-const OPEN_MARGIN = 20;
+export const OPEN_MARGIN = 20;
 
 /** Interval between passes over engines and groups, milliseconds. */
-const TICK = 50;
+export const TICK = 50;
 
 /** Interval at which the state of each domain is logged, milliseconds. */
 const SUMMARY_PERIOD = 2_000;
