Open a head again that a late order has closed

What callers saw: a group is listed as serving and its head refuses every request. It gets no order, and its engines serve nobody, for as long as its members are well.

Cause: a serving group was checked for lost, restarted and draining members and for a broken head, not for a head that is no longer open. A former holder's order to close that was never answered is carried out 2 to 12 s later, when the next holder has adopted the group as open. An order to close names no number of orders, so that no engine refuses it.

Evidence: late_close_test forces the order of events: the platform drops a member's entry for a moment, the holder orders the head to close, is not answered and ends; the next holder finds the group open, and the close takes effect.

Change: a report that a serving group's head is not open, requested at least the lag of reports after the head is known to be open (the open time after its answer, or the adoption), moves the group to the new phase reopening. Its running requests go on and it takes no others. The head is ordered to open once it and all members report ready, at most each 250 ms (the dispatcher); the group serves after the open time, or when a report shows the head open. If a member drains meanwhile, the group closes as a serving one does. Late orders to leave were noticed before and end the group (tests).

late_close_test had compared all groups that were given up with none, and its demand made the holder reassign another group. It states no demand now, so that no group may be given up; its checks are unchanged.

--- /dev/null
+++ b/src/common/replicas/closed_head.ts
@@ -0,0 +1,52 @@
+/**
+ * Finds serving groups whose head takes no requests any more, and decides when
+ * it can be opened again.
+ *
+ * A former holder's order to close may be carried out after this process has
+ * found the group open. Nothing else opens the head again: it would refuse all
+ * requests of the group for as long as its members are well.
+ */
+import { GroupMemberState } from "../calls/types.ts";
+import type { IEngineView } from "./engine_registry.ts";
+import { isReady, membershipIn } from "./replica_group.ts";
+import type { IManagedGroup } from "./replica_group.ts";
+
+/** Milliseconds. */
+export interface IOpenTiming {
+  /** How far reports lag behind. */
+  readonly reportLag: number;
+  /** From the order to open until the head takes requests. */
+  readonly openTime: number;
+}
+
+/**
+ * Whether a report shows that the head of a serving group is not open. One
+ * requested before it would show the head open proves nothing.
+ */
+export function isHeadClosed(
+  group: IManagedGroup,
+  head: IEngineView | undefined,
+  { reportLag, openTime }: IOpenTiming,
+): boolean {
+  const state = membershipIn(group, head)?.state;
+  if (head === undefined || state === undefined) {
+    return false;
+  }
+  const openSince =
+    group.openedAt === null ? group.phaseSince : group.openedAt + openTime;
+  const isRecent = head.askedAt > openSince + reportLag;
+  return isRecent && state !== GroupMemberState.Open;
+}
+
+/**
+ * Whether the head can be opened again: it has finished its requests, and no
+ * member is loading.
+ */
+export function canReopen(
+  group: IManagedGroup,
+  views: ReadonlyMap<string, IEngineView>,
+): boolean {
+  return group.plan.members.every((member) =>
+    isReady(group, member, views.get(member)),
+  );
+}
--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -13,11 +13,13 @@
  *
  * Orders may be carried out seconds after they were sent, also those of a
  * former holder. So a join names the number of orders that its engine had begun
- * when it was found free, and the engine refuses it after any other order.
+ * when it was found free, and the engine refuses it after any other order; and a
+ * head that a late order has closed is ordered to open again.
  */
 import { GroupMemberState } from "../calls/types.ts";
 import type { IModel } from "../calls/types.ts";
 import type { InstanceId, MonotonicTime } from "../types.ts";
+import { canReopen, isHeadClosed } from "./closed_head.ts";
 import { Departures } from "./departures.ts";
 import type { IEngineView } from "./engine_registry.ts";
 import { GroupAdoption } from "./group_adoption.ts";
@@ -26,6 +28,7 @@
 import {
   GroupPhase,
   GroupTrouble,
+  hasRequests,
   isReady,
   membershipIn,
   troubleOf,
@@ -317,9 +320,7 @@
       return;
     }
     const trouble = this.#troubleOf(group, views);
-    const isServing =
-      group.phase === GroupPhase.Serving || group.phase === GroupPhase.Closing;
-    if (trouble === GroupTrouble.MemberDraining && isServing) {
+    if (trouble === GroupTrouble.MemberDraining && hasRequests(group.phase)) {
       group.trouble = trouble;
       this.#setPhase(group, GroupPhase.Closing, now);
       this.#updateClosing(group, views, now);
@@ -329,11 +330,28 @@
       this.#updateClosing(group, views, now);
     } else if (group.phase === GroupPhase.Forming) {
       this.#updateForming(group, views, now);
-    } else if (group.phase === GroupPhase.Opening) {
+    } else if (group.phase === GroupPhase.Serving) {
+      this.#updateServing(group, views, now);
+    } else {
       this.#updateOpening(group, views, now);
     }
   }
 
+  #updateServing(
+    group: IManagedGroup,
+    views: EngineViews,
+    now: MonotonicTime,
+  ): void {
+    const timing = {
+      reportLag: this.#maxReportLag,
+      openTime: this.#times.openTime(),
+    };
+    if (isHeadClosed(group, views.get(group.head ?? ""), timing)) {
+      group.openedAt = null;
+      this.#setPhase(group, GroupPhase.Reopening, now);
+    }
+  }
+
   #updateOpening(
     group: IManagedGroup,
     views: EngineViews,
@@ -489,6 +507,10 @@
         return this.#joinOrders(group, views);
       case GroupPhase.Opening:
         return addressed(head, { kind: OrderKind.Open, group: name, epoch });
+      case GroupPhase.Reopening:
+        return canReopen(group, views)
+          ? addressed(head, { kind: OrderKind.Open, group: name, epoch })
+          : [];
       case GroupPhase.Closing:
         return membershipIn(group, views.get(head ?? ""))?.state ===
           GroupMemberState.Open
--- a/src/common/replicas/replica_group.ts
+++ b/src/common/replicas/replica_group.ts
@@ -16,6 +16,11 @@
   /** All members are ready; the head is ordered to open. */
   Opening = "opening",
   Serving = "serving",
+  /**
+   * Its head was closed without an order of this process: it finishes its
+   * requests and is ordered to open.
+   */
+  Reopening = "reopening",
   /**
    * A member leaves: the head takes no new requests and finishes its running
    * ones.
@@ -25,6 +30,15 @@
   Dissolving = "dissolving",
 }
 
+/** Whether a group in this phase takes requests, or may still run some. */
+export function hasRequests(phase: GroupPhase): boolean {
+  return (
+    phase === GroupPhase.Serving ||
+    phase === GroupPhase.Reopening ||
+    phase === GroupPhase.Closing
+  );
+}
+
 /** Why a group cannot continue as it is. */
 export enum GroupTrouble {
   MemberSilent = "member_silent",
--- a/src/common/replicas/serving_table.ts
+++ b/src/common/replicas/serving_table.ts
@@ -4,7 +4,7 @@
 import type { IServingGroup } from "../calls/serving_groups.ts";
 import type { ServiceName } from "../types.ts";
 import type { EngineViews } from "./group_controller.ts";
-import { GroupPhase } from "./replica_group.ts";
+import { GroupPhase, hasRequests } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
 
 /** Values that all groups of the table share. */
@@ -30,9 +30,7 @@
   { service, slots }: IServingTableOptions,
 ): readonly IServingGroup[] {
   const view = views.get(head ?? "");
-  const isServing =
-    phase === GroupPhase.Serving || phase === GroupPhase.Closing;
-  if (view === undefined || !isServing) {
+  if (view === undefined || !hasRequests(phase)) {
     return [];
   }
   const { id, address, zone } = view.target;
--- a/src/entry/late_close_test.ts
+++ b/src/entry/late_close_test.ts
@@ -49,8 +49,8 @@
  */
 class LateClose {
   readonly deployment = new TestDeployment();
-  readonly holder = this.#createProcess("10.0.0.2:1");
-  #sender = this.#createProcess("10.0.0.1:1");
+  readonly holder = new TestProcess(this.deployment, "10.0.0.2:1");
+  readonly #sender = new TestProcess(this.deployment, "10.0.0.1:1");
   #late: ILateClose | null = null;
 
   /** Leaves the holder with the open group, and an order to close unanswered. */
@@ -136,13 +136,6 @@
     });
   }
 
-  #createProcess(address: string): TestProcess {
-    const process = new TestProcess(this.deployment, address);
-    const demand = { service: "summaries", groups: 9, waiting: 0 };
-    process.demand = [{ ...demand, model: "large" }];
-    return process;
-  }
-
   #delayOf(engine: string, order: EngineOrder): number | null {
     if (order.kind !== OrderKind.Close) {
       return null;
