Order a closed head to open only until it accepts

The order was sent again after 250 ms, before the open time was over, though the head had accepted it; each order is charged. A head that accepts and does not open is noticed by a later report like any other that is not open. The unit test of it failed before this commit.

late_close_test delivers the close at five times after the head's last report, since the bound must hold at each, and delivers three copies of it, each followed by one order to open; both pass before this commit too, since the fake engines open at once.

--- a/src/common/replicas/closed_head.ts
+++ b/src/common/replicas/closed_head.ts
@@ -39,14 +39,16 @@
 }
 
 /**
- * Whether the head can be opened again: it has finished its requests, and no
- * member is loading.
+ * Whether to order the head to open again: it has finished its requests, no
+ * member is loading, and it has not accepted that order since it was closed.
  */
 export function canReopen(
   group: IManagedGroup,
   views: ReadonlyMap<string, IEngineView>,
 ): boolean {
-  return group.plan.members.every((member) =>
-    isReady(group, member, views.get(member)),
+  const { members } = group.plan;
+  return (
+    group.openedAt === null &&
+    members.every((member) => isReady(group, member, views.get(member)))
   );
 }
--- a/src/common/replicas/reopened_group_test.ts
+++ b/src/common/replicas/reopened_group_test.ts
@@ -92,6 +92,19 @@
     expect(takesWork(controller)).to.equal(true);
   });
 
+  // Guards against charged orders that change nothing: the head has accepted
+  // one, and reports show it open later.
+  it("is sent no further order to open once it has accepted one", () => {
+    const controller = adoptingController();
+    const closed = headReports(GroupMemberState.Ready, 2_000);
+    controller.reconcile(closed, 2_010);
+    expect(kinds(controller.reconcile(closed, 2_020))).to.deep.equal([
+      "open head",
+    ]);
+    controller.handleOpened(PLAN.group, 2_030);
+    expect(kinds(controller.reconcile(closed, 2_320))).to.deep.equal([]);
+  });
+
   // Guards against taking a group from its callers whose head has opened: a
   // report that was requested before it opened shows it ready.
   it("is not assumed on a report that may be from before it opened", () => {
--- a/src/entry/late_close_test.ts
+++ b/src/entry/late_close_test.ts
@@ -37,6 +37,9 @@
 /** Milliseconds; long enough for several reports of each engine. */
 const TIME_AFTERWARDS = 10_000;
 
+/** Copies of the order to close that take effect, one after the other. */
+const COPIES = 3;
+
 interface ILateClose {
   readonly engine: string;
   readonly order: EngineOrder;
@@ -93,15 +96,29 @@
     return entry?.takesWork ?? null;
   }
 
-  /** Delivers the order to close. */
-  async deliver(): Promise<void> {
+  /** Orders that the head has been sent to open the group. */
+  get openOrders(): number {
+    const { orders } = this.deployment.engines;
+    return orders.filter(
+      ({ order }) =>
+        order.kind === OrderKind.Open && order.group === this.plan.group,
+    ).length;
+  }
+
+  /**
+   * Delivers the order to close.
+   *
+   * @param offset - milliseconds from the earliest time at which it may be
+   *   carried out
+   */
+  async deliver(offset = 0): Promise<void> {
     const { clock, engines } = this.deployment;
     if (this.#late === null) {
       throw new Error("no order to close is late");
     }
     const { engine, order, sentAt } = this.#late;
     await this.deployment.advance(
-      Math.max(0, sentAt + LATE_BY.least - clock.now()),
+      Math.max(0, sentAt + LATE_BY.least + offset - clock.now()),
     );
     expect(clock.now() - sentAt).to.be.within(LATE_BY.least, LATE_BY.most);
     expect(this.headState).to.equal(GroupMemberState.Open);
@@ -149,25 +166,43 @@
 describe("orders to close that are carried out late", () => {
   // Guards against a group that is listed as serving and refuses its requests
   // for good: the next holder has adopted it when the close takes effect.
-  it("leave the group out of service for a bounded time", async () => {
+  // The close comes at several times after the head's last report.
+  for (const offset of [0, 200, 400, 600, 800]) {
+    it(`leave the group out of service for a bounded time, ${offset} ms`, async () => {
+      const late = new LateClose();
+      await late.start();
+      await late.deliver(offset);
+      let untilNoticed = 0;
+      while (late.takesWork === true && untilNoticed <= NOTICE_TIME) {
+        await late.deployment.advance(STEP);
+        untilNoticed += STEP;
+      }
+      expect(late.takesWork).to.equal(false);
+      expect(untilNoticed).to.be.at.most(NOTICE_TIME);
+      let untilServing = 0;
+      while (late.takesWork !== true && untilServing <= REOPEN_TIME) {
+        await late.deployment.advance(STEP);
+        untilServing += STEP;
+      }
+      expect(late.takesWork).to.equal(true);
+      expect(late.headState).to.equal(GroupMemberState.Open);
+      expect(untilServing).to.be.at.most(REOPEN_TIME);
+      late.dispose();
+    });
+  }
+
+  // Guards against orders without end, each of which is charged: each copy of
+  // the close takes effect, and the head is opened after each.
+  it("are each followed by one order to open", async () => {
     const late = new LateClose();
     await late.start();
-    await late.deliver();
-    let untilNoticed = 0;
-    while (late.takesWork === true && untilNoticed <= NOTICE_TIME) {
-      await late.deployment.advance(STEP);
-      untilNoticed += STEP;
+    const before = late.openOrders;
+    for (let copies = 1; copies <= COPIES; copies += 1) {
+      await late.deliver();
+      await late.deployment.advance(NOTICE_TIME + REOPEN_TIME);
+      expect(late.takesWork).to.equal(true);
+      expect(late.openOrders - before).to.equal(copies);
     }
-    expect(late.takesWork).to.equal(false);
-    expect(untilNoticed).to.be.at.most(NOTICE_TIME);
-    let untilServing = 0;
-    while (late.takesWork !== true && untilServing <= REOPEN_TIME) {
-      await late.deployment.advance(STEP);
-      untilServing += STEP;
-    }
-    expect(late.takesWork).to.equal(true);
-    expect(late.headState).to.equal(GroupMemberState.Open);
-    expect(untilServing).to.be.at.most(REOPEN_TIME);
     late.dispose();
   });
 
