Test a join that is repeated to an open head

A join replaces the membership, so that one that is carried out again could make an open head ready. It cannot: the copy names the number of orders from before its engine joined, and the engine refuses it.

Run in scratch with fake engines that replace the membership on a repeated join: the tests pass with the number, and fail with the number not checked.

--- a/src/entry/late_orders_test.ts
+++ b/src/entry/late_orders_test.ts
@@ -4,6 +4,7 @@
   TestDeployment,
   TestProcess,
 } from "../../test/support/fleet_deployment.ts";
+import { GroupMemberState } from "../common/calls/types.ts";
 import { OrderKind, OrderOutcome } from "../common/replicas/types.ts";
 import type { EngineOrder, IGroupPlan } from "../common/replicas/types.ts";
 
@@ -243,4 +244,28 @@
       expect(late.deployment.engines.taken).to.deep.equal([]);
     });
   }
+
+  // Guards against a head that becomes ready again, and refuses requests,
+  // because a join of its present group is carried out again: a join replaces
+  // the membership.
+  for (const isReplaced of [true, false]) {
+    const sender = isReplaced ? "the former holder" : "the holder";
+    it(`leaves a head open that a late join of ${sender} is repeated to`, async () => {
+      const late = new LateOrders(0, [OrderKind.Join]);
+      await late.start();
+      if (isReplaced) {
+        await late.replaceSender();
+      } else {
+        await late.deployment.advance(LATE_BY.least);
+      }
+      const [head = ""] = late.members;
+      const before = late.deployment.engines.states.get(head);
+      expect(before?.membership?.group).to.equal(late.plan.group);
+      expect(before?.membership?.state).to.equal(GroupMemberState.Open);
+      const joined = await late.deliver(OrderKind.Join);
+      expect(joined).to.equal(OrderOutcome.Conflict);
+      expect(late.deployment.engines.states.get(head)).to.deep.equal(before);
+      late.dispose();
+    });
+  }
 });
