Finish the requests of a group that is found closing

What callers saw: streams cut when the lease changes hands while a head closes: the next holder dissolved each group that was not open.

Cause: adoption knew open groups and others. A complete group whose head closes still runs requests, whether the former holder or a late order has closed it.

Change: such a group is adopted as reopening: listed without new requests, opened again when idle, or closed and dissolved if a member drains. One whose head is ready or whose members are incomplete is dissolved as before. The two new unit tests failed before this commit.

A test of the report's age is made stricter: changing the code showed that it passed without the open time and the lag, as the group was not serving yet when it was checked.

--- a/src/common/replicas/closed_head.ts
+++ b/src/common/replicas/closed_head.ts
@@ -8,7 +8,8 @@
  */
 import { GroupMemberState } from "../calls/types.ts";
 import type { IEngineView } from "./engine_registry.ts";
-import { isReady, membershipIn } from "./replica_group.ts";
+import type { IDiscoveredGroup } from "./group_adoption.ts";
+import { GroupPhase, isReady, membershipIn } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
 
 /** Milliseconds. */
@@ -52,3 +53,19 @@
     members.every((member) => isReady(group, member, views.get(member)))
   );
 }
+
+/**
+ * The phase in which a group is adopted. One whose head closes still runs
+ * requests, which would be cut off if it were dissolved.
+ */
+export function phaseOfAdopted({
+  isComplete,
+  state,
+}: IDiscoveredGroup): GroupPhase {
+  if (isComplete && state === GroupMemberState.Open) {
+    return GroupPhase.Serving;
+  }
+  return isComplete && state === GroupMemberState.Closing
+    ? GroupPhase.Reopening
+    : GroupPhase.Dissolving;
+}
--- a/src/common/replicas/group_adoption.ts
+++ b/src/common/replicas/group_adoption.ts
@@ -6,7 +6,7 @@
  * abandoned at once, its streams would be interrupted for nothing, so it is
  * given a short time.
  */
-import { GroupMemberState } from "../calls/types.ts";
+import type { GroupMemberState } from "../calls/types.ts";
 import type { IModel } from "../calls/types.ts";
 import type { MonotonicTime } from "../types.ts";
 import type { IEngineView } from "./engine_registry.ts";
@@ -26,8 +26,8 @@
   /** Whether all members that the model's size requires have reported. */
   readonly isComplete: boolean;
   readonly hasHead: boolean;
-  /** Whether its head takes requests. */
-  readonly isOpen: boolean;
+  /** As its member of the lowest rank reports, the head if that has reported. */
+  readonly state: GroupMemberState;
 }
 
 /** What the controller knows of reported groups. */
@@ -103,7 +103,7 @@
         members: sorted,
         isComplete,
         hasHead: rankOf(first) === 0,
-        isOpen: membership.state === GroupMemberState.Open,
+        state: membership.state,
       },
     ];
   }
--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -19,7 +19,7 @@
 import { GroupMemberState } from "../calls/types.ts";
 import type { IModel } from "../calls/types.ts";
 import type { InstanceId, MonotonicTime } from "../types.ts";
-import { canReopen, isHeadClosed } from "./closed_head.ts";
+import { canReopen, isHeadClosed, phaseOfAdopted } from "./closed_head.ts";
 import { Departures } from "./departures.ts";
 import type { IEngineView } from "./engine_registry.ts";
 import { GroupAdoption } from "./group_adoption.ts";
@@ -633,9 +633,8 @@
     views: EngineViews,
     now: MonotonicTime,
   ): void {
-    const { plan, members, isComplete, hasHead, isOpen } = found;
-    const phase =
-      isComplete && isOpen ? GroupPhase.Serving : GroupPhase.Dissolving;
+    const { plan, members, isComplete, hasHead } = found;
+    const phase = phaseOfAdopted(found);
     const group = this.#createGroup(plan, views, { phase, now });
     for (const view of members) {
       group.joined.set(view.target.id, view.askedAt);
--- a/src/common/replicas/reopened_group_test.ts
+++ b/src/common/replicas/reopened_group_test.ts
@@ -109,8 +109,10 @@
   // report that was requested before it opened shows it ready.
   it("is not assumed on a report that may be from before it opened", () => {
     const controller = adoptingController();
-    controller.reconcile(headReports(GroupMemberState.Ready, 2_000), 2_010);
+    const closed = headReports(GroupMemberState.Ready, 2_000);
+    controller.reconcile(closed, 2_010);
     controller.handleOpened(PLAN.group, 2_020);
+    controller.reconcile(closed, 2_020 + OPEN_TIME);
     const shownFrom = 2_020 + OPEN_TIME + LAG;
     const early = headReports(GroupMemberState.Ready, shownFrom);
     expect(kinds(controller.reconcile(early, shownFrom + 10))).to.deep.equal(
@@ -150,6 +152,33 @@
     ]);
   });
 
+  // Guards against streams that are cut when the lease changes hands: the next
+  // holder finds a head that the former one, or a late order, has closed.
+  it("finishes its requests when it is adopted while it closes", () => {
+    const controller = newController();
+    const closing = headReports(GroupMemberState.Closing, 990);
+    expect(kinds(controller.reconcile(closing, 1_000))).to.deep.equal([]);
+    expect(takesWork(controller)).to.equal(false);
+    expect(controller.abandonedGroups(1_000)).to.deep.equal([]);
+    const idle = headReports(GroupMemberState.Ready, 2_000);
+    expect(kinds(controller.reconcile(idle, 2_010))).to.deep.equal([
+      "open head",
+    ]);
+  });
+
+  // Guards against opening a head that closes because a member leaves.
+  it("is closed when it is adopted while it closes for a member", () => {
+    const controller = newController();
+    const draining = { isDraining: true };
+    const closing = memberOf(PLAN, 0, GroupMemberState.Closing);
+    controller.reconcile(members(990, closing, draining), 1_000);
+    expect(takesWork(controller)).to.equal(false);
+    const idle = members(1_200, memberOf(PLAN, 0), draining);
+    expect(kinds(controller.reconcile(idle, 1_210))).to.deep.equal([
+      "leave head",
+    ]);
+  });
+
   // Guards against requests in a group that is not complete: a head that opens
   // checks no other member.
   it("is opened again only when each member reports ready", () => {
