Judge a closed head by when its group began to serve

That moment is never before the head is open by its answer and the open time, so that neither need be looked at again. No behaviour the tests show changes.

--- a/src/common/replicas/closed_head.ts
+++ b/src/common/replicas/closed_head.ts
@@ -12,30 +12,22 @@
 import { GroupPhase, isReady, membershipIn } from "./replica_group.ts";
 import type { IManagedGroup } from "./replica_group.ts";
 
-/** Milliseconds. */
-export interface IOpenTiming {
-  /** How far reports lag behind. */
-  readonly reportLag: number;
-  /** From the order to open until the head takes requests. */
-  readonly openTime: number;
-}
-
 /**
  * Whether a report shows that the head of a serving group is not open. One
- * requested before it would show the head open proves nothing.
+ * requested too soon after the group began to serve proves nothing.
+ *
+ * @param reportLag - milliseconds by which reports lag behind
  */
 export function isHeadClosed(
   group: IManagedGroup,
   head: IEngineView | undefined,
-  { reportLag, openTime }: IOpenTiming,
+  reportLag: number,
 ): boolean {
   const state = membershipIn(group, head)?.state;
   if (head === undefined || state === undefined) {
     return false;
   }
-  const openSince =
-    group.openedAt === null ? group.phaseSince : group.openedAt + openTime;
-  const isRecent = head.askedAt > openSince + reportLag;
+  const isRecent = head.askedAt > group.phaseSince + reportLag;
   return isRecent && state !== GroupMemberState.Open;
 }
 
--- a/src/common/replicas/group_controller.ts
+++ b/src/common/replicas/group_controller.ts
@@ -342,11 +342,8 @@
     views: EngineViews,
     now: MonotonicTime,
   ): void {
-    const timing = {
-      reportLag: this.#maxReportLag,
-      openTime: this.#times.openTime(),
-    };
-    if (isHeadClosed(group, views.get(group.head ?? ""), timing)) {
+    const head = views.get(group.head ?? "");
+    if (isHeadClosed(group, head, this.#maxReportLag)) {
       group.openedAt = null;
       this.#setPhase(group, GroupPhase.Reopening, now);
     }
