Log the volume of exchanges and engine reports

Callers saw: nothing of this by itself.

The log did not show whether the holder's own messages fill its link. The holder now logs every 2 s how many replies, table entries and listed targets it sent, and how many reports it requested, how many were not answered in time, and the slowest.

--- a/src/common/replicas/engine_monitor.ts
+++ b/src/common/replicas/engine_monitor.ts
@@ -48,6 +48,14 @@
  */
 const FORGET_AFTER = 15_000;
 
+/** Reports requested from engines. */
+export interface IReportVolume {
+  readonly reports: number;
+  readonly unanswered: number;
+  /** Milliseconds; a timeout counts as well. */
+  readonly slowestAnswer: number;
+}
+
 /** Dependencies of {@link EngineMonitor}. */
 export interface IEngineMonitorParts {
   readonly engines: IEngineClient;
@@ -68,6 +76,7 @@
   #listSize = 0;
   #listGrewAt: MonotonicTime;
   #isSurveyComplete = false;
+  #volume: IReportVolume = { reports: 0, unanswered: 0, slowestAnswer: 0 };
 
   constructor(parts: IEngineMonitorParts) {
     this.#parts = parts;
@@ -102,6 +111,13 @@
     }
   }
 
+  /** Returns the volume of the reports since the last call. */
+  takeVolume(): IReportVolume {
+    const volume = this.#volume;
+    this.#volume = { reports: 0, unanswered: 0, slowestAnswer: 0 };
+    return volume;
+  }
+
   /** Applies the platform's list and polls the engines that are due. */
   poll(groups: readonly IManagedGroup[], now: MonotonicTime): void {
     const targets = this.#parts.listedTargets();
@@ -160,6 +176,7 @@
       view.target,
       REPORT_TIMEOUT,
     );
+    this.#countVolume(report.isErr(), this.#parts.clock.now() - askedAt);
     if (report.isErr()) {
       this.#parts.metrics.count("engine_reports_missed");
       this.#registry.recordMiss(id, askedAt);
@@ -169,6 +186,15 @@
     this.#registry.recordReport(id, report.value, { askedAt, now });
   }
 
+  #countVolume(isUnanswered: boolean, duration: number): void {
+    const { reports, unanswered, slowestAnswer } = this.#volume;
+    this.#volume = {
+      reports: reports + 1,
+      unanswered: unanswered + (isUnanswered ? 1 : 0),
+      slowestAnswer: Math.max(slowestAnswer, Math.round(duration)),
+    };
+  }
+
   /** Engines of groups that change or are suspected. */
   #busyEngines(groups: readonly IManagedGroup[]): ReadonlySet<InstanceId> {
     const busy = new Set<InstanceId>();
--- a/src/common/replicas/exchange_server.ts
+++ b/src/common/replicas/exchange_server.ts
@@ -15,6 +15,15 @@
 import { ProcessReports, sumInFlight } from "./process_reports.ts";
 import { RateShareAssignment } from "./rate_share_assignment.ts";
 
+/** What the replies to other processes contained. */
+export interface IExchangeVolume {
+  readonly replies: number;
+  /** Entries of the table of serving groups. */
+  readonly groups: number;
+  /** Entries of the platform's target list. */
+  readonly targets: number;
+}
+
 /** Table versions within one epoch of the lease. */
 const TABLES_PER_EPOCH = 1_000_000;
 
@@ -46,6 +55,7 @@
   #groups: readonly IServingGroup[] = [];
   #abandonedGroups: readonly string[] = [];
   #changes = 0;
+  #volume: IExchangeVolume = { replies: 0, groups: 0, targets: 0 };
 
   constructor(parts: IExchangeServerParts) {
     this.#parts = parts;
@@ -99,6 +109,13 @@
     return this.#rateShares.sharesOf(process);
   }
 
+  /** Returns the volume of the replies since the last call. */
+  takeVolume(): IExchangeVolume {
+    const volume = this.#volume;
+    this.#volume = { replies: 0, groups: 0, targets: 0 };
+    return volume;
+  }
+
   async answer(report: IProcessReport): Promise<ExchangeAnswer> {
     if (!this.#parts.isActiveHolder()) {
       return this.#notHolder();
@@ -115,22 +132,37 @@
     const reports = this.reports;
     const others = reports.filter(({ process }) => process !== report.process);
     const hasTable = report.tableVersion === this.#version;
+    const groups = hasTable ? null : this.#groups;
+    const store = this.#parts.storeUpdate(report.versions);
+    this.#countVolume(groups, store);
     return {
       isHolder: true,
       word: {
         tableVersion: this.#version,
-        groups: hasTable ? null : this.#groups,
+        groups,
         givenUp: hasTable ? null : this.#abandonedGroups,
         othersInFlight: Object.fromEntries(sumInFlight(others)),
         isInDoubt: !this.#parts.mayOrder(),
         processes: reports.length,
         rateLimits: this.#parts.rateLimits.observations,
         rateShares: this.rateSharesOf(report.process),
-        store: this.#parts.storeUpdate(report.versions),
+        store,
       },
     };
   }
 
+  #countVolume(
+    groups: readonly IServingGroup[] | null,
+    store: IStoreUpdate | null,
+  ): void {
+    const targets = store?.targetChanges?.targets ?? [];
+    this.#volume = {
+      replies: this.#volume.replies + 1,
+      groups: this.#volume.groups + (groups?.length ?? 0),
+      targets: this.#volume.targets + targets.length,
+    };
+  }
+
   #notHolder(): ExchangeAnswer {
     const { process } = this.#parts.ownReport();
     return { isHolder: false, other: { process } };
--- a/src/common/replicas/replica_service.ts
+++ b/src/common/replicas/replica_service.ts
@@ -368,6 +368,12 @@
    * they hold.
    */
   #logDomains(): void {
+    const { reports, unanswered, slowestAnswer } = this.#monitor.takeVolume();
+    this.#parts.log.info("engine_reports", {
+      reports,
+      unanswered,
+      slowest_ms: slowestAnswer,
+    });
     if (!this.#monitor.isSurveyComplete) {
       return;
     }
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -42,6 +42,9 @@
 /** How often the known groups are refreshed, milliseconds. */
 const REFRESH_PERIOD = 100;
 
+/** Interval at which the holder logs its replies, milliseconds. */
+const VOLUME_PERIOD = 2_000;
+
 /**
  * Groups that each waiting call adds to its model's demand: a queue of one
  * batch, about twelve calls, adds about one group.
@@ -154,6 +157,9 @@
     this.#owned.add(
       this.#parts.clock.every(REFRESH_PERIOD, () => this.#refresh()),
     );
+    this.#owned.add(
+      this.#parts.clock.every(VOLUME_PERIOD, () => this.#logVolume()),
+    );
   }
 
   dispose(): void {
@@ -243,6 +249,13 @@
     };
   }
 
+  #logVolume(): void {
+    const volume = this.#exchangeServer.takeVolume();
+    if (this.#isActiveHolder) {
+      this.#parts.log.info("exchanges", { ...volume });
+    }
+  }
+
   #suspectGroups(groups: readonly string[]): void {
     for (const service of this.#services.values()) {
       service.suspectGroups(groups);
