Report a stalled group without asking for the table

Cause: a process that finds a group stalled reports it at once beside its waiting exchange, and named no table, so that the reply was the whole one, which nobody reads.

Change: it names the table that it has. The holder takes the report when it arrives, so its reply may wait.

--- a/src/common/replicas/exchange_client.ts
+++ b/src/common/replicas/exchange_client.ts
@@ -148,13 +148,16 @@
 
   /**
    * Reports to the holder at once, beside the exchange that waits, so that a
-   * stalled group recovers sooner by the length of the wait.
+   * stalled group recovers sooner by the length of the wait. The reply is not
+   * used, so it names the table that this process has: a whole one for each
+   * stalled group and process would fill the holder's link.
    */
   reportNow(): void {
     const address = this.#parts.holderAddress();
     if (address !== null) {
-      const report = this.#parts.report(NO_TABLE);
-      void this.#parts.link.exchange(address, report, EXCHANGE_GRACE);
+      const report = this.#parts.report(this.#version);
+      const timeout = EXCHANGE_WAIT + EXCHANGE_GRACE;
+      void this.#parts.link.exchange(address, report, timeout);
     }
   }
 
--- a/src/common/replicas/exchange_client_test.ts
+++ b/src/common/replicas/exchange_client_test.ts
@@ -147,6 +147,35 @@
     expect(received).to.deep.equal({ groups: ["a", "b"], version: 0 });
   });
 
+  // Guards against a holder whose link is full of tables that nobody uses: when
+  // its groups stall, all processes report each of them at once.
+  it("reports a stalled group without asking for the table", async () => {
+    const clock = new ManualClock();
+    const reported: number[] = [];
+    const client = new ExchangeClient({
+      link: {
+        exchange: (_, { tableVersion }) => {
+          reported.push(tableVersion);
+          return Promise.resolve(Ok({ isHolder: true, word: OLD_REPLY }));
+        },
+      },
+      clock,
+      log: new RecordingLog(),
+      holderAddress: () => "holder:1",
+      report: processReport,
+      onReply: () => undefined,
+      onRateLimits: () => undefined,
+      onStoreUpdate: () => undefined,
+      onOtherProcess: () => undefined,
+    });
+    client.start();
+    await Promise.resolve();
+    await Promise.resolve();
+    client.reportNow();
+    client.dispose();
+    expect(reported).to.deep.equal([0, OLD_REPLY.tableVersion]);
+  });
+
   it("passes on the holder's store updates", async () => {
     const update = { configuration: KIND, targets: KIND, targetChanges: null };
     const { store } = await receiveFrom({ ...OLD_REPLY, store: update });
