--- a/src/common/replicas/exchange_server.ts
+++ b/src/common/replicas/exchange_server.ts
@@ -14,6 +14,17 @@
 import type { ExchangeAnswer, IProcessReport } from "./exchange.ts";
 import { ProcessReports, sumInFlight } from "./process_reports.ts";
 import { RateShareAssignment } from "./rate_share_assignment.ts";
+import { TableHistory } from "./table_history.ts";
+import type { ITableChanges } from "./table_history.ts";
+
+/** What the replies to other processes contained. */
+export interface IExchangeVolume {
+  readonly replies: number;
+  /** Entries of the table of serving groups. */
+  readonly groups: number;
+  /** Entries of the platform's target list. */
+  readonly targets: number;
+}
 
 /** Table versions within one epoch of the lease. */
 const TABLES_PER_EPOCH = 1_000_000;
@@ -43,9 +54,11 @@
   readonly #reports = new ProcessReports();
   readonly #rateShares = new RateShareAssignment();
   readonly #changed = new Emitter<void>();
+  readonly #history = new TableHistory();
   #groups: readonly IServingGroup[] = [];
   #abandonedGroups: readonly string[] = [];
   #changes = 0;
+  #volume: IExchangeVolume = { replies: 0, groups: 0, targets: 0 };
 
   constructor(parts: IExchangeServerParts) {
     this.#parts = parts;
@@ -63,6 +76,7 @@
     this.#groups = groups;
     this.#abandonedGroups = abandonedGroups;
     this.#changes += 1;
+    this.#history.record(this.#version, groups);
     this.#changed.fire();
   }
 
@@ -99,6 +113,13 @@
     return this.#rateShares.sharesOf(process);
   }
 
+  /** Returns the volume of the replies since the last call. */
+  takeVolume(): IExchangeVolume {
+    const volume = this.#volume;
+    this.#volume = { replies: 0, groups: 0, targets: 0 };
+    return volume;
+  }
+
   async answer(report: IProcessReport): Promise<ExchangeAnswer> {
     if (!this.#parts.isActiveHolder()) {
       return this.#notHolder();
@@ -115,22 +136,46 @@
     const reports = this.reports;
     const others = reports.filter(({ process }) => process !== report.process);
     const hasTable = report.tableVersion === this.#version;
+    const tableChanges = hasTable ? null : this.#changesFor(report);
+    const groups = hasTable || tableChanges !== null ? null : this.#groups;
+    const store = this.#parts.storeUpdate(report.versions);
+    this.#countVolume(groups ?? tableChanges?.changed ?? [], store);
     return {
       isHolder: true,
       word: {
         tableVersion: this.#version,
-        groups: hasTable ? null : this.#groups,
+        groups,
+        tableChanges,
         givenUp: hasTable ? null : this.#abandonedGroups,
         othersInFlight: Object.fromEntries(sumInFlight(others)),
         isInDoubt: !this.#parts.mayOrder(),
         processes: reports.length,
         rateLimits: this.#parts.rateLimits.observations,
         rateShares: this.rateSharesOf(report.process),
-        store: this.#parts.storeUpdate(report.versions),
+        store,
       },
     };
   }
 
+  /** Returns what a process's table lacks; null if it needs all groups. */
+  #changesFor(report: IProcessReport): ITableChanges | null {
+    return report.takesTableChanges === true
+      ? this.#history.changesSince(report.tableVersion, this.#groups)
+      : null;
+  }
+
+  #countVolume(
+    groups: readonly IServingGroup[],
+    store: IStoreUpdate | null,
+  ): void {
+    const targets = store?.targetChanges?.targets ?? [];
+    this.#volume = {
+      replies: this.#volume.replies + 1,
+      groups: this.#volume.groups + groups.length,
+      targets: this.#volume.targets + targets.length,
+    };
+  }
+
   #notHolder(): ExchangeAnswer {
     const { process } = this.#parts.ownReport();
     return { isHolder: false, other: { process } };
