--- a/test/support/entry_deployment.ts
+++ b/test/support/entry_deployment.ts
@@ -116,9 +116,18 @@
 
   async sendCall(
     id: string,
-    options: { readonly path?: string; readonly key?: string } = {},
-  ): Promise<{ readonly status: number; readonly text: string }> {
-    const { path = "/briefs/1", key = "key-1" } = options;
+    options: {
+      readonly path?: string;
+      readonly key?: string;
+      /** Tokens of the prompt, and the maximum of the output. */
+      readonly tokens?: string;
+    } = {},
+  ): Promise<{
+    readonly status: number;
+    readonly retryAfter: string;
+    readonly text: string;
+  }> {
+    const { path = "/briefs/1", key = "key-1", tokens = "100,150" } = options;
     const answer = await request(`http://${this.callers}${path}`, {
       method: "POST",
       headers: {
@@ -126,12 +135,16 @@
         authorization: `Bearer ${key}`,
         "x-attempt-id": id,
         "x-model": "small",
-        "x-token-counts": "100,150",
+        "x-token-counts": tokens,
         "x-deadline-ms": "8000",
       },
       body: "text",
     });
-    return { status: answer.statusCode, text: await answer.body.text() };
+    return {
+      status: answer.statusCode,
+      retryAfter: String(answer.headers["retry-after"]),
+      text: await answer.body.text(),
+    };
   }
 
   /** Sends calls until a group answers one. */
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -21,13 +21,14 @@
   readonly id: string;
   readonly #server: Server;
   readonly #service: string;
-  readonly #eventCount: number;
   #address = "";
   #group: IGroup | null = null;
   #model: string | null = null;
   #staged: string[] = [];
   /** Orders begun since the start. */
   #orderCount = 0;
+  /** Events of a complete stream. */
+  eventCount: number;
   /** While true, streams write nothing and no request is answered. */
   isStalled = false;
   /** Seconds for which it wants no requests; null while it takes them. */
@@ -44,7 +45,7 @@
   constructor(id: string, service: string, events: number) {
     this.id = id;
     this.#service = service;
-    this.#eventCount = events;
+    this.eventCount = events;
     this.#server = createServer((request, response) => {
       void this.#handleRequest(request, response);
     });
@@ -175,7 +176,7 @@
       }
       id += 1;
       response.write(`id: ${id}\ndata: piece ${id}\n\n`);
-      if (id >= this.#eventCount) {
+      if (id >= this.eventCount) {
         clearInterval(timer);
         response.end();
       }
