Refuse calls that a stopping process would cut, unsent

Cause: a stopping process takes calls for 3 s and did not ask how long they run; at its end it closed everything, waiting calls too.

Change: after the signal a call that no target has run is refused at once as not run, with a time to come back, unless it surely ends in time: at its arrival, while it waits, and before it is sent again. The forecast has all the announced output, the published step times and the high end of the times seen. Resumable streams are refused so only from 2.5 s after the signal: until then a refused caller may be sent back here, and a cut one goes on elsewhere. Calls that may have run are served as before.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -16,6 +16,8 @@
 import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
 import { StallDetector } from "./stall_detector.ts";
+import { ServingPeriod, STOPPING_RETRY_AFTER } from "./stopping.ts";
+import type { IStopTimes } from "./stopping.ts";
 import { ZoneReachability } from "./zone_reachability.ts";
 import { CallRefusalKind, CallRefusalReason } from "./types.ts";
 import type { ICall, ICallReply, ICallSender, IServiceEntry } from "./types.ts";
@@ -69,6 +71,7 @@
   readonly #stallDetector = new StallDetector();
   readonly #reachability: ZoneReachability;
   readonly #openRuns = new Set<ModelRun>();
+  readonly #servingPeriod = new ServingPeriod();
   /** Groups recently reported as lost; their names are not used again. */
   readonly #lostGroups = new Set<string>();
 
@@ -102,11 +105,28 @@
     const timeLeft = call.deadline - this.#now;
     run.deadlineTimer = clock.after(timeLeft, () => this.#handleTimeout(run));
     this.#models.recordArrival(call, this.#now);
-    this.#enqueue(run);
-    this.#placeWaiting(this.#models.getOrCreate(call));
+    const { queue } = this.#models.getOrCreate(call);
+    if (this.#isAdmitted(call, queue.expectedWait(this.#now))) {
+      this.#enqueue(run);
+      this.#placeWaiting(this.#models.getOrCreate(call));
+    } else {
+      this.#end(run, CallRefusalReason.Stopping, STOPPING_RETRY_AFTER);
+    }
     return () => this.#handleDisconnect(run);
   }
 
+  /**
+   * From now on calls that have not run, and are not expected to end in time,
+   * are refused: another process can serve them, while here they would be cut.
+   * Calls that may have run are served until then.
+   */
+  stopAt(times: IStopTimes): void {
+    this.#servingPeriod.stopAt(times);
+    for (const { queue } of this.#models.all) {
+      this.#refuseLateEnding(queue);
+    }
+  }
+
   /**
    * Retries the calls of lost groups and places waiting calls on the new list.
    *
@@ -171,7 +191,9 @@
       const { stream, sentAt, group } = currentSend;
       if (stream.lastEventAt === null) {
         const time = now - sentAt - stream.prefillTime;
-        this.#models.getOrCreate(run.call).firstEventTime.addSample(time);
+        const state = this.#models.getOrCreate(run.call);
+        state.firstEventTime.addSample(time);
+        state.startDelay.addSample(time);
         this.#parts.groups.recordPrefillEnd(group.group, stream.prefillTime);
       }
       this.#reachability.recordEvent(group.zone);
@@ -187,6 +209,7 @@
       const written = run.eventCount * stride;
       const { demand } = this.#models.getOrCreate(run.call);
       demand.recordOutput(written, run.call.tokens.output);
+      this.#recordDecoding(run);
       this.#finish(run, WHOLE, { group, detail });
       run.reply.end();
     } else {
@@ -205,6 +228,15 @@
     this.#placeWaiting(this.#models.getOrCreate(run.call));
   }
 
+  /** Responses of several sends are left out: they contain pauses. */
+  #recordDecoding({ call, eventCount, sendCount, times }: ModelRun): void {
+    const { firstEventAt, lastEventAt } = times;
+    if (sendCount === 1 && firstEventAt !== null && lastEventAt !== null) {
+      const time = lastEventAt - firstEventAt;
+      this.#models.recordDecoding(call, { events: eventCount, time });
+    }
+  }
+
   #rememberLost(lost: readonly string[]): void {
     lost.forEach((group) => this.#lostGroups.add(group));
     for (const group of this.#lostGroups) {
@@ -232,6 +264,7 @@
     if (queue.size === 0) {
       return;
     }
+    this.#refuseLateEnding(queue);
     this.#refuseWhileOverloaded(state);
     const now = this.#now;
     const { groups, limits, cooldowns, zone, random, processes } = this.#parts;
@@ -274,6 +307,26 @@
     }
   }
 
+  /** Whether a call that starts after a wait is served by a stopping process. */
+  #isAdmitted(call: ICall, wait: number): boolean {
+    const now = this.#now;
+    const end = now + wait + this.#models.longestRun(call);
+    return this.#servingPeriod.admits(call, { now, end });
+  }
+
+  /** Refuses the waiting calls that would be cut by the end of the process. */
+  #refuseLateEnding(queue: ModelQueue): void {
+    if (!this.#servingPeriod.hasEnd) {
+      return;
+    }
+    const refused = queue.removeWhere(
+      (run) => !run.mayHaveRun && !this.#isAdmitted(run.call, 0),
+    );
+    for (const run of refused) {
+      this.#end(run, CallRefusalReason.Stopping, STOPPING_RETRY_AFTER);
+    }
+  }
+
   /**
    * Refuses the waiting calls while no group of a model takes any. A started
    * stream waits if its caller is still there when the first one does.
--- a/src/common/calls/model_states.ts
+++ b/src/common/calls/model_states.ts
@@ -1,7 +1,8 @@
 /** The state kept for each model of each service that receives calls. */
 import type { MonotonicTime, ServiceName } from "../types.ts";
-import { fullBatchGap, prefillMs, runTime } from "./engine_timing.ts";
+import { fullBatchGap, prefillMs, runTime, stepTime } from "./engine_timing.ts";
 import { FirstEventTimeEstimator } from "./first_event_time_estimator.ts";
+import { HighEndEstimator } from "./high_end_estimator.ts";
 import { ModelQueue } from "./model_queue.ts";
 import { DemandEstimator } from "./demand_estimator.ts";
 import type { ICall, IEngineProfile, IModel, IServiceEntry } from "./types.ts";
@@ -12,6 +13,9 @@
 /** Output is announced as a maximum; the usual response has this share. */
 const USUAL_OUTPUT_SHARE = 0.5;
 
+/** Events from which the time of a response tells the pace of decoding. */
+const FEWEST_MEASURED_EVENTS = 5;
+
 /** Separates the service from the model in a key. */
 const KEY_SEPARATOR = "\n";
 
@@ -22,6 +26,10 @@
   readonly queue: ModelQueue;
   readonly demand: DemandEstimator;
   readonly firstEventTime: FirstEventTimeEstimator;
+  /** Milliseconds from a send to the first event, without prefill. */
+  readonly startDelay: HighEndEstimator;
+  /** Factor on the time from the first event to the last in a full group. */
+  readonly decodingFactor: HighEndEstimator;
   /** Objective of the newest call, milliseconds. */
   objective: number;
 }
@@ -61,6 +69,8 @@
         model,
         queue,
         firstEventTime,
+        startDelay: new HighEndEstimator(),
+        decodingFactor: new HighEndEstimator(),
         demand: new DemandEstimator(),
         objective: call.route.objective,
       };
@@ -110,6 +120,51 @@
     const whole = runTime(engine, model, { tokens, running: 1 });
     return whole * SHORTEST_RUN_SHARE + fullBatchGap(engine, model);
   }
+
+  /**
+   * Time from a call's start to its end if it generates all the output that it
+   * may, by the published figures and the times seen, milliseconds. Without a
+   * bound on its output it may run until its deadline.
+   */
+  longestRun(call: ICall): number {
+    const { output } = call.tokens;
+    if (output === 0) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const { startDelay, decodingFactor } = this.getOrCreate(call);
+    const delay = startDelay.estimate ?? call.route.objective;
+    const factor = Math.max(1, decodingFactor.estimate ?? 1);
+    const decoding = this.#decodingTime(call, output);
+    return delay + this.prefillTime(call) + decoding * factor;
+  }
+
+  /**
+   * Records how long a complete response took.
+   *
+   * @param events - its events, of which the first came at the start
+   * @param time - milliseconds from the first event to the last
+   */
+  recordDecoding(
+    call: ICall,
+    { events, time }: { readonly events: number; readonly time: number },
+  ): void {
+    const stride = this.engineOf(call)?.engine.stride ?? 0;
+    const expected = this.#decodingTime(call, (events - 1) * stride);
+    if (events >= FEWEST_MEASURED_EVENTS && expected > 0) {
+      this.getOrCreate(call).decodingFactor.addSample(time / expected);
+    }
+  }
+
+  /** Milliseconds in a full group, without the prefill of other prompts. */
+  #decodingTime(call: ICall, tokens: number): number {
+    const found = this.engineOf(call);
+    if (found === null) {
+      return 0;
+    }
+    const { engine, model } = found;
+    const context = call.tokens.prompt * engine.slots;
+    return stepTime(engine, engine.slots, context) * tokens * model.pace;
+  }
 }
 
 /** Identifies the service and the model of a call. */
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -6,8 +6,11 @@
 import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
 import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { InstanceId, MonotonicTime, ZoneName } from "../types.ts";
+import { HighEndEstimator } from "./high_end_estimator.ts";
 import type { PlainTargetSelector } from "./plain_target_selector.ts";
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
+import { ServingPeriod, STOPPING_RETRY_AFTER } from "./stopping.ts";
+import type { IStopTimes } from "./stopping.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
 import {
   CallRefusalKind,
@@ -62,6 +65,9 @@
 /** All plain calls of one process. */
 export class PlainCalls {
   readonly #parts: IPlainCallParts;
+  readonly #servingPeriod = new ServingPeriod();
+  /** By service, milliseconds from a send to the complete response. */
+  readonly #responseTimes = new Map<string, HighEndEstimator>();
 
   constructor(parts: IPlainCallParts) {
     this.#parts = parts;
@@ -69,10 +75,37 @@
 
   /** Accepts a call; returns the handler for its caller's disconnect. */
   submit(call: ICall, reply: ICallReply): () => void {
-    const run = new PlainRun(call, { reply, parts: this.#parts });
+    const run = new PlainRun(call, {
+      reply,
+      parts: this.#parts,
+      isAdmitted: () => this.#isAdmitted(call),
+      onResponse: (time) => this.#recordResponse(call, time),
+    });
     run.start();
     return () => run.handleDisconnect();
   }
+
+  /**
+   * From now on calls that have not run, and are not expected to end in time,
+   * are refused: here they would be cut.
+   */
+  stopAt(times: IStopTimes): void {
+    this.#servingPeriod.stopAt(times);
+  }
+
+  /** Whether a call that is sent now is served by a stopping process. */
+  #isAdmitted(call: ICall): boolean {
+    const time = this.#responseTimes.get(call.service)?.estimate;
+    const now = this.#parts.clock.now();
+    const end = now + (time ?? call.route.objective);
+    return this.#servingPeriod.admits(call, { now, end });
+  }
+
+  #recordResponse({ service }: ICall, time: number): void {
+    const times = this.#responseTimes.get(service) ?? new HighEndEstimator();
+    times.addSample(time);
+    this.#responseTimes.set(service, times);
+  }
 }
 
 /** One plain call. */
@@ -80,6 +113,8 @@
   readonly #call: ICall;
   readonly #reply: ICallReply;
   readonly #parts: IPlainCallParts;
+  readonly #isAdmitted: () => boolean;
+  readonly #onResponse: (time: number) => void;
   readonly #triedTargets = new Set<InstanceId>();
   readonly #timers: IDisposable[] = [];
   /** Number of targets that the call may have reached. */
@@ -90,11 +125,20 @@
 
   constructor(
     call: ICall,
-    rest: { readonly reply: ICallReply; readonly parts: IPlainCallParts },
+    rest: {
+      readonly reply: ICallReply;
+      readonly parts: IPlainCallParts;
+      /** Whether a stopping process still serves it if it is sent now. */
+      readonly isAdmitted: () => boolean;
+      /** Receives the milliseconds that a complete response took. */
+      readonly onResponse: (time: number) => void;
+    },
   ) {
     this.#call = call;
     this.#reply = rest.reply;
     this.#parts = rest.parts;
+    this.#isAdmitted = rest.isAdmitted;
+    this.#onResponse = rest.onResponse;
   }
 
   start(): void {
@@ -117,6 +161,10 @@
 
   #send(): void {
     const now = this.#parts.clock.now();
+    if (!this.#mayHaveRun && !this.#isAdmitted()) {
+      this.#refuse(CallRefusalReason.Stopping);
+      return;
+    }
     const { service } = this.#call;
     const target = this.#parts.targets.choose(this.#usableTargets, {
       zone: this.#parts.zone,
@@ -133,7 +181,9 @@
     this.#triedTargets.add(target.id);
     this.#sendCount += 1;
     this.#parts.targets.recordSend(target.id);
-    const send = new PlainSend(target.id, (answer) => this.#handleEnd(answer));
+    const send = new PlainSend({ target: target.id, sentAt: now }, (answer) =>
+      this.#handleEnd(answer),
+    );
     this.#currentSend = send;
     send.handle = this.#parts.sender.send(target, this.#call, {
       timeLeft: this.#call.deadline - now,
@@ -211,6 +261,7 @@
       failure === null && head !== null && head.status < STATUS_SERVER_ERROR;
     if (isGood && !isNotRun) {
       targets.recordSuccess(send.target, head.load, clock.now());
+      this.#onResponse(clock.now() - send.sentAt);
     } else if (failure === SendFailure.NotSent) {
       targets.recordNoResponse(send.target, clock.now());
     } else if (failure !== SendFailure.Withheld) {
@@ -294,8 +345,10 @@
 
   #refuse(reason: CallRefusalReason): void {
     const kind = this.#refusalKindOf(reason);
+    const isStopping = reason === CallRefusalReason.Stopping;
+    const retryAfter = isStopping ? STOPPING_RETRY_AFTER : this.#retryAfter;
     this.#finish(kind, { reason });
-    this.#reply.refuse({ kind, reason, retryAfter: this.#retryAfter });
+    this.#reply.refuse({ kind, reason, retryAfter });
   }
 
   /** Milliseconds after which a target takes calls. */
@@ -361,13 +414,18 @@
 /** Collects the response of one send. */
 class PlainSend implements IResponseReceiver {
   readonly target: InstanceId;
+  readonly sentAt: MonotonicTime;
   handle: ISendHandle | null = null;
   readonly #onEnded: (answer: IPlainResponse) => void;
   readonly #body: Uint8Array[] = [];
   #head: IResponseHead | null = null;
 
-  constructor(target: InstanceId, onEnded: (answer: IPlainResponse) => void) {
-    this.target = target;
+  constructor(
+    sent: { readonly target: InstanceId; readonly sentAt: MonotonicTime },
+    onEnded: (answer: IPlainResponse) => void,
+  ) {
+    this.target = sent.target;
+    this.sentAt = sent.sentAt;
     this.#onEnded = onEnded;
   }
 
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -19,7 +19,12 @@
 import { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import { TargetRateLimits } from "./target_rate_limits.ts";
 import { TargetRegistry } from "./target_registry.ts";
-import { CallRefusalKind, CallKind, SendFailure } from "./types.ts";
+import {
+  CallRefusalKind,
+  CallRefusalReason,
+  CallKind,
+  SendFailure,
+} from "./types.ts";
 import type {
   IResponseHead,
   IResponseReceiver,
@@ -64,7 +69,7 @@
   readonly clock = new ManualClock();
   readonly sends: ISend[] = [];
   readonly targets = new TargetRegistry(() => null, 0);
-  readonly #calls: PlainCalls;
+  readonly calls: PlainCalls;
 
   constructor() {
     this.targets.applyRelayedChanges(
@@ -79,7 +84,7 @@
       processes: () => 1,
     });
     const cooldowns = new TargetCooldowns({ clock: this.clock, log });
-    this.#calls = new PlainCalls({
+    this.calls = new PlainCalls({
       targets: new PlainTargetSelector(),
       readyTargets: (service) => this.targets.ready(service),
       limits,
@@ -116,7 +121,7 @@
     const now = this.clock.now();
     const deadline = now + route.timeout;
     const call = callOf({ route, model: null, arrivedAt: now, deadline });
-    this.#calls.submit(call, reply);
+    this.calls.submit(call, reply);
     return reply;
   }
 
@@ -152,6 +157,11 @@
   return reply;
 }
 
+/** Lets the process end after some milliseconds. */
+function stopIn({ calls, clock }: PlainCallsHarness, time: number): void {
+  calls.stopAt({ removedAt: clock.now(), end: clock.now() + time });
+}
+
 describe("plain calls", () => {
   it("passes on a complete response", () => {
     const harness = new PlainCallsHarness();
@@ -310,4 +320,53 @@
     }
     expect(atLimited.length).to.be.within(2, 1.5 * 10 + 2);
   });
+
+  // Guards against a call that is sent while the process stops, though its
+  // target usually takes longer than the process has left.
+  it("refuses calls that cannot end before the process does", () => {
+    const harness = new PlainCallsHarness();
+    harness.submit(UNSAFE);
+    harness.clock.advance(500);
+    harness.answer(0, headOf(200));
+    stopIn(harness, 600);
+    expect(harness.submit(UNSAFE).refusal).to.equal(null);
+    expect(harness.sends).to.have.length(2);
+    harness.clock.advance(200);
+    const { refusal } = harness.submit(UNSAFE);
+    expect(refusal).to.include({
+      kind: CallRefusalKind.NotRun,
+      reason: CallRefusalReason.Stopping,
+    });
+    expect(refusal?.retryAfter).to.be.greaterThan(0);
+    expect(harness.sends).to.have.length(2);
+  });
+
+  // Guards against calls that are given up at the stop signal: a call that may
+  // have run is served as long as the process lasts, with its retries.
+  it("serves calls that were sent before the process stops", () => {
+    const harness = new PlainCallsHarness();
+    const unsafe = harness.submit(UNSAFE);
+    const safe = harness.submit(SAFE);
+    stopIn(harness, 90);
+    harness.clock.advance(60);
+    expect(harness.sends).to.have.length(3);
+    harness.answer(0, headOf(200), "order");
+    harness.answer(2, headOf(200), "page");
+    expect([unsafe.text, safe.text]).to.deep.equal(["order", "page"]);
+  });
+
+  // Guards against a retry of a call that no target has run, and that would be
+  // cut when the process ends.
+  it("retries a call that has not run only if it can still end", () => {
+    const harness = new PlainCallsHarness();
+    const reply = harness.submit(UNSAFE);
+    stopIn(harness, 150);
+    harness.clock.advance(100);
+    harness.answer(0, headOf(503, true));
+    expect(reply.refusal).to.include({
+      kind: CallRefusalKind.NotRun,
+      reason: CallRefusalReason.Stopping,
+    });
+    expect(harness.sends).to.have.length(1);
+  });
 });
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -60,6 +60,12 @@
  */
 const BALANCER_REMOVAL_TIME = 3_000;
 
+/**
+ * When callers usually reach other processes only, milliseconds after the
+ * signal: two failed probes and the time until their answers.
+ */
+const USUAL_REMOVAL_TIME = 2_500;
+
 /** Calls must end this long before the grace time does, milliseconds. */
 const GRACE_MARGIN = 700;
 
@@ -191,6 +197,9 @@
     this.#ingress.startDraining();
     const grace = this.#settings.bounds.grace_s * MILLISECONDS_A_SECOND;
     const end = stoppedAt + grace - GRACE_MARGIN;
+    const times = { removedAt: stoppedAt + USUAL_REMOVAL_TIME, end };
+    this.#models.stopAt(times);
+    this.#plain.stopAt(times);
     await this.#coordinator.releaseLease();
     await this.#waitUntil(() => {
       const now = this.#clock.now();
--- a/test/stopping_test.ts
+++ b/test/stopping_test.ts
@@ -1,11 +1,15 @@
 /** The entry process, while it stops and still receives calls. */
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
-import { EntryDeployment } from "./support/entry_deployment.ts";
+import { configuration, EntryDeployment } from "./support/entry_deployment.ts";
 import { waitFor } from "./support/process_handle.ts";
 
 /** Events of a stream of 7.6 s, which is longer than calls get after SIGTERM. */
 const LONG_STREAM = 380;
 
+/** Milliseconds after which the balancer has usually removed the process. */
+const REMOVAL_TIME = 2_600;
+
 /** Tokens of its prompt and its output. */
 const LONG_TOKENS = "100,1900";
 
@@ -17,31 +21,61 @@
   });
 }
 
+async function startWithLongStreams(): Promise<EntryDeployment> {
+  const platform = new EntryDeployment();
+  await platform.start();
+  await platform.waitForOneGroup();
+  const { routes } = configuration(1) as { routes: readonly object[] };
+  const route = { ...routes[0], name: "letters", pathPrefix: "/letters/" };
+  const once = { ...route, resumable: false };
+  platform.store.put("config", "main", configuration(2, [once]));
+  await waitFor("the new route is known", async () => {
+    const { status } = await platform.sendCall("known", { path: "/letters/1" });
+    return status === 200;
+  });
+  for (const engine of platform.engines) {
+    engine.eventCount = LONG_STREAM;
+  }
+  return platform;
+}
+
+async function expectRefused(
+  platform: EntryDeployment,
+  path: string,
+): Promise<void> {
+  const { status, retryAfter, text } = await platform
+    .sendCall("late", { path, tokens: LONG_TOKENS })
+    .catch((error: unknown) => ({
+      status: 0,
+      retryAfter: "",
+      text: String(error),
+    }));
+  const runs = platform.engines.flatMap((engine) => engine.runs);
+  expect({ status, text }).to.deep.equal({
+    status: 503,
+    text: '{"error":"stopping"}',
+  });
+  expect(Number(retryAfter)).to.be.greaterThan(0);
+  expect(runs).to.not.include("late");
+}
+
 describe("calls that arrive while the entry process stops", () => {
-  // Guards against a stream that is taken after SIGTERM though it cannot end
-  // within the grace period, and is cut at its end.
-  it("refuses a stream that cannot end, and does not run it", async () => {
-    await using platform = new EntryDeployment();
-    await platform.start();
-    await platform.waitForOneGroup();
-    for (const engine of platform.engines) {
-      engine.eventCount = LONG_STREAM;
-    }
+  // Guards against a stream that is taken seconds after SIGTERM though it cannot
+  // end within the grace period, and is cut at its end.
+  it("refuses a late stream that cannot end, and does not run it", async () => {
+    await using platform = await startWithLongStreams();
+    await stop(platform);
+    await sleep(REMOVAL_TIME);
+    await expectRefused(platform, "/briefs/1");
+    await platform.entry?.waitForExit();
+  });
+
+  // Guards against the same right after SIGTERM, if no other process can go on
+  // with the stream.
+  it("refuses a stream that cannot end or be resumed", async () => {
+    await using platform = await startWithLongStreams();
     await stop(platform);
-    const { status, retryAfter, text } = await platform
-      .sendCall("late", { tokens: LONG_TOKENS })
-      .catch((error: unknown) => ({
-        status: 0,
-        retryAfter: "",
-        text: String(error),
-      }));
-    const runs = platform.engines.flatMap((engine) => engine.runs);
-    expect({ status, text }).to.deep.equal({
-      status: 503,
-      text: '{"error":"stopping"}',
-    });
-    expect(Number(retryAfter)).to.be.greaterThan(0);
-    expect(runs).to.not.include("late");
+    await expectRefused(platform, "/letters/1");
     await platform.entry?.waitForExit();
   });
 
