--- a/src/entry/late_orders_adoption_test.ts
+++ b/src/entry/late_orders_adoption_test.ts
@@ -22,7 +22,7 @@
 /** Milliseconds from the leave until the late order to open. */
 const TIME_BETWEEN = 100;
 
-/** Milliseconds; longer than any process remembers unanswered orders. */
+/** Milliseconds; longer than unanswered orders stay late. */
 const TIME_AFTERWARDS = 20_000;
 
 describe("late orders about adopted groups", () => {
--- a/src/entry/late_orders_restart_test.ts
+++ b/src/entry/late_orders_restart_test.ts
@@ -20,7 +20,7 @@
 /** Milliseconds between late orders, and until members are needed. */
 const TIME_BETWEEN = 400;
 
-/** Milliseconds; longer than any process remembers unanswered orders. */
+/** Milliseconds; longer than unanswered orders stay late. */
 const TIME_AFTERWARDS = 20_000;
 
 /**
