Share the waiting of the tests of late orders

Three test files had the same constants and loop for orders that are late; two take them from held_orders now. The bounds are the same: 2 to 12 s, 12 s, steps of 10 ms. Four comments lose an idiom.

--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -229,7 +229,7 @@
     expect(newest.reply.isStarted).to.equal(true);
   });
 
-  // Guards against calls that wait for a group whose head wants none for a
+  // Guards against calls that wait for a group whose head accepts none for a
   // time, or are withheld there, while another group would take them.
   it("sends a call to another group than one in its cooldown", () => {
     const harness = new Harness(["a", "b"]);
--- a/src/common/replicas/head_release.ts
+++ b/src/common/replicas/head_release.ts
@@ -27,8 +27,8 @@
 
 /**
  * Whether the head of a group has stopped for certain, so that its members are
- * free. One that has started again since, or may have unseen, counts its orders
- * anew: its first ones, carried out late, may open it again.
+ * free. One that has restarted since, or may have unseen, counts its orders from
+ * zero: its first ones, carried out late, may open it again.
  */
 export function hasStopped(
   { release, starts }: IManagedGroup,
--- a/src/common/replicas/released_groups.ts
+++ b/src/common/replicas/released_groups.ts
@@ -4,7 +4,7 @@
  *
  * A head that has stopped takes no requests again, and the members of its group
  * may be joined elsewhere, as long as it is the same run of the engine. One that
- * starts again under its id counts its orders anew, so that its first orders,
+ * restarts under its id counts its orders from zero, so that its first orders,
  * carried out late, may open it again.
  */
 import type { InstanceId, MonotonicTime } from "../types.ts";
--- a/src/entry/late_close_test.ts
+++ b/src/entry/late_close_test.ts
@@ -5,6 +5,7 @@
   TestDeployment,
   TestProcess,
 } from "../../test/support/fleet_deployment.ts";
+import { advanceUntil, LATE_BY, STEP } from "../../test/support/held_orders.ts";
 import { GroupMemberState } from "../common/calls/types.ts";
 import { CALM_REPORT_PERIOD } from "../common/replicas/engine_monitor.ts";
 import { REPORT_LAG_MARGIN } from "../common/replicas/group_controller.ts";
@@ -12,15 +13,6 @@
 import { OrderKind, OrderOutcome } from "../common/replicas/types.ts";
 import type { EngineOrder, IGroupPlan } from "../common/replicas/types.ts";
 
-/** When the platform's engines carry out an unanswered order, milliseconds. */
-const LATE_BY = { least: 2_000, most: 12_000 };
-
-/** Milliseconds within which an expected event must occur. */
-const MAXIMUM_WAIT = 12_000;
-
-/** A step of the deployment's clock, milliseconds. */
-const STEP = 10;
-
 const ENGINE = CONFIGURATION.services.get("summaries")?.engine;
 const REPORT_LAG = (ENGINE?.reportLag ?? 0) + REPORT_LAG_MARGIN;
 const OPEN_TIME = (ENGINE?.openTime ?? 0) + OPEN_MARGIN;
@@ -127,14 +119,8 @@
     expect(this.headState).to.equal(GroupMemberState.Ready);
   }
 
-  async advanceUntil(event: string, hasOccurred: () => boolean): Promise<void> {
-    for (let passed = 0; passed < MAXIMUM_WAIT; passed += STEP) {
-      if (hasOccurred()) {
-        return;
-      }
-      await this.deployment.advance(STEP);
-    }
-    throw new Error(`not seen in time: ${event}`);
+  advanceUntil(event: string, hasOccurred: () => boolean): Promise<void> {
+    return advanceUntil(this.deployment, event, hasOccurred);
   }
 
   dispose(): void {
--- a/src/entry/late_orders_restart_test.ts
+++ b/src/entry/late_orders_restart_test.ts
@@ -64,7 +64,7 @@
 describe("late orders to engines that have started again", () => {
   // Guards against requests that stall because a member is joined to another
   // group while its head is open: the head had left and started again under its
-  // id, its numbers start anew, and its first orders to join and to open are
+  // id, its numbers start at zero, and its first orders to join and to open are
   // carried out late.
   for (const isReplaced of [true, false]) {
     const sender = isReplaced ? "the former holder" : "the holder";
--- a/src/entry/late_orders_test.ts
+++ b/src/entry/late_orders_test.ts
@@ -4,16 +4,11 @@
   TestDeployment,
   TestProcess,
 } from "../../test/support/fleet_deployment.ts";
+import { advanceUntil, LATE_BY } from "../../test/support/held_orders.ts";
 import { GroupMemberState } from "../common/calls/types.ts";
 import { OrderKind, OrderOutcome } from "../common/replicas/types.ts";
 import type { EngineOrder, IGroupPlan } from "../common/replicas/types.ts";
 
-/** When the platform's engines carry out an unanswered order, milliseconds. */
-const LATE_BY = { least: 2_000, most: 12_000 };
-
-/** Milliseconds within which an expected event must occur. */
-const MAXIMUM_WAIT = 12_000;
-
 /**
  * Milliseconds from a late join to a late order to open, and from that until
  * the members are needed: longer than the platform's engines take for either.
@@ -23,9 +18,6 @@
 /** Milliseconds; longer than unanswered orders stay late. */
 const TIME_AFTERWARDS = 20_000;
 
-/** A step of the deployment's clock, milliseconds. */
-const STEP = 10;
-
 interface ILateOrder {
   readonly engine: string;
   readonly order: EngineOrder;
@@ -142,14 +134,8 @@
     return engines.sendOrder({ id: engine }, order);
   }
 
-  async advanceUntil(event: string, hasOccurred: () => boolean): Promise<void> {
-    for (let passed = 0; passed < MAXIMUM_WAIT; passed += STEP) {
-      if (hasOccurred()) {
-        return;
-      }
-      await this.deployment.advance(STEP);
-    }
-    throw new Error(`not seen in time: ${event}`);
+  advanceUntil(event: string, hasOccurred: () => boolean): Promise<void> {
+    return advanceUntil(this.deployment, event, hasOccurred);
   }
 
   dispose(): void {
--- a/test/support/held_orders.ts
+++ b/test/support/held_orders.ts
@@ -9,13 +9,13 @@
 import type { TestDeployment } from "./fleet_deployment.ts";
 
 /** When the platform's engines carry out an unanswered order, milliseconds. */
-const LATE_BY = { least: 2_000, most: 12_000 };
+export const LATE_BY = { least: 2_000, most: 12_000 };
 
 /** Milliseconds within which an expected event must occur. */
 const MAXIMUM_WAIT = 12_000;
 
 /** A step of the deployment's clock, milliseconds. */
-const STEP = 10;
+export const STEP = 10;
 
 interface IHeldOrder {
   readonly engine: string;
