Log when the targets of a service do not answer a process

The logs could not say whether such a process had any path to a target, or what the lease holder took its own broken path for.

Change: log lines only. targets_unanswered and targets_answered by service with the age of the last answer; engines_silent and engines_heard where the holder suspects its own link.

--- a/src/common/replicas/engine_monitor.ts
+++ b/src/common/replicas/engine_monitor.ts
@@ -76,6 +76,7 @@
   #listSize = 0;
   #listGrewAt: MonotonicTime;
   #isSurveyComplete = false;
+  #wasOwnLinkSuspect = false;
   #volume: IReportVolume = { reports: 0, unanswered: 0, slowestAnswer: 0 };
 
   constructor(parts: IEngineMonitorParts) {
@@ -129,6 +130,18 @@
     this.#removeOldSuspicions(now);
     this.#requestReports(groups, now);
     this.#isSurveyComplete ||= this.#completesSurvey(now);
+    this.#logOwnLink();
+  }
+
+  #logOwnLink(): void {
+    const isSuspect = this.isOwnLinkSuspect;
+    if (isSuspect !== this.#wasOwnLinkSuspect) {
+      this.#wasOwnLinkSuspect = isSuspect;
+      const engines = [...this.views.values()];
+      const silent = engines.filter((one) => one.isSilent).length;
+      const event = isSuspect ? "engines_silent" : "engines_heard";
+      this.#parts.log.warn(event, { silent, engines: engines.length });
+    }
   }
 
   #completesSurvey(now: MonotonicTime): boolean {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -26,6 +26,8 @@
 import { CallRefusalReason, CallRefusalKind } from "../common/calls/types.ts";
 import type { ICall, ICallReply } from "../common/calls/types.ts";
 import { DisposableStore } from "../common/disposable.ts";
+import { DirectSender } from "../common/forwarding/direct_sender.ts";
+import { TargetReach } from "../common/forwarding/target_reach.ts";
 import { TargetCooldowns } from "../common/target_cooldowns.ts";
 import { StoreRelay } from "../common/relay/store_relay.ts";
 import { FleetCoordinator } from "./fleet_coordinator.ts";
@@ -88,6 +90,7 @@
   readonly #plainTargets = new PlainTargetSelector();
   readonly #rateLimits: TargetRateLimits;
   readonly #cooldowns: TargetCooldowns;
+  readonly #reach: TargetReach;
   readonly #followers: readonly ObjectFollower[];
   readonly #relay: StoreRelay;
   readonly #coordinator: FleetCoordinator;
@@ -112,6 +115,7 @@
       processes: () => this.#coordinator.processCount,
     });
     this.#cooldowns = new TargetCooldowns({ clock: this.#clock, log });
+    this.#reach = new TargetReach({ clock: this.#clock, log });
     const configuration = this.#followConfiguration();
     const targetList = this.#followTargets();
     this.#followers = [configuration, targetList];
@@ -127,7 +131,7 @@
     const cooldowns = this.#cooldowns;
     const shared = {
       sender: new ObservingSender({
-        sender: this.#client,
+        sender: new DirectSender(this.#client, this.#reach),
         limits,
         cooldowns,
         targets: this.#targets,
