Show that calls fail at a process that reaches no target

Three real entry processes, each with links of its own to the targets, of which one loses all of them: refused, reset after they are accepted, or silent. From 3 s after the cut on, calls of each kind at that process must be served, since the others serve theirs.

The fault proxy of the stand-ins learns to refuse connections, and a module that is loaded before the program redirects its connections, so that links can be cut for one process only.

--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -8,6 +8,8 @@
   Pass = "pass",
   /** Resets open connections and every new one. */
   Cut = "cut",
+  /** Resets open connections and refuses every new one. */
+  Refuse = "refuse",
   /** Accepts connections and forwards nothing. */
   Silent = "silent",
   /** Silences the open connections for good; new ones pass. */
@@ -51,6 +53,8 @@
   #mode = LinkMode.Pass;
   #delay = 0;
   #pendingFault: IPendingFault | null = null;
+  /** Where it listens; empty before. */
+  #address = "";
 
   /** @param target - `host:port` that connections are forwarded to */
   constructor(target: string) {
@@ -65,8 +69,9 @@
     this.#target = target;
   }
 
-  listen(address: string): Promise<string> {
-    return listenOn(this.#server, address);
+  async listen(address: string): Promise<string> {
+    this.#address = await listenOn(this.#server, address);
+    return this.#address;
   }
 
   /** @param delay - milliseconds added in each direction */
@@ -79,9 +84,20 @@
       });
       this.#mode = LinkMode.Pass;
     }
-    if (mode === LinkMode.Cut) {
+    if (mode === LinkMode.Cut || mode === LinkMode.Refuse) {
       this.#connections.forEach(reset);
     }
+    this.#listenUnlessRefusing();
+  }
+
+  #listenUnlessRefusing(): void {
+    const isRefusing = this.#mode === LinkMode.Refuse;
+    if (isRefusing && this.#server.listening) {
+      this.#server.close();
+    } else if (!isRefusing && !this.#server.listening && this.#address) {
+      const { host, port } = splitAddress(this.#address);
+      this.#server.listen(port, host);
+    }
   }
 
   /** Injects a fault at the next request that contains a text. */
--- /dev/null
+++ b/test/support/entry_fleet.ts
@@ -0,0 +1,234 @@
+/**
+ * Several entry processes before the same targets. Each has links of its own to
+ * them, which can be cut without the other processes noticing.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { request } from "undici";
+import { stringify } from "yaml";
+import { FaultProxy } from "../../src/stand_ins/fault_proxy/fault_proxy.ts";
+import type { LinkMode } from "../../src/stand_ins/fault_proxy/fault_proxy.ts";
+import { configuration, EVENTS } from "./entry_deployment.ts";
+import { freeAddress } from "./free_address.ts";
+import { PlatformEngine } from "./platform_engine.ts";
+import { PlatformPlainTarget } from "./platform_plain_target.ts";
+import { PlatformStore } from "./platform_store.ts";
+import { ProcessHandle, waitFor } from "./process_handle.ts";
+
+const ENGINES = 8;
+const PLAIN_TARGETS = 3;
+
+/** Paths of the routes; may be repeated, at most once, and a stream. */
+export enum Path {
+  Stream = "/briefs/1",
+  Safe = "/feed/1",
+  Unsafe = "/publish/1",
+}
+
+const PLAIN_ROUTES = [
+  { name: "feed", pathPrefix: "/feed/", kind: "safe" },
+  { name: "publish", pathPrefix: "/publish/", kind: "unsafe" },
+].map((route) => ({
+  ...route,
+  host: "news.example",
+  timeoutMs: 4_000,
+  sloMs: 400,
+  priority: 1,
+  service: "delivery",
+  maxAttempts: 2,
+}));
+
+/** A caller's answer. */
+export interface ICallAnswer {
+  readonly status: number;
+  readonly text: string;
+  readonly retryAfter: string;
+  /** Milliseconds from the request to the end of the answer. */
+  readonly took: number;
+}
+
+/** One entry process and its links to the targets. */
+export interface IFleetProcess {
+  readonly handle: ProcessHandle;
+  readonly callers: string;
+  readonly links: ReadonlyMap<string, FaultProxy>;
+}
+
+/** Entry processes, their store and their targets. */
+export class EntryFleet {
+  readonly store = new PlatformStore();
+  readonly engines = Array.from(
+    { length: ENGINES },
+    (_, index) => new PlatformEngine(`i-${index}`, "summaries", EVENTS),
+  );
+  readonly plainTargets = Array.from(
+    { length: PLAIN_TARGETS },
+    (_, index) => new PlatformPlainTarget(`p-${index}`, "delivery"),
+  );
+  readonly processes: IFleetProcess[] = [];
+  readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-fleet-"));
+  #calls = 0;
+
+  /** Starts processes; the first of them holds the lease. */
+  async start(count: number): Promise<void> {
+    const store = await this.store.listen();
+    const { services, ...rest } = configuration(1, PLAIN_ROUTES) as {
+      readonly services: readonly object[];
+    };
+    const plainService = { name: "delivery" };
+    const all = [...services, plainService];
+    this.store.put("config", "main", { ...rest, services: all });
+    const targets = [...this.engines, ...this.plainTargets];
+    await Promise.all(targets.map((one) => one.listen(this.store)));
+    for (let index = 0; index < count; index += 1) {
+      this.processes.push(await this.#startProcess(index, store));
+    }
+    await this.#waitUntilServing();
+  }
+
+  /** Changes the links of one process to all targets, or to some of them. */
+  setLinks(
+    index: number,
+    mode: LinkMode,
+    targets: readonly string[] = [...this.#links(index).keys()],
+  ): void {
+    for (const target of targets) {
+      this.#links(index).get(target)?.setMode(mode);
+    }
+  }
+
+  async sendCall(
+    index: number,
+    path: Path,
+    options: { readonly id?: string; readonly signal?: AbortSignal } = {},
+  ): Promise<ICallAnswer> {
+    this.#calls += 1;
+    const { id = `attempt-${this.#calls}`, signal } = options;
+    const startedAt = performance.now();
+    const answer = await request(`http://${this.#callersOf(index)}${path}`, {
+      method: "POST",
+      headers: {
+        host: "news.example",
+        authorization: "Bearer key-1",
+        "x-attempt-id": id,
+        "x-deadline-ms": "8000",
+        ...(path === Path.Stream
+          ? { "x-model": "small", "x-token-counts": "100,150" }
+          : {}),
+      },
+      body: "text",
+      ...(signal === undefined ? {} : { signal }),
+    });
+    return {
+      status: answer.statusCode,
+      retryAfter: String(answer.headers["retry-after"]),
+      text: await answer.body.text(),
+      took: performance.now() - startedAt,
+    };
+  }
+
+  /** Sends calls to one process at the same time; returns the statuses. */
+  async statusesOf(
+    index: number,
+    path: Path,
+    count: number,
+  ): Promise<readonly number[]> {
+    const calls = Array.from({ length: count }, () =>
+      this.sendCall(index, path),
+    );
+    const answers = await Promise.all(calls);
+    return answers.map(({ status }) => status);
+  }
+
+  /** Number of streams that the engines write now. */
+  get openStreams(): number {
+    return this.engines.reduce((sum, { openStreams }) => sum + openStreams, 0);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const { handle, links } of this.processes) {
+      await handle[Symbol.asyncDispose]();
+      for (const link of links.values()) {
+        await link[Symbol.asyncDispose]();
+      }
+    }
+    rmSync(this.#folder, { recursive: true });
+    const targets = [...this.engines, ...this.plainTargets];
+    await Promise.all(targets.map((one) => one[Symbol.asyncDispose]()));
+    await this.store[Symbol.asyncDispose]();
+  }
+
+  #links(index: number): ReadonlyMap<string, FaultProxy> {
+    return this.processes[index]?.links ?? new Map<string, FaultProxy>();
+  }
+
+  #callersOf(index: number): string {
+    return this.processes[index]?.callers ?? "";
+  }
+
+  async #startProcess(index: number, store: string): Promise<IFleetProcess> {
+    const links = new Map<string, FaultProxy>();
+    const redirected: Record<string, string> = {};
+    for (const { id, address } of [...this.engines, ...this.plainTargets]) {
+      const link = new FaultProxy(address);
+      redirected[address] = await link.listen("127.0.0.1:0");
+      links.set(id, link);
+    }
+    const callers = await freeAddress();
+    const file = join(this.#folder, `entry-${index}.yaml`);
+    writeFileSync(file, await this.#settings({ index, callers, store }));
+    const handle = await ProcessHandle.start(
+      `entry-${index}`,
+      "entry/main.js",
+      [file],
+      {
+        preload: new URL("redirect_links.mjs", import.meta.url).href,
+        environment: { LINKS: JSON.stringify(redirected) },
+      },
+    );
+    return { handle, callers, links };
+  }
+
+  async #settings(process: {
+    readonly index: number;
+    readonly callers: string;
+    readonly store: string;
+  }): Promise<string> {
+    const inner = await freeAddress();
+    const name = `entry-${process.index}`;
+    return stringify({
+      instance: { name, zone: "north-a", address: "127.0.0.1" },
+      listen: {
+        callers: process.callers,
+        readiness: await freeAddress(),
+        inner_port: Number(inner.split(":")[1]),
+      },
+      store: { address: process.store },
+      zones: { "north-a": "north" },
+      heartbeat_ms: 1_200,
+      first_start: true,
+      bounds: {
+        grace_s: 8,
+        repeat_ratio: 0.2,
+        repeat_window_s: 10,
+        repeat_slack: 100,
+        stall_ms: 5_000,
+        load_window_s: 5,
+        load_factor: 1.1,
+      },
+    });
+  }
+
+  /** Waits until each process serves each kind of call. */
+  async #waitUntilServing(): Promise<void> {
+    for (const index of this.processes.keys()) {
+      for (const path of Object.values(Path)) {
+        await waitFor(`process ${index} serves ${path}`, async () => {
+          const { status } = await this.sendCall(index, path);
+          return status === 200;
+        });
+      }
+    }
+  }
+}
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -21,7 +21,7 @@
   readonly id: string;
   readonly #server: Server;
   readonly #service: string;
-  #address = "";
+  address = "";
   #group: IGroup | null = null;
   #model: string | null = null;
   #staged: string[] = [];
@@ -40,6 +40,8 @@
   readonly arrivals: string[] = [];
   /** Ids of the attempts that this engine started to run. */
   readonly runs: string[] = [];
+  /** Number of streams that it writes now. */
+  openStreams = 0;
 
   /** @param events - number of events in a complete stream */
   constructor(id: string, service: string, events: number) {
@@ -52,10 +54,10 @@
   }
 
   async listen(store: PlatformStore): Promise<void> {
-    this.#address = await listenOn(this.#server, "127.0.0.1:0");
+    this.address = await listenOn(this.#server, "127.0.0.1:0");
     store.put("servers", this.id, {
       service: this.#service,
-      address: this.#address,
+      address: this.address,
       zone: "north-a",
       version: "v1",
       slots: 12,
@@ -69,6 +71,12 @@
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
 
+  /** Ends it: its connections are reset and new ones refused. */
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
   #report(): object {
     return {
       born: 1,
@@ -82,6 +90,11 @@
     };
   }
 
+  /** The group that it is in; null if it is in none. */
+  get group(): string | null {
+    return this.#group?.name ?? null;
+  }
+
   async #handleRequest(
     request: IncomingMessage,
     response: ServerResponse,
@@ -170,6 +183,7 @@
       "x-response-stamp": this.id,
     });
     let id = Number(request.headers["last-event-id"] ?? 0);
+    this.openStreams += 1;
     const timer = setInterval(() => {
       if (this.isStalled) {
         return;
@@ -181,6 +195,9 @@
         response.end();
       }
     }, EVENT_PERIOD);
-    response.on("close", () => clearInterval(timer));
+    response.on("close", () => {
+      clearInterval(timer);
+      this.openStreams -= 1;
+    });
   }
 }
--- /dev/null
+++ b/test/support/platform_plain_target.ts
@@ -0,0 +1,53 @@
+/** A target of a plain service that speaks the users' platform's protocol. */
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { listenOn } from "../../src/adapters/listen.ts";
+import type { PlatformStore } from "./platform_store.ts";
+
+/** Answers each request at once, and records the requests that it ran. */
+export class PlatformPlainTarget {
+  readonly id: string;
+  address = "";
+  /** Ids of the attempts that it ran. */
+  readonly runs: string[] = [];
+  readonly #service: string;
+  readonly #server: Server;
+
+  constructor(id: string, service: string) {
+    this.id = id;
+    this.#service = service;
+    this.#server = createServer((request, response) => {
+      request.resume();
+      const attempt = request.headers["x-attempt-id"];
+      if (attempt === undefined) {
+        response.writeHead(400, { "x-not-executed": "1" }).end();
+        return;
+      }
+      this.runs.push(String(attempt));
+      response.writeHead(200, {
+        "x-attempt-id": String(attempt),
+        "x-response-stamp": this.id,
+      });
+      response.end("done");
+    });
+  }
+
+  async listen(store: PlatformStore): Promise<void> {
+    this.address = await listenOn(this.#server, "127.0.0.1:0");
+    store.put("servers", this.id, {
+      service: this.#service,
+      address: this.address,
+      zone: "north-a",
+      version: "v1",
+      slots: 6,
+      state: "ready",
+      born: 1,
+      seqNo: 1,
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#server.closeAllConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+}
--- a/test/support/process_handle.ts
+++ b/test/support/process_handle.ts
@@ -48,9 +48,20 @@
     name: string,
     program: string,
     programArguments: readonly string[],
+    options: {
+      /** A module that is loaded before the program; none by default. */
+      readonly preload?: string;
+      readonly environment?: Readonly<Record<string, string>>;
+    } = {},
   ): Promise<ProcessHandle> {
+    const { preload, environment } = options;
     const path = new URL(`../../dist/src/${program}`, import.meta.url);
-    const child = spawn(process.execPath, [path.pathname, ...programArguments]);
+    const loaded = preload === undefined ? [] : ["--import", preload];
+    const child = spawn(
+      process.execPath,
+      [...loaded, path.pathname, ...programArguments],
+      { env: { ...process.env, ...environment } },
+    );
     const handle = new ProcessHandle(name, child);
     ProcessHandle.#started.add(handle);
     await waitFor(`${name} listens`, () => {
