--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -8,7 +8,6 @@
 import { ManualClock } from "../../../test/support/manual_clock.ts";
 import {
   RecordingLog,
-  DIRECT_PATHS,
   NO_METRICS,
 } from "../../../test/support/recording_services.ts";
 import { RetryAfterRule } from "../../../test/support/retry_after_rule.ts";
@@ -70,6 +69,10 @@
   readonly clock = new ManualClock();
   readonly sends: ISend[] = [];
   readonly targets = new TargetRegistry(() => null, 0);
+  /** Whether any path to the targets is known. */
+  hasPath = true;
+  /** Targets that were reported as silent. */
+  readonly silences: string[] = [];
   readonly calls: PlainCalls;
 
   constructor() {
@@ -90,7 +93,10 @@
       readyTargets: (service) => this.targets.ready(service),
       limits,
       cooldowns,
-      paths: DIRECT_PATHS,
+      paths: {
+        hasPath: () => this.hasPath,
+        recordSilence: (_, target) => this.silences.push(target),
+      },
       random: new SeededRandom(20261203),
       sender: new ObservingSender({
         sender: {
@@ -199,6 +205,48 @@
     expect(broken.refusal?.kind).to.equal(CallRefusalKind.TargetFailed);
   });
 
+  // Guards against a cut that only calls notice which may not be repeated: they
+  // wait for their targets until their deadlines.
+  it("reports a target that misses the objective, and waits on", () => {
+    const harness = new PlainCallsHarness();
+    const reply = harness.submit(UNSAFE);
+    harness.clock.advance(UNSAFE.objective);
+    expect(harness.silences).to.deep.equal([harness.sends[0]?.target]);
+    harness.answer(0, headOf(200), "done");
+    expect(reply.text).to.equal("done");
+  });
+
+  // Guards against callers that wait, or are told that their call may have run,
+  // when no process reaches the targets.
+  it("refuses calls at once, as not run, without any path", () => {
+    const harness = new PlainCallsHarness();
+    const sent = harness.submit(UNSAFE);
+    const { receiver } = harness.sends[0]?.options ?? {};
+    receiver?.onFailure(SendFailure.Unreachable, "no process");
+    harness.hasPath = false;
+    const unsent = harness.submit(UNSAFE);
+    for (const { refusal } of [sent, unsent]) {
+      expect(refusal).to.include({
+        kind: CallRefusalKind.NotRun,
+        reason: CallRefusalReason.Unreachable,
+      });
+      expect(refusal?.retryAfter).to.be.greaterThan(0);
+    }
+    expect(harness.sends).to.have.length(1);
+  });
+
+  // Guards against a call that runs twice when the process between is lost.
+  it("repeats only safe calls when the process between is lost", () => {
+    const harness = new PlainCallsHarness();
+    const unsafe = harness.submit(UNSAFE);
+    harness.sends[0]?.options.receiver.onFailure(SendFailure.PathLost, "");
+    expect(unsafe.refusal?.kind).to.equal(CallRefusalKind.TargetFailed);
+    const safe = harness.submit();
+    harness.sends[1]?.options.receiver.onFailure(SendFailure.PathLost, "");
+    harness.answer(2, headOf(200), "page");
+    expect(safe.text).to.equal("page");
+  });
+
   it("retries an unsafe call that the target has not run", () => {
     const harness = new PlainCallsHarness();
     const reply = harness.submit(UNSAFE);
--- a/src/common/replicas/exchange_server_test.ts
+++ b/src/common/replicas/exchange_server_test.ts
@@ -43,14 +43,16 @@
   };
 }
 
-function startServer(): ExchangeServer {
+function startServer(
+  onGroupsSuspected: (groups: readonly string[]) => void = () => undefined,
+): ExchangeServer {
   return new ExchangeServer({
     clock: new ManualClock(),
     isActiveHolder: () => true,
     mayOrder: () => true,
     leaseEpoch: () => 1,
     rateLimits: { merge: () => undefined, observations: {}, rates: new Map() },
-    onGroupsSuspected: () => undefined,
+    onGroupsSuspected,
     ownReport: () => processReport(0, { process: "holder" }),
     storeUpdate: () => null,
   });
@@ -116,4 +118,33 @@
     const next = await replyTo(server, older);
     expect(next.groups).to.deep.equal(TABLE.slice(1));
   });
+
+  // Guards against forwarded calls to processes of older builds, which answer
+  // that there is no such path.
+  it("names only processes that take forwarded requests", async () => {
+    const server = startServer();
+    const forwarding = { zone: "north-a", outOfReach: [] };
+    const newer = processReport(0, { process: "10.0.0.2:1/run", forwarding });
+    await replyTo(server, newer);
+    await replyTo(server, processReport(0, { process: "10.0.0.3:1/run" }));
+    const asking = { process: "10.0.0.1:1/run", forwarding };
+    const { peers } = await replyTo(server, processReport(0, asking));
+    expect(peers).to.deep.equal([{ address: "10.0.0.2:1", zone: "north-a" }]);
+    const older = await replyTo(server, processReport(0));
+    expect(older).to.not.have.property("peers");
+  });
+
+  // Guards against suspicions of a process that sees all groups fall silent
+  // because it has lost its own links.
+  it("ignores what a process out of reach suspects", async () => {
+    const suspected: string[] = [];
+    const server = startServer((groups) => suspected.push(...groups));
+    const suspects = ["group-1"];
+    const outOfReach = ["summaries"];
+    const forwarding = { zone: "north-a", outOfReach };
+    await replyTo(server, processReport(0, { suspects, forwarding }));
+    expect(suspected).to.deep.equal([]);
+    await replyTo(server, processReport(0, { suspects }));
+    expect(suspected).to.deep.equal(suspects);
+  });
 });
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -17,11 +17,7 @@
 import { callOf, RecordingReply } from "./call_fixtures.ts";
 import { LARGE } from "./engine_fixtures.ts";
 import { ManualClock } from "./manual_clock.ts";
-import {
-  DIRECT_PATHS,
-  RecordingLog,
-  NO_METRICS,
-} from "./recording_services.ts";
+import { RecordingLog, NO_METRICS } from "./recording_services.ts";
 import { SeededRandom } from "./seeded_random.ts";
 
 const ENGINE: IEngineProfile = {
@@ -84,6 +80,10 @@
   readonly groups = new ServingGroups();
   readonly sends: IRecordedSend[] = [];
   readonly cooldowns: TargetCooldowns;
+  /** Whether any path to the targets is known. */
+  hasPath = true;
+  /** Targets that were reported as silent. */
+  readonly silences: string[] = [];
   readonly calls: ModelCalls;
 
   constructor(names: readonly string[], slack = 100) {
@@ -106,7 +106,10 @@
       },
       limits: { maySend: () => true, isAssignedElsewhere: () => false },
       cooldowns: this.cooldowns,
-      paths: DIRECT_PATHS,
+      paths: {
+        hasPath: () => this.hasPath,
+        recordSilence: (_, target) => this.silences.push(target),
+      },
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack },
         { processes: () => 1, replacesAnotherSince: null },
