Bring a failed peer back by its own pings, not by callers' calls

What callers would have seen: while a peer is frozen, a few calls a second are sent through it and lost (502 for those that may not be repeated). Cause: a peer that had failed was avoided for a second and then tried with callers' calls again. Change: a failed peer is pinged until it answers, and is used before that only if no other is left.

--- a/src/common/forwarding/forwarding_peers.ts
+++ b/src/common/forwarding/forwarding_peers.ts
@@ -4,20 +4,18 @@
  *
  * A peer that holds forwarded calls is pinged. One that is frozen, or cut off
  * after it has taken a call, would otherwise keep the caller waiting until the
- * deadline, since its connections stay open.
+ * deadline, since its connections stay open. A peer that has failed is pinged
+ * until it answers, so that no caller's call has to find out.
  */
 import type { IDisposable } from "../disposable.ts";
 import type { IClock, ILog, IRandom } from "../services/services.ts";
 import type { MonotonicTime, ServiceName, ZoneName } from "../types.ts";
 import type { IForwardingPeer, IForwardingReport, IPeerLink } from "./types.ts";
 
-/** How long a peer is avoided that failed, milliseconds. */
-const AVOIDANCE_TIME = 1_000;
-
 /** How long a peer gets no calls for a service out of its reach, ms. */
 const OUT_OF_REACH_TIME = 1_000;
 
-/** Time between two pings of a peer that holds calls, milliseconds. */
+/** Time between two pings of a peer that holds calls or failed, ms. */
 const PING_PERIOD = 250;
 
 /** Milliseconds. */
@@ -30,11 +28,12 @@
 const OTHER_ZONE_HANDICAP = 4;
 
 /** The same for a peer that failed: it is used only if no other is left. */
-const AVOIDED_HANDICAP = 1_000;
+const FAILED_HANDICAP = 1_000;
 
 interface IPeerState {
   readonly peer: IForwardingPeer;
-  avoidedUntil: MonotonicTime;
+  /** Whether it failed, and has answered no ping since. */
+  hasFailed: boolean;
   /** Until when it is taken not to reach a service. */
   readonly outOfReachUntil: Map<ServiceName, MonotonicTime>;
   /** Callbacks of the calls in flight, called when the peer is lost. */
@@ -74,7 +73,7 @@
       if (!this.#peers.has(peer.address)) {
         this.#peers.set(peer.address, {
           peer,
-          avoidedUntil: Number.NEGATIVE_INFINITY,
+          hasFailed: false,
           outOfReachUntil: new Map(),
           inFlight: new Set(),
           misses: 0,
@@ -98,11 +97,10 @@
     const { random, zone } = this.#parts;
     let best: string | null = null;
     let lowest = Number.POSITIVE_INFINITY;
-    const now = this.#now;
-    for (const { peer, inFlight, avoidedUntil } of this.#usable(service)) {
+    for (const { peer, inFlight, hasFailed } of this.#usable(service)) {
       const distance = peer.zone === zone ? 0 : OTHER_ZONE_HANDICAP;
-      const avoidance = now < avoidedUntil ? AVOIDED_HANDICAP : 0;
-      const score = inFlight.size + distance + avoidance + random.next();
+      const failure = hasFailed ? FAILED_HANDICAP : 0;
+      const score = inFlight.size + distance + failure + random.next();
       if (!excluded.has(peer.address) && score < lowest) {
         lowest = score;
         best = peer.address;
@@ -115,7 +113,8 @@
   recordFailure(address: string): void {
     const state = this.#peers.get(address);
     if (state !== undefined) {
-      state.avoidedUntil = this.#now + AVOIDANCE_TIME;
+      state.hasFailed = true;
+      this.#startPings();
     }
   }
 
@@ -134,7 +133,7 @@
   watch(address: string, onLost: () => void): IDisposable {
     const inFlight = this.#peers.get(address)?.inFlight;
     inFlight?.add(onLost);
-    this.#timer ??= this.#parts.clock.every(PING_PERIOD, () => this.#ping());
+    this.#startPings();
     return { dispose: () => inFlight?.delete(onLost) };
   }
 
@@ -153,15 +152,19 @@
     );
   }
 
+  #startPings(): void {
+    this.#timer ??= this.#parts.clock.every(PING_PERIOD, () => this.#ping());
+  }
+
   #ping(): void {
-    const holding = [...this.#peers.values()].filter(
-      ({ inFlight }) => inFlight.size > 0,
+    const watched = [...this.#peers.values()].filter(
+      ({ inFlight, hasFailed }) => inFlight.size > 0 || hasFailed,
     );
-    if (holding.length === 0) {
+    if (watched.length === 0) {
       this.#timer?.dispose();
       this.#timer = null;
     }
-    for (const state of holding.filter(({ isPinging }) => !isPinging)) {
+    for (const state of watched.filter(({ isPinging }) => !isPinging)) {
       void this.#pingPeer(state);
     }
   }
@@ -179,12 +182,15 @@
       return;
     }
     state.misses = 0;
+    state.hasFailed = false;
     outOfReach.forEach((service) => this.recordOutOfReach(address, service));
   }
 
-  #handleLost({ peer, inFlight }: IPeerState): void {
-    const calls = inFlight.size;
-    this.#parts.log.warn("peer_lost", { address: peer.address, calls });
+  #handleLost({ peer, inFlight, hasFailed }: IPeerState): void {
+    if (!hasFailed) {
+      const calls = inFlight.size;
+      this.#parts.log.warn("peer_lost", { address: peer.address, calls });
+    }
     this.recordFailure(peer.address);
     for (const onLost of [...inFlight]) {
       onLost();
--- a/src/common/forwarding/forwarding_peers_test.ts
+++ b/src/common/forwarding/forwarding_peers_test.ts
@@ -105,6 +105,19 @@
     expect(harness.pinged).to.have.length(length);
   });
 
+  // Guards against calls that find out, second by second, whether a frozen
+  // process is back.
+  it("get calls again only after they have answered a ping", async () => {
+    const harness = new Harness();
+    harness.answer = null;
+    harness.peers.recordFailure("near:1");
+    await harness.advance(5_000);
+    expect(harness.choose()).to.equal("far:1");
+    harness.answer = [];
+    await harness.advance(1_000);
+    expect(harness.choose()).to.equal("near:1");
+  });
+
   // Guards against a list without a process that still holds calls, which then
   // would not be pinged any more.
   it("stay watched while they hold calls, though not listed", async () => {
