Let a stopping process take forwarded calls as long as its own

Cause: forward_refused refusal=stopping, 524 times: the only two processes that reached the targets were being stopped, one after the other, and refused forwarded calls at once, though they still take those of their own callers for 3 s. Change: they take forwarded calls for the same time. Evidence: the new test of a stopping process in forwarded_calls_test.ts fails before (12 of 12 calls 503) and passes.

--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -172,7 +172,7 @@
     await offer("10.0.0.9:80");
     harness.outOfReach = [SERVICE];
     await offer();
-    harness.requests.stop();
+    harness.requests.stopAt(0);
     await offer();
     expect(refusals).to.deep.equal([
       ForwardRefusal.UnknownTarget,
--- a/src/common/forwarding/forwarded_requests.ts
+++ b/src/common/forwarding/forwarded_requests.ts
@@ -18,7 +18,12 @@
 import type { EngineOrder } from "../replicas/types.ts";
 import type { IClock, ILog } from "../services/services.ts";
 import { CallFailureKind } from "../types.ts";
-import type { ICallFailure, InstanceId, ServiceName } from "../types.ts";
+import type {
+  ICallFailure,
+  InstanceId,
+  MonotonicTime,
+  ServiceName,
+} from "../types.ts";
 import type { TargetReach } from "./target_reach.ts";
 import { ForwardRefusal } from "./types.ts";
 import type { IForwardedExchange, IForwardedSend } from "./types.ts";
@@ -39,7 +44,8 @@
 export class ForwardedRequests {
   readonly #parts: IForwardedRequestParts;
   #inFlight = 0;
-  #isStopping = false;
+  /** From when on no calls are taken. */
+  #stopsAt: MonotonicTime = Number.POSITIVE_INFINITY;
 
   constructor(parts: IForwardedRequestParts) {
     this.#parts = parts;
@@ -55,15 +61,18 @@
     return this.#parts.reach.outOfReach;
   }
 
-  /** Takes no more calls; those taken before are finished. */
-  stop(): void {
-    this.#isStopping = true;
+  /**
+   * Takes no more calls from a time on; those taken before are finished. Until
+   * then this may be the only process that reaches the targets.
+   */
+  stopAt(time: MonotonicTime): void {
+    this.#stopsAt = time;
   }
 
   /** Why a call is not taken; null if it can be. */
   refusalOf({ target, call }: IForwardedSend): ForwardRefusal | null {
     const listed = this.#parts.findTarget(target);
-    if (this.#isStopping) {
+    if (this.#parts.clock.now() >= this.#stopsAt) {
       return ForwardRefusal.Stopping;
     }
     if (listed === null || listed.service !== call.service) {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -245,7 +245,7 @@
     const stoppedAt = this.#clock.now();
     this.#log.info("stopping", { in_flight: this.#ingress.inFlight });
     this.#ingress.startDraining();
-    this.#forwarded.stop();
+    this.#forwarded.stopAt(stoppedAt + BALANCER_REMOVAL_TIME);
     const grace = this.#settings.bounds.grace_s * MILLISECONDS_A_SECOND;
     const end = stoppedAt + grace - GRACE_MARGIN;
     const times = { removedAt: stoppedAt + USUAL_REMOVAL_TIME, end };
--- a/test/forwarded_calls_test.ts
+++ b/test/forwarded_calls_test.ts
@@ -57,6 +57,21 @@
     });
   }
 
+  // Guards against callers that are refused because the only process that
+  // reaches the targets has been told to stop, and refuses them at once.
+  it("are taken by a stopping process as long as its own", async () => {
+    await using fleet = await startCutFleet();
+    fleet.setLinks(0, LinkMode.Refuse);
+    await fleet.waitUntilLost(0);
+    fleet.processes[2]?.handle.signal("SIGTERM");
+    await sleep(500);
+    const statuses = await fleet.statusesOf(1, Path.Unsafe, CALLS);
+    const streams = await fleet.statusesOf(1, Path.Stream, CALLS);
+    const served = Array.from({ length: CALLS }, () => 200);
+    expect(statuses).to.deep.equal(served);
+    expect(streams).to.deep.equal(served);
+  });
+
   // Guards against targets that work on for a caller that has left: the leave
   // has to pass through the process between.
   it("are cancelled when the caller leaves", async () => {
