Do not take lag of the process itself for a lost path

Cause: processes with a third of a core did not read the answers to their probes in time. Forwarding adds to the load.

--- a/src/common/forwarding/forwarding_engine_client_test.ts
+++ b/src/common/forwarding/forwarding_engine_client_test.ts
@@ -153,6 +153,7 @@
         recordNoAnswer: () => undefined,
       },
       serviceOf: () => SERVICE,
+      clock: new ManualClock(),
     });
     return client.fetchReport(ENGINE, 200);
   }
@@ -166,4 +167,49 @@
     expect(own.isErr() && own.error.kind).to.equal(CallFailureKind.NoPath);
     expect(await fetch(REPORT, false)).to.equal(REPORT);
   });
+
+  // Guards against probes for each engine that is lost on a bad day: reports
+  // that others have answered since show the path as well.
+  it("need no probes while others answer", async () => {
+    const clock = new ManualClock();
+    const silent = new Set(["engine-0"]);
+    let probes = 0;
+    const client = new DirectEngineClient({
+      engines: {
+        fetchReport: async ({ id }) => {
+          await new Promise<void>((resolve) => {
+            clock.after(silent.has(id) ? 200 : 10, resolve);
+          });
+          return silent.has(id) ? SILENT : REPORT;
+        },
+        sendOrder: () => Promise.resolve(OrderOutcome.Accepted),
+      },
+      reach: {
+        confirm: () => {
+          probes += 1;
+          return Promise.resolve(false);
+        },
+        recordAnswer: () => undefined,
+        recordNoAnswer: () => undefined,
+      },
+      serviceOf: () => SERVICE,
+      clock,
+    });
+    const ask = async (count: number) => {
+      const asked = Array.from({ length: count }, (_, index) =>
+        client.fetchReport({ id: `engine-${index}`, address: "" }, 200),
+      );
+      clock.advance(200);
+      return Promise.all(asked);
+    };
+    const [lost] = await ask(8);
+    expect(lost).to.equal(SILENT);
+    expect(probes).to.equal(0);
+    ["engine-1", "engine-2", "engine-3"].forEach((id) => silent.add(id));
+    const [doubtful] = await ask(8);
+    expect(doubtful?.isErr() && doubtful.error.kind).to.equal(
+      CallFailureKind.NoPath,
+    );
+    expect(probes).to.equal(4);
+  });
 });
--- a/src/common/forwarding/forwarding_peers.ts
+++ b/src/common/forwarding/forwarding_peers.ts
@@ -39,6 +39,8 @@
   /** Callbacks of the calls in flight, called when the peer is lost. */
   readonly inFlight: Set<() => void>;
   misses: number;
+  /** When it last sent anything. */
+  heardAt: MonotonicTime;
   isPinging: boolean;
 }
 
@@ -77,6 +79,7 @@
           outOfReachUntil: new Map(),
           inFlight: new Set(),
           misses: 0,
+          heardAt: Number.NEGATIVE_INFINITY,
           isPinging: false,
         });
       }
@@ -118,6 +121,14 @@
     }
   }
 
+  /** Part of a response came through a peer: it is busy rather than lost. */
+  recordAnswer(address: string): void {
+    const state = this.#peers.get(address);
+    if (state !== undefined) {
+      state.heardAt = this.#now;
+    }
+  }
+
   /** A peer does not reach the targets of a service either. */
   recordOutOfReach(address: string, service: ServiceName): void {
     const until = this.#now + OUT_OF_REACH_TIME;
@@ -172,8 +183,13 @@
   async #pingPeer(state: IPeerState): Promise<void> {
     const { address } = state.peer;
     state.isPinging = true;
+    const startedAt = this.#now;
     const outOfReach = await this.#parts.link.ping(address, PING_TIMEOUT);
     state.isPinging = false;
+    if (outOfReach === null && state.heardAt >= startedAt) {
+      state.misses = 0;
+      return;
+    }
     if (outOfReach === null) {
       state.misses += 1;
       if (state.misses >= MISSES_TO_LOSS) {
--- a/src/common/forwarding/forwarding_peers_test.ts
+++ b/src/common/forwarding/forwarding_peers_test.ts
@@ -16,9 +16,12 @@
   readonly pinged: string[] = [];
   readonly peers = new ForwardingPeers({
     link: {
-      ping: (address) => {
+      ping: async (address) => {
         this.pinged.push(address);
-        return Promise.resolve(this.answer);
+        await new Promise<void>((resolve) => {
+          this.clock.after(this.answer === null ? 400 : 1, resolve);
+        });
+        return this.answer;
       },
     },
     clock: this.clock,
@@ -86,11 +89,25 @@
     await harness.advance(2_000);
     expect(lost).to.equal(0);
     harness.answer = null;
-    await harness.advance(1_000);
+    await harness.advance(1_500);
     expect(lost).to.be.greaterThan(0);
     expect(harness.choose()).to.equal("far:1");
   });
 
+  // Guards against all calls at a busy process that are given up together: it
+  // answers pings late while it sends on.
+  it("keep their calls while responses come through them", async () => {
+    const harness = new Harness();
+    let lost = 0;
+    harness.peers.watch("near:1", () => (lost += 1));
+    harness.answer = null;
+    for (let passed = 0; passed < 3_000; passed += 50) {
+      harness.peers.recordAnswer("near:1");
+      await harness.advance(50);
+    }
+    expect(lost).to.equal(0);
+  });
+
   it("are pinged only while they hold calls", async () => {
     const harness = new Harness();
     await harness.advance(2_000);
@@ -126,7 +143,7 @@
     harness.peers.watch("near:1", () => (lost += 1));
     harness.peers.update([FAR]);
     harness.answer = null;
-    await harness.advance(1_000);
+    await harness.advance(1_500);
     expect(lost).to.be.greaterThan(0);
   });
 });
--- a/src/common/forwarding/forwarding_sender.ts
+++ b/src/common/forwarding/forwarding_sender.ts
@@ -35,7 +35,12 @@
   >;
   readonly peers: Pick<
     ForwardingPeers,
-    "choose" | "hasPeer" | "recordFailure" | "recordOutOfReach" | "watch"
+    | "choose"
+    | "hasPeer"
+    | "recordAnswer"
+    | "recordFailure"
+    | "recordOutOfReach"
+    | "watch"
   >;
   readonly link: Pick<IPeerLink, "send">;
   readonly clock: IClock;
@@ -115,12 +120,14 @@
   }
 
   onHead(head: IResponseHead): void {
+    this.#recordPeerAnswer();
     if (!this.#isDone) {
       this.#sent.options.receiver.onHead(head);
     }
   }
 
   onData(bytes: Uint8Array): void {
+    this.#recordPeerAnswer();
     if (!this.#isDone) {
       this.#sent.options.receiver.onData(bytes);
     }
@@ -165,6 +172,12 @@
     this.#forward();
   }
 
+  #recordPeerAnswer(): void {
+    if (this.#peer !== null) {
+      this.#parts.peers.recordAnswer(this.#peer);
+    }
+  }
+
   /** The connection was not made while the path was in doubt. */
   #decide(detail: string): void {
     if (this.#isDone) {
--- a/src/common/forwarding/forwarding_sender_test.ts
+++ b/src/common/forwarding/forwarding_sender_test.ts
@@ -30,6 +30,7 @@
   mayWrite = true;
   peers = ["peer-1", "peer-2"];
   readonly failed: string[] = [];
+  readonly heard: string[] = [];
   readonly outOfReach: string[] = [];
   onPeerLost: () => void = () => undefined;
   readonly sender = new ForwardingSender({
@@ -46,6 +47,7 @@
       choose: (_, excluded) =>
         this.peers.find((peer) => !excluded.has(peer)) ?? null,
       hasPeer: () => this.peers.length > 0,
+      recordAnswer: (peer) => this.heard.push(peer),
       recordFailure: (peer) => this.failed.push(peer),
       recordOutOfReach: (peer) => this.outOfReach.push(peer),
       watch: (_, onLost) => {
@@ -105,6 +107,7 @@
     receiver.onData(new TextEncoder().encode("text"));
     receiver.onEnd();
     expect(harness.receiver).to.include({ text: "text", isFinished: true });
+    expect(harness.heard).to.include("peer-1");
   });
 
   // Guards against a call that is refused, or counted against its target, for
--- a/src/common/forwarding/target_reach.ts
+++ b/src/common/forwarding/target_reach.ts
@@ -5,9 +5,11 @@
  *
  * Targets that fail one by one say nothing about the path. If several fail and
  * hardly another one answers, some targets of each zone are probed on new
- * connections. Only if none of them answers is the service out of reach. While
- * it is, probes of two targets at a time find out when the path is back, so that
- * no caller's request has to.
+ * connections. Only if none of them answers is the service out of reach. A
+ * process that gets too little processor time has not read the answers, which
+ * proves nothing: forwarding would only add to the load. While a service is out
+ * of reach, probes of two targets at a time find out when the path is back, so
+ * that no caller's request has to.
  */
 import type { IListedTarget } from "../calls/types.ts";
 import type { IDisposable } from "../disposable.ts";
@@ -42,6 +44,12 @@
 /** Time without a survey after which pauses are short again, milliseconds. */
 const CALM_TIME = 5_000;
 
+/** Interval of the ticks that show the processor time of a survey, ms. */
+const TICK_PERIOD = 20;
+
+/** Share of the ticks that a process with enough processor time gets. */
+const FEWEST_TICKS_SHARE = 0.5;
+
 /** How long the result of a survey is used again, milliseconds. */
 const SURVEY_LIFETIME = 150;
 
@@ -214,9 +222,9 @@
       answered: reach.answers.size,
     });
     const targets = this.#sampleOfZones(service);
-    const answers = await this.#probeAll(targets);
+    const { answers, isStarved } = await this.#probeWithTicks(targets);
     const answered = answers.filter(Boolean).length;
-    const isLost = targets.length > 0 && answered === 0;
+    const isLost = targets.length > 0 && answered === 0 && !isStarved;
     reach.failures.clear();
     reach.answers.clear();
     if (isLost) {
@@ -229,6 +237,7 @@
       service,
       probed: targets.length,
       answered,
+      is_starved: isStarved,
     });
     const { waiting } = reach;
     reach.waiting = [];
@@ -297,6 +306,23 @@
     );
   }
 
+  /** Probes targets, and tells whether this process could read their answers. */
+  async #probeWithTicks(targets: readonly IListedTarget[]): Promise<{
+    readonly answers: readonly boolean[];
+    readonly isStarved: boolean;
+  }> {
+    const startedAt = this.#now;
+    let ticks = 0;
+    const ticking = this.#parts.clock.every(TICK_PERIOD, () => (ticks += 1));
+    const answers = await this.#probeAll(targets);
+    ticking.dispose();
+    const elapsed = this.#now - startedAt;
+    // Targets that refuse do so at once, and are read even by a slow process.
+    const hasTimedOut = elapsed >= PROBE_TIMEOUT;
+    const fewestTicks = (elapsed / TICK_PERIOD) * FEWEST_TICKS_SHARE;
+    return { answers, isStarved: hasTimedOut && ticks < fewestTicks };
+  }
+
   /** Some targets of each zone, in random order. */
   #sampleOfZones(service: ServiceName): readonly IListedTarget[] {
     const zones = new Map<ZoneName, IListedTarget[]>();
--- a/src/common/forwarding/target_reach_test.ts
+++ b/src/common/forwarding/target_reach_test.ts
@@ -18,6 +18,8 @@
   /** Targets that answer probes. */
   reachable = new Set<string>();
   readonly probed: string[] = [];
+  /** Milliseconds until a probe is decided. */
+  answerTime = 0;
   readonly lost: string[] = [];
   readonly reach: TargetReach;
 
@@ -26,7 +28,9 @@
       prober: {
         probe: ({ id }) => {
           this.probed.push(id);
-          return Promise.resolve(this.reachable.has(id));
+          return this.answerTime === 0
+            ? Promise.resolve(this.reachable.has(id))
+            : this.#answerLate(id);
         },
       },
       readyTargets: () => this.targets,
@@ -50,6 +54,12 @@
     }
   }
 
+  #answerLate(id: string): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.clock.after(this.answerTime, () => resolve(this.reachable.has(id)));
+    });
+  }
+
   reachAll(): void {
     this.targets.forEach(({ id }) => this.reachable.add(id));
   }
@@ -144,6 +154,22 @@
     }
   });
 
+  // Guards against a process without processor time that takes its own lag for
+  // lost links: forwarding its calls adds to the load of all.
+  it("is kept by a process that was paused while it probed", async () => {
+    const paused = new Harness();
+    paused.answerTime = 300;
+    await paused.fail("one-0", "two-0");
+    paused.clock.pause(300);
+    await settle();
+    expect(paused.isOutOfReach).to.equal(false);
+    const running = new Harness();
+    running.answerTime = 300;
+    await running.fail("one-0", "two-0");
+    await running.advance(300);
+    expect(running.isOutOfReach).to.equal(true);
+  });
+
   // Guards against calls that wait for a decision and are forgotten.
   it("calls back those that wait for the decision", async () => {
     const harness = new Harness();
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -144,6 +144,7 @@
       engines: this.#client,
       reach: this.#reach,
       serviceOf: (engine) => this.#serviceOf(engine),
+      clock,
     });
     const direct = new DirectSender(this.#client, this.#reach);
     this.#paths = new ForwardingSender({
--- a/test/support/manual_clock.ts
+++ b/test/support/manual_clock.ts
@@ -50,6 +50,20 @@
     this.#now = end;
   }
 
+  /** Passes time without running timers, then runs those due, once each. */
+  pause(milliseconds: number): void {
+    this.#now += milliseconds;
+    const due = [...this.#timers].filter(({ at }) => at <= this.#now);
+    for (const timer of due) {
+      if (timer.period === null) {
+        this.#timers.delete(timer);
+      } else {
+        timer.at = this.#now + timer.period;
+      }
+      timer.callback();
+    }
+  }
+
   #add(timer: ITimer): IDisposable {
     this.#timers.add(timer);
     return { dispose: () => void this.#timers.delete(timer) };
