Log the parts of the prompts of broken calls

Cause: when an engine ends, the logs name the streams that broke off, but not what their calls have in common, so a request that ends engines and an engine that ends by itself look the same (hypotheses 1 and 3 of docs/incidents/calls-that-crash-engines.md).

Change: calls carry the identifiers of the parts of their prompts that others may share. `send_failed` names them, the target, and for how long the answer had been going on; `model_call` names them too, so that parts of broken calls can be compared with those of calls answered whole.

Result: no decision changes.

--- a/src/common/calls/model_call_recorder.ts
+++ b/src/common/calls/model_call_recorder.ts
@@ -6,6 +6,9 @@
 /** Outcome of a call whose response was complete. */
 export const WHOLE = "whole";
 
+/** Parts of a prompt that a log line names. */
+const MAXIMUM_LOGGED_PARTS = 16;
+
 /** How a call ended. */
 export interface IModelCallEnd {
   readonly outcome: string;
@@ -41,6 +44,7 @@
       longest_pause_ms: Math.round(longestPause),
       took_ms: since(arrivedAt, now),
       sends: run.sendCount,
+      parts: describeParts(run.call.promptParts),
       ...fields,
     };
     if (outcome === WHOLE) {
@@ -67,6 +71,11 @@
   }
 }
 
+/** Parts of a prompt as logged. */
+export function describeParts(parts: readonly string[]): string {
+  return parts.slice(0, MAXIMUM_LOGGED_PARTS).join(",");
+}
+
 /** Whole milliseconds; null if the end was never reached. */
 function since(start: MonotonicTime, end: MonotonicTime | null): number | null {
   return end === null ? null : Math.round(end - start);
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -3,7 +3,11 @@
 import type { MonotonicTime, ZoneName } from "../types.ts";
 import { gapDuringPrefill, longestGap } from "./engine_timing.ts";
 import { chooseGroup } from "./group_choice.ts";
-import { ModelCallRecorder, WHOLE } from "./model_call_recorder.ts";
+import {
+  describeParts,
+  ModelCallRecorder,
+  WHOLE,
+} from "./model_call_recorder.ts";
 import { modelKey, ModelStates } from "./model_states.ts";
 import type { IModelState } from "./model_states.ts";
 import { queueItemOf, startedQueueItemOf } from "./model_queue.ts";
@@ -213,6 +217,7 @@
     times.lastEventAt = now;
     if (currentSend !== null) {
       const { stream, sentAt, group } = currentSend;
+      currentSend.beganAt ??= now;
       if (stream.lastEventAt === null) {
         const time = now - sentAt - stream.prefillTime;
         const state = this.#models.getOrCreate(run.call);
@@ -226,7 +231,8 @@
   }
 
   onSendEnded(run: ModelRun, end: SendOutcome, detail: string): void {
-    const { group = "", zone = "" } = run.currentSend?.group ?? {};
+    const { group = "", zone = "", head } = run.currentSend?.group ?? {};
+    const beganAt = run.currentSend?.beganAt ?? null;
     this.#releaseSend(run);
     if (end === SendOutcome.Whole) {
       const stride = this.#models.engineOf(run.call)?.engine.stride ?? 0;
@@ -246,8 +252,11 @@
       this.#parts.log.info("send_failed", {
         request: run.call.id,
         group,
+        target: head?.id,
         end,
         detail,
+        answering_ms: beganAt === null ? null : Math.round(this.#now - beganAt),
+        parts: describeParts(run.call.promptParts),
       });
       this.#retryOrEnd(run, end);
     }
@@ -439,7 +448,7 @@
     this.#parts.groups.recordSend(group.group, stream.prefillTime);
     this.#reachability.recordSend(group.zone, now);
     this.#stallDetector.recordSend(stream);
-    run.startSend({ group, stream, sentAt: now }, () =>
+    run.startSend({ group, stream, sentAt: now, beganAt: null }, () =>
       this.#parts.sender.send(group.head, call, {
         timeLeft: call.deadline - now,
         lastEventId: run.lastEventId,
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -72,6 +72,8 @@
   readonly group: IServingGroup;
   readonly stream: IWatchedStream;
   readonly sentAt: MonotonicTime;
+  /** When its first event arrived; null before. */
+  beganAt: MonotonicTime | null;
 }
 
 /** A model call with its sends; receives their responses. */
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -213,6 +213,11 @@
   readonly priority: number;
   /** Null for a plain call. */
   readonly model: string | null;
+  /**
+   * Identifiers of the prompt's parts that other calls may share, in order.
+   * Without the last part, which belongs to this call or its session.
+   */
+  readonly promptParts: readonly string[];
   readonly tokens: ITokenEstimate;
   readonly arrivedAt: MonotonicTime;
   /** When the caller stops waiting or must no longer be kept waiting. */
--- a/test/support/call_fixtures.ts
+++ b/test/support/call_fixtures.ts
@@ -39,6 +39,7 @@
     account: "desk",
     priority: 1,
     model: "large",
+    promptParts: [],
     tokens: { prompt: 1_000, output: 100 },
     arrivedAt: 0,
     deadline: 8_000,
