Show that calls crash one engine after the other

Cause: nothing relates lost engines to the calls that they had, so each call with a part that crashes engines is accepted, and retried on another group.

Change: stand-in engines crash when they begin an answer on certain parts and come back under another id. No logic changes.

--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -60,10 +60,7 @@
 /** Entry processes, their store and their targets. */
 export class EntryFleet {
   readonly store = new PlatformStore();
-  readonly engines = Array.from(
-    { length: ENGINES },
-    (_, index) => new PlatformEngine(`i-${index}`, "summaries", EVENTS),
-  );
+  readonly engines: readonly PlatformEngine[];
   readonly plainTargets = Array.from(
     { length: PLAIN_TARGETS },
     (_, index) => new PlatformPlainTarget(`p-${index}`, "delivery"),
@@ -72,6 +69,13 @@
   readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-fleet-"));
   #calls = 0;
 
+  constructor(engines = ENGINES) {
+    this.engines = Array.from(
+      { length: engines },
+      (_, index) => new PlatformEngine(`i-${index}`, "summaries", EVENTS),
+    );
+  }
+
   /** Starts processes; the first of them holds the lease. */
   async start(count: number): Promise<void> {
     const store = await this.store.listen();
@@ -103,10 +107,15 @@
   async sendCall(
     index: number,
     path: Path,
-    options: { readonly id?: string; readonly signal?: AbortSignal } = {},
+    options: {
+      readonly id?: string;
+      readonly signal?: AbortSignal;
+      /** The parts of the prompt, as the platform writes them. */
+      readonly parts?: string;
+    } = {},
   ): Promise<ICallAnswer> {
     this.#calls += 1;
-    const { id = `attempt-${this.#calls}`, signal } = options;
+    const { id = `attempt-${this.#calls}`, signal, parts } = options;
     const startedAt = performance.now();
     const answer = await request(`http://${this.#callersOf(index)}${path}`, {
       method: "POST",
@@ -118,6 +127,7 @@
         ...(path === Path.Stream
           ? { "x-model": "small", "x-token-counts": "100,150" }
           : {}),
+        ...(parts === undefined ? {} : { "x-prompt-prefix": parts }),
       },
       body: "text",
       ...(signal === undefined ? {} : { signal }),
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -9,6 +9,15 @@
 /** Milliseconds between two events of a stream. */
 const EVENT_PERIOD = 20;
 
+/** Milliseconds from the start of an answer to the crash that it causes. */
+const CRASH_DELAY = 60;
+
+/** Milliseconds after a crash until the platform drops the engine. */
+const EXPIRY_TIME = 2_000;
+
+/** Milliseconds after a crash until it is back, under another id. */
+const RESTART_TIME = 2_500;
+
 interface IGroup {
   readonly name: string;
   readonly epoch: number;
@@ -18,8 +27,8 @@
 
 /** Applies orders immediately and writes streams of a fixed length. */
 export class PlatformEngine {
-  readonly id: string;
-  readonly #server: Server;
+  id: string;
+  #server: Server;
   readonly #service: string;
   address = "";
   #group: IGroup | null = null;
@@ -42,19 +51,29 @@
   readonly runs: string[] = [];
   /** Number of streams that it writes now. */
   openStreams = 0;
+  /** Parts of prompts that crash it when it begins an answer on them. */
+  crashingParts: ReadonlySet<string> = new Set();
+  /** Whether it is down after a crash. */
+  isDown = false;
+  /** When it crashed, and when calls with such a part arrived, milliseconds. */
+  readonly crashes: number[] = [];
+  readonly crashingArrivals: number[] = [];
+  #store: PlatformStore | null = null;
+  #starts = 0;
+  readonly #timers = new Set<NodeJS.Timeout>();
 
   /** @param events - number of events in a complete stream */
   constructor(id: string, service: string, events: number) {
     this.id = id;
     this.#service = service;
     this.eventCount = events;
-    this.#server = createServer((request, response) => {
-      void this.#handleRequest(request, response);
-    });
+    this.#server = this.#createServer();
   }
 
-  async listen(store: PlatformStore): Promise<void> {
-    this.address = await listenOn(this.#server, "127.0.0.1:0");
+  async listen(store: PlatformStore, address = "127.0.0.1:0"): Promise<void> {
+    this.#store = store;
+    this.#starts += 1;
+    this.address = await listenOn(this.#server, address);
     store.put("servers", this.id, {
       service: this.#service,
       address: this.address,
@@ -67,6 +86,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#timers.forEach((timer) => clearTimeout(timer));
     this.#server.closeAllConnections();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
@@ -77,9 +97,50 @@
     this.#server.close();
   }
 
+  /** Crashes; it is back after a while under another id. */
+  crash(): void {
+    if (this.isDown) {
+      return;
+    }
+    this.isDown = true;
+    this.crashes.push(performance.now());
+    this.#server.closeAllConnections();
+    this.#server.close();
+    const { id } = this;
+    this.#after(EXPIRY_TIME, () => this.#store?.remove("servers", id));
+    this.#after(RESTART_TIME, () => void this.#restart());
+  }
+
+  async #restart(): Promise<void> {
+    const [first] = this.id.split("/");
+    this.id = `${first}/${this.#starts}`;
+    this.#group = null;
+    this.#model = null;
+    this.#orderCount = 0;
+    this.#server = this.#createServer();
+    if (this.#store !== null) {
+      await this.listen(this.#store, this.address);
+      this.isDown = false;
+    }
+  }
+
+  #after(delay: number, callback: () => void): void {
+    const timer = setTimeout(() => {
+      this.#timers.delete(timer);
+      callback();
+    }, delay);
+    this.#timers.add(timer);
+  }
+
+  #createServer(): Server {
+    return createServer((request, response) => {
+      void this.#handleRequest(request, response);
+    });
+  }
+
   #report(): object {
     return {
-      born: 1,
+      born: this.#starts,
       domain: "north-a-d0",
       staged: this.#staged,
       models: this.#model ? [{ name: this.#model }] : [],
@@ -174,9 +235,21 @@
     response.end();
   }
 
+  /** The last part belongs to the request itself. */
+  #isCrashing({ headers }: IncomingMessage): boolean {
+    const entries = String(headers["x-prompt-prefix"] ?? "").split(",");
+    return entries
+      .slice(0, -1)
+      .some((entry) => this.crashingParts.has(entry.split(":")[0] ?? ""));
+  }
+
   #stream(request: IncomingMessage, response: ServerResponse): void {
     const attempt = String(request.headers["x-attempt-id"]);
     this.runs.push(attempt);
+    if (this.#isCrashing(request)) {
+      this.crashingArrivals.push(performance.now());
+      this.#after(CRASH_DELAY, () => this.crash());
+    }
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "x-attempt-id": attempt,
