--- a/src/adapters/exchange/inner_server.ts
+++ b/src/adapters/exchange/inner_server.ts
@@ -20,6 +20,27 @@
 const STATUS_NOT_FOUND = 404;
 const STATUS_NOT_HOLDER = 409;
 
+const crashReportSchema = z.object({
+  serial: z.number(),
+  target: z.string(),
+  startedAt: z.number(),
+  service: z.string(),
+  age: z.number(),
+  suspects: z.record(
+    z.string(),
+    z.object({ calls: z.number(), newCalls: z.number() }),
+  ),
+});
+
+const quarantineEntrySchema = z.object({
+  service: z.string(),
+  parts: z.array(z.string()).min(1),
+  since: z.number(),
+  until: z.number(),
+  crashes: z.number(),
+  isSaved: z.boolean(),
+});
+
 const processReportSchema = z.object({
   process: z.string(),
   hasCalls: z.boolean(),
@@ -48,6 +69,14 @@
   forwarding: z
     .object({ zone: z.string(), outOfReach: z.array(z.string()) })
     .optional(),
+  quarantine: z
+    .object({
+      crashes: z.array(crashReportSchema),
+      proofs: z.record(z.string(), z.number()),
+      listVersion: z.number(),
+      unsaved: z.array(quarantineEntrySchema),
+    })
+    .optional(),
 });
 
 /** Answers the requests of the inner server. */
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -13,10 +13,12 @@
 import { queueItemOf, startedQueueItemOf } from "./model_queue.ts";
 import type { ModelQueue } from "./model_queue.ts";
 import { ModelRun, SendOutcome } from "./model_run.ts";
-import type { IModelRunOwner } from "./model_run.ts";
+import type { ICurrentSend, IModelRunOwner } from "./model_run.ts";
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import type { ServingGroups } from "./serving_groups.ts";
 import type { ILoadedGroup } from "./serving_groups.ts";
+import { PROOF_TIME } from "../quarantine/crash_witness.ts";
+import type { ICallQuarantine } from "../quarantine/types.ts";
 import type { ITargetPaths } from "../forwarding/types.ts";
 import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
@@ -39,6 +41,15 @@
 /** Milliseconds over which these callers return. */
 const UNREACHABLE_SPREAD = 500;
 
+/** Retry-after of a call that would crash an engine, milliseconds. */
+const QUARANTINE_RETRY_AFTER = 60_000;
+
+/** Milliseconds; an answer that goes on for so long shows a sound engine. */
+const PROGRESS_TIME = 500;
+
+/** Engines that may crash under one call; it is sent to no further one. */
+const MAXIMUM_CRASHES = 2;
+
 /** Lost groups remembered: enough for all that open calls were sent to. */
 const MAXIMUM_LOST_GROUPS = 500;
 
@@ -63,6 +74,7 @@
     "isActive" | "maySend" | "retryAfter" | "shortestWait"
   >;
   readonly paths: ITargetPaths;
+  readonly quarantine: ICallQuarantine;
   readonly service: (name: string) => IServiceEntry | null;
   readonly clock: IClock;
   readonly random: IRandom;
@@ -118,7 +130,9 @@
     run.deadlineTimer = clock.after(timeLeft, () => this.#handleTimeout(run));
     this.#models.recordArrival(call, this.#now);
     const { queue } = this.#models.getOrCreate(call);
-    if (this.#isAdmitted(call, queue.expectedWait(this.#now))) {
+    if (this.#parts.quarantine.isQuarantined(call)) {
+      this.#endQuarantined(run);
+    } else if (this.#isAdmitted(call, queue.expectedWait(this.#now))) {
       this.#enqueue(run);
       this.#placeWaiting(this.#models.getOrCreate(call));
     } else {
@@ -173,6 +187,26 @@
     this.check();
   }
 
+  /** Ends the calls that must not reach an engine any more. */
+  handleQuarantineChanged(): void {
+    const { quarantine } = this.#parts;
+    const isRefused = ({ call }: ModelRun) => quarantine.isQuarantined(call);
+    for (const { queue } of this.#models.all) {
+      for (const run of queue.removeWhere(isRefused)) {
+        this.#endQuarantined(run);
+      }
+    }
+    const now = this.#now;
+    const isEarly = ({ currentSend }: ModelRun) =>
+      now - (currentSend?.beganAt ?? now) < PROOF_TIME;
+    const open = [...this.#openRuns];
+    for (const run of open.filter(isRefused).filter(isEarly)) {
+      run.abort();
+      this.#releaseSend(run);
+      this.#endQuarantined(run);
+    }
+  }
+
   /** Handles stalls and places waiting calls, every {@link CHECK_PERIOD}. */
   check(): void {
     const now = this.#now;
@@ -217,7 +251,10 @@
     times.lastEventAt = now;
     if (currentSend !== null) {
       const { stream, sentAt, group } = currentSend;
-      currentSend.beganAt ??= now;
+      if (currentSend.beganAt === null) {
+        currentSend.beganAt = now;
+        this.#recordBegin(run, currentSend);
+      }
       if (stream.lastEventAt === null) {
         const time = now - sentAt - stream.prefillTime;
         const state = this.#models.getOrCreate(run.call);
@@ -230,11 +267,26 @@
     }
   }
 
+  #recordBegin(run: ModelRun, send: ICurrentSend): void {
+    const { beganAt, stream, group } = send;
+    const isSound = () => {
+      const progress = (stream.lastEventAt ?? 0) - (beganAt ?? 0);
+      const isGoingOn = run.currentSend === send && progress >= PROGRESS_TIME;
+      return isGoingOn || send.isWhole;
+    };
+    const observed = { call: run.call, target: group.head, beganAt };
+    this.#parts.quarantine.recordBegin(observed, isSound);
+  }
+
   onSendEnded(run: ModelRun, end: SendOutcome, detail: string): void {
-    const { group = "", zone = "", head } = run.currentSend?.group ?? {};
-    const beganAt = run.currentSend?.beganAt ?? null;
+    const { currentSend } = run;
+    const { group = "", zone = "", head } = currentSend?.group ?? {};
+    const beganAt = currentSend?.beganAt ?? null;
     this.#releaseSend(run);
     if (end === SendOutcome.Whole) {
+      if (currentSend !== null) {
+        currentSend.isWhole = true;
+      }
       const stride = this.#models.engineOf(run.call)?.engine.stride ?? 0;
       const written = run.eventCount * stride;
       const { demand } = this.#models.getOrCreate(run.call);
@@ -258,11 +310,43 @@
         answering_ms: beganAt === null ? null : Math.round(this.#now - beganAt),
         parts: describeParts(run.call.promptParts),
       });
-      this.#retryOrEnd(run, end);
+      if (end === SendOutcome.Broken && currentSend !== null) {
+        this.#retryAfterBreak(run, currentSend);
+      } else {
+        this.#retryOrEnd(run, end);
+      }
     }
     this.#placeWaiting(this.#models.getOrCreate(run.call));
   }
 
+  /**
+   * A call under which an engine has crashed may be the cause, so its number of
+   * engines is bounded. Another broken answer is retried once that is known.
+   */
+  #retryAfterBreak(run: ModelRun, { group, beganAt }: ICurrentSend): void {
+    const { quarantine } = this.#parts;
+    const { head } = group;
+    const isRepeated = run.suspectedTargets.size > 0;
+    const send = { call: run.call, target: head, beganAt };
+    if (quarantine.recordBroken(send, isRepeated)) {
+      run.suspectedTargets.add(head.id);
+    }
+    if (run.suspectedTargets.size < MAXIMUM_CRASHES) {
+      this.#retryOrEnd(run, SendOutcome.Broken);
+      return;
+    }
+    quarantine.waitForVerdict(head.id, () => {
+      const crashed = [...run.suspectedTargets].filter((target) =>
+        quarantine.hasCrashed(target),
+      );
+      if (crashed.length >= MAXIMUM_CRASHES) {
+        this.#abandon(run, CallRefusalReason.TargetLost);
+      } else {
+        this.#retryOrEnd(run, SendOutcome.Broken);
+      }
+    });
+  }
+
   /** Responses of several sends are left out: they contain pauses. */
   #recordDecoding({ call, eventCount, sendCount, times }: ModelRun): void {
     const { firstEventAt, lastEventAt } = times;
@@ -287,6 +371,10 @@
   }
 
   #enqueue(run: ModelRun): void {
+    if (this.#parts.quarantine.isQuarantined(run.call)) {
+      this.#endQuarantined(run);
+      return;
+    }
     const { queue } = this.#models.getOrCreate(run.call);
     const evicted = queue.add(run);
     if (evicted !== null) {
@@ -400,6 +488,11 @@
     this.#end(run, CallRefusalReason.Unreachable, retryAfter);
   }
 
+  #endQuarantined(run: ModelRun): void {
+    const reason = CallRefusalReason.Quarantined;
+    this.#end(run, reason, QUARANTINE_RETRY_AFTER);
+  }
+
   #headsOf(service: string, model: string): readonly string[] {
     const groups = this.#parts.groups.ofModel(service, model);
     return groups.map(({ head }) => head.id);
@@ -448,13 +541,15 @@
     this.#parts.groups.recordSend(group.group, stream.prefillTime);
     this.#reachability.recordSend(group.zone, now);
     this.#stallDetector.recordSend(stream);
-    run.startSend({ group, stream, sentAt: now, beganAt: null }, () =>
-      this.#parts.sender.send(group.head, call, {
-        timeLeft: call.deadline - now,
-        lastEventId: run.lastEventId,
-        needsNewConnection: false,
-        receiver: run,
-      }),
+    run.startSend(
+      { group, stream, sentAt: now, beganAt: null, isWhole: false },
+      () =>
+        this.#parts.sender.send(group.head, call, {
+          timeLeft: call.deadline - now,
+          lastEventId: run.lastEventId,
+          needsNewConnection: false,
+          receiver: run,
+        }),
     );
   }
 
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -74,6 +74,8 @@
   readonly sentAt: MonotonicTime;
   /** When its first event arrived; null before. */
   beganAt: MonotonicTime | null;
+  /** Whether its complete response was passed on. */
+  isWhole: boolean;
 }
 
 /** A model call with its sends; receives their responses. */
@@ -89,6 +91,8 @@
   isFinished = false;
   /** Groups that this call was sent to. */
   readonly triedGroups = new Set<string>();
+  /** Engines that broke it off when they had hardly begun to answer. */
+  readonly suspectedTargets = new Set<string>();
   /** Whether a target may have started to run it. */
   mayHaveRun = false;
   #sendHandle: ISendHandle | null = null;
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -344,6 +344,8 @@
   TargetLost = "target_lost",
   TargetSilent = "target_silent",
   DeadlinePassed = "deadline_passed",
+  /** Its prompt has parts that crash engines. */
+  Quarantined = "quarantined",
 }
 
 /** The result of a call without a target's response. */
--- /dev/null
+++ b/src/common/quarantine/crash_evidence.ts
@@ -0,0 +1,250 @@
+/**
+ * Finds the parts of prompts that crash engines from the crashes that processes
+ * report. Otherwise each call with such a part ends one more engine, and with
+ * it the answers to all other calls there, until no engine is left.
+ *
+ * Only calls that an engine had hardly begun to answer are suspects of its
+ * crash. A part is the cause once {@link FEWEST_CRASHES} crashes had it among
+ * their suspects and no answer on it has gone on since. Engines that crash
+ * together have one cause from outside, so they count as one crash. Parts that
+ * have only been seen together are one cause together: calls with some of them
+ * go on and show which one it is.
+ */
+import type { MonotonicTime, ServiceName } from "../types.ts";
+import { partKey } from "./types.ts";
+import type {
+  ICrashCause,
+  ICrashReport,
+  IFoundCause,
+  PartKey,
+} from "./types.ts";
+
+/** Number of crashes that show a cause. */
+const FEWEST_CRASHES = 3;
+
+/** Number of calls that show a cause: one alone may have met bad luck. */
+const FEWEST_CALLS = 2;
+
+/** Milliseconds between crashes that have one cause from outside. */
+const SIMULTANEOUS_TIME = 150;
+
+/**
+ * Milliseconds from the first report of a crash until it counts: by then the
+ * other processes have reported their suspects, and the answers that went on.
+ */
+export const SETTLING_TIME = 400;
+
+/** Milliseconds after which a crash is forgotten. */
+const CRASH_LIFETIME = 600_000;
+
+/** Number of crashes remembered; beyond it the oldest is forgotten. */
+const MAXIMUM_CRASHES = 200;
+
+/** Number of parts on which answers are asked for. */
+const MAXIMUM_SUSPECTS = 50;
+
+/**
+ * Share of the evidence for the best cause from which others are as likely. The
+ * rarest of them is chosen, as common parts are among the suspects of any crash.
+ */
+const LIKELY_SHARE = 0.7;
+
+/** Number of causes of one service that are found at once. */
+const MAXIMUM_CAUSES = 20;
+
+interface ICounts {
+  calls: number;
+  newCalls: number;
+}
+
+interface ICrash {
+  readonly service: ServiceName;
+  readonly receivedAt: MonotonicTime;
+  at: MonotonicTime;
+  readonly suspects: Map<string, ICounts>;
+}
+
+interface ICandidate {
+  readonly part: string;
+  /** Weighted number of crashes. */
+  evidence: number;
+  readonly crashes: ICrash[];
+  calls: number;
+  newCalls: number;
+}
+
+/** The crashes that are known, and what speaks for parts. */
+export class CrashEvidence {
+  /** By target and start. */
+  readonly #crashes = new Map<string, ICrash>();
+  /** When an answer on a part last proved it harmless. */
+  readonly #provedAt = new Map<PartKey, MonotonicTime>();
+
+  get isEmpty(): boolean {
+    return this.#crashes.size === 0;
+  }
+
+  /** Adds what one process saw of a crash. */
+  record(report: ICrashReport, now: MonotonicTime): void {
+    const key = `${report.target} ${report.startedAt}`;
+    const at = now - report.age;
+    const crash = this.#crashes.get(key) ?? {
+      service: report.service,
+      receivedAt: now,
+      at,
+      suspects: new Map<string, ICounts>(),
+    };
+    this.#crashes.set(key, crash);
+    crash.at = Math.min(crash.at, at);
+    for (const [part, { calls, newCalls }] of Object.entries(report.suspects)) {
+      const counts = crash.suspects.get(part) ?? { calls: 0, newCalls: 0 };
+      counts.calls += calls;
+      counts.newCalls += newCalls;
+      crash.suspects.set(part, counts);
+    }
+    this.#expire(now);
+  }
+
+  /** Records that an answer on a part has proved it harmless. */
+  recordProof(key: PartKey, at: MonotonicTime): void {
+    this.#provedAt.set(key, Math.max(at, this.#provedAt.get(key) ?? at));
+  }
+
+  /** The parts on which answers are of interest, the most suspect first. */
+  suspects(now: MonotonicTime): readonly PartKey[] {
+    this.#expire(now);
+    return this.#services
+      .flatMap((service) =>
+        this.#candidates(service, [], now).map(({ part, evidence }) => ({
+          key: partKey(service, part),
+          evidence,
+        })),
+      )
+      .sort((one, other) => other.evidence - one.evidence)
+      .slice(0, MAXIMUM_SUSPECTS)
+      .map(({ key }) => key);
+  }
+
+  /**
+   * Returns the causes that the evidence shows beyond the known ones.
+   *
+   * @param known - causes that were found before; they explain crashes
+   */
+  findCauses(
+    known: readonly ICrashCause[],
+    now: MonotonicTime,
+  ): readonly IFoundCause[] {
+    this.#expire(now);
+    const found: IFoundCause[] = [];
+    for (const service of this.#services) {
+      for (let count = 0; count < MAXIMUM_CAUSES; count += 1) {
+        const causes = [...known, ...found].filter(
+          (one) => one.service === service,
+        );
+        const cause = this.#findCause(service, causes, now);
+        if (cause === null) {
+          break;
+        }
+        found.push(cause);
+      }
+    }
+    return found;
+  }
+
+  get #services(): readonly ServiceName[] {
+    const services = [...this.#crashes.values()].map(({ service }) => service);
+    return [...new Set(services)];
+  }
+
+  #findCause(
+    service: ServiceName,
+    known: readonly ICrashCause[],
+    now: MonotonicTime,
+  ): IFoundCause | null {
+    const settled = now - SETTLING_TIME;
+    const shown = this.#candidates(service, known, settled).filter(
+      ({ evidence, newCalls, crashes }) =>
+        evidence >= FEWEST_CRASHES &&
+        newCalls >= FEWEST_CALLS &&
+        crashes.some((crash) => !known.some((one) => explains(one, crash))),
+    );
+    const most = Math.max(...shown.map(({ evidence }) => evidence));
+    const [rarest, ...others] = shown
+      .filter(({ evidence }) => evidence >= most * LIKELY_SHARE)
+      .sort((one, other) => one.calls - other.calls);
+    if (rarest === undefined) {
+      return null;
+    }
+    const together = others.filter(
+      ({ calls, crashes }) =>
+        calls === rarest.calls &&
+        crashes.length === rarest.crashes.length &&
+        crashes.every((crash) => rarest.crashes.includes(crash)),
+    );
+    return {
+      service,
+      parts: [rarest, ...together].map(({ part }) => part).sort(),
+      crashes: rarest.crashes.length,
+      calls: rarest.calls,
+    };
+  }
+
+  /**
+   * The parts that crashes speak against.
+   *
+   * @param known - causes; a crash that one explains says nothing about others
+   * @param until - later reports do not count
+   */
+  #candidates(
+    service: ServiceName,
+    known: readonly ICrashCause[],
+    until: MonotonicTime,
+  ): readonly ICandidate[] {
+    const crashes = [...this.#crashes.values()].filter(
+      (crash) => crash.service === service && crash.receivedAt <= until,
+    );
+    const candidates = new Map<string, ICandidate>();
+    for (const crash of crashes) {
+      const simultaneous = crashes.filter(
+        ({ at }) => Math.abs(at - crash.at) <= SIMULTANEOUS_TIME,
+      );
+      const causes = known.filter((one) => explains(one, crash));
+      for (const [part, counts] of crash.suspects) {
+        const provedAt = this.#provedAt.get(partKey(service, part)) ?? 0;
+        const isExplained = causes.some(({ parts }) => !parts.includes(part));
+        if (provedAt > crash.at || isExplained) {
+          continue;
+        }
+        const same = simultaneous.filter(({ suspects }) => suspects.has(part));
+        const candidate = candidates.get(part) ?? {
+          ...{ part, evidence: 0, crashes: [], calls: 0, newCalls: 0 },
+        };
+        candidate.evidence += same.length / simultaneous.length;
+        candidate.crashes.push(crash);
+        candidate.calls += counts.calls;
+        candidate.newCalls += counts.newCalls;
+        candidates.set(part, candidate);
+      }
+    }
+    return [...candidates.values()];
+  }
+
+  #expire(now: MonotonicTime): void {
+    for (const [key, { receivedAt }] of this.#crashes) {
+      const isOld = now - receivedAt > CRASH_LIFETIME;
+      if (isOld || this.#crashes.size > MAXIMUM_CRASHES) {
+        this.#crashes.delete(key);
+      }
+    }
+    for (const [key, provedAt] of this.#provedAt) {
+      if (now - provedAt > CRASH_LIFETIME) {
+        this.#provedAt.delete(key);
+      }
+    }
+  }
+}
+
+/** Whether a crash had a call that may contain all parts of a cause. */
+function explains({ parts }: ICrashCause, { suspects }: ICrash): boolean {
+  return parts.every((part) => suspects.has(part));
+}
--- /dev/null
+++ b/src/common/quarantine/crash_witness.ts
@@ -0,0 +1,290 @@
+/**
+ * What one process sees of crashes: which calls an engine had when it broke off
+ * their answers, whether it had crashed, and which answers went on.
+ *
+ * A broken answer alone proves nothing, since engines break single answers off
+ * and links fail. The engine has crashed if it reports to nobody now, or reports
+ * a later start.
+ */
+import type { ISendTarget } from "../calls/types.ts";
+import type { IEngineClient } from "../replicas/types.ts";
+import type { IClock, ILog } from "../services/services.ts";
+import { CallFailureKind } from "../types.ts";
+import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
+import { partKey } from "./types.ts";
+import type {
+  ICrashReport,
+  IObservedSend,
+  ISuspectCounts,
+  PartKey,
+  ProofAges,
+} from "./types.ts";
+
+/**
+ * Milliseconds for which an answer must go on to prove its parts harmless: an
+ * engine may write some events before it crashes.
+ */
+export const PROOF_TIME = 1_000;
+
+/** Milliseconds in which all answers of a crashed engine break off. */
+const GATHERING_TIME = 100;
+
+/** Timeout of a report that shows whether an engine still runs, milliseconds. */
+const REPORT_TIMEOUT = 400;
+
+/** Milliseconds for which a verdict on an engine is remembered. */
+const VERDICT_LIFETIME = 5_000;
+
+/** Parts whose latest proof is remembered; the oldest is forgotten first. */
+const MAXIMUM_PROOFS = 4_096;
+
+/** Crash reports kept for another lease holder. */
+const MAXIMUM_REPORTS = 16;
+
+/** Milliseconds for which they are kept. */
+const REPORT_LIFETIME = 600_000;
+
+/** Parts named in a log line. */
+const MAXIMUM_LOGGED_PARTS = 16;
+
+enum Verdict {
+  Pending = "pending",
+  Crashed = "crashed",
+  Running = "running",
+}
+
+interface IBreak {
+  readonly target: InstanceId;
+  readonly service: ServiceName;
+  readonly startedAt: number;
+  readonly at: MonotonicTime;
+  verdict: Verdict;
+  isReported: boolean;
+  readonly suspects: Map<string, { calls: number; newCalls: number }>;
+  waiting: (() => void)[];
+}
+
+interface IBegunAnswer {
+  readonly send: IObservedSend;
+  readonly at: MonotonicTime;
+  readonly isSound: () => boolean;
+}
+
+/** Dependencies of {@link CrashWitness}. */
+export interface ICrashWitnessParts {
+  readonly engines: Pick<IEngineClient, "fetchReport">;
+  /** Start of an engine in calendar milliseconds; null if it is not listed. */
+  readonly startOf: (target: InstanceId) => number | null;
+  readonly clock: IClock;
+  readonly log: ILog;
+  /** Called with each crash. */
+  readonly onCrash: (report: ICrashReport) => void;
+}
+
+/** The crashes and proofs of one process. */
+export class CrashWitness {
+  readonly #parts: ICrashWitnessParts;
+  /** The latest break of each target. */
+  readonly #breaks = new Map<InstanceId, IBreak>();
+  #begun: IBegunAnswer[] = [];
+  readonly #provedAt = new Map<PartKey, MonotonicTime>();
+  #reports: { readonly report: ICrashReport; readonly at: MonotonicTime }[] =
+    [];
+  #serial = 0;
+
+  constructor(parts: ICrashWitnessParts) {
+    this.#parts = parts;
+  }
+
+  /** Crash reports after a serial, for the lease holder. */
+  reportsAfter(serial: number): readonly ICrashReport[] {
+    const now = this.#now;
+    return this.#reports
+      .filter(({ report }) => report.serial > serial)
+      .map(({ report, at }) => ({ ...report, age: now - at }));
+  }
+
+  /** Ages of the proofs that are known for some parts. */
+  proofsOf(keys: readonly PartKey[]): ProofAges {
+    const now = this.#now;
+    return Object.fromEntries(
+      keys.flatMap((key) => {
+        const provedAt = this.#provedAt.get(key);
+        return provedAt === undefined ? [] : [[key, now - provedAt]];
+      }),
+    );
+  }
+
+  recordBegin(send: IObservedSend, isSound: () => boolean): void {
+    if (send.call.promptParts.length > 0) {
+      this.#begun.push({ send, at: this.#now, isSound });
+    }
+  }
+
+  /** Returns whether the call is a suspect. */
+  recordBroken(send: IObservedSend, isRepeated: boolean): boolean {
+    const { call, target, beganAt } = send;
+    const one = this.#breakOf(target, call.service);
+    const isSuspect = beganAt === null || this.#now - beganAt < PROOF_TIME;
+    if (isSuspect) {
+      for (const part of call.promptParts) {
+        const counts = one.suspects.get(part) ?? { calls: 0, newCalls: 0 };
+        counts.calls += 1;
+        counts.newCalls += isRepeated ? 0 : 1;
+        one.suspects.set(part, counts);
+      }
+    }
+    return isSuspect;
+  }
+
+  waitForVerdict(target: InstanceId, callback: () => void): void {
+    const one = this.#breaks.get(target);
+    if (one?.verdict === Verdict.Pending) {
+      one.waiting.push(callback);
+    } else {
+      callback();
+    }
+  }
+
+  hasCrashed(target: InstanceId): boolean {
+    return this.#breaks.get(target)?.verdict === Verdict.Crashed;
+  }
+
+  /** Evaluates the answers that have gone on for long enough. */
+  check(): void {
+    const now = this.#now;
+    let due = 0;
+    for (const { send, at, isSound } of this.#begun) {
+      if (now - at < PROOF_TIME) {
+        break;
+      }
+      due += 1;
+      if (isSound() && !this.#hasBrokenSince(send.target.id, at)) {
+        this.#recordProof(send);
+      }
+    }
+    this.#begun = due === 0 ? this.#begun : this.#begun.slice(due);
+    this.#forgetOld(now);
+  }
+
+  #recordProof({ call }: IObservedSend): void {
+    for (const part of call.promptParts) {
+      const key = partKey(call.service, part);
+      // Set again, so that the parts in use are the last to be forgotten.
+      this.#provedAt.delete(key);
+      this.#provedAt.set(key, this.#now);
+    }
+    for (const key of this.#provedAt.keys()) {
+      if (this.#provedAt.size <= MAXIMUM_PROOFS) {
+        return;
+      }
+      this.#provedAt.delete(key);
+    }
+  }
+
+  #hasBrokenSince(target: InstanceId, since: MonotonicTime): boolean {
+    const one = this.#breaks.get(target);
+    return (
+      one !== undefined && one.at >= since && one.verdict !== Verdict.Running
+    );
+  }
+
+  /** The break that a broken answer belongs to. */
+  #breakOf({ id: target, address }: ISendTarget, service: ServiceName): IBreak {
+    const known = this.#breaks.get(target);
+    const startedAt = this.#parts.startOf(target) ?? known?.startedAt ?? 0;
+    const isSameCrash =
+      known?.verdict === Verdict.Crashed && known.startedAt === startedAt;
+    const isOpen =
+      known?.verdict === Verdict.Pending || (isSameCrash && !known.isReported);
+    if (known !== undefined && isOpen) {
+      return known;
+    }
+    const one: IBreak = {
+      ...{ target, service, startedAt },
+      at: isSameCrash ? known.at : this.#now,
+      verdict: isSameCrash ? Verdict.Crashed : Verdict.Pending,
+      isReported: false,
+      suspects: new Map(),
+      waiting: [],
+    };
+    this.#breaks.set(target, one);
+    if (isSameCrash) {
+      this.#parts.clock.after(GATHERING_TIME, () => this.#report(one));
+    } else {
+      void this.#judge(one, address);
+    }
+    return one;
+  }
+
+  /** Finds out whether an engine still runs after it broke an answer off. */
+  async #judge(one: IBreak, address: string): Promise<void> {
+    const engine = { id: one.target, address };
+    const hasCrashed =
+      !(await this.#isRunning(engine, one.startedAt)) &&
+      // An engine that only this process does not reach answers another one.
+      !(await this.#isRunning(engine, one.startedAt));
+    one.verdict = hasCrashed ? Verdict.Crashed : Verdict.Running;
+    one.waiting.forEach((callback) => callback());
+    one.waiting = [];
+    if (hasCrashed) {
+      const left = Math.max(0, one.at + GATHERING_TIME - this.#now);
+      this.#parts.clock.after(left, () => this.#report(one));
+    }
+  }
+
+  async #isRunning(
+    engine: { readonly id: InstanceId; readonly address: string },
+    startedAt: number,
+  ): Promise<boolean> {
+    const report = await this.#parts.engines.fetchReport(
+      engine,
+      REPORT_TIMEOUT,
+    );
+    if (report.isErr()) {
+      return report.error.kind === CallFailureKind.NoPath;
+    }
+    return startedAt === 0 || report.value.startedAt <= startedAt;
+  }
+
+  #report(one: IBreak): void {
+    const { target, service, startedAt, at } = one;
+    one.isReported = true;
+    this.#serial += 1;
+    const suspects: Record<string, ISuspectCounts> = Object.fromEntries(
+      one.suspects,
+    );
+    const report = {
+      ...{ serial: this.#serial, target, startedAt, service, suspects },
+      age: this.#now - at,
+    };
+    this.#reports.push({ report, at });
+    this.#reports = this.#reports.slice(-MAXIMUM_REPORTS);
+    this.#parts.log.warn("engine_crashed", {
+      target,
+      service,
+      suspects: [...one.suspects]
+        .slice(0, MAXIMUM_LOGGED_PARTS)
+        .map(([part, { calls }]) => `${part}:${calls}`)
+        .join(","),
+    });
+    this.#parts.onCrash(report);
+  }
+
+  #forgetOld(now: MonotonicTime): void {
+    for (const [target, { at, verdict }] of this.#breaks) {
+      if (verdict !== Verdict.Pending && now - at > VERDICT_LIFETIME) {
+        this.#breaks.delete(target);
+      }
+    }
+    const isKept = ({ at }: { readonly at: MonotonicTime }) =>
+      now - at <= REPORT_LIFETIME;
+    if (!this.#reports.every(isKept)) {
+      this.#reports = this.#reports.filter(isKept);
+    }
+  }
+
+  get #now(): MonotonicTime {
+    return this.#parts.clock.now();
+  }
+}
--- /dev/null
+++ b/src/common/quarantine/quarantine.ts
@@ -0,0 +1,388 @@
+/**
+ * Refuses calls whose prompts crash engines. Each process reports the crashes
+ * that it sees to the lease holder, which finds the cause and tells all of them.
+ * Without a holder a process decides by what it has seen itself. The platform's
+ * store keeps the causes, since a part that is tried again crashes engines
+ * again, however long it was away and whatever was restarted meanwhile.
+ */
+import type { ICall } from "../calls/types.ts";
+import type { IDisposable } from "../disposable.ts";
+import type { IEngineClient } from "../replicas/types.ts";
+import type {
+  IClock,
+  ILog,
+  IMetrics,
+  IObjectStore,
+} from "../services/services.ts";
+import type { InstanceId, MonotonicTime } from "../types.ts";
+import { CrashEvidence } from "./crash_evidence.ts";
+import { CrashWitness } from "./crash_witness.ts";
+import { QuarantineList } from "./quarantine_list.ts";
+import { QuarantineRecord } from "./quarantine_record.ts";
+import { partKey } from "./types.ts";
+import type {
+  ICallQuarantine,
+  ICrashReport,
+  IFoundCause,
+  IObservedSend,
+  IQuarantineEntry,
+  IQuarantineMember,
+  IQuarantineReply,
+  IQuarantineReport,
+  PartKey,
+} from "./types.ts";
+
+/** How often evidence is evaluated, milliseconds. */
+const EVALUATION_PERIOD = 100;
+
+/** How often answers that have begun are checked, milliseconds. */
+const PROOF_CHECK_PERIOD = 50;
+
+/** Milliseconds for which a cause is quarantined: one hour. */
+const QUARANTINE_TIME = 3_600_000;
+
+/**
+ * Milliseconds between two reads of the record: by the lease holder, which
+ * notices entries that an operator has taken out; by a process without a holder;
+ * and after a failure.
+ */
+const HOLDER_READ_PERIOD = 10_000;
+const ALONE_READ_PERIOD = 2_000;
+const RETRY_PERIOD = 300;
+
+/** Processes whose last report is remembered; more than run at once. */
+const MAXIMUM_PROCESSES = 2_000;
+
+/** Whose evidence a process decides by. */
+export enum QuarantineRole {
+  /** It holds the lease and decides for all processes. */
+  Holder = "holder",
+  /** It is told by the holder. */
+  Follower = "follower",
+  /** It hears from no holder. */
+  Alone = "alone",
+}
+
+/** Dependencies of {@link Quarantine}. */
+export interface IQuarantineParts {
+  readonly engines: Pick<IEngineClient, "fetchReport">;
+  readonly startOf: (target: InstanceId) => number | null;
+  readonly store: Pick<IObjectStore, "read" | "write">;
+  readonly role: () => QuarantineRole;
+  /** Increases with each lease epoch; the versions of a holder's lists do too. */
+  readonly firstVersion: () => number;
+  readonly clock: IClock;
+  readonly log: ILog;
+  readonly metrics: IMetrics;
+  /** Called when calls have to be checked again. */
+  readonly onListChanged: () => void;
+  /** Called at the holder when the other processes are to be told. */
+  readonly onNews: () => void;
+  /** Called when the holder is to be told. */
+  readonly onCrash: () => void;
+}
+
+/** The quarantine as one process knows it. */
+export class Quarantine
+  implements ICallQuarantine, IQuarantineMember, IDisposable
+{
+  readonly #parts: IQuarantineParts;
+  readonly #list = new QuarantineList();
+  readonly #evidence = new CrashEvidence();
+  readonly #witness: CrashWitness;
+  readonly #record: QuarantineRecord;
+  readonly #timers: IDisposable[] = [];
+  /** Serial of the last crash report received, by process. */
+  readonly #received = new Map<string, number>();
+  /** Serial that the present holder has acknowledged. */
+  #acknowledged = 0;
+  /** Parts on which the holder asked for answers. */
+  #askedFor: readonly PartKey[] = [];
+  #heardVersion = 0;
+  #changes = 0;
+  /** Whether the other processes have not been told of a change yet. */
+  #hasNews = false;
+  #isLoaded = false;
+  #isSynchronizing = false;
+  #readAfter: MonotonicTime = Number.NEGATIVE_INFINITY;
+
+  constructor(parts: IQuarantineParts) {
+    this.#parts = parts;
+    this.#record = new QuarantineRecord(parts.store);
+    this.#witness = new CrashWitness({
+      ...parts,
+      onCrash: (report) => this.#handleCrash(report),
+    });
+  }
+
+  start(): void {
+    const { clock } = this.#parts;
+    this.#timers.push(
+      clock.every(EVALUATION_PERIOD, () => this.#evaluate()),
+      clock.every(PROOF_CHECK_PERIOD, () => this.#witness.check()),
+    );
+    this.#evaluate();
+  }
+
+  dispose(): void {
+    this.#timers.forEach((timer) => timer.dispose());
+  }
+
+  /** Whether the entries are known, from the store or from the holder. */
+  get isLoaded(): boolean {
+    return this.#isLoaded;
+  }
+
+  get entries(): readonly IQuarantineEntry[] {
+    return this.#list.entries;
+  }
+
+  isQuarantined({ service, promptParts }: ICall): boolean {
+    return this.#list.find(service, promptParts) !== null;
+  }
+
+  recordBegin(send: IObservedSend, isSound: () => boolean): void {
+    this.#witness.recordBegin(send, isSound);
+  }
+
+  recordBroken(send: IObservedSend, isRepeated: boolean): boolean {
+    return this.#witness.recordBroken(send, isRepeated);
+  }
+
+  waitForVerdict(target: InstanceId, callback: () => void): void {
+    this.#witness.waitForVerdict(target, callback);
+  }
+
+  hasCrashed(target: InstanceId): boolean {
+    return this.#witness.hasCrashed(target);
+  }
+
+  /** What this process reports to the holder. */
+  composeReport(): IQuarantineReport {
+    return {
+      crashes: this.#witness.reportsAfter(this.#acknowledged),
+      proofs: this.#witness.proofsOf(this.#askedFor),
+      listVersion: this.#heardVersion,
+      unsaved: this.#list.unsaved,
+    };
+  }
+
+  /** Handles the report of another process; only at the holder. */
+  handleReport(process: string, report: IQuarantineReport): void {
+    const now = this.#now;
+    const received = this.#received.get(process) ?? 0;
+    const crashes = report.crashes.filter(({ serial }) => serial > received);
+    for (const crash of crashes) {
+      this.#evidence.record(crash, now);
+      this.#received.set(process, crash.serial);
+    }
+    forgetOldest(this.#received, MAXIMUM_PROCESSES);
+    for (const [key, age] of Object.entries(report.proofs)) {
+      this.#evidence.recordProof(key, now - age);
+    }
+    if (this.#list.add(report.unsaved)) {
+      this.#handleListChanged();
+      this.#readAfter = Number.NEGATIVE_INFINITY;
+    }
+    // Each crash is reported by several processes, so they are told together.
+    this.#hasNews ||= crashes.length > 0;
+  }
+
+  /** The holder's reply to the report of another process. */
+  composeReply(process: string, listVersion: number): IQuarantineReply {
+    return {
+      received: this.#received.get(process) ?? 0,
+      suspects: this.#evidence.suspects(this.#now),
+      listVersion: this.#version,
+      entries: listVersion === this.#version ? null : this.#list.entries,
+    };
+  }
+
+  /** Handles the holder's reply; absent if the holder is of an older build. */
+  handleReply(reply: IQuarantineReply | undefined): void {
+    if (reply === undefined) {
+      return;
+    }
+    this.#acknowledged = reply.received;
+    this.#askedFor = reply.suspects;
+    this.#heardVersion = reply.listVersion;
+    if (reply.entries !== null) {
+      this.#isLoaded = true;
+      this.#logReleased(this.#list.replaceSaved(reply.entries));
+      this.#parts.onListChanged();
+    }
+  }
+
+  get #version(): number {
+    return this.#parts.firstVersion() + this.#changes;
+  }
+
+  get #now(): MonotonicTime {
+    return this.#parts.clock.now();
+  }
+
+  #handleCrash(report: ICrashReport): void {
+    this.#parts.metrics.count("engine_crashes", { service: report.service });
+    this.#evidence.record(report, this.#now);
+    this.#hasNews = true;
+    this.#parts.onCrash();
+  }
+
+  #evaluate(): void {
+    const role = this.#parts.role();
+    if (role !== QuarantineRole.Follower) {
+      this.#recordOwnProofs();
+      this.#findCauses(role);
+    }
+    const expired = this.#list.removeExpired(this.#parts.clock.calendar());
+    if (expired.length > 0) {
+      this.#logReleased(expired);
+      this.#changes += 1;
+      this.#parts.onListChanged();
+    }
+    if (this.#isSynchronizationDue(role)) {
+      void this.#synchronize(role);
+    }
+    if (this.#hasNews && role === QuarantineRole.Holder) {
+      this.#hasNews = false;
+      this.#parts.onNews();
+    }
+  }
+
+  #recordOwnProofs(): void {
+    if (this.#evidence.isEmpty) {
+      return;
+    }
+    const now = this.#now;
+    const proofs = this.#witness.proofsOf(this.#evidence.suspects(now));
+    for (const [key, age] of Object.entries(proofs)) {
+      this.#evidence.recordProof(key, now - age);
+    }
+  }
+
+  #findCauses(role: QuarantineRole): void {
+    const causes = this.#evidence.findCauses(this.#list.entries, this.#now);
+    if (causes.length === 0) {
+      return;
+    }
+    const { clock, log } = this.#parts;
+    const since = clock.calendar();
+    const until = since + QUARANTINE_TIME;
+    for (const { service, parts, crashes, calls } of causes) {
+      const named = parts.join(",");
+      const fields = {
+        service,
+        parts: named,
+        crashes,
+        calls,
+        decided_by: role,
+      };
+      log.warn("prompt_parts_quarantined", fields);
+    }
+    this.#list.add(causes.map((cause) => entryOf(cause, { since, until })));
+    this.#handleListChanged();
+    this.#readAfter = Number.NEGATIVE_INFINITY;
+  }
+
+  #handleListChanged(): void {
+    this.#changes += 1;
+    this.#parts.metrics.gauge(
+      "quarantined_prompt_parts",
+      this.#list.entries.length,
+    );
+    this.#parts.onListChanged();
+    this.#hasNews = true;
+  }
+
+  #isSynchronizationDue(role: QuarantineRole): boolean {
+    const isNeeded = !this.#isLoaded || role !== QuarantineRole.Follower;
+    return isNeeded && !this.#isSynchronizing && this.#now >= this.#readAfter;
+  }
+
+  /** Reads the record, and adds what it lacks. */
+  async #synchronize(role: QuarantineRole): Promise<void> {
+    this.#isSynchronizing = true;
+    const problem = await this.#readAndWrite();
+    this.#isSynchronizing = false;
+    const isHolder = role === QuarantineRole.Holder;
+    const period = isHolder ? HOLDER_READ_PERIOD : ALONE_READ_PERIOD;
+    this.#readAfter = this.#now + (problem === null ? period : RETRY_PERIOD);
+    if (problem !== null && this.#list.unsaved.length > 0) {
+      const entries = this.#list.unsaved.length;
+      this.#parts.log.warn("quarantine_unsaved", { entries, detail: problem });
+    }
+  }
+
+  /** Returns what failed, or null. */
+  async #readAndWrite(): Promise<string | null> {
+    const stored = await this.#record.read();
+    if (stored.isErr()) {
+      return stored.error;
+    }
+    this.#isLoaded = true;
+    const now = this.#parts.clock.calendar();
+    const current = stored.value.filter(({ until }) => now < until);
+    const before = this.#list.entries;
+    const released = this.#list.replaceSaved(current);
+    this.#logReleased(released);
+    const unsaved = this.#list.unsaved;
+    if (unsaved.length > 0) {
+      const written = await this.#record.write(this.#list.entries);
+      if (written.isErr()) {
+        return written.error;
+      }
+      const saved = this.#list.entries.map((entry) =>
+        unsaved.includes(entry) ? { ...entry, isSaved: true } : entry,
+      );
+      this.#list.replaceSaved(saved);
+    }
+    if (!isSameList(before, this.#list.entries)) {
+      this.#handleListChanged();
+    }
+    return null;
+  }
+
+  /** What was released is not quarantined again for the same crashes. */
+  #logReleased(entries: readonly IQuarantineEntry[]): void {
+    for (const { service, parts } of entries) {
+      for (const part of parts) {
+        this.#evidence.recordProof(partKey(service, part), this.#now);
+      }
+      const named = parts.join(",");
+      this.#parts.log.info("prompt_parts_released", { service, parts: named });
+    }
+  }
+}
+
+function forgetOldest(map: Map<string, number>, size: number): void {
+  for (const key of map.keys()) {
+    if (map.size <= size) {
+      return;
+    }
+    map.delete(key);
+  }
+}
+
+function entryOf(
+  { service, parts, crashes }: IFoundCause,
+  times: { readonly since: number; readonly until: number },
+): IQuarantineEntry {
+  return { service, parts, crashes, ...times, isSaved: false };
+}
+
+function isSameList(
+  one: readonly IQuarantineEntry[],
+  other: readonly IQuarantineEntry[],
+): boolean {
+  return (
+    one.length === other.length &&
+    one.every((entry, index) => {
+      const match = other[index];
+      return (
+        entry.service === match?.service &&
+        entry.parts.join(",") === match.parts.join(",") &&
+        entry.isSaved === match.isSaved
+      );
+    })
+  );
+}
--- /dev/null
+++ b/src/common/quarantine/types.ts
@@ -0,0 +1,118 @@
+/**
+ * Types of the quarantine of prompt parts that crash engines, and what
+ * processes tell each other about it. Times are milliseconds.
+ */
+import type { ICall, ISendTarget } from "../calls/types.ts";
+import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
+
+/** Calls with one part that an engine had and had hardly begun to answer. */
+export interface ISuspectCounts {
+  readonly calls: number;
+  /** Of these, the calls that were not suspects of an earlier crash. */
+  readonly newCalls: number;
+}
+
+/** A crash as one process saw it. */
+export interface ICrashReport {
+  /** Rises with each report of a process. */
+  readonly serial: number;
+  readonly target: InstanceId;
+  /** Start of the crashed run in calendar milliseconds; 0 if unknown. */
+  readonly startedAt: number;
+  readonly service: ServiceName;
+  /** Milliseconds since the crash. */
+  readonly age: number;
+  /** By part of a prompt. */
+  readonly suspects: Readonly<Record<string, ISuspectCounts>>;
+}
+
+/** Identifies a part within a service; see {@link partKey}. */
+export type PartKey = string;
+
+/** Milliseconds since an answer on each part has proved it harmless. */
+export type ProofAges = Readonly<Record<PartKey, number>>;
+
+/** Calls that contain all of these parts crash engines. */
+export interface ICrashCause {
+  readonly service: ServiceName;
+  /** More than one if they have only been seen together. */
+  readonly parts: readonly string[];
+}
+
+/** A cause that has been found, and the evidence for it. */
+export interface IFoundCause extends ICrashCause {
+  readonly crashes: number;
+  /** Calls that had the parts and were in these engines. */
+  readonly calls: number;
+}
+
+/** A cause whose calls are refused. */
+export interface IQuarantineEntry extends ICrashCause {
+  /** Calendar milliseconds. */
+  readonly since: number;
+  readonly until: number;
+  readonly crashes: number;
+  /** Whether the platform's store has it. */
+  readonly isSaved: boolean;
+}
+
+/** The part of a process's report to the lease holder. */
+export interface IQuarantineReport {
+  /** Crashes that this holder has not acknowledged. */
+  readonly crashes: readonly ICrashReport[];
+  /** Answers to the {@link IQuarantineReply.suspects} of the last reply. */
+  readonly proofs: ProofAges;
+  /** The list that it has from this holder; 0 for none. */
+  readonly listVersion: number;
+  /** Entries that the store may not have. */
+  readonly unsaved: readonly IQuarantineEntry[];
+}
+
+/** The part of the lease holder's reply to a process. */
+export interface IQuarantineReply {
+  /** Serial of the last crash report received from the process. */
+  readonly received: number;
+  /** Parts on which answers are to be reported. */
+  readonly suspects: readonly PartKey[];
+  readonly listVersion: number;
+  /** Null if the process has this version already. */
+  readonly entries: readonly IQuarantineEntry[] | null;
+}
+
+/** A send that an engine has begun to answer, or broke off. */
+export interface IObservedSend {
+  readonly call: ICall;
+  readonly target: ISendTarget;
+  /** When its first event arrived; null if none did. */
+  readonly beganAt: MonotonicTime | null;
+}
+
+/** What the request path needs of the quarantine. */
+export interface ICallQuarantine {
+  /** Whether a call must not reach any engine. */
+  isQuarantined(call: ICall): boolean;
+  /**
+   * Records that an answer has begun.
+   *
+   * @param isSound - called some time later; whether the answer went on
+   */
+  recordBegin(send: IObservedSend, isSound: () => boolean): void;
+  /** Records a send that its engine broke off; whether it is a suspect. */
+  recordBroken(send: IObservedSend, isRepeated: boolean): boolean;
+  /** Calls back once it is known whether an engine has crashed. */
+  waitForVerdict(target: InstanceId, callback: () => void): void;
+  hasCrashed(target: InstanceId): boolean;
+}
+
+/** What the exchange with the lease holder needs of the quarantine. */
+export interface IQuarantineMember {
+  composeReport(): IQuarantineReport;
+  handleReport(process: string, report: IQuarantineReport): void;
+  composeReply(process: string, listVersion: number): IQuarantineReply;
+  handleReply(reply: IQuarantineReply | undefined): void;
+}
+
+/** Returns the key of a part; parts of two services are unrelated. */
+export function partKey(service: ServiceName, part: string): PartKey {
+  return `${service} ${part}`;
+}
--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -14,6 +14,10 @@
   IForwardingPeer,
   IForwardingReport,
 } from "../forwarding/types.ts";
+import type {
+  IQuarantineReply,
+  IQuarantineReport,
+} from "../quarantine/types.ts";
 import type { IStoreVersions, IStoreUpdate } from "../relay/types.ts";
 import type { ICallFailure } from "../types.ts";
 import type { ITableChanges } from "./table_history.ts";
@@ -48,6 +52,8 @@
    * older build.
    */
   readonly forwarding?: IForwardingReport;
+  /** Absent if the process is of an older build. */
+  readonly quarantine?: IQuarantineReport;
 }
 
 /** The holder's reply to a process. */
@@ -89,6 +95,8 @@
   readonly store?: IStoreUpdate | null;
   /** Processes to forward to; absent if the process has been sent them. */
   readonly peers?: readonly IForwardingPeer[];
+  /** Absent if the holder, or the process, is of an older build. */
+  readonly quarantine?: IQuarantineReply;
 }
 
 /** The reply of a process that does not hold the lease. */
--- a/src/common/replicas/exchange_client.ts
+++ b/src/common/replicas/exchange_client.ts
@@ -11,6 +11,7 @@
   RateShares,
 } from "../calls/target_rate_limits.ts";
 import type { IForwardingPeer } from "../forwarding/types.ts";
+import type { IQuarantineReply } from "../quarantine/types.ts";
 import type { IStoreUpdate } from "../relay/types.ts";
 import type { IClock, ILog } from "../services/services.ts";
 import type { MonotonicTime } from "../types.ts";
@@ -50,6 +51,7 @@
   readonly onStoreUpdate: (update: IStoreUpdate) => void;
   readonly onRateLimits: (limits: RateLimitObservations) => void;
   readonly onPeers: (peers: readonly IForwardingPeer[]) => void;
+  readonly onQuarantine: (reply: IQuarantineReply | undefined) => void;
   /** Called when another process answers at the holder's address. */
   readonly onOtherProcess: (process: string) => void;
 }
@@ -164,6 +166,7 @@
         .then((answer) => {
           if (answer.isOk() && answer.value.isHolder) {
             this.#applyPeers(answer.value.word);
+            this.#parts.onQuarantine(answer.value.word.quarantine);
           }
         });
     }
@@ -220,6 +223,7 @@
     this.#rateShares = reply.rateShares ?? null;
     this.#parts.onRateLimits(reply.rateLimits ?? {});
     this.#applyPeers(reply);
+    this.#parts.onQuarantine(reply.quarantine);
     if (reply.store) {
       this.#parts.onStoreUpdate(reply.store);
     }
--- a/src/common/replicas/exchange_client_test.ts
+++ b/src/common/replicas/exchange_client_test.ts
@@ -58,6 +58,7 @@
     onReply: () => undefined,
     onRateLimits: () => undefined,
     onPeers: () => undefined,
+    onQuarantine: () => undefined,
     onStoreUpdate: (update) => store.push(update),
     onOtherProcess: () => undefined,
   });
@@ -93,6 +94,7 @@
     onReply: () => undefined,
     onRateLimits: () => undefined,
     onPeers: () => undefined,
+    onQuarantine: () => undefined,
     onStoreUpdate: () => undefined,
     onOtherProcess: () => undefined,
   });
@@ -168,6 +170,7 @@
       onReply: () => undefined,
       onRateLimits: () => undefined,
       onPeers: () => undefined,
+      onQuarantine: () => undefined,
       onStoreUpdate: () => undefined,
       onOtherProcess: () => undefined,
     });
--- a/src/common/replicas/exchange_server.ts
+++ b/src/common/replicas/exchange_server.ts
@@ -11,6 +11,7 @@
 import type { IReportedPeer } from "../forwarding/forwarding_peers.ts";
 import { PeerAssignment } from "../forwarding/peer_assignment.ts";
 import type { IForwardingPeer } from "../forwarding/types.ts";
+import type { IQuarantineMember } from "../quarantine/types.ts";
 import type { IStoreVersions, IStoreUpdate } from "../relay/types.ts";
 import type { IClock } from "../services/services.ts";
 import { EXCHANGE_WAIT } from "./exchange_client.ts";
@@ -48,6 +49,7 @@
     TargetRateLimits,
     "merge" | "observations" | "rates"
   >;
+  readonly quarantine: Pick<IQuarantineMember, "composeReply" | "handleReport">;
   /** Called with groups that a process found stalled. */
   readonly onGroupsSuspected: (groups: readonly string[]) => void;
   /** Returns this process's own report. */
@@ -139,6 +141,9 @@
       this.#parts.onGroupsSuspected(report.suspects);
     }
     this.#parts.rateLimits.merge(report.rateLimits ?? {});
+    if (report.quarantine !== undefined) {
+      this.#parts.quarantine.handleReport(report.process, report.quarantine);
+    }
     if (report.tableVersion === this.#version) {
       await this.#waitForChange();
     }
@@ -166,6 +171,7 @@
         rateShares: this.rateSharesOf(report.process),
         store,
         ...this.#newPeersOf(report, reports),
+        ...this.#quarantineOf(report),
       },
     };
   }
@@ -178,6 +184,23 @@
     return own === null ? [] : this.#peers.peersOf(own, all, now);
   }
 
+  /** Replies at once to the processes that wait for a change. */
+  announce(): void {
+    this.#changed.fire();
+  }
+
+  #quarantineOf({
+    process,
+    quarantine,
+  }: IProcessReport): Pick<IHolderReply, "quarantine"> {
+    if (quarantine === undefined) {
+      return {};
+    }
+    const { listVersion } = quarantine;
+    const reply = this.#parts.quarantine.composeReply(process, listVersion);
+    return { quarantine: reply };
+  }
+
   #newPeersOf(
     report: IProcessReport,
     reports: readonly IProcessReport[],
--- a/src/common/replicas/exchange_server_test.ts
+++ b/src/common/replicas/exchange_server_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../test/support/manual_clock.ts";
+import { NO_QUARANTINE } from "../../../test/support/recording_services.ts";
 import type { IServingGroup } from "../calls/serving_groups.ts";
 import type { IHolderReply, IProcessReport } from "./exchange.ts";
 import { ExchangeServer } from "./exchange_server.ts";
@@ -55,6 +56,7 @@
     onGroupsSuspected,
     ownReport: () => processReport(0, { process: "holder" }),
     storeUpdate: () => null,
+    quarantine: NO_QUARANTINE,
   });
 }
 
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -37,6 +37,7 @@
 import { TargetReach } from "../common/forwarding/target_reach.ts";
 import type { IForwardingMember } from "../common/forwarding/types.ts";
 import { TargetCooldowns } from "../common/target_cooldowns.ts";
+import { Quarantine } from "../common/quarantine/quarantine.ts";
 import { StoreRelay } from "../common/relay/store_relay.ts";
 import type { InstanceId, ServiceName } from "../common/types.ts";
 import { FleetCoordinator } from "./fleet_coordinator.ts";
@@ -113,6 +114,7 @@
   readonly #peers: ForwardingPeers;
   readonly #paths: ForwardingSender;
   readonly #forwarded: ForwardedRequests;
+  readonly #quarantine: Quarantine;
   #hasCalls = false;
   #isStopping = false;
 
@@ -163,6 +165,7 @@
       clock: this.#clock,
       onTargetsUpdated: () => this.#coordinator.handleTargetsChanged(),
     });
+    this.#quarantine = this.#createQuarantine();
     const retries = this.#createRetryAllowances();
     const limits = this.#rateLimits;
     const cooldowns = this.#cooldowns;
@@ -184,6 +187,7 @@
     const shared = {
       sender: new ObservingSender({ ...observed, sender: this.#paths }),
       paths: this.#paths,
+      quarantine: this.#quarantine,
       limits,
       cooldowns,
       retries,
@@ -228,8 +232,14 @@
 
   /** Whether calls are accepted, and the routes and targets are known. */
   get isReady(): boolean {
-    const isKnown = this.#followers.every(({ isLoaded }) => isLoaded);
-    return !this.#isStopping && isKnown && this.#configuration.routes !== null;
+    const hasRoutes = this.#configuration.routes !== null;
+    return !this.#isStopping && this.#isLoaded && hasRoutes;
+  }
+
+  /** Whether what calls depend on is known. */
+  get #isLoaded(): boolean {
+    const isFollowing = this.#followers.every(({ isLoaded }) => isLoaded);
+    return isFollowing && this.#quarantine.isLoaded;
   }
 
   /** Logs that changed settings take effect at the next start. */
@@ -290,6 +300,8 @@
       follower.start();
       this.#owned.add(follower);
     }
+    this.#quarantine.start();
+    this.#owned.add(this.#quarantine);
     this.#coordinator.start();
     this.#owned.add(this.#coordinator);
     this.#owned.add(this.#reach);
@@ -303,7 +315,7 @@
 
   #submit(call: ICall, reply: ICallReply): () => void {
     this.#hasCalls = true;
-    if (!this.#followers.every(({ isLoaded }) => isLoaded)) {
+    if (!this.#isLoaded) {
       reply.refuse({
         kind: CallRefusalKind.NotRun,
         reason: CallRefusalReason.Starting,
@@ -406,6 +418,7 @@
         relay: this.#relay,
         rateLimits: this.#rateLimits,
         forwarding: this.#createForwardingMember(),
+        quarantine: this.#quarantine,
         onGroupsChanged: (lost) => this.#models.handleGroupsChanged(lost),
       },
       {
@@ -423,6 +436,22 @@
     );
   }
 
+  #createQuarantine(): Quarantine {
+    return new Quarantine({
+      engines: this.#createEngineClient(),
+      startOf: (target) => this.#targets.startOf(target),
+      store: this.#store,
+      role: () => this.#coordinator.quarantineRole,
+      firstVersion: () => this.#coordinator.firstVersion,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      onListChanged: () => this.#models.handleQuarantineChanged(),
+      onNews: () => this.#coordinator.announce(),
+      onCrash: () => this.#coordinator.reportNow(),
+    });
+  }
+
   #createEngineClient(): ForwardingEngineClient {
     return new ForwardingEngineClient({
       direct: this.#engines,
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -20,6 +20,8 @@
 import { ExchangeServer } from "../common/replicas/exchange_server.ts";
 import { ExchangeClient } from "../common/replicas/exchange_client.ts";
 import type { IForwardingMember } from "../common/forwarding/types.ts";
+import { QuarantineRole } from "../common/quarantine/quarantine.ts";
+import type { IQuarantineMember } from "../common/quarantine/types.ts";
 import type { StoreRelay } from "../common/relay/store_relay.ts";
 import { LeaseManager } from "../common/replicas/lease_manager.ts";
 import { addressOf, processName } from "../common/replicas/process_name.ts";
@@ -41,6 +43,9 @@
 } from "../common/services/services.ts";
 import type { ZoneName } from "../common/types.ts";
 
+/** Versions within one epoch of the lease. */
+const VERSIONS_PER_EPOCH = 1_000_000;
+
 /** How often the known groups are refreshed, milliseconds. */
 const REFRESH_PERIOD = 100;
 
@@ -87,6 +92,7 @@
   readonly relay: IStoreRelay;
   readonly rateLimits: TargetRateLimits;
   readonly forwarding: IForwardingMember;
+  readonly quarantine: IQuarantineMember;
   /** @param lost - groups that the holder has abandoned */
   readonly onGroupsChanged: (lost: readonly string[]) => void;
 }
@@ -142,6 +148,7 @@
       onStoreUpdate: (update) => parts.relay.applyUpdate(update),
       onRateLimits: (limits) => parts.rateLimits.merge(limits),
       onPeers: (peers) => parts.forwarding.updatePeers(peers),
+      onQuarantine: (reply) => parts.quarantine.handleReply(reply),
       onOtherProcess: (process) => this.#handleNotHolder(process),
     });
     this.#exchangeServer = new ExchangeServer({
@@ -152,6 +159,7 @@
       ownReport: () => this.#composeReport(0),
       storeUpdate: (versions) => parts.relay.updateFor(versions),
       rateLimits: parts.rateLimits,
+      quarantine: parts.quarantine,
       onGroupsSuspected: (groups) => this.#suspectGroups(groups),
     });
   }
@@ -216,6 +224,33 @@
     }
   }
 
+  /** By whose evidence this process decides on crashes. */
+  get quarantineRole(): QuarantineRole {
+    if (this.#isActiveHolder) {
+      return QuarantineRole.Holder;
+    }
+    return this.#exchangeClient.isFresh
+      ? QuarantineRole.Follower
+      : QuarantineRole.Alone;
+  }
+
+  /** The first version of what this process publishes as the holder. */
+  get firstVersion(): number {
+    return this.#lease.epoch * VERSIONS_PER_EPOCH;
+  }
+
+  /** Tells the holder at once what this process has seen. */
+  reportNow(): void {
+    if (!this.#isActiveHolder) {
+      this.#exchangeClient.reportNow();
+    }
+  }
+
+  /** Tells the other processes at once what has changed. */
+  announce(): void {
+    this.#exchangeServer.announce();
+  }
+
   /** Releases the lease; its groups stay known until another holder replies. */
   async releaseLease(): Promise<void> {
     if (this.#isActiveHolder) {
@@ -258,6 +293,7 @@
       rateLimits: this.#parts.rateLimits.observations,
       takesTableChanges: true,
       forwarding: this.#parts.forwarding.report,
+      quarantine: this.#parts.quarantine.composeReport(),
     };
   }
 
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -15,7 +15,11 @@
   TestProcess,
 } from "./fleet_deployment.ts";
 import { LimitingHeads } from "./limiting_heads.ts";
-import { DIRECT_PATHS, NO_METRICS } from "./recording_services.ts";
+import {
+  DIRECT_PATHS,
+  NO_METRICS,
+  NO_QUARANTINE,
+} from "./recording_services.ts";
 import { SeededRandom } from "./seeded_random.ts";
 
 /** Milliseconds between two steps of a run. */
@@ -73,6 +77,7 @@
       limits: this.limits,
       cooldowns,
       paths: DIRECT_PATHS,
+      quarantine: NO_QUARANTINE,
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack: 100 },
         { processes: () => 1, replacesAnotherSince: null },
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -33,6 +33,7 @@
 import { ManualClock } from "./manual_clock.ts";
 import {
   NO_FORWARDING,
+  NO_QUARANTINE,
   RecordingLog,
   NO_METRICS,
 } from "./recording_services.ts";
@@ -406,6 +407,7 @@
         relay: NO_RELAY,
         rateLimits: this.limits,
         forwarding: NO_FORWARDING,
+        quarantine: NO_QUARANTINE,
         onGroupsChanged: (lost) => {
           this.lost.push(...lost);
           this.fewestGroups = Math.min(
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -17,7 +17,11 @@
 import { callOf, RecordingReply } from "./call_fixtures.ts";
 import { LARGE } from "./engine_fixtures.ts";
 import { ManualClock } from "./manual_clock.ts";
-import { RecordingLog, NO_METRICS } from "./recording_services.ts";
+import {
+  FakeQuarantine,
+  NO_METRICS,
+  RecordingLog,
+} from "./recording_services.ts";
 import { SeededRandom } from "./seeded_random.ts";
 
 const ENGINE: IEngineProfile = {
@@ -85,6 +89,7 @@
   /** Targets that were reported as silent. */
   readonly silences: string[] = [];
   readonly calls: ModelCalls;
+  readonly quarantine = new FakeQuarantine();
 
   constructor(names: readonly string[], slack = 100) {
     this.groups.replace(names.map(servingGroup));
@@ -110,6 +115,7 @@
         hasPath: () => this.hasPath,
         recordSilence: (_, target) => this.silences.push(target),
       },
+      quarantine: this.quarantine,
       retries: new ServiceRetryAllowances(
         { ratio: 0.2, window: 10_000, slack },
         { processes: () => 1, replacesAnotherSince: null },
--- a/test/support/recording_services.ts
+++ b/test/support/recording_services.ts
@@ -3,6 +3,12 @@
   IForwardingMember,
   ITargetPaths,
 } from "../../src/common/forwarding/types.ts";
+import type { ICall } from "../../src/common/calls/types.ts";
+import type {
+  ICallQuarantine,
+  IObservedSend,
+  IQuarantineMember,
+} from "../../src/common/quarantine/types.ts";
 import type {
   ILog,
   IMetrics,
@@ -51,3 +57,59 @@
   report: { zone: "one", outOfReach: [] },
   updatePeers: () => undefined,
 };
+
+/** A quarantine that a test controls; by default it refuses no call. */
+export class FakeQuarantine implements ICallQuarantine {
+  /** Parts whose calls are refused. */
+  readonly parts = new Set<string>();
+  /** Targets that have crashed. */
+  readonly crashed = new Set<string>();
+  isVerdictPending = false;
+  /** Makes the pending verdict known. */
+  onVerdict: () => void = () => undefined;
+  readonly begun: { readonly id: string; readonly isSound: () => boolean }[] =
+    [];
+  readonly broken: { readonly id: string; readonly isRepeated: boolean }[] = [];
+
+  isQuarantined({ promptParts }: ICall): boolean {
+    return promptParts.some((part) => this.parts.has(part));
+  }
+
+  recordBegin({ call }: IObservedSend, isSound: () => boolean): void {
+    this.begun.push({ id: call.id, isSound });
+  }
+
+  recordBroken({ call }: IObservedSend, isRepeated: boolean): boolean {
+    this.broken.push({ id: call.id, isRepeated });
+    return true;
+  }
+
+  waitForVerdict(_target: string, callback: () => void): void {
+    if (this.isVerdictPending) {
+      this.onVerdict = callback;
+    } else {
+      callback();
+    }
+  }
+
+  hasCrashed(target: string): boolean {
+    return this.crashed.has(target);
+  }
+}
+
+/** A quarantine that refuses no call. */
+export const NO_QUARANTINE: ICallQuarantine & IQuarantineMember = {
+  isQuarantined: () => false,
+  recordBegin: () => undefined,
+  recordBroken: () => false,
+  waitForVerdict: (_, callback) => callback(),
+  hasCrashed: () => false,
+  composeReport: () => {
+    return { crashes: [], proofs: {}, listVersion: 0, unsaved: [] };
+  },
+  handleReport: () => undefined,
+  composeReply: () => {
+    return { received: 0, suspects: [], listVersion: 1, entries: null };
+  },
+  handleReply: () => undefined,
+};
