Release the crashes of a released part, and test what processes find together

Cause: tests of several processes showed two faults of the quarantine. When an operator released a part, the crashes that it had explained counted against the other parts of its calls, and a common one was quarantined next. And two parts that crash engines in turn made a common part the likeliest cause before answers had shown it sound.

Change: the crashes of a released cause are forgotten, at the processes too. A part that is common, or that answers went on with before, waits until every answer on it has gone on or broken off. Up to three crashes within 150 ms count in full, since two parts at once are as likely.

--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -25,7 +25,11 @@
 /** Number of calls that show a cause: one alone may have met bad luck. */
 const FEWEST_CALLS = 2;
 
-/** Milliseconds between crashes that have one cause from outside. */
+/**
+ * More crashes than this number within so many milliseconds have one cause from
+ * outside, and count less each.
+ */
+const MOST_INDEPENDENT_CRASHES = 3;
 const SIMULTANEOUS_TIME = 150;
 
 /**
@@ -34,6 +38,16 @@
  */
 export const SETTLING_TIME = 400;
 
+/** Number of calls in an engine beyond which a part is common. */
+const COMMON_CALLS = 2;
+
+/**
+ * Milliseconds until crashes count against a part that is common, or that
+ * answers went on with before: all answers that were begun on it have gone on by
+ * then, or broken off. To refuse such a part is the greater harm.
+ */
+const COMMON_SETTLING_TIME = 1_500;
+
 /** Milliseconds after which a crash is forgotten. */
 const CRASH_LIFETIME = 600_000;
 
@@ -69,6 +83,8 @@
   /** Weighted number of crashes. */
   evidence: number;
   readonly crashes: ICrash[];
+  /** Whether an answer went on with it before the crashes. */
+  readonly wasProved: boolean;
   calls: number;
   newCalls: number;
 }
@@ -110,6 +126,15 @@
     this.#provedAt.set(key, Math.max(at, this.#provedAt.get(key) ?? at));
   }
 
+  /** Forgets the crashes that a cause explains, as it is released. */
+  forgetExplained(cause: ICrashCause): void {
+    for (const [key, crash] of this.#crashes) {
+      if (crash.service === cause.service && explains(cause, crash)) {
+        this.#crashes.delete(key);
+      }
+    }
+  }
+
   /** The parts on which answers are of interest, the most suspect first. */
   suspects(now: MonotonicTime): readonly PartKey[] {
     this.#expire(now);
@@ -163,10 +188,13 @@
   ): IFoundCause | null {
     const settled = now - SETTLING_TIME;
     const shown = this.#candidates(service, known, settled).filter(
-      ({ evidence, newCalls, crashes }) =>
-        evidence >= FEWEST_CRASHES &&
-        newCalls >= FEWEST_CALLS &&
-        crashes.some((crash) => !known.some((one) => explains(one, crash))),
+      (candidate) =>
+        candidate.evidence >= FEWEST_CRASHES &&
+        candidate.newCalls >= FEWEST_CALLS &&
+        hasSettled(candidate, now) &&
+        candidate.crashes.some(
+          (crash) => !known.some((one) => explains(one, crash)),
+        ),
     );
     const most = Math.max(...shown.map(({ evidence }) => evidence));
     const [rarest, ...others] = shown
@@ -210,16 +238,20 @@
       );
       const causes = known.filter((one) => explains(one, crash));
       for (const [part, counts] of crash.suspects) {
-        const provedAt = this.#provedAt.get(partKey(service, part)) ?? 0;
+        const provedAt = this.#provedAt.get(partKey(service, part)) ?? null;
         const isExplained = causes.some(({ parts }) => !parts.includes(part));
-        if (provedAt > crash.at || isExplained) {
+        if ((provedAt ?? -1) > crash.at || isExplained) {
           continue;
         }
         const same = simultaneous.filter(({ suspects }) => suspects.has(part));
+        const isFromOutside = simultaneous.length > MOST_INDEPENDENT_CRASHES;
         const candidate = candidates.get(part) ?? {
           ...{ part, evidence: 0, crashes: [], calls: 0, newCalls: 0 },
+          wasProved: provedAt !== null,
         };
-        candidate.evidence += same.length / simultaneous.length;
+        candidate.evidence += isFromOutside
+          ? same.length / simultaneous.length
+          : 1;
         candidate.crashes.push(crash);
         candidate.calls += counts.calls;
         candidate.newCalls += counts.newCalls;
@@ -244,6 +276,19 @@
   }
 }
 
+/** Whether all that may speak for a part has been reported. */
+function hasSettled(
+  { calls, crashes, wasProved }: ICandidate,
+  now: MonotonicTime,
+): boolean {
+  const isCommon = calls > COMMON_CALLS * crashes.length;
+  const counted = crashes.filter(
+    ({ receivedAt }) => now - receivedAt >= COMMON_SETTLING_TIME,
+  );
+  const needsTime = isCommon || wasProved;
+  return !needsTime || counted.length >= FEWEST_CRASHES;
+}
+
 /** Whether a crash had a call that may contain all parts of a cause. */
 function explains({ parts }: ICrashCause, { suspects }: ICrash): boolean {
   return parts.every((part) => suspects.has(part));
--- a/src/common/quarantine/crash_witness.ts
+++ b/src/common/quarantine/crash_witness.ts
@@ -13,6 +13,7 @@
 import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
 import { partKey } from "./types.ts";
 import type {
+  ICrashCause,
   ICrashReport,
   IObservedSend,
   ISuspectCounts,
@@ -115,6 +116,15 @@
     );
   }
 
+  /** Forgets the crashes that a cause explains, as it is released. */
+  forgetExplained({ service, parts }: ICrashCause): void {
+    this.#reports = this.#reports.filter(
+      ({ report }) =>
+        report.service !== service ||
+        !parts.every((part) => part in report.suspects),
+    );
+  }
+
   recordBegin(send: IObservedSend, isSound: () => boolean): void {
     if (send.call.promptParts.length > 0) {
       this.#begun.push({ send, at: this.#now, isSound });
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -19,7 +19,6 @@
 import { CrashWitness } from "./crash_witness.ts";
 import { QuarantineList } from "./quarantine_list.ts";
 import { QuarantineRecord } from "./quarantine_record.ts";
-import { partKey } from "./types.ts";
 import type {
   ICallQuarantine,
   ICrashReport,
@@ -344,10 +343,10 @@
 
   /** What was released is not quarantined again for the same crashes. */
   #logReleased(entries: readonly IQuarantineEntry[]): void {
-    for (const { service, parts } of entries) {
-      for (const part of parts) {
-        this.#evidence.recordProof(partKey(service, part), this.#now);
-      }
+    for (const entry of entries) {
+      this.#evidence.forgetExplained(entry);
+      this.#witness.forgetExplained(entry);
+      const { service, parts } = entry;
       const named = parts.join(",");
       this.#parts.log.info("prompt_parts_released", { service, parts: named });
     }
--- a/test/support/crashing_calls.ts
+++ b/test/support/crashing_calls.ts
@@ -28,6 +28,8 @@
   readonly seed: number;
   /** The shared parts of the crashing calls; null while none is sent. */
   readonly crashingParts: (elapsed: number) => readonly string[] | null;
+  /** Called again and again, to disturb the fleet. */
+  readonly disturb?: (elapsed: number) => void;
   /** The shared parts of a sound call. */
   readonly soundParts: (random: SeededRandom) => readonly string[];
 }
@@ -74,6 +76,7 @@
         nextSound += SOUND_PERIOD;
         this.#track(this.#sendSound(load.soundParts(random), random));
       }
+      load.disturb?.(now);
       const parts = load.crashingParts(now);
       if (now >= nextCrashing) {
         nextCrashing += CRASHING_PERIOD;
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -68,6 +68,8 @@
   readonly processes: IFleetProcess[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-fleet-"));
   #calls = 0;
+  /** Address of the store. */
+  #store = "";
 
   constructor(engines = ENGINES) {
     this.engines = Array.from(
@@ -78,7 +80,7 @@
 
   /** Starts processes; the first of them holds the lease. */
   async start(count: number): Promise<void> {
-    const store = await this.store.listen();
+    this.#store = await this.store.listen();
     const { services, ...rest } = configuration(1, PLAIN_ROUTES) as {
       readonly services: readonly object[];
     };
@@ -88,11 +90,21 @@
     const targets = [...this.engines, ...this.plainTargets];
     await Promise.all(targets.map((one) => one.listen(this.store)));
     for (let index = 0; index < count; index += 1) {
-      this.processes.push(await this.#startProcess(index, store));
+      this.processes.push(await this.#startProcess(index, this.#store));
     }
     await this.#waitUntilServing();
   }
 
+  /** Kills a process and starts another one in its place. */
+  async restartProcess(index: number): Promise<void> {
+    const { handle, links } = this.#processAt(index);
+    await handle[Symbol.asyncDispose]();
+    for (const link of links.values()) {
+      await link[Symbol.asyncDispose]();
+    }
+    this.processes[index] = await this.#startProcess(index, this.#store);
+  }
+
   /** Changes the links of one process to all targets, or to some of them. */
   setLinks(
     index: number,
