Bound what the quarantine costs the lease holder, and the wait for its record

Cause: found by reading. The holder computed the suspect parts anew for each reply, several hundred times a second on a large fleet, for ten minutes after a crash.

A start waits 3 s for the record at most. Refused calls do not count as demand for groups.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -128,11 +128,13 @@
     const { clock } = this.#parts;
     const timeLeft = call.deadline - this.#now;
     run.deadlineTimer = clock.after(timeLeft, () => this.#handleTimeout(run));
-    this.#models.recordArrival(call, this.#now);
-    const { queue } = this.#models.getOrCreate(call);
     if (this.#parts.quarantine.isQuarantined(call)) {
       this.#endQuarantined(run);
-    } else if (this.#isAdmitted(call, queue.expectedWait(this.#now))) {
+      return () => undefined;
+    }
+    this.#models.recordArrival(call, this.#now);
+    const { queue } = this.#models.getOrCreate(call);
+    if (this.#isAdmitted(call, queue.expectedWait(this.#now))) {
       this.#enqueue(run);
       this.#placeWaiting(this.#models.getOrCreate(call));
     } else {
--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -48,6 +48,9 @@
  */
 const COMMON_SETTLING_TIME = 1_500;
 
+/** Milliseconds after the last report in which all causes have been found. */
+const QUIET_TIME = 2 * COMMON_SETTLING_TIME;
+
 /** Milliseconds after which a crash is forgotten. */
 const CRASH_LIFETIME = 600_000;
 
@@ -95,13 +98,16 @@
   readonly #crashes = new Map<string, ICrash>();
   /** When an answer on a part last proved it harmless. */
   readonly #provedAt = new Map<PartKey, MonotonicTime>();
+  #recordedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
 
-  get isEmpty(): boolean {
-    return this.#crashes.size === 0;
+  /** Whether nothing was reported lately that could show another cause. */
+  isQuiet(now: MonotonicTime): boolean {
+    return now - this.#recordedAt > QUIET_TIME;
   }
 
   /** Adds what one process saw of a crash. */
   record(report: ICrashReport, now: MonotonicTime): void {
+    this.#recordedAt = now;
     const key = `${report.target} ${report.startedAt}`;
     const at = now - report.age;
     const crash = this.#crashes.get(key) ?? {
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -49,6 +49,12 @@
 const ALONE_READ_PERIOD = 2_000;
 const RETRY_PERIOD = 300;
 
+/**
+ * Milliseconds for which a process that starts waits for the record: without the
+ * store it would serve nobody.
+ */
+const LONGEST_LOADING_TIME = 3_000;
+
 /** Processes whose last report is remembered; more than run at once. */
 const MAXIMUM_PROCESSES = 2_000;
 
@@ -95,6 +101,8 @@
   readonly #received = new Map<string, number>();
   /** Serial that the present holder has acknowledged. */
   #acknowledged = 0;
+  /** Parts on which answers are of interest, at the holder. */
+  #suspects: readonly PartKey[] = [];
   /** Parts on which the holder asked for answers. */
   #askedFor: readonly PartKey[] = [];
   #heardVersion = 0;
@@ -102,11 +110,13 @@
   /** Whether the other processes have not been told of a change yet. */
   #hasNews = false;
   #isLoaded = false;
+  readonly #createdAt: MonotonicTime;
   #isSynchronizing = false;
   #readAfter: MonotonicTime = Number.NEGATIVE_INFINITY;
 
   constructor(parts: IQuarantineParts) {
     this.#parts = parts;
+    this.#createdAt = parts.clock.now();
     this.#record = new QuarantineRecord(parts.store);
     this.#witness = new CrashWitness({
       ...parts,
@@ -127,9 +137,13 @@
     this.#timers.forEach((timer) => timer.dispose());
   }
 
-  /** Whether the entries are known, from the store or from the holder. */
+  /**
+   * Whether the entries are known, from the store or from the holder, or are not
+   * to be waited for any longer.
+   */
   get isLoaded(): boolean {
-    return this.#isLoaded;
+    const hasWaited = this.#now - this.#createdAt > LONGEST_LOADING_TIME;
+    return this.#isLoaded || hasWaited;
   }
 
   get entries(): readonly IQuarantineEntry[] {
@@ -191,7 +205,7 @@
   composeReply(process: string, listVersion: number): IQuarantineReply {
     return {
       received: this.#received.get(process) ?? 0,
-      suspects: this.#evidence.suspects(this.#now),
+      suspects: this.#suspects,
       listVersion: this.#version,
       entries: listVersion === this.#version ? null : this.#list.entries,
     };
@@ -229,7 +243,12 @@
 
   #evaluate(): void {
     const role = this.#parts.role();
-    if (role !== QuarantineRole.Follower) {
+    this.#suspects = [];
+    if (
+      role !== QuarantineRole.Follower &&
+      !this.#evidence.isQuiet(this.#now)
+    ) {
+      this.#suspects = this.#evidence.suspects(this.#now);
       this.#recordOwnProofs();
       this.#findCauses(role);
     }
@@ -249,11 +268,8 @@
   }
 
   #recordOwnProofs(): void {
-    if (this.#evidence.isEmpty) {
-      return;
-    }
     const now = this.#now;
-    const proofs = this.#witness.proofsOf(this.#evidence.suspects(now));
+    const proofs = this.#witness.proofsOf(this.#suspects);
     for (const [key, age] of Object.entries(proofs)) {
       this.#evidence.recordProof(key, now - age);
     }
