Quarantine the sections of prompts that crash engines in the daemon

Cause: the daemon has the same class of fault as the entry process. A request under which an engine ended was tried on up to six groups, and nothing related the lost engines to what their requests had in common.

Change: the sections of a prompt but the last, by digest, take the place of the platform's parts. Each daemon decides by its own evidence and shares the causes through the platform's store. Requests are refused before they are admitted, and before each attempt; under two crashes there is no third.

--- a/src/adapters/callers/caller_answers.ts
+++ b/src/adapters/callers/caller_answers.ts
@@ -30,6 +30,7 @@
   [Reason.ShuttingDown]: 503,
   [Reason.DeadlinePassed]: 504,
   [Reason.CallerLeft]: 499,
+  [Reason.Quarantined]: 503,
 };
 
 /** How long the rest of an oversized body is discarded, milliseconds. */
--- a/src/adapters/metrics/help_texts.ts
+++ b/src/adapters/metrics/help_texts.ts
@@ -1,6 +1,8 @@
 /** Help texts of the metrics, by name without the prefix. */
 export const HELP_TEXTS: Readonly<Record<string, string>> = {
   alarm: "1 while the alarm is raised",
+  engine_crashes: "engines that broke answers off and run no more",
+  quarantined_prompt_parts: "prompt parts whose calls are refused",
   engine_reports_missed: "reports that an engine left unanswered",
   engine_attempts_failed: "tries on a replica group that brought no answer",
   group_downtime_seconds: "time in which replica groups could not serve",
--- a/src/common/quarantine/crash_witness.ts
+++ b/src/common/quarantine/crash_witness.ts
@@ -7,7 +7,6 @@
  * a later start.
  */
 import type { ISendTarget } from "../calls/types.ts";
-import type { IEngineClient } from "../replicas/types.ts";
 import type { IClock, ILog } from "../services/services.ts";
 import { CallFailureKind } from "../types.ts";
 import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
@@ -15,6 +14,7 @@
 import type {
   ICrashCause,
   ICrashReport,
+  IEngineStartReader,
   IObservedSend,
   ISuspectCounts,
   PartKey,
@@ -73,8 +73,10 @@
 
 /** Dependencies of {@link CrashWitness}. */
 export interface ICrashWitnessParts {
-  readonly engines: Pick<IEngineClient, "fetchReport">;
-  /** Start of an engine in calendar milliseconds; null if it is not listed. */
+  readonly engines: IEngineStartReader;
+  /**
+   * Start of an engine, which rises with each start; null if it is not known.
+   */
   readonly startOf: (target: InstanceId) => number | null;
   readonly clock: IClock;
   readonly log: ILog;
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -5,9 +5,7 @@
  * store keeps the causes, since a part that is tried again crashes engines
  * again, however long it was away and whatever was restarted meanwhile.
  */
-import type { ICall } from "../calls/types.ts";
 import type { IDisposable } from "../disposable.ts";
-import type { IEngineClient } from "../replicas/types.ts";
 import type {
   IClock,
   ILog,
@@ -22,8 +20,10 @@
 import type {
   ICallQuarantine,
   ICrashReport,
+  IEngineStartReader,
   IFoundCause,
   IObservedSend,
+  IPromptedCall,
   IQuarantineEntry,
   IQuarantineMember,
   IQuarantineReply,
@@ -41,11 +41,11 @@
 const QUARANTINE_TIME = 3_600_000;
 
 /**
- * Milliseconds between two reads of the record: by the lease holder, which
- * notices entries that an operator has taken out; by a process without a holder;
- * and after a failure.
+ * Milliseconds between two reads of the record, which show the entries that
+ * operators have taken out; by a process that hears no holder; and after a
+ * failure.
  */
-const HOLDER_READ_PERIOD = 10_000;
+const READ_PERIOD = 10_000;
 const ALONE_READ_PERIOD = 2_000;
 const RETRY_PERIOD = 300;
 
@@ -66,11 +66,13 @@
   Follower = "follower",
   /** It hears from no holder. */
   Alone = "alone",
+  /** It decides by itself, and shares what it finds through the store. */
+  Independent = "independent",
 }
 
 /** Dependencies of {@link Quarantine}. */
 export interface IQuarantineParts {
-  readonly engines: Pick<IEngineClient, "fetchReport">;
+  readonly engines: IEngineStartReader;
   readonly startOf: (target: InstanceId) => number | null;
   readonly store: Pick<IObjectStore, "read" | "write">;
   readonly role: () => QuarantineRole;
@@ -150,7 +152,7 @@
     return this.#list.entries;
   }
 
-  isQuarantined({ service, promptParts }: ICall): boolean {
+  isQuarantined({ service, promptParts }: IPromptedCall): boolean {
     return this.#list.find(service, promptParts) !== null;
   }
 
@@ -319,8 +321,8 @@
     this.#isSynchronizing = true;
     const problem = await this.#readAndWrite();
     this.#isSynchronizing = false;
-    const isHolder = role === QuarantineRole.Holder;
-    const period = isHolder ? HOLDER_READ_PERIOD : ALONE_READ_PERIOD;
+    const isAlone = role === QuarantineRole.Alone;
+    const period = isAlone ? ALONE_READ_PERIOD : READ_PERIOD;
     this.#readAfter = this.#now + (problem === null ? period : RETRY_PERIOD);
     if (problem !== null && this.#list.unsaved.length > 0) {
       const entries = this.#list.unsaved.length;
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -2,8 +2,14 @@
  * Types of the quarantine of prompt parts that crash engines, and what
  * processes tell each other about it. Times are milliseconds.
  */
-import type { ICall, ISendTarget } from "../calls/types.ts";
-import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
+import type { Result } from "ts-results-es";
+import type { ISendTarget } from "../calls/types.ts";
+import type {
+  ICallFailure,
+  InstanceId,
+  MonotonicTime,
+  ServiceName,
+} from "../types.ts";
 
 /** Calls with one part that an engine had and had hardly begun to answer. */
 export interface ISuspectCounts {
@@ -79,18 +85,33 @@
   readonly entries: readonly IQuarantineEntry[] | null;
 }
 
+/** A call with the parts of its prompt that other calls may share. */
+export interface IPromptedCall {
+  readonly service: ServiceName;
+  readonly promptParts: readonly string[];
+}
+
 /** A send that an engine has begun to answer, or broke off. */
 export interface IObservedSend {
-  readonly call: ICall;
+  readonly call: IPromptedCall;
   readonly target: ISendTarget;
   /** When its first event arrived; null if none did. */
   readonly beganAt: MonotonicTime | null;
 }
 
+/** Asks engines when they started. */
+export interface IEngineStartReader {
+  /** Resolves with the start of the present run, or with the failure. */
+  fetchReport(
+    engine: ISendTarget,
+    timeout: number,
+  ): Promise<Result<{ readonly startedAt: number }, ICallFailure>>;
+}
+
 /** What the request path needs of the quarantine. */
 export interface ICallQuarantine {
   /** Whether a call must not reach any engine. */
-  isQuarantined(call: ICall): boolean;
+  isQuarantined(call: IPromptedCall): boolean;
   /**
    * Records that an answer has begun.
    *
--- a/src/common/services/admission_service.ts
+++ b/src/common/services/admission_service.ts
@@ -11,6 +11,7 @@
 import type { AccountName, IRefusal, ServiceName } from "../types.ts";
 import type { GroupDirectory } from "./group_directory.ts";
 import { notRun } from "./refusal.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { IClock, IMetrics } from "./services.ts";
 import type { ICallerRequest } from "./types.ts";
 import { workOf } from "./work_of.ts";
@@ -26,6 +27,7 @@
   readonly groups: GroupDirectory;
   readonly clock: IClock;
   readonly metrics: IMetrics;
+  readonly quarantine: Pick<RequestQuarantine, "refusalOf">;
   /** Whether another zone can serve a service that this one cannot. */
   readonly isServedElsewhere: (service: ServiceName) => boolean;
 }
@@ -54,6 +56,10 @@
 
   /** Resolves when the request may run, or with a refusal. */
   async admit(request: ICallerRequest): Promise<IAdmission | IRefusal> {
+    const quarantined = this.#parts.quarantine.refusalOf(request);
+    if (quarantined !== null) {
+      return this.#countRefusal(quarantined);
+    }
     const work = workOf(request);
     const requested = work.isCall ? 0 : work.requestedTokens;
     const { plan } = request.account;
@@ -88,7 +94,9 @@
     request: ICallerRequest,
   ): Promise<IAdmission | IRefusal> {
     const work = workOf(request);
-    const refusal = await this.#wait(request, work);
+    const refusal =
+      this.#parts.quarantine.refusalOf(request) ??
+      (await this.#wait(request, work));
     return refusal === null
       ? createAdmission((tokens) => this.#release(request, work, tokens))
       : this.#countRefusal(refusal);
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -8,6 +8,8 @@
 import type { GroupDirectory, IChosenTarget } from "./group_directory.ts";
 import type { TokenBatch } from "./forwarding.ts";
 import { notRun, outcomeUnknown } from "./refusal.ts";
+import { AttemptObserver } from "./request_quarantine.ts";
+import type { RequestQuarantine } from "./request_quarantine.ts";
 import type { RetryService } from "./retry_service.ts";
 import type {
   IClock,
@@ -60,6 +62,7 @@
   readonly clock: IClock;
   readonly log: ILog;
   readonly metrics: IMetrics;
+  readonly quarantine: RequestQuarantine;
   /** Whether another zone could resume a service's interrupted streams. */
   readonly isServedElsewhere: (service: ServiceName) => boolean;
 }
@@ -93,18 +96,25 @@
       yield Err(notRun(Reason.BadRequest, detail));
       return;
     }
-    const { groups, retries } = this.#parts;
+    const { groups, quarantine, retries } = this.#parts;
     retries.recordFirstAttempt(request);
     using progress = new StreamProgress(request, this.#parts.clock);
     while (progress.mayAttempt && (await this.#mayAttempt(progress))) {
+      const refusal = quarantine.refusalOf(request, progress);
+      if (refusal !== null) {
+        yield Err(refusal);
+        return;
+      }
       const target = await this.#chooseGroup(request, progress);
       if (target === null) {
         break;
       }
+      const observer = new AttemptObserver(quarantine, progress, target);
       for await (const batch of this.#attempt(body.data, {
         target,
         progress,
       })) {
+        await observer.record(batch);
         if (batch.isErr()) {
           progress.recordFailure(target.id, batch.error);
           this.#reportFailure(request, target, batch.error);
--- a/src/common/services/stream_progress.ts
+++ b/src/common/services/stream_progress.ts
@@ -20,6 +20,8 @@
   readonly request: ICallerRequest;
   readonly suspects = new Set<string>();
   readonly excluded = new Set<string>();
+  /** Engines that broke it off when they had hardly begun to answer. */
+  readonly suspectedEngines = new Set<string>();
   readonly #abortController = new AbortController();
   readonly #deadlineTimer: { dispose(): void };
   readonly #abort = () => this.#abortController.abort();
@@ -90,6 +92,11 @@
     this.suspects.add(group);
   }
 
+  /** Makes no further attempt. */
+  abandon(): void {
+    this.#failures = MAXIMUM_FAILURES;
+  }
+
   /** Allows excluded groups to be tried again. */
   clearExcluded(): void {
     this.excluded.clear();
--- a/src/common/types.ts
+++ b/src/common/types.ts
@@ -54,6 +54,8 @@
   ShuttingDown = "shutting_down",
   DeadlinePassed = "deadline_passed",
   CallerLeft = "caller_left",
+  /** Its prompt has parts that crash engines. */
+  Quarantined = "quarantined",
 }
 
 /** Whether a target is a model engine member or a plain service. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,5 +1,8 @@
 /** Connects a daemon's adapters and services, and starts and stops them. */
-import { HttpCallerServer } from "../adapters/callers/http_caller_server.ts";
+import {
+  HttpCallerServer,
+  sha256Hex,
+} from "../adapters/callers/http_caller_server.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
@@ -23,10 +26,14 @@
 import { Alarms } from "../common/services/alarms.ts";
 import { CooldownObservingTargets } from "../common/services/cooldown_observing_targets.ts";
 import type { IDaemonStatus } from "../common/services/daemon_status.ts";
+import { Quarantine, QuarantineRole } from "../common/quarantine/quarantine.ts";
 import { DigestService } from "../common/services/digest_service.ts";
+import { EngineStarts } from "../common/services/engine_starts.ts";
 import { GroupDirectory } from "../common/services/group_directory.ts";
 import { GroupHealth } from "../common/services/group_health.ts";
 import { MeteredPlatform } from "../common/services/metered_platform.ts";
+import { PromptParts } from "../common/services/prompt_parts.ts";
+import { RequestQuarantine } from "../common/services/request_quarantine.ts";
 import { PeerService } from "../common/services/peer_service.ts";
 import { PlanListService } from "../common/services/plan_list_service.ts";
 import { RunRecordSweeper } from "../common/services/run_record_sweeper.ts";
@@ -93,6 +100,7 @@
   readonly #health: GroupHealth;
   readonly #sweeper: RunRecordSweeper;
   readonly #forwarder: GrpcForwarder;
+  readonly #quarantine: Quarantine;
   readonly #pipeline: RequestPipeline;
   readonly #callerServer: HttpCallerServer;
   readonly #operationsServer: OperationsServer;
@@ -139,6 +147,7 @@
     this.#health = this.#createHealth();
     this.#sweeper = this.#createSweeper();
     this.#forwarder = new GrpcForwarder(this.#credentials);
+    this.#quarantine = this.#createQuarantine();
     this.#pipeline = this.#createPipeline();
     this.#callerServer = this.#createCallerServer();
     this.#operationsServer = new OperationsServer(this, this.#metrics);
@@ -218,6 +227,7 @@
     this.#sweeper.dispose();
     await this.#domains.close();
     this.#health.dispose();
+    this.#quarantine.dispose();
     this.#targetDirectory.dispose();
     this.#digests.dispose();
     this.#planLists.dispose();
@@ -259,6 +269,7 @@
     this.#targetDirectory.start();
     this.#domains.start();
     this.#health.start();
+    this.#quarantine.start();
     this.#peerService.start();
     this.#sweeper.start();
     this.#digests.start();
@@ -342,6 +353,7 @@
       groups: this.#groupDirectory,
       forwarder: this.#forwarder,
       plans: this.#planLists.plans,
+      quarantine: this.#createRequestQuarantine(),
       zones: () => this.#peerService?.zones ?? [],
       clock: this.#clock,
       random: this.#random,
@@ -350,6 +362,29 @@
     });
   }
 
+  #createRequestQuarantine(): RequestQuarantine {
+    const parts = new PromptParts(sha256Hex);
+    return new RequestQuarantine(this.#quarantine, parts, this.#clock);
+  }
+
+  #createQuarantine(): Quarantine {
+    const starts = new EngineStarts(this.#targets, this.#targetDirectory);
+    return new Quarantine({
+      engines: starts,
+      startOf: (engine) => starts.startOf(engine),
+      store: this.#platform,
+      role: () => QuarantineRole.Independent,
+      firstVersion: () => 0,
+      clock: this.#clock,
+      log: this.#log,
+      metrics: this.#metrics,
+      // Requests are checked before each attempt.
+      onListChanged: () => undefined,
+      onNews: () => undefined,
+      onCrash: () => undefined,
+    });
+  }
+
   #createCallerServer(): HttpCallerServer {
     return new HttpCallerServer({
       dispatcher: this.#pipeline.dispatcher,
--- a/src/daemon/request_pipeline.ts
+++ b/src/daemon/request_pipeline.ts
@@ -10,6 +10,7 @@
 import { ForwardService } from "../common/services/forward_service.ts";
 import type { ISpillTarget } from "../common/services/forwarding.ts";
 import type { GroupDirectory } from "../common/services/group_directory.ts";
+import type { RequestQuarantine } from "../common/services/request_quarantine.ts";
 import { RetryService } from "../common/services/retry_service.ts";
 import { RunRecordService } from "../common/services/run_record_service.ts";
 import { PlainServiceRunner } from "../common/services/plain_service_runner.ts";
@@ -34,6 +35,7 @@
   readonly groups: GroupDirectory;
   readonly forwarder: GrpcForwarder;
   readonly plans: EffectivePlans;
+  readonly quarantine: RequestQuarantine;
   /** Summaries of the other zones. */
   readonly zones: () => readonly IZoneSummary[];
   readonly clock: IClock;
@@ -79,9 +81,9 @@
   }
 
   #createAdmission(): AdmissionService {
-    const { clock, groups, metrics } = this.#parts;
+    const { clock, groups, metrics, quarantine } = this.#parts;
     return new AdmissionService({
-      ...{ groups, clock, metrics },
+      ...{ groups, clock, metrics, quarantine },
       isServedElsewhere: (service) => this.#isServedElsewhere(service),
     });
   }
@@ -92,11 +94,11 @@
   }
 
   #createEngines(): EngineRunner {
-    const { clock, groups, log, metrics, targets } = this.#parts;
+    const { clock, groups, log, metrics, quarantine, targets } = this.#parts;
     const { first_token, next_token } = this.#settings.calls;
     return new EngineRunner(
       {
-        ...{ groups, targets, clock, log, metrics },
+        ...{ groups, targets, clock, log, metrics, quarantine },
         retries: this.#retries,
         isServedElsewhere: (service) => this.#isServedElsewhere(service),
       },
--- a/src/stand_ins/embedded/main.ts
+++ b/src/stand_ins/embedded/main.ts
@@ -35,6 +35,7 @@
     reportLag: 200,
     orderDelay: 0,
     honoursValidity: false,
+    crashOn: "",
   });
   const address = await member.listen(ANY_PORT);
   await registerInstance(platform, {
--- a/src/stand_ins/engine_member/engine_member.ts
+++ b/src/stand_ins/engine_member/engine_member.ts
@@ -24,6 +24,9 @@
 import { FencingMode } from "./types.ts";
 import type { IEngineLogEntry, IEngineMemberOptions } from "./types.ts";
 
+/** Exit code of a process that a prompt has crashed. */
+const EXIT_CRASHED = 70;
+
 const STATUS_NOT_FOUND = 404;
 const STATUS_REFUSED = 409;
 const STATUS_UNAVAILABLE = 503;
@@ -243,6 +246,14 @@
     return null;
   }
 
+  #crashIfToldTo(prompt: string): void {
+    const { crashOn } = this.#options;
+    const sections = prompt.split("\n\n").slice(0, -1);
+    if (crashOn !== "" && sections.includes(crashOn)) {
+      process.exit(EXIT_CRASHED);
+    }
+  }
+
   async #streamAnswer(
     engineCall: IEngineCall,
     membership: IMembership,
@@ -259,6 +270,7 @@
       );
     }, MEMBER_CHECK_INTERVAL);
     await sleep(this.#options.firstTokenTime);
+    this.#crashIfToldTo(engineCall.prompt);
     response.writeHead(200, { "content-type": "text/event-stream" });
     let sequence = engineCall.resumeFrom;
     while (
--- a/src/stand_ins/engine_member/main.ts
+++ b/src/stand_ins/engine_member/main.ts
@@ -20,6 +20,7 @@
     "batch-time": { type: "string", default: "1" },
     "report-lag": { type: "string", default: "200" },
     "order-delay": { type: "string", default: "0" },
+    "crash-on": { type: "string", default: "" },
     "honours-validity": { type: "boolean", default: false },
   },
 });
@@ -38,6 +39,7 @@
   reportLag: Number(values["report-lag"]),
   orderDelay: Number(values["order-delay"]),
   honoursValidity: values["honours-validity"],
+  crashOn: values["crash-on"],
 });
 const address = await member.listen(values.listen);
 if (values.platform !== "") {
--- a/src/stand_ins/engine_member/types.ts
+++ b/src/stand_ins/engine_member/types.ts
@@ -23,6 +23,11 @@
   readonly orderDelay: number;
   /** Whether an order is refused once its validity has expired. */
   readonly honoursValidity: boolean;
+  /**
+   * A section of a prompt, other than its last, on which the engine's process
+   * ends when it begins to answer; empty for none.
+   */
+  readonly crashOn: string;
 }
 
 /** One event in an engine's log, which tests check after a run. */
--- a/test/support/recording_services.ts
+++ b/test/support/recording_services.ts
@@ -3,10 +3,10 @@
   IForwardingMember,
   ITargetPaths,
 } from "../../src/common/forwarding/types.ts";
-import type { ICall } from "../../src/common/calls/types.ts";
 import type {
   ICallQuarantine,
   IObservedSend,
+  IPromptedCall,
   IQuarantineMember,
 } from "../../src/common/quarantine/types.ts";
 import type {
@@ -67,20 +67,19 @@
   isVerdictPending = false;
   /** Makes the pending verdict known. */
   onVerdict: () => void = () => undefined;
-  readonly begun: { readonly id: string; readonly isSound: () => boolean }[] =
-    [];
-  readonly broken: { readonly id: string; readonly isRepeated: boolean }[] = [];
+  readonly begun: { readonly isSound: () => boolean }[] = [];
+  readonly broken: { readonly isRepeated: boolean }[] = [];
 
-  isQuarantined({ promptParts }: ICall): boolean {
+  isQuarantined({ promptParts }: IPromptedCall): boolean {
     return promptParts.some((part) => this.parts.has(part));
   }
 
-  recordBegin({ call }: IObservedSend, isSound: () => boolean): void {
-    this.begun.push({ id: call.id, isSound });
+  recordBegin(_send: IObservedSend, isSound: () => boolean): void {
+    this.begun.push({ isSound });
   }
 
-  recordBroken({ call }: IObservedSend, isRepeated: boolean): boolean {
-    this.broken.push({ id: call.id, isRepeated });
+  recordBroken(_send: IObservedSend, isRepeated: boolean): boolean {
+    this.broken.push({ isRepeated });
     return true;
   }
 
