Blame no part that met several crashes by chance

Callers would have seen: calls with a sound part that few share refused for an hour, after engines had ended by themselves or a whole domain at once.

Change: crashes within 150 ms count as one against a part, and as less if engines without it end at the same time. A cause takes four crashes and three calls. Parts that are probably sound come last, then the evidence decides. Crashes settle for 600 ms, and reports carry the proofs for their suspects.

--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -6,7 +6,7 @@
  * Only calls that an engine had hardly begun to answer are suspects of its
  * crash. A part is the cause once {@link FEWEST_CRASHES} crashes had it among
  * their suspects and no answer on it has gone on since. Engines that crash
- * together have one cause from outside, so they count as one crash. Parts that
+ * together have one cause from outside, so they count as one crash at most. Parts that
  * have only been seen together are one cause together: calls with some of them
  * go on and show which one it is.
  */
@@ -20,23 +20,26 @@
 } from "./types.ts";
 
 /** Number of crashes that show a cause. */
-const FEWEST_CRASHES = 3;
+const FEWEST_CRASHES = 4;
 
-/** Number of calls that show a cause: one alone may have met bad luck. */
-const FEWEST_CALLS = 2;
+/** Number of calls that show a cause: one of them may be retried many times. */
+const FEWEST_CALLS = 3;
+
+/** Milliseconds; crashes that are closer count as one against a part. */
+const SIMULTANEOUS_TIME = 150;
 
 /**
- * More crashes than this number within so many milliseconds have one cause from
- * outside, and count less each.
+ * Number of crashes at the same time beyond which they have one cause from
+ * outside, and count less against a part that only some of them had.
  */
 const MOST_INDEPENDENT_CRASHES = 3;
-const SIMULTANEOUS_TIME = 150;
 
 /**
  * Milliseconds from the first report of a crash until it counts: by then the
- * other processes have reported their suspects, and the answers that went on.
+ * other processes have reported their suspects, and the answers that went on,
+ * which takes two exchanges with the lease holder.
  */
-export const SETTLING_TIME = 400;
+export const SETTLING_TIME = 600;
 
 /** Number of calls in an engine beyond which a part is common. */
 const COMMON_CALLS = 2;
@@ -61,8 +64,9 @@
 const MAXIMUM_SUSPECTS = 50;
 
 /**
- * Share of the evidence for the best cause from which others are as likely. The
- * rarest of them is chosen, as common parts are among the suspects of any crash.
+ * Share of the evidence for the best cause from which others are as likely. Of
+ * these, parts that are probably sound come last, since a common part is among
+ * the suspects of any crash.
  */
 const LIKELY_SHARE = 0.7;
 
@@ -84,7 +88,7 @@
 interface ICandidate {
   readonly part: string;
   /** Weighted number of crashes. */
-  evidence: number;
+  readonly evidence: number;
   readonly crashes: ICrash[];
   /** Whether an answer went on with it before the crashes. */
   readonly wasProved: boolean;
@@ -203,23 +207,28 @@
         ),
     );
     const most = Math.max(...shown.map(({ evidence }) => evidence));
-    const [rarest, ...others] = shown
+    const [best, ...others] = shown
       .filter(({ evidence }) => evidence >= most * LIKELY_SHARE)
-      .sort((one, other) => one.calls - other.calls);
-    if (rarest === undefined) {
+      .sort(
+        (one, other) =>
+          Number(isProbablySound(one)) - Number(isProbablySound(other)) ||
+          other.evidence - one.evidence ||
+          one.calls - other.calls,
+      );
+    if (best === undefined) {
       return null;
     }
     const together = others.filter(
       ({ calls, crashes }) =>
-        calls === rarest.calls &&
-        crashes.length === rarest.crashes.length &&
-        crashes.every((crash) => rarest.crashes.includes(crash)),
+        calls === best.calls &&
+        crashes.length === best.crashes.length &&
+        crashes.every((crash) => best.crashes.includes(crash)),
     );
     return {
       service,
-      parts: [rarest, ...together].map(({ part }) => part).sort(),
-      crashes: rarest.crashes.length,
-      calls: rarest.calls,
+      parts: [best, ...together].map(({ part }) => part).sort(),
+      crashes: best.crashes.length,
+      calls: best.calls,
     };
   }
 
@@ -239,9 +248,6 @@
     );
     const candidates = new Map<string, ICandidate>();
     for (const crash of crashes) {
-      const simultaneous = crashes.filter(
-        ({ at }) => Math.abs(at - crash.at) <= SIMULTANEOUS_TIME,
-      );
       const causes = known.filter((one) => explains(one, crash));
       for (const [part, counts] of crash.suspects) {
         const provedAt = this.#provedAt.get(partKey(service, part)) ?? null;
@@ -249,22 +255,20 @@
         if ((provedAt ?? -1) > crash.at || isExplained) {
           continue;
         }
-        const same = simultaneous.filter(({ suspects }) => suspects.has(part));
-        const isFromOutside = simultaneous.length > MOST_INDEPENDENT_CRASHES;
         const candidate = candidates.get(part) ?? {
           ...{ part, evidence: 0, crashes: [], calls: 0, newCalls: 0 },
           wasProved: provedAt !== null,
         };
-        candidate.evidence += isFromOutside
-          ? same.length / simultaneous.length
-          : 1;
         candidate.crashes.push(crash);
         candidate.calls += counts.calls;
         candidate.newCalls += counts.newCalls;
         candidates.set(part, candidate);
       }
     }
-    return [...candidates.values()];
+    return [...candidates.values()].map((candidate) => ({
+      ...candidate,
+      evidence: weigh(candidate.crashes, crashes),
+    }));
   }
 
   #expire(now: MonotonicTime): void {
@@ -282,17 +286,41 @@
   }
 }
 
+/** Whether a part is so common, or in such use, that others are likelier. */
+function isProbablySound({ calls, crashes, wasProved }: ICandidate): boolean {
+  return wasProved || calls > COMMON_CALLS * crashes.length;
+}
+
 /** Whether all that may speak for a part has been reported. */
-function hasSettled(
-  { calls, crashes, wasProved }: ICandidate,
-  now: MonotonicTime,
-): boolean {
-  const isCommon = calls > COMMON_CALLS * crashes.length;
+function hasSettled(candidate: ICandidate, now: MonotonicTime): boolean {
+  const { crashes } = candidate;
   const counted = crashes.filter(
     ({ receivedAt }) => now - receivedAt >= COMMON_SETTLING_TIME,
   );
-  const needsTime = isCommon || wasProved;
-  return !needsTime || counted.length >= FEWEST_CRASHES;
+  return !isProbablySound(candidate) || counted.length >= FEWEST_CRASHES;
+}
+
+/**
+ * The weighted number of crashes that speak against a part.
+ *
+ * @param crashes - those that had it among their suspects
+ * @param all - all crashes
+ */
+function weigh(crashes: readonly ICrash[], all: readonly ICrash[]): number {
+  const inOrder = [...crashes].sort((one, other) => one.at - other.at);
+  let evidence = 0;
+  let counted = Number.NEGATIVE_INFINITY;
+  for (const { at } of inOrder) {
+    if (at - counted > SIMULTANEOUS_TIME) {
+      counted = at;
+      const isNear = (crash: ICrash) =>
+        Math.abs(crash.at - at) <= SIMULTANEOUS_TIME;
+      const near = all.filter(isNear).length;
+      const share = crashes.filter(isNear).length / near;
+      evidence += near > MOST_INDEPENDENT_CRASHES ? share : 1;
+    }
+  }
+  return evidence;
 }
 
 /** Whether a crash had a call that may contain all parts of a cause. */
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -17,6 +17,7 @@
 import { CrashWitness } from "./crash_witness.ts";
 import { QuarantineList } from "./quarantine_list.ts";
 import { QuarantineRecord } from "./quarantine_record.ts";
+import { partKey } from "./types.ts";
 import type {
   ICallQuarantine,
   ICrashReport,
@@ -174,9 +175,13 @@
 
   /** What this process reports to the holder. */
   composeReport(): IQuarantineReport {
+    const crashes = this.#witness.reportsAfter(this.#acknowledged);
+    const suspects = crashes.flatMap((crash) =>
+      Object.keys(crash.suspects).map((part) => partKey(crash.service, part)),
+    );
     return {
-      crashes: this.#witness.reportsAfter(this.#acknowledged),
-      proofs: this.#witness.proofsOf(this.#askedFor),
+      crashes,
+      proofs: this.#witness.proofsOf([...this.#askedFor, ...suspects]),
       listVersion: this.#heardVersion,
       unsaved: this.#list.unsaved,
     };
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -66,7 +66,9 @@
 export interface IQuarantineReport {
   /** Crashes that this holder has not acknowledged. */
   readonly crashes: readonly ICrashReport[];
-  /** Answers to the {@link IQuarantineReply.suspects} of the last reply. */
+  /**
+   * For the suspects of these crashes and {@link IQuarantineReply.suspects}.
+   */
   readonly proofs: ProofAges;
   /** The list that it has from this holder; 0 for none. */
   readonly listVersion: number;
