--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -58,7 +58,7 @@
 const CRASH_LIFETIME = 600_000;
 
 /** Number of crashes remembered; beyond it the oldest is forgotten. */
-const MAXIMUM_CRASHES = 200;
+const MAXIMUM_CRASHES = 100;
 
 /** Number of parts on which answers are asked for. */
 const MAXIMUM_SUSPECTS = 50;
@@ -87,8 +87,6 @@
 
 interface ICandidate {
   readonly part: string;
-  /** Weighted number of crashes. */
-  readonly evidence: number;
   readonly crashes: ICrash[];
   /** Whether an answer went on with it before the crashes. */
   readonly wasProved: boolean;
@@ -150,12 +148,11 @@
     this.#expire(now);
     return this.#services
       .flatMap((service) =>
-        this.#candidates(service, [], now).map(({ part, evidence }) => ({
-          key: partKey(service, part),
-          evidence,
-        })),
+        this.#candidates(service, [], now).map(({ part, crashes }) => {
+          return { key: partKey(service, part), crashes: crashes.length };
+        }),
       )
-      .sort((one, other) => other.evidence - one.evidence)
+      .sort((one, other) => other.crashes - one.crashes)
       .slice(0, MAXIMUM_SUSPECTS)
       .map(({ key }) => key);
   }
@@ -197,15 +194,23 @@
     now: MonotonicTime,
   ): IFoundCause | null {
     const settled = now - SETTLING_TIME;
-    const shown = this.#candidates(service, known, settled).filter(
-      (candidate) =>
-        candidate.evidence >= FEWEST_CRASHES &&
-        candidate.newCalls >= FEWEST_CALLS &&
-        hasSettled(candidate, now) &&
-        candidate.crashes.some(
-          (crash) => !known.some((one) => explains(one, crash)),
-        ),
+    const all = [...this.#crashes.values()].filter(
+      (crash) => crash.service === service && crash.receivedAt <= settled,
     );
+    const shown = this.#candidates(service, known, settled)
+      .filter(
+        (candidate) =>
+          candidate.crashes.length >= FEWEST_CRASHES &&
+          candidate.newCalls >= FEWEST_CALLS &&
+          hasSettled(candidate, now) &&
+          candidate.crashes.some(
+            (crash) => !known.some((one) => explains(one, crash)),
+          ),
+      )
+      .map((candidate) => {
+        return { ...candidate, evidence: weigh(candidate.crashes, all) };
+      })
+      .filter(({ evidence }) => evidence >= FEWEST_CRASHES);
     const most = Math.max(...shown.map(({ evidence }) => evidence));
     const [best, ...others] = shown
       .filter(({ evidence }) => evidence >= most * LIKELY_SHARE)
@@ -256,7 +261,7 @@
           continue;
         }
         const candidate = candidates.get(part) ?? {
-          ...{ part, evidence: 0, crashes: [], calls: 0, newCalls: 0 },
+          ...{ part, crashes: [], calls: 0, newCalls: 0 },
           wasProved: provedAt !== null,
         };
         candidate.crashes.push(crash);
@@ -265,10 +270,7 @@
         candidates.set(part, candidate);
       }
     }
-    return [...candidates.values()].map((candidate) => ({
-      ...candidate,
-      evidence: weigh(candidate.crashes, crashes),
-    }));
+    return [...candidates.values()];
   }
 
   #expire(now: MonotonicTime): void {
