Make three checks of forwarded calls, and one test that could not fail

Cause: with the check of a target's service, or of its state, taken out of ForwardedRequests, or with a response without its trailer taken for a broken target, all tests of the path passed. "that may not be repeated run once" passed too when HttpPeerLink reports a lost answer as not taken, since the plain targets answered before the peer was killed.

Change: a test for each check. The plain targets run the calls for 1.5 s and the peer that has them is killed meanwhile.

--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -17,12 +17,12 @@
 import { SystemClock } from "../clock/system_clock.ts";
 import { listenOn } from "../listen.ts";
 import { waitFor } from "../../../test/support/process_handle.ts";
-import { SendFailure } from "../../common/calls/types.ts";
+import { ListedState, SendFailure } from "../../common/calls/types.ts";
 import { ForwardedRequests } from "../../common/forwarding/forwarded_requests.ts";
 import { ForwardRefusal } from "../../common/forwarding/types.ts";
 import type { IForwardReceiver } from "../../common/forwarding/types.ts";
 import { OrderOutcome } from "../../common/replicas/types.ts";
-import { ForwardPath } from "./forwarding_protocol.ts";
+import { encodeLine, ForwardPath } from "./forwarding_protocol.ts";
 import { ForwardingHandlers } from "./forwarding_handlers.ts";
 import { HttpPeerLink } from "./http_peer_link.ts";
 
@@ -41,13 +41,18 @@
   readonly sender = new RecordingSender();
   readonly link = new HttpPeerLink();
   outOfReach: readonly string[] = [];
+  /** Listed state of all targets. */
+  state = ListedState.Ready;
   readonly requests = new ForwardedRequests({
     sender: this.sender,
     engines: {
       fetchReport: () => Promise.reject(new Error("unexpected report")),
       sendOrder: () => Promise.resolve(OrderOutcome.Accepted),
     },
-    findTarget: (id) => TARGETS.find((target) => target.id === id) ?? null,
+    findTarget: (id) => {
+      const listed = TARGETS.find((target) => target.id === id);
+      return listed ? { ...listed, state: this.state } : null;
+    },
     reach: {
       isOutOfReach: (service) => this.outOfReach.includes(service),
       outOfReach: [],
@@ -69,12 +74,12 @@
     this.address = await listenOn(this.#server, "127.0.0.1:0");
   }
 
-  send(receiver: Receiver, target = "one-0") {
+  send(receiver: Receiver, target = "one-0", service = SERVICE) {
     return this.link.send(
       this.address,
       {
         target,
-        call: callOf({ service: SERVICE }),
+        call: callOf({ service }),
         timeLeft: 5_000,
         lastEventId: "7",
         needsNewConnection: false,
@@ -182,6 +187,55 @@
     expect(harness.sender.sends).to.deep.equal([]);
   });
 
+  // Guards against a call that is sent to an address which another service has
+  // been given meanwhile.
+  it("is not taken for a target of another service", async () => {
+    await using harness = await startHarness();
+    const receiver = new Receiver();
+    harness.send(receiver, "one-0", "other-service");
+    await waitFor("it is refused", () => receiver.refusal !== null);
+    expect(receiver.refusal).to.equal(ForwardRefusal.UnknownTarget);
+    expect(harness.sender.sends).to.deep.equal([]);
+  });
+
+  // Guards against a call that reaches a target which takes no more calls.
+  it("is withheld from a target that is no longer ready", async () => {
+    await using harness = await startHarness();
+    harness.state = ListedState.Draining;
+    const receiver = new Receiver();
+    harness.send(receiver);
+    await receiver.finished;
+    expect(receiver.failure).to.equal(SendFailure.Withheld);
+    expect(harness.sender.sends).to.deep.equal([]);
+  });
+
+  // Guards against a sound target that is taken for broken since the process
+  // that forwarded the call has ended.
+  it("that ends without a trailer has lost its path", async () => {
+    const server = createServer((received, response) => {
+      received.resume();
+      response.end(encodeLine({ head: SUCCESS_HEAD }));
+    });
+    const address = await listenOn(server, "127.0.0.1:0");
+    await using link = new HttpPeerLink();
+    const receiver = new Receiver();
+    link.send(
+      address,
+      {
+        target: "one-0",
+        call: callOf({ service: SERVICE }),
+        timeLeft: 5_000,
+        lastEventId: null,
+        needsNewConnection: false,
+      },
+      receiver,
+    );
+    await receiver.finished;
+    server.closeAllConnections();
+    server.close();
+    expect(receiver.failure).to.equal(SendFailure.PathLost);
+  });
+
   it("is refused where no process listens", async () => {
     const receiver = new Receiver();
     const harness = await startHarness();
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -55,6 +55,25 @@
     expect(reply.isEnded).to.equal(true);
   });
 
+  // Guards against a broken stream that looks complete, since a response without
+  // a length ends with its connection either way.
+  it("resumes a stream that ends inside an event", () => {
+    const harness = new Harness(["a", "b"]);
+    const { reply } = harness.submit();
+    const { receiver } = harness.getSend(0).options;
+    receiver.onHead(SUCCESS_HEAD);
+    harness.deliverEvent(0, 1);
+    receiver.onData(new TextEncoder().encode("id: 2\nda"));
+    receiver.onEnd();
+    expect(reply.isEnded).to.equal(false);
+    expect(harness.getSend(1).options.lastEventId).to.equal("1");
+    harness.getSend(1).options.receiver.onHead(SUCCESS_HEAD);
+    harness.deliverEvent(1, 2);
+    harness.getSend(1).options.receiver.onEnd();
+    expect(reply.text).to.equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+    expect(reply.isEnded).to.equal(true);
+  });
+
   // Guards against calls that wait for the limit on silence in a group that the
   // lease holder already knows to be lost.
   it("retries at once when the lease holder abandons a group", () => {
--- a/test/forwarded_calls_test.ts
+++ b/test/forwarded_calls_test.ts
@@ -9,6 +9,9 @@
 /** Events of a stream of 3 s. */
 const LONG_STREAM = 150;
 
+/** Milliseconds that a plain target runs a call: longer than a peer's end. */
+const RUN_TIME = 1_500;
+
 const CALLS = 12;
 
 /** Milliseconds from a caller's leave until its targets must be idle. */
@@ -91,9 +94,15 @@
   // ends and another one is asked.
   it("that may not be repeated run once", async () => {
     await using fleet = await startCutFleet();
+    fleet.plainTargets.forEach((target) => (target.runTime = RUN_TIME));
     const ids = Array.from({ length: CALLS }, (_, index) => `once-${index}`);
     const answers = ids.map((id) => fleet.sendCall(1, Path.Unsafe, { id }));
-    fleet.processes[2]?.handle.signal("SIGKILL");
+    await waitFor("the targets run all calls", () => {
+      const runs = fleet.plainTargets.flatMap((target) => target.runs);
+      return ids.every((id) => runs.includes(id));
+    });
+    const peer = await fleet.waitUntilForwarded(1, ids[0] ?? "");
+    peer.handle.signal("SIGKILL");
     await Promise.all(answers.map((one) => one.catch(() => undefined)));
     const runs = fleet.plainTargets.flatMap((target) => target.runs);
     const repeated = ids.filter(
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -4,12 +4,14 @@
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { PlatformStore } from "./platform_store.ts";
 
-/** Answers each request at once, and records the requests that it ran. */
+/** Answers each request, by default at once, and records the requests that it ran. */
 export class PlatformPlainTarget {
   readonly id: string;
   address = "";
   /** Ids of the attempts that it ran. */
   readonly runs: string[] = [];
+  /** Milliseconds that a request runs. */
+  runTime = 0;
   readonly #service: string;
   readonly #server: Server;
 
@@ -24,11 +26,13 @@
         return;
       }
       this.runs.push(String(attempt));
-      response.writeHead(200, {
-        "x-attempt-id": String(attempt),
-        "x-response-stamp": this.id,
-      });
-      response.end("done");
+      setTimeout(() => {
+        response.writeHead(200, {
+          "x-attempt-id": String(attempt),
+          "x-response-stamp": this.id,
+        });
+        response.end("done");
+      }, this.runTime);
     });
   }
 
