Count crashes from before a process has started, and save causes sooner

Callers would have seen: crashes that go on after a restart. A process that starts and takes the lease is told crashes that are older than its clock, and took them for answered by a proof, so it did not count them. And a cause that was found while the record was being read was saved ten seconds later only, and lost if all processes ended before.

Cause: found by reading the change. A missing proof was compared as the time -1, which is later than a crash before the start of the clock; the end of a read moved the next one to ten seconds later, whatever had been found since.

The weights of crashes and the record's upkeep move to modules of their own.

--- /dev/null
+++ b/src/common/quarantine/crash_candidates.ts
@@ -0,0 +1,101 @@
+/** How strongly crashes speak against a part of a prompt. */
+import type { MonotonicTime, ServiceName } from "../types.ts";
+import type { ICrashCause } from "./types.ts";
+
+/** Number of crashes that show a cause. */
+export const FEWEST_CRASHES = 4;
+
+/** Milliseconds; crashes that are closer count as one against a part. */
+const SIMULTANEOUS_TIME = 150;
+
+/**
+ * Number of crashes at the same time beyond which they have one cause from
+ * outside, and count less against a part that only some of them had.
+ */
+const MOST_INDEPENDENT_CRASHES = 3;
+
+/** Number of calls in an engine beyond which a part is common. */
+const COMMON_CALLS = 2;
+
+/**
+ * Milliseconds until crashes count against a part that is common, or that
+ * answers went on with before: all answers that were begun on it have gone on by
+ * then, or broken off. To refuse such a part is the greater harm.
+ */
+export const COMMON_SETTLING_TIME = 1_500;
+
+/** Calls in a crashed engine that had one part. */
+export interface ICounts {
+  calls: number;
+  newCalls: number;
+}
+
+/** What is known of a crash. */
+export interface ICrash {
+  readonly service: ServiceName;
+  readonly receivedAt: MonotonicTime;
+  at: MonotonicTime;
+  readonly suspects: Map<string, ICounts>;
+}
+
+/** A part that crashes speak against. */
+export interface ICandidate {
+  readonly part: string;
+  readonly crashes: ICrash[];
+  /** Whether an answer went on with it before the crashes. */
+  readonly wasProved: boolean;
+  calls: number;
+  newCalls: number;
+}
+
+/** Whether a part is so common, or in such use, that others are likelier. */
+export function isProbablySound({
+  calls,
+  crashes,
+  wasProved,
+}: ICandidate): boolean {
+  return wasProved || calls > COMMON_CALLS * crashes.length;
+}
+
+/** Whether all that may speak for a part has been reported. */
+export function hasSettled(candidate: ICandidate, now: MonotonicTime): boolean {
+  const { crashes } = candidate;
+  const counted = crashes.filter(
+    ({ receivedAt }) => now - receivedAt >= COMMON_SETTLING_TIME,
+  );
+  return !isProbablySound(candidate) || counted.length >= FEWEST_CRASHES;
+}
+
+/**
+ * The weighted number of crashes that speak against a part.
+ *
+ * @param crashes - those that had it among their suspects
+ * @param all - all crashes
+ */
+export function weigh(
+  crashes: readonly ICrash[],
+  all: readonly ICrash[],
+): number {
+  const inOrder = [...crashes].sort((one, other) => one.at - other.at);
+  let evidence = 0;
+  let counted = Number.NEGATIVE_INFINITY;
+  for (const { at } of inOrder) {
+    if (at - counted > SIMULTANEOUS_TIME) {
+      counted = at;
+      const isNear = (crash: ICrash) =>
+        Math.abs(crash.at - at) <= SIMULTANEOUS_TIME;
+      const near = all.filter(isNear).length;
+      const share = crashes.filter(isNear).length / near;
+      evidence += near > MOST_INDEPENDENT_CRASHES ? share : 1;
+    }
+  }
+  return evidence;
+}
+
+/** Whether a crash had a call that may contain all parts of a cause. */
+export function explains(
+  { parts }: ICrashCause,
+  { suspects }: ICrash,
+): boolean {
+  return parts.every((part) => suspects.has(part));
+}
--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -11,6 +11,15 @@
  * go on and show which one it is.
  */
 import type { MonotonicTime, ServiceName } from "../types.ts";
+import {
+  COMMON_SETTLING_TIME,
+  explains,
+  FEWEST_CRASHES,
+  hasSettled,
+  isProbablySound,
+  weigh,
+} from "./crash_candidates.ts";
+import type { ICandidate, ICounts, ICrash } from "./crash_candidates.ts";
 import { partKey } from "./types.ts";
 import type {
   ICrashCause,
@@ -19,21 +28,9 @@
   PartKey,
 } from "./types.ts";
 
-/** Number of crashes that show a cause. */
-const FEWEST_CRASHES = 4;
-
 /** Number of calls that show a cause: one of them may be retried many times. */
 const FEWEST_CALLS = 3;
 
-/** Milliseconds; crashes that are closer count as one against a part. */
-const SIMULTANEOUS_TIME = 150;
-
-/**
- * Number of crashes at the same time beyond which they have one cause from
- * outside, and count less against a part that only some of them had.
- */
-const MOST_INDEPENDENT_CRASHES = 3;
-
 /**
  * Milliseconds from the first report of a crash until it counts: by then the
  * other processes have reported their suspects, and the answers that went on,
@@ -41,16 +38,6 @@
  */
 export const SETTLING_TIME = 600;
 
-/** Number of calls in an engine beyond which a part is common. */
-const COMMON_CALLS = 2;
-
-/**
- * Milliseconds until crashes count against a part that is common, or that
- * answers went on with before: all answers that were begun on it have gone on by
- * then, or broken off. To refuse such a part is the greater harm.
- */
-const COMMON_SETTLING_TIME = 1_500;
-
 /** Milliseconds after the last report in which all causes have been found. */
 const QUIET_TIME = 2 * COMMON_SETTLING_TIME;
 
@@ -73,27 +60,6 @@
 /** Number of causes of one service that are found at once. */
 const MAXIMUM_CAUSES = 20;
 
-interface ICounts {
-  calls: number;
-  newCalls: number;
-}
-
-interface ICrash {
-  readonly service: ServiceName;
-  readonly receivedAt: MonotonicTime;
-  at: MonotonicTime;
-  readonly suspects: Map<string, ICounts>;
-}
-
-interface ICandidate {
-  readonly part: string;
-  readonly crashes: ICrash[];
-  /** Whether an answer went on with it before the crashes. */
-  readonly wasProved: boolean;
-  calls: number;
-  newCalls: number;
-}
-
 /** The crashes that are known, and what speaks for parts. */
 export class CrashEvidence {
   /** By target and start. */
@@ -257,7 +223,8 @@
       for (const [part, counts] of crash.suspects) {
         const provedAt = this.#provedAt.get(partKey(service, part)) ?? null;
         const isExplained = causes.some(({ parts }) => !parts.includes(part));
-        if ((provedAt ?? -1) > crash.at || isExplained) {
+        const isProved = provedAt !== null && provedAt > crash.at;
+        if (isProved || isExplained) {
           continue;
         }
         const candidate = candidates.get(part) ?? {
@@ -287,45 +254,3 @@
     }
   }
 }
-
-/** Whether a part is so common, or in such use, that others are likelier. */
-function isProbablySound({ calls, crashes, wasProved }: ICandidate): boolean {
-  return wasProved || calls > COMMON_CALLS * crashes.length;
-}
-
-/** Whether all that may speak for a part has been reported. */
-function hasSettled(candidate: ICandidate, now: MonotonicTime): boolean {
-  const { crashes } = candidate;
-  const counted = crashes.filter(
-    ({ receivedAt }) => now - receivedAt >= COMMON_SETTLING_TIME,
-  );
-  return !isProbablySound(candidate) || counted.length >= FEWEST_CRASHES;
-}
-
-/**
- * The weighted number of crashes that speak against a part.
- *
- * @param crashes - those that had it among their suspects
- * @param all - all crashes
- */
-function weigh(crashes: readonly ICrash[], all: readonly ICrash[]): number {
-  const inOrder = [...crashes].sort((one, other) => one.at - other.at);
-  let evidence = 0;
-  let counted = Number.NEGATIVE_INFINITY;
-  for (const { at } of inOrder) {
-    if (at - counted > SIMULTANEOUS_TIME) {
-      counted = at;
-      const isNear = (crash: ICrash) =>
-        Math.abs(crash.at - at) <= SIMULTANEOUS_TIME;
-      const near = all.filter(isNear).length;
-      const share = crashes.filter(isNear).length / near;
-      evidence += near > MOST_INDEPENDENT_CRASHES ? share : 1;
-    }
-  }
-  return evidence;
-}
-
-/** Whether a crash had a call that may contain all parts of a cause. */
-function explains({ parts }: ICrashCause, { suspects }: ICrash): boolean {
-  return parts.every((part) => suspects.has(part));
-}
--- a/src/common/quarantine/crash_evidence_test.ts
+++ b/src/common/quarantine/crash_evidence_test.ts
@@ -180,6 +180,20 @@
     expect(crashes.find()).to.deep.equal([]);
   });
 
+  // Guards against crashes that a process which has just started does not count,
+  // as they are older than its clock.
+  it("counts crashes from before the start of the process", () => {
+    const crashes = new Crashes();
+    for (const serial of [1, 2, 3, 4]) {
+      const suspects = { bad: { calls: 1, newCalls: 1 } };
+      const report = { serial, target: `engine-${serial}`, startedAt: 1 };
+      const age = 10_000 - serial * 500;
+      const crash = { ...report, age, service: SERVICE, suspects };
+      crashes.evidence.record(crash, crashes.now);
+    }
+    expect(crashes.find()).to.deep.equal([["bad"]]);
+  });
+
   it("forgets crashes that are long past", () => {
     const crashes = new Crashes();
     crashes.recordEach({ bad: 1 }, { bad: 1 }, { bad: 1 });
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -17,6 +17,7 @@
 import { CrashWitness } from "./crash_witness.ts";
 import { QuarantineList } from "./quarantine_list.ts";
 import { QuarantineRecord } from "./quarantine_record.ts";
+import { QuarantineSynchronizer } from "./quarantine_synchronizer.ts";
 import { partKey } from "./types.ts";
 import type {
   ICallQuarantine,
@@ -41,15 +42,6 @@
 /** Milliseconds for which a cause is quarantined: one hour. */
 const QUARANTINE_TIME = 3_600_000;
 
-/**
- * Milliseconds between two reads of the record, which show the entries that
- * operators have taken out; by a process that hears no holder; and after a
- * failure.
- */
-const READ_PERIOD = 10_000;
-const ALONE_READ_PERIOD = 2_000;
-const RETRY_PERIOD = 300;
-
 /**
  * Milliseconds for which a process that starts waits for the record: without the
  * store it would serve nobody.
@@ -98,7 +90,7 @@
   readonly #list = new QuarantineList();
   readonly #evidence = new CrashEvidence();
   readonly #witness: CrashWitness;
-  readonly #record: QuarantineRecord;
+  readonly #synchronizer: QuarantineSynchronizer;
   readonly #timers: IDisposable[] = [];
   /** Serial of the last crash report received, by process. */
   readonly #received = new Map<string, number>();
@@ -112,15 +104,23 @@
   #changes = 0;
   /** Whether the other processes have not been told of a change yet. */
   #hasNews = false;
-  #isLoaded = false;
+  /** Whether the holder has told the entries. */
+  #isTold = false;
   readonly #createdAt: MonotonicTime;
-  #isSynchronizing = false;
-  #readAfter: MonotonicTime = Number.NEGATIVE_INFINITY;
 
   constructor(parts: IQuarantineParts) {
     this.#parts = parts;
     this.#createdAt = parts.clock.now();
-    this.#record = new QuarantineRecord(parts.store);
+    this.#synchronizer = new QuarantineSynchronizer({
+      record: new QuarantineRecord(parts.store),
+      list: this.#list,
+      clock: parts.clock,
+      log: parts.log,
+      onChanged: (released) => {
+        this.#logReleased(released);
+        this.#handleListChanged();
+      },
+    });
     this.#witness = new CrashWitness({
       ...parts,
       onCrash: (report) => this.#handleCrash(report),
@@ -146,7 +146,7 @@
    */
   get isLoaded(): boolean {
     const hasWaited = this.#now - this.#createdAt > LONGEST_LOADING_TIME;
-    return this.#isLoaded || hasWaited;
+    return this.#isTold || this.#synchronizer.isLoaded || hasWaited;
   }
 
   get entries(): readonly IQuarantineEntry[] {
@@ -202,7 +202,6 @@
     }
     if (this.#list.add(report.unsaved)) {
       this.#handleListChanged();
-      this.#readAfter = Number.NEGATIVE_INFINITY;
     }
     // Each crash is reported by several processes, so they are told together.
     this.#hasNews ||= crashes.length > 0;
@@ -227,7 +226,7 @@
     this.#askedFor = reply.suspects;
     this.#heardVersion = reply.listVersion;
     if (reply.entries !== null) {
-      this.#isLoaded = true;
+      this.#isTold = true;
       this.#logReleased(this.#list.replaceSaved(reply.entries));
       this.#parts.onListChanged();
     }
@@ -265,8 +264,8 @@
       this.#changes += 1;
       this.#parts.onListChanged();
     }
-    if (this.#isSynchronizationDue(role)) {
-      void this.#synchronize(role);
+    if (role !== QuarantineRole.Follower || !this.isLoaded) {
+      this.#synchronizer.update(role === QuarantineRole.Alone);
     }
     if (this.#hasNews && role === QuarantineRole.Holder) {
       this.#hasNews = false;
@@ -303,7 +302,6 @@
     }
     this.#list.add(causes.map((cause) => entryOf(cause, { since, until })));
     this.#handleListChanged();
-    this.#readAfter = Number.NEGATIVE_INFINITY;
   }
 
   #handleListChanged(): void {
@@ -316,54 +314,6 @@
     this.#hasNews = true;
   }
 
-  #isSynchronizationDue(role: QuarantineRole): boolean {
-    const isNeeded = !this.#isLoaded || role !== QuarantineRole.Follower;
-    return isNeeded && !this.#isSynchronizing && this.#now >= this.#readAfter;
-  }
-
-  /** Reads the record, and adds what it lacks. */
-  async #synchronize(role: QuarantineRole): Promise<void> {
-    this.#isSynchronizing = true;
-    const problem = await this.#readAndWrite();
-    this.#isSynchronizing = false;
-    const isAlone = role === QuarantineRole.Alone;
-    const period = isAlone ? ALONE_READ_PERIOD : READ_PERIOD;
-    this.#readAfter = this.#now + (problem === null ? period : RETRY_PERIOD);
-    if (problem !== null && this.#list.unsaved.length > 0) {
-      const entries = this.#list.unsaved.length;
-      this.#parts.log.warn("quarantine_unsaved", { entries, detail: problem });
-    }
-  }
-
-  /** Returns what failed, or null. */
-  async #readAndWrite(): Promise<string | null> {
-    const stored = await this.#record.read();
-    if (stored.isErr()) {
-      return stored.error;
-    }
-    this.#isLoaded = true;
-    const now = this.#parts.clock.calendar();
-    const current = stored.value.filter(({ until }) => now < until);
-    const before = this.#list.entries;
-    const released = this.#list.replaceSaved(current);
-    this.#logReleased(released);
-    const unsaved = this.#list.unsaved;
-    if (unsaved.length > 0) {
-      const written = await this.#record.write(this.#list.entries);
-      if (written.isErr()) {
-        return written.error;
-      }
-      const saved = this.#list.entries.map((entry) =>
-        unsaved.includes(entry) ? { ...entry, isSaved: true } : entry,
-      );
-      this.#list.replaceSaved(saved);
-    }
-    if (!isSameList(before, this.#list.entries)) {
-      this.#handleListChanged();
-    }
-    return null;
-  }
-
   /** What was released is not quarantined again for the same crashes. */
   #logReleased(entries: readonly IQuarantineEntry[]): void {
     for (const entry of entries) {
@@ -391,20 +341,3 @@
 ): IQuarantineEntry {
   return { service, parts, crashes, ...times, isSaved: false };
 }
-
-function isSameList(
-  one: readonly IQuarantineEntry[],
-  other: readonly IQuarantineEntry[],
-): boolean {
-  return (
-    one.length === other.length &&
-    one.every((entry, index) => {
-      const match = other[index];
-      return (
-        entry.service === match?.service &&
-        entry.parts.join(",") === match.parts.join(",") &&
-        entry.isSaved === match.isSaved
-      );
-    })
-  );
-}
