--- a/src/common/quarantine/crash_witness.ts
+++ b/src/common/quarantine/crash_witness.ts
@@ -234,7 +234,7 @@
     const engine = { id: one.target, address };
     const hasCrashed =
       !(await this.#isRunning(engine, one.startedAt)) &&
-      // An engine that only this process does not reach answers another one.
+      // Asked again through another process, in case only this path is lost.
       !(await this.#isRunning(engine, one.startedAt));
     one.verdict = hasCrashed ? Verdict.Crashed : Verdict.Running;
     one.waiting.forEach((callback) => callback());
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -1,6 +1,6 @@
 /**
  * Refuses calls whose prompts crash engines. Each process reports the crashes
- * that it sees to the lease holder, which finds the cause and tells all of them.
+ * that it sees to the lease holder, which finds the cause and distributes it.
  * Without a holder a process decides by what it has seen itself. The platform's
  * store keeps the causes, since a part that is tried again crashes engines
  * again, however long it was away and whatever was restarted meanwhile.
@@ -55,9 +55,9 @@
 export enum QuarantineRole {
   /** It holds the lease and decides for all processes. */
   Holder = "holder",
-  /** It is told by the holder. */
+  /** It follows the decisions of the holder. */
   Follower = "follower",
-  /** It hears from no holder. */
+  /** It has no connection to a holder. */
   Alone = "alone",
   /** It decides by itself, and shares what it finds through the store. */
   Independent = "independent",
@@ -76,9 +76,9 @@
   readonly metrics: IMetrics;
   /** Called when calls have to be checked again. */
   readonly onListChanged: () => void;
-  /** Called at the holder when the other processes are to be told. */
+  /** Called at the holder when its replies to other processes have changed. */
   readonly onNews: () => void;
-  /** Called when the holder is to be told. */
+  /** Called when there is a new crash to report to the holder. */
   readonly onCrash: () => void;
 }
 
@@ -102,10 +102,10 @@
   #askedFor: readonly PartKey[] = [];
   #heardVersion = 0;
   #changes = 0;
-  /** Whether the other processes have not been told of a change yet. */
+  /** Whether a change has not been sent to the other processes yet. */
   #hasNews = false;
-  /** Whether the holder has told the entries. */
-  #isTold = false;
+  /** Whether the holder has sent its entries. */
+  #hasHolderEntries = false;
   readonly #createdAt: MonotonicTime;
 
   constructor(parts: IQuarantineParts) {
@@ -146,7 +146,7 @@
    */
   get isLoaded(): boolean {
     const hasWaited = this.#now - this.#createdAt > LONGEST_LOADING_TIME;
-    return this.#isTold || this.#synchronizer.isLoaded || hasWaited;
+    return this.#hasHolderEntries || this.#synchronizer.isLoaded || hasWaited;
   }
 
   get entries(): readonly IQuarantineEntry[] {
@@ -203,7 +203,7 @@
     if (this.#list.add(report.unsaved)) {
       this.#handleListChanged();
     }
-    // Each crash is reported by several processes, so they are told together.
+    // Several processes report each crash; the others are updated once for all.
     this.#hasNews ||= crashes.length > 0;
   }
 
@@ -226,7 +226,7 @@
     this.#askedFor = reply.suspects;
     this.#heardVersion = reply.listVersion;
     if (reply.entries !== null) {
-      this.#isTold = true;
+      this.#hasHolderEntries = true;
       this.#logReleased(this.#list.replaceSaved(reply.entries));
       this.#parts.onListChanged();
     }
--- a/src/common/quarantine/quarantine_synchronizer.ts
+++ b/src/common/quarantine/quarantine_synchronizer.ts
@@ -10,7 +10,7 @@
 
 /**
  * Milliseconds between two reads of the record, which show the entries that
- * operators have taken out; by a process that hears no holder; and while entries
+ * operators have taken out; by a process without a holder; and while entries
  * are not saved.
  */
 const READ_PERIOD = 10_000;
@@ -44,7 +44,7 @@
     return this.#isLoaded;
   }
 
-  /** @param isAlone - whether no other process tells this one of changes */
+  /** @param isAlone - whether no other process sends this one changes */
   update(isAlone: boolean): void {
     const { clock, list } = this.#parts;
     const isDone = this.#isLoaded && list.unsaved.length === 0;
--- a/src/common/services/request_quarantine.ts
+++ b/src/common/services/request_quarantine.ts
@@ -58,7 +58,7 @@
   }
 }
 
-/** Reports to the quarantine what comes of one attempt. */
+/** Reports the result of one attempt to the quarantine. */
 export class AttemptObserver {
   readonly #requests: RequestQuarantine;
   readonly #progress: StreamProgress;
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -239,14 +239,14 @@
     return this.#lease.epoch * VERSIONS_PER_EPOCH;
   }
 
-  /** Tells the holder at once what this process has seen. */
+  /** Reports to the holder at once. */
   reportNow(): void {
     if (!this.#isActiveHolder) {
       this.#exchangeClient.reportNow();
     }
   }
 
-  /** Tells the other processes at once what has changed. */
+  /** Replies to the other processes at once. */
   announce(): void {
     this.#exchangeServer.announce();
   }
--- a/test/crashing_prompts_daemon_test.ts
+++ b/test/crashing_prompts_daemon_test.ts
@@ -71,7 +71,7 @@
     });
   });
 
-  // Guards against a part that crashes engines anew at each daemon.
+  // Guards against a part that crashes engines again at each daemon.
   it("are refused by a daemon that starts later", async () => {
     const crashed = crashedEngines();
     const name = `daemon-${ZONE}-1`;
--- a/test/crashing_prompts_test.ts
+++ b/test/crashing_prompts_test.ts
@@ -87,7 +87,7 @@
     expect(result.wronglyRefused).to.equal(0);
   });
 
-  // Guards against a part that crashes engines anew after it was away, and
+  // Guards against a part that crashes engines again after it was away, and
   // after each restart.
   it("reach none after a pause in which all processes restart", async () => {
     await using fleet = await startFleet();
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -4,7 +4,7 @@
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { PlatformStore } from "./platform_store.ts";
 
-/** Answers each request, by default at once, and records the requests that it ran. */
+/** Answers each request, by default at once, and records those that it ran. */
 export class PlatformPlainTarget {
   readonly id: string;
   address = "";
