Tell two parts that crash many engines at once from a cause from outside

Callers would have seen: engines that go on ending for two seconds and more.

Processes without a holder waited 1.5 s before they decided by themselves.

Change: crashes that another known or likely cause explains say nothing of a cause from outside; crashes close to each other count as often as the part had different calls in them; a process decides by itself from the first failed exchange on. The process test counts late calls for each part from its own fifth crash, at most 3 for any, as the rule says; it had counted both together from the fifth crash of both, with a bound of 6.

--- a/src/common/quarantine/crash_candidates.ts
+++ b/src/common/quarantine/crash_candidates.ts
@@ -5,7 +5,10 @@
 /** Number of crashes that show a cause. */
 export const FEWEST_CRASHES = 4;
 
-/** Milliseconds; crashes that are closer count as one against a part. */
+/**
+ * Milliseconds; crashes that are closer count against a part as often as it had
+ * different calls in them.
+ */
 const SIMULTANEOUS_TIME = 150;
 
 /**
@@ -69,13 +72,19 @@
 /**
  * The weighted number of crashes that speak against a part.
  *
- * @param crashes - those that had it among their suspects
+ * @param others - other causes, known or likely; crashes that they explain say
+ *   nothing of a cause from outside
  * @param all - all crashes
  */
 export function weigh(
-  crashes: readonly ICrash[],
+  { part, crashes }: ICandidate,
+  others: readonly ICrashCause[],
   all: readonly ICrash[],
 ): number {
+  const unexplained = all.filter(
+    (crash) =>
+      crash.suspects.has(part) || !others.some((one) => explains(one, crash)),
+  );
   const inOrder = [...crashes].sort((one, other) => one.at - other.at);
   let evidence = 0;
   let counted = Number.NEGATIVE_INFINITY;
@@ -84,12 +93,23 @@
       counted = at;
       const isNear = (crash: ICrash) =>
         Math.abs(crash.at - at) <= SIMULTANEOUS_TIME;
-      const near = all.filter(isNear).length;
-      const share = crashes.filter(isNear).length / near;
-      evidence += near > MOST_INDEPENDENT_CRASHES ? share : 1;
+      const near = unexplained.filter(isNear).length;
+      const same = crashes.filter(
+        (crash) => crash.at >= at && crash.at - at <= SIMULTANEOUS_TIME,
+      );
+      const share = near > MOST_INDEPENDENT_CRASHES ? same.length / near : 1;
+      evidence += share * Math.min(same.length, Math.max(1, newCalls(same)));
     }
   }
   return evidence;
+
+  /** A call and its retry that meet two crashes at once count as one. */
+  function newCalls(some: readonly ICrash[]): number {
+    return some.reduce(
+      (sum, { suspects }) => sum + (suspects.get(part)?.newCalls ?? 0),
+      0,
+    );
+  }
 }
 
 /** Whether a crash had a call that may contain all parts of a cause. */
--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -173,8 +173,12 @@
             (crash) => !known.some((one) => explains(one, crash)),
           ),
       )
-      .map((candidate) => {
-        return { ...candidate, evidence: weigh(candidate.crashes, all) };
+      .map((candidate, _index, likely) => {
+        const others = likely
+          .filter((other) => other !== candidate && !isProbablySound(other))
+          .map(({ part }) => ({ service, parts: [part] }));
+        const causes = [...known, ...others];
+        return { ...candidate, evidence: weigh(candidate, causes, all) };
       })
       .filter(({ evidence }) => evidence >= FEWEST_CRASHES);
     const most = Math.max(...shown.map(({ evidence }) => evidence));
--- a/src/common/quarantine/crash_evidence_test.ts
+++ b/src/common/quarantine/crash_evidence_test.ts
@@ -123,6 +123,21 @@
     expect(crashes.find()).to.have.deep.members([["bad"], ["worse"]]);
   });
 
+  // Guards against crashes that go on since two parts crash so many engines at
+  // once that their crashes look like one from outside.
+  it("is found for two parts that crash many engines at once", () => {
+    const crashes = new Crashes();
+    for (let count = 0; count < 6; count += 1) {
+      for (const part of ["bad", "worse"]) {
+        crashes.now += 30;
+        crashes.record({ [part]: 1, common: 2 });
+      }
+    }
+    crashes.prove("common");
+    crashes.now += 30;
+    expect(crashes.find()).to.have.deep.members([["bad"], ["worse"]]);
+  });
+
   // Guards against crashes that go on since the reports of several processes
   // on one engine look like several crashes, or like none.
   it("counts an engine once, whoever reports it", () => {
--- a/src/common/replicas/exchange_client.ts
+++ b/src/common/replicas/exchange_client.ts
@@ -99,6 +99,11 @@
     return this.age < TABLE_LIFETIME;
   }
 
+  /** Whether the holder answered the last exchange. */
+  get isConnected(): boolean {
+    return this.isFresh && this.#hasAnswered;
+  }
+
   /** Milliseconds since the holder's last reply. */
   get age(): number {
     return this.#parts.clock.now() - this.#repliedAt;
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -229,7 +229,7 @@
     if (this.#isActiveHolder) {
       return QuarantineRole.Holder;
     }
-    return this.#exchangeClient.isFresh
+    return this.#exchangeClient.isConnected
       ? QuarantineRole.Follower
       : QuarantineRole.Alone;
   }
--- a/test/crashing_prompts_test.ts
+++ b/test/crashing_prompts_test.ts
@@ -81,10 +81,7 @@
       },
       disturb: once(SOUND_TIME + 500, () => void fleet.restartProcess(0)),
     });
-    // The rule holds for each part; five crashes of both are three of one.
-    expect(result.late).to.be.at.most(2 * MAXIMUM_LATE);
-    expect(result.servedAfter).to.be.at.least(result.servedBefore / 2);
-    expect(result.wronglyRefused).to.equal(0);
+    expectFewCrashes(result);
   });
 
   // Guards against a part that crashes engines again after it was away, and
--- a/test/support/crashing_calls.ts
+++ b/test/support/crashing_calls.ts
@@ -43,7 +43,10 @@
 /** What engines and callers have seen. */
 export interface ICrashingResult {
   readonly crashes: number;
-  /** Calls with a crashing part that came too late after the fifth crash. */
+  /**
+   * Calls that came too late after the fifth crash by their part; the largest
+   * number of any part.
+   */
   readonly late: number;
   /** Shares of the sound calls that were served, 0 to 1. */
   readonly servedBefore: number;
@@ -126,18 +129,32 @@
     const { engines } = this.#fleet;
     const crashes = engines
       .flatMap((engine) => engine.crashes)
-      .sort((one, other) => one - other);
-    const first = crashes[0] ?? Number.POSITIVE_INFINITY;
-    const counted = crashes[COUNTED_CRASHES - 1] ?? first;
+      .sort((one, other) => one.at - other.at);
     const arrivals = engines.flatMap((engine) => engine.crashingArrivals);
-    const isLate = (at: number) => at > counted + SETTLING_TIME;
+    const parts = [...new Set(crashes.map(({ part }) => part))];
+    const countedOf = (part: string | null) => {
+      const times = crashes.filter((one) => one.part === part);
+      return times[COUNTED_CRASHES - 1]?.at ?? Number.POSITIVE_INFINITY;
+    };
+    const late = parts.map(
+      (part) =>
+        arrivals.filter(
+          (one) =>
+            one.part === part && one.at > countedOf(part) + SETTLING_TIME,
+        ).length,
+    );
+    const first = crashes[0]?.at ?? Number.POSITIVE_INFINITY;
+    const last = crashes.at(-1)?.at ?? Number.POSITIVE_INFINITY;
+    const settled = Math.max(
+      ...parts.map((part) => Math.min(countedOf(part), last)),
+    );
     return {
-      crashes: crashes.filter((at) => at > startedAt).length,
-      late: arrivals.filter(isLate).length,
+      crashes: crashes.filter(({ at }) => at > startedAt).length,
+      late: Math.max(0, ...late),
       servedBefore: servedShare(this.#sound, (at) => at < first - 1_000),
       servedAfter: servedShare(
         this.#sound,
-        (at) => at > counted + 2 * SETTLING_TIME,
+        (at) => at > settled + 2 * SETTLING_TIME,
       ),
       wronglyRefused: this.#wronglyRefused,
     };
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -18,6 +18,14 @@
 /** Milliseconds after a crash until it is back, under another id. */
 const RESTART_TIME = 2_500;
 
+/** Something that happened because of a part of a prompt. */
+export interface IPartEvent {
+  /** Milliseconds. */
+  readonly at: number;
+  /** Null for a crash without one. */
+  readonly part: string | null;
+}
+
 interface IGroup {
   readonly name: string;
   readonly epoch: number;
@@ -55,9 +63,9 @@
   crashingParts: ReadonlySet<string> = new Set();
   /** Whether it is down after a crash. */
   isDown = false;
-  /** When it crashed, and when calls with such a part arrived, milliseconds. */
-  readonly crashes: number[] = [];
-  readonly crashingArrivals: number[] = [];
+  /** Its crashes, and the calls with such a part that arrived. */
+  readonly crashes: IPartEvent[] = [];
+  readonly crashingArrivals: IPartEvent[] = [];
   #store: PlatformStore | null = null;
   #starts = 0;
   readonly #timers = new Set<NodeJS.Timeout>();
@@ -97,13 +105,17 @@
     this.#server.close();
   }
 
-  /** Crashes; it is back after a while under another id. */
-  crash(): void {
+  /**
+   * Crashes; it is back after a while under another id.
+   *
+   * @param part - what made it crash; null if it does by itself
+   */
+  crash(part: string | null = null): void {
     if (this.isDown) {
       return;
     }
     this.isDown = true;
-    this.crashes.push(performance.now());
+    this.crashes.push({ at: performance.now(), part });
     this.#server.closeAllConnections();
     this.#server.close();
     const { id } = this;
@@ -236,19 +248,19 @@
   }
 
   /** The last part belongs to the request itself. */
-  #isCrashing({ headers }: IncomingMessage): boolean {
+  #crashingPartOf({ headers }: IncomingMessage): string | null {
     const entries = String(headers["x-prompt-prefix"] ?? "").split(",");
-    return entries
-      .slice(0, -1)
-      .some((entry) => this.crashingParts.has(entry.split(":")[0] ?? ""));
+    const parts = entries.slice(0, -1).map((entry) => entry.split(":")[0]);
+    return parts.find((part = "") => this.crashingParts.has(part)) ?? null;
   }
 
   #stream(request: IncomingMessage, response: ServerResponse): void {
     const attempt = String(request.headers["x-attempt-id"]);
     this.runs.push(attempt);
-    if (this.#isCrashing(request)) {
-      this.crashingArrivals.push(performance.now());
-      this.#after(CRASH_DELAY, () => this.crash());
+    const part = this.#crashingPartOf(request);
+    if (part !== null) {
+      this.crashingArrivals.push({ at: performance.now(), part });
+      this.#after(CRASH_DELAY, () => this.crash(part));
     }
     response.writeHead(200, {
       "content-type": "text/event-stream",
