--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -5,8 +5,8 @@
  *
  * Only calls that an engine had hardly begun to answer are suspects of its
  * crash. A part is the cause once {@link FEWEST_CRASHES} crashes had it among
- * their suspects and no answer on it has gone on since. Engines that crash
- * together have one cause from outside, so they count as one crash at most.
+ * their suspects and no answer on it has gone on since. Many engines that crash
+ * together without a likely cause among their calls count less.
  * Parts that have only been seen together are one cause together: calls with
  * some of them go on and show which one it is.
  */
