Log how far behind a process is, and when calls are sent

Cause of the change: the logs could not tell a call that was sent in the turn in which it was read from one that waited, nor say whether the process was behind. `event_loop_delayed` names each turn that took over 250 ms, and the lines of calls name `last_sent_ms` and `read_lag_ms`. No decision uses them.

--- a/bench/forwarding_bench.ts
+++ b/bench/forwarding_bench.ts
@@ -126,6 +126,7 @@
       reach: { isOutOfReach: () => false, outOfReach: [] },
       clock: new SystemClock(),
       log: new RecordingLog(),
+      lag: () => 0,
     }),
   );
   const server = createServer((request, response) => {
--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -59,6 +59,7 @@
     },
     clock: new SystemClock(),
     log: new RecordingLog(),
+    lag: () => 0,
   });
   readonly #server: Server;
   address = "";
--- a/src/common/calls/model_call_recorder.ts
+++ b/src/common/calls/model_call_recorder.ts
@@ -29,7 +29,8 @@
 
   recordEnd(run: ModelRun, { outcome, fields, now }: IModelCallEnd): void {
     const { arrivedAt, route } = run.call;
-    const { firstSentAt, firstEventAt, longestPause } = run.times;
+    const { firstSentAt, lastSentAt, firstEventAt } = run.times;
+    const { longestPause, lagWhenRead } = run.times;
     this.#observe(run, now);
     this.#metrics.count("model_calls", { outcome });
     const line = {
@@ -40,9 +41,11 @@
       objective_ms: route.objective,
       pause_limit_ms: route.longestPause,
       waited_ms: since(arrivedAt, firstSentAt),
+      last_sent_ms: since(arrivedAt, lastSentAt),
       first_event_ms: since(arrivedAt, firstEventAt),
       longest_pause_ms: Math.round(longestPause),
       took_ms: since(arrivedAt, now),
+      read_lag_ms: Math.round(lagWhenRead),
       sends: run.sendCount,
       parts: describeParts(run.call.promptParts),
       ...fields,
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -81,6 +81,8 @@
   readonly log: ILog;
   readonly metrics: IMetrics;
   readonly zone: ZoneName;
+  /** Milliseconds by which this process is behind; see {@link EventLoopLag}. */
+  readonly lag: () => number;
   /** Number of processes known to place calls. */
   readonly processes: () => number;
   /** Called when groups become suspected of a stall. */
@@ -125,6 +127,7 @@
   /** Accepts a call; returns the handler for its caller's disconnect. */
   submit(call: ICall, reply: ICallReply): () => void {
     const run = new ModelRun({ call, reply, work: queueItemOf(call) }, this);
+    run.times.lagWhenRead = this.#parts.lag();
     const { clock } = this.#parts;
     const timeLeft = call.deadline - this.#now;
     run.deadlineTimer = clock.after(timeLeft, () => this.#handleTimeout(run));
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -61,10 +61,13 @@
 /** Timestamps of a run, for its log line. */
 export interface IRunTimes {
   firstSentAt: MonotonicTime | null;
+  lastSentAt: MonotonicTime | null;
   firstEventAt: MonotonicTime | null;
   lastEventAt: MonotonicTime | null;
   /** Longest time between two events that arrived, milliseconds. */
   longestPause: number;
+  /** By how much the process was behind when it read the call. */
+  lagWhenRead: number;
 }
 
 /** The send in progress. */
@@ -116,9 +119,11 @@
   #eventCount = 0;
   readonly times: IRunTimes = {
     firstSentAt: null,
+    lastSentAt: null,
     firstEventAt: null,
     lastEventAt: null,
     longestPause: 0,
+    lagWhenRead: 0,
   };
 
   constructor(
@@ -191,6 +196,7 @@
     this.currentSend = current;
     this.#sendCount += 1;
     this.times.firstSentAt ??= current.sentAt;
+    this.times.lastSentAt = current.sentAt;
     this.#splitter = new EventSplitter();
     this.#head = null;
     this.#body = [];
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -79,6 +79,8 @@
   readonly log: ILog;
   readonly metrics: IMetrics;
   readonly zone: ZoneName;
+  /** Milliseconds by which this process is behind; see {@link EventLoopLag}. */
+  readonly lag: () => number;
 }
 
 /** All plain calls of one process. */
@@ -144,6 +146,8 @@
   readonly #onResponse: (time: number) => void;
   readonly #triedTargets = new Set<InstanceId>();
   readonly #timers: IDisposable[] = [];
+  readonly #lagWhenRead: number;
+  #lastSentAt: MonotonicTime | null = null;
   /** Number of targets that the call may have reached. */
   #sendCount = 0;
   #currentSend: PlainSend | null = null;
@@ -166,6 +170,7 @@
     this.#parts = rest.parts;
     this.#isAdmitted = rest.isAdmitted;
     this.#onResponse = rest.onResponse;
+    this.#lagWhenRead = rest.parts.lag();
   }
 
   start(): void {
@@ -211,6 +216,7 @@
     }
     this.#triedTargets.add(target.id);
     this.#sendCount += 1;
+    this.#lastSentAt = now;
     this.#parts.targets.recordSend(target.id);
     const send = new PlainSend({ target: target.id, sentAt: now }, (answer) =>
       this.#handleEnd(answer),
@@ -434,14 +440,18 @@
     for (const timer of this.#timers) {
       timer.dispose();
     }
-    const took = this.#parts.clock.now() - this.#call.arrivedAt;
+    const { arrivedAt } = this.#call;
+    const took = this.#parts.clock.now() - arrivedAt;
+    const sentAt = this.#lastSentAt;
     this.#parts.metrics.count("plain_calls", { outcome });
     this.#parts.metrics.observe("plain_call_duration", took);
     const line = {
       request: this.#call.id,
       route: this.#call.route.name,
       outcome,
+      last_sent_ms: sentAt === null ? null : Math.round(sentAt - arrivedAt),
       took_ms: Math.round(took),
+      read_lag_ms: Math.round(this.#lagWhenRead),
       targets: [...this.#triedTargets].join(","),
       ...fields,
     };
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -121,6 +121,7 @@
       log,
       metrics: NO_METRICS,
       zone: "one",
+      lag: () => 0,
     });
   }
 
--- a/src/common/forwarding/forwarded_requests.ts
+++ b/src/common/forwarding/forwarded_requests.ts
@@ -38,6 +38,8 @@
   readonly reach: Pick<TargetReach, "isOutOfReach" | "outOfReach">;
   readonly clock: IClock;
   readonly log: ILog;
+  /** Milliseconds by which this process is behind; see {@link EventLoopLag}. */
+  readonly lag: () => number;
 }
 
 /** The requests that other processes have forwarded to this one. */
@@ -108,8 +110,9 @@
 
   /** Returns the function that records the end of a call, once. */
   #recordStart({ target, call }: IForwardedSend): (outcome: string) => void {
-    const { clock, log } = this.#parts;
+    const { clock, log, lag } = this.#parts;
     const startedAt = clock.now();
+    const read_lag_ms = Math.round(lag());
     let isEnded = false;
     this.#inFlight += 1;
     return (outcome) => {
@@ -117,8 +120,8 @@
         isEnded = true;
         this.#inFlight -= 1;
         const took_ms = Math.round(clock.now() - startedAt);
-        const fields = { request: call.id, target, outcome, took_ms };
-        log.info("forwarded_call", fields);
+        const ended = { outcome, took_ms, read_lag_ms };
+        log.info("forwarded_call", { request: call.id, target, ...ended });
       }
     };
   }
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -28,6 +28,7 @@
 import { CallRefusalReason, CallRefusalKind } from "../common/calls/types.ts";
 import type { ICall, ICallReply } from "../common/calls/types.ts";
 import { DisposableStore } from "../common/disposable.ts";
+import { EventLoopLag } from "../common/event_loop_lag.ts";
 import { DirectEngineClient } from "../common/forwarding/direct_engine_client.ts";
 import { DirectSender } from "../common/forwarding/direct_sender.ts";
 import { ForwardedRequests } from "../common/forwarding/forwarded_requests.ts";
@@ -81,6 +82,9 @@
 /** Calls must end this long before the grace time does, milliseconds. */
 const GRACE_MARGIN = 700;
 
+/** Delays of the event loop that are logged, milliseconds. */
+const LOGGED_DELAY = 250;
+
 /** Retry-after while the targets are not known yet, milliseconds. */
 const STARTING_RETRY_AFTER = 500;
 
@@ -115,6 +119,7 @@
   readonly #paths: ForwardingSender;
   readonly #forwarded: ForwardedRequests;
   readonly #quarantine: Quarantine;
+  readonly #lag = new EventLoopLag(CHECK_PERIOD);
   #hasCalls = false;
   #isStopping = false;
 
@@ -183,6 +188,7 @@
       findTarget: (id) => this.#targets.all.get(id) ?? null,
       reach: this.#reach,
       ...{ clock, log },
+      lag: () => this.#currentLag,
     });
     const shared = {
       sender: new ObservingSender({ ...observed, sender: this.#paths }),
@@ -196,6 +202,7 @@
       log,
       metrics: this.#metrics,
       zone: settings.instance.zone,
+      lag: () => this.#currentLag,
     };
     this.#models = new ModelCalls({
       ...shared,
@@ -306,13 +313,23 @@
     this.#owned.add(this.#coordinator);
     this.#owned.add(this.#reach);
     this.#owned.add(this.#peers);
-    this.#owned.add(
-      this.#clock.every(CHECK_PERIOD, () => this.#models.check()),
-    );
+    this.#owned.add(this.#clock.every(CHECK_PERIOD, () => this.#check()));
     this.#owned.add(this.#clock.every(CLEANUP_PERIOD, () => this.#cleanUp()));
     this.#log.info("started", { callers: listen.callers, inner });
   }
 
+  #check(): void {
+    const delay = this.#lag.tick(this.#clock.now());
+    if (delay > LOGGED_DELAY) {
+      this.#log.warn("event_loop_delayed", { delay_ms: Math.round(delay) });
+    }
+    this.#models.check();
+  }
+
+  get #currentLag(): number {
+    return this.#lag.at(this.#clock.now());
+  }
+
   #submit(call: ICall, reply: ICallReply): () => void {
     this.#hasCalls = true;
     if (!this.#isLoaded) {
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -88,6 +88,7 @@
       log: this.log,
       metrics: NO_METRICS,
       zone: "one",
+      lag: () => 0,
       processes: () => this.coordinator.processCount,
       onGroupsSuspected: () => undefined,
     });
--- a/test/support/forwarding_soak.ts
+++ b/test/support/forwarding_soak.ts
@@ -92,6 +92,7 @@
       },
       findTarget: (id) => TARGETS.find((target) => target.id === id) ?? null,
       ...{ reach, clock, log },
+      lag: () => 0,
     });
   }
 
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -126,6 +126,7 @@
       log: this.log,
       metrics: NO_METRICS,
       zone: "one",
+      lag: () => 0,
       processes: () => 1,
       onGroupsSuspected: () => undefined,
     });
