Show that calls are sent on after their callers have left

Callers saw: engines work for callers that have left, so that others wait. The tests start real processes, give one of them 5 ms of each 100, and let 400 callers (daemon: 200) on new and on kept connections leave after 1 s, half by closing, half by a reset. Counted are the calls that reach a target more than 0.5 s after that; 3 may.

--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
+import type { IArrival } from "./leaving_callers.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import { RetryAfterRule } from "./retry_after_rule.ts";
 
@@ -55,6 +56,8 @@
   readonly rejectionRule = new RetryAfterRule(performance);
   /** Ids of the attempts that reached this engine. */
   readonly arrivals: string[] = [];
+  /** The same attempts, and when they arrived. */
+  readonly timedArrivals: IArrival[] = [];
   /** Ids of the attempts that this engine started to run. */
   readonly runs: string[] = [];
   /** Number of streams that it writes now. */
@@ -232,7 +235,9 @@
   }
 
   #handleCall(request: IncomingMessage, response: ServerResponse): void {
-    this.arrivals.push(String(request.headers["x-attempt-id"]));
+    const id = String(request.headers["x-attempt-id"]);
+    this.arrivals.push(id);
+    this.timedArrivals.push({ id, at: performance.now() });
     this.rejectionRule.recordArrival("entry", this.id);
     if (this.retryAfter === null) {
       this.#stream(request, response);
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -1,7 +1,9 @@
 /** A target of a plain service that speaks the users' platform's protocol. */
 import { createServer } from "node:http";
 import type { Server } from "node:http";
+import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
+import type { IArrival } from "./leaving_callers.ts";
 import type { PlatformStore } from "./platform_store.ts";
 
 /** Answers each request, by default at once, and records those that it ran. */
@@ -10,6 +12,8 @@
   address = "";
   /** Ids of the attempts that it ran. */
   readonly runs: string[] = [];
+  /** The same attempts, and when they arrived. */
+  readonly timedArrivals: IArrival[] = [];
   /** Milliseconds that a request runs. */
   runTime = 0;
   readonly #service: string;
@@ -25,7 +29,9 @@
         response.writeHead(400, { "x-not-executed": "1" }).end();
         return;
       }
-      this.runs.push(String(attempt));
+      const id = String(attempt);
+      this.runs.push(id);
+      this.timedArrivals.push({ id, at: performance.now() });
       setTimeout(() => {
         response.writeHead(200, {
           "x-attempt-id": String(attempt),
