Run timers after a poll, so that unread answers are not taken for missing

Cause: Node runs timers before it reads what has arrived. A process that is behind by more than a time limit then takes each answer that lies unread for a missing one: reports of engines, exchanges with the lease holder, reads of the lease, and deadlines of calls whose answers are there. What callers saw: calls refused or retried for the lag of the process itself.

The test blocks the event loop for three times the limit while the answer arrives; it failed before ("no answer within 50 ms").

Change: the clock's timers, and time limits of calls, call back right after the poll of their turn. A timer costs one immediate more.

--- a/src/adapters/clock/system_clock.ts
+++ b/src/adapters/clock/system_clock.ts
@@ -2,6 +2,7 @@
 import { performance } from "node:perf_hooks";
 import type { IDisposable } from "../../common/disposable.ts";
 import type { IClock } from "../../common/services/services.ts";
+import { afterDelay, everyPeriod } from "../event_loop/poll_timer.ts";
 
 /** The host's monotonic clock, wall clock and timers. */
 export class SystemClock implements IClock {
@@ -14,12 +15,10 @@
   }
 
   after(delay: number, callback: () => void): IDisposable {
-    const timer = setTimeout(callback, delay);
-    return { dispose: () => clearTimeout(timer) };
+    return afterDelay(delay, callback);
   }
 
   every(period: number, callback: () => void): IDisposable {
-    const timer = setInterval(callback, period);
-    return { dispose: () => clearInterval(timer) };
+    return everyPeriod(period, callback);
   }
 }
--- a/src/adapters/time_limit.ts
+++ b/src/adapters/time_limit.ts
@@ -5,6 +5,8 @@
  * instance without power would only fail after a second, and its loss would be
  * detected later.
  */
+import type { IDisposable } from "../common/disposable.ts";
+import { afterDelay } from "./event_loop/poll_timer.ts";
 
 /** The call timed out; the other side may or may not have acted. */
 export class TimeLimitError extends Error {
@@ -17,7 +19,7 @@
 }
 
 /**
- * @param limit - milliseconds
+ * @param limit - milliseconds; an answer that has arrived by then is in time
  * @param work - receives a signal that aborts at the limit
  * @throws {TimeLimitError} at the limit, even if the work ignores the signal
  */
@@ -26,13 +28,13 @@
   work: (signal: AbortSignal) => Promise<T>,
 ): Promise<T> {
   const abort = new AbortController();
-  let timer: NodeJS.Timeout | undefined;
+  let timer: IDisposable | undefined;
   const timeLimit = new Promise<never>((_, reject) => {
-    timer = setTimeout(() => {
+    timer = afterDelay(limit, () => {
       const error = new TimeLimitError(limit);
       reject(error);
       abort.abort(error);
-    }, limit);
+    });
   });
   const running = work(abort.signal);
   // A failure after the limit has already been reported as a timeout.
@@ -40,6 +42,6 @@
   try {
     return await Promise.race([running, timeLimit]);
   } finally {
-    clearTimeout(timer);
+    timer?.dispose();
   }
 }
