Send calls only when the leaves of their callers have been read

What callers saw: engines worked for callers that had left, others waited.

Cause: a process that is behind reads a call in one turn of its event loop and the close of its caller's connection in the next one, which may be seconds later. It sent the call in the first. The same for calls that wait in a queue, for retries and resumes (sent from timers, or on another event, before the close in the same turn is read), for new connections to targets, which are written to as soon as they are made, and for forwarded calls in both processes. A close was noticed only when the response had closed, one or two turns after its end was read.

Change, one design for all: InputBarrier lets a send wait for one complete poll of the connections, and polls again while the poll took longer than 200 ms, up to six turns. All sends pass it where they leave the process: to targets, to other processes, on new connections once they are made; forwarded reports and orders whose sender has left are not sent. The end or the error of the caller's connection counts as its leave. The daemon has the same, at its targets and its forwarder; a call that may run once is not begun for a caller that has left.

--- a/bench/forwarding_bench.ts
+++ b/bench/forwarding_bench.ts
@@ -25,6 +25,7 @@
 import { SUCCESS_HEAD } from "../test/support/model_calls_harness.ts";
 import { RecordingLog } from "../test/support/recording_services.ts";
 import { SeededRandom } from "../test/support/seeded_random.ts";
+import { inputBarrier } from "../test/support/event_loop_fixtures.ts";
 
 const SENDS = 200_000;
 const FORWARDED_CALLS = 2_000;
@@ -128,6 +129,7 @@
       log: new RecordingLog(),
       lag: () => 0,
     }),
+    inputBarrier(),
   );
   const server = createServer((request, response) => {
     handlers.handle(request, response);
@@ -161,7 +163,7 @@
 
 /** Prints the costs. */
 export async function run(): Promise<void> {
-  await using link = new HttpPeerLink();
+  await using link = new HttpPeerLink(inputBarrier());
   const direct = answeringSender(EVENTS);
   const without = timeOfSend(direct);
   const withPath = timeOfSend(forwardingSender(direct, link));
--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -23,6 +23,7 @@
   IServiceDefinition,
   ServiceName,
 } from "../../common/types.ts";
+import { onCallerLeft } from "../caller_leave.ts";
 import { listenOn } from "../listen.ts";
 import {
   CertificateReloader,
@@ -189,13 +190,7 @@
   ): Promise<void> {
     const started = this.#parts.clock.now();
     const callerLeft = new AbortController();
-    // "close" also follows a complete response. Aborting then would only create
-    // an unneeded error on each request.
-    response.on("close", () => {
-      if (!response.writableFinished) {
-        callerLeft.abort();
-      }
-    });
+    onCallerLeft(incoming, response, () => callerLeft.abort());
     const request = await this.#readRequest(
       incoming,
       requestId,
--- a/src/adapters/forwarding/forwarding_handlers.ts
+++ b/src/adapters/forwarding/forwarding_handlers.ts
@@ -1,12 +1,13 @@
 /** The server side of requests that other processes forward. */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { setImmediate as nextTurn } from "node:timers/promises";
+import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import type { SendFailure } from "../../common/calls/types.ts";
 import type {
   IResponseHead,
   IResponseReceiver,
 } from "../../common/calls/types.ts";
 import type { ForwardedRequests } from "../../common/forwarding/forwarded_requests.ts";
+import { hasCallerLeft, onCallerLeft } from "../caller_leave.ts";
 import {
   decodeExchange,
   decodeOrder,
@@ -30,9 +31,11 @@
 /** Answers forwarded requests. */
 export class ForwardingHandlers {
   readonly #requests: ForwardedRequests;
+  readonly #barrier: IInputBarrier;
 
-  constructor(requests: ForwardedRequests) {
+  constructor(requests: ForwardedRequests, barrier: IInputBarrier) {
     this.#requests = requests;
+    this.#barrier = barrier;
   }
 
   /** Answers a request; returns false if its path is not one of these. */
@@ -57,32 +60,30 @@
     }
     const isTaken =
       path === ForwardPath.Send
-        ? await this.#send(content, response)
-        : await this.#exchange(path, content, response);
+        ? this.#send(content, request, response)
+        : await this.#exchange(path, content, { request, response });
     if (!isTaken) {
       response.writeHead(STATUS_BAD_REQUEST).end();
     }
   }
 
   /** Returns false for a request that is not valid. */
-  async #send(content: Buffer, response: ServerResponse): Promise<boolean> {
+  #send(
+    content: Buffer,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): boolean {
     const send = decodeSend(content);
     if (send === null) {
       return false;
     }
-    // A caller that left while this process was paused is noticed first.
-    await nextTurn();
     const refusal = this.#requests.refusalOf(send);
     if (refusal !== null) {
       response.writeHead(STATUS_NOT_TAKEN);
       response.end(JSON.stringify({ refusal }));
-    } else if (!response.destroyed) {
+    } else if (!hasCallerLeft(request, response)) {
       const handle = this.#requests.send(send, new ResponseWriter(response));
-      response.once("close", () => {
-        if (!response.writableFinished) {
-          handle.abort();
-        }
-      });
+      onCallerLeft(request, response, () => handle.abort());
     }
     return true;
   }
@@ -91,8 +92,17 @@
   async #exchange(
     path: ForwardPath,
     content: Buffer,
-    response: ServerResponse,
+    caller: {
+      readonly request: IncomingMessage;
+      readonly response: ServerResponse;
+    },
   ): Promise<boolean> {
+    const { request, response } = caller;
+    // An order or a report that nobody waits for any more is not sent.
+    await this.#barrier.pass();
+    if (hasCallerLeft(request, response)) {
+      return true;
+    }
     const answer = await this.#answerExchange(path, content);
     if (answer !== null) {
       response.writeHead(STATUS_OK, { "content-type": "application/json" });
--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -25,6 +25,7 @@
 import { encodeLine, ForwardPath } from "./forwarding_protocol.ts";
 import { ForwardingHandlers } from "./forwarding_handlers.ts";
 import { HttpPeerLink } from "./http_peer_link.ts";
+import { inputBarrier } from "../../../test/support/event_loop_fixtures.ts";
 
 const TARGETS = targetsOf(["one"], 1);
 
@@ -39,7 +40,7 @@
 /** A process that takes forwarded requests, and a link to it. */
 class Harness {
   readonly sender = new RecordingSender();
-  readonly link = new HttpPeerLink();
+  readonly link = new HttpPeerLink(inputBarrier());
   outOfReach: readonly string[] = [];
   /** Listed state of all targets. */
   state = ListedState.Ready;
@@ -65,7 +66,7 @@
   address = "";
 
   constructor() {
-    const handlers = new ForwardingHandlers(this.requests);
+    const handlers = new ForwardingHandlers(this.requests, inputBarrier());
     this.#server = createServer((received, response) => {
       handlers.handle(received, response);
     });
@@ -218,7 +219,7 @@
       response.end(encodeLine({ head: SUCCESS_HEAD }));
     });
     const address = await listenOn(server, "127.0.0.1:0");
-    await using link = new HttpPeerLink();
+    await using link = new HttpPeerLink(inputBarrier());
     const receiver = new Receiver();
     link.send(
       address,
--- a/src/adapters/forwarding/http_peer_link.ts
+++ b/src/adapters/forwarding/http_peer_link.ts
@@ -2,7 +2,8 @@
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { Agent, Client, request } from "undici";
-import type { Dispatcher } from "undici";
+import type { buildConnector, Dispatcher } from "undici";
+import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import { SendFailure } from "../../common/calls/types.ts";
 import type { ISendHandle } from "../../common/calls/types.ts";
 import { ForwardRefusal } from "../../common/forwarding/types.ts";
@@ -19,7 +20,9 @@
 } from "../../common/replicas/types.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ServiceName } from "../../common/types.ts";
+import { barrierConnector } from "../barrier_connector.ts";
 import { withTimeLimit } from "../time_limit.ts";
+import { timedConnector } from "../timed_connector.ts";
 import {
   encodeLine,
   END_TRAILER,
@@ -41,7 +44,19 @@
 
 /** Forwards requests over HTTP. */
 export class HttpPeerLink implements IPeerLink {
-  readonly #agent = new Agent({ ...NO_TIMEOUTS, pipelining: 1 });
+  readonly #connect: buildConnector.connector;
+  readonly #agent: Agent;
+
+  /** @param barrier - delays the use of connections that calls wait for */
+  constructor(barrier: IInputBarrier) {
+    const connectTo = timedConnector({
+      timeout: CONNECT_TIMEOUT,
+      allowHalfOpen: false,
+    });
+    this.#connect = barrierConnector(connectTo, barrier);
+    const connect = this.#connect;
+    this.#agent = new Agent({ ...NO_TIMEOUTS, connect, pipelining: 1 });
+  }
 
   send(
     address: string,
@@ -53,7 +68,7 @@
     const origin = `http://${address}`;
     const handler = new ForwardHandler(receiver);
     const client = rest.needsNewConnection
-      ? new Client(origin, NO_TIMEOUTS)
+      ? new Client(origin, { ...NO_TIMEOUTS, connect: this.#connect })
       : null;
     handler.onDone = () => void client?.destroy();
     (client ?? this.#agent).dispatch(
@@ -149,7 +164,6 @@
 /** Receives the response to one forwarded call. */
 class ForwardHandler implements Dispatcher.DispatchHandler, ISendHandle {
   readonly #receiver: IForwardReceiver;
-  readonly #connectTimer: NodeJS.Timeout;
   #controller: Dispatcher.DispatchController | null = null;
   #status = 0;
   /** Bytes before the end of the first line. */
@@ -161,14 +175,10 @@
 
   constructor(receiver: IForwardReceiver) {
     this.#receiver = receiver;
-    this.#connectTimer = setTimeout(() => {
-      this.#refuse(`no connection in ${CONNECT_TIMEOUT} ms`);
-    }, CONNECT_TIMEOUT);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    clearTimeout(this.#connectTimer);
     if (this.#isFinished) {
       controller.abort(new Error("aborted before it was sent"));
     }
@@ -272,7 +282,6 @@
       return false;
     }
     this.#isFinished = true;
-    clearTimeout(this.#connectTimer);
     // Deferred, because undici's current call still uses the connection.
     queueMicrotask(this.onDone);
     return true;
--- a/src/adapters/peers/grpc_forwarder.ts
+++ b/src/adapters/peers/grpc_forwarder.ts
@@ -1,6 +1,7 @@
 /** Forwards requests to daemons of other zones over gRPC. */
 import { Err, Ok } from "ts-results-es";
 import type { ClientReadableStream } from "@grpc/grpc-js";
+import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import type {
   IForwardedRequest,
   IForwarder,
@@ -35,9 +36,12 @@
 export class GrpcForwarder implements IForwarder {
   readonly #clients = new Map<string, ForwardClient>();
   readonly #credentials: IPeerCredentials;
+  readonly #barrier: IInputBarrier;
 
-  constructor(credentials: IPeerCredentials) {
+  /** @param barrier - delays requests until the news on callers is fresh */
+  constructor(credentials: IPeerCredentials, barrier: IInputBarrier) {
     this.#credentials = credentials;
+    this.#barrier = barrier;
   }
 
   async *generate(
@@ -45,6 +49,11 @@
     request: IForwardedRequest,
     signal: AbortSignal,
   ): AsyncIterable<TokenBatch> {
+    await this.#barrier.pass();
+    if (signal.aborted) {
+      yield Err(notRun(Reason.CallerLeft, "the caller is gone"));
+      return;
+    }
     const client = this.#client(address);
     const deadline = Date.now() + request.remaining;
     const message = { ...request, body: JSON.stringify(request.body) };
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -14,6 +14,7 @@
   IServiceCall,
   ITargets,
 } from "../../common/services/services.ts";
+import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
 import { callFailureOf, isResponseTimeout } from "../http_failure.ts";
@@ -32,6 +33,12 @@
 
 const STATUS_OK = 200;
 
+/** The call was not sent. */
+const CALLER_LEFT: ICallFailure = {
+  kind: CallFailureKind.NotSent,
+  detail: "the caller is gone",
+};
+
 /** How a POST request is sent. */
 interface IPostOptions {
   readonly body: string | Readable;
@@ -43,12 +50,20 @@
 
 /** Calls targets; every call has a limit on the time without any data. */
 export class HttpTargets implements ITargets {
-  readonly #connections = new TargetConnections(CONNECT_TIMEOUT, () =>
-    performance.now(),
-  );
-
+  readonly #barrier: IInputBarrier;
+  readonly #connections: TargetConnections;
   readonly #wireIds = new WireIdGenerator();
 
+  /** @param barrier - delays calls until the news on their callers is fresh */
+  constructor(barrier: IInputBarrier) {
+    this.#barrier = barrier;
+    this.#connections = new TargetConnections({
+      connectTimeout: CONNECT_TIMEOUT,
+      barrier,
+      now: () => performance.now(),
+    });
+  }
+
   async report(
     address: string,
     timeout: number,
@@ -102,6 +117,10 @@
     call: IServiceCall,
     signal: AbortSignal,
   ): Promise<Result<unknown, ICallFailure>> {
+    await this.#barrier.pass();
+    if (signal.aborted || call.isStillDue?.() === false) {
+      return Err(CALLER_LEFT);
+    }
     const { operation, body } = call;
     const requestId = this.#wireIds.next(call.requestId);
     const content = JSON.stringify({ requestId, operation, body });
@@ -117,6 +136,11 @@
     call: IEngineCall,
     options: IGenerateOptions,
   ): AsyncIterable<Result<readonly IEngineToken[], ICallFailure>> {
+    await this.#barrier.pass();
+    if (options.signal.aborted) {
+      yield Err(CALLER_LEFT);
+      return;
+    }
     const attempted = `generate on ${address}`;
     const { dispatcher, connectionLost } = this.#connections.poolFor(address);
     const requestId = this.#wireIds.next(call.requestId);
--- a/src/adapters/targets/http_targets_test.ts
+++ b/src/adapters/targets/http_targets_test.ts
@@ -6,6 +6,7 @@
 import { TricklingTarget } from "../../../test/support/trickling_target.ts";
 import { listenOn } from "../listen.ts";
 import { HttpTargets } from "./http_targets.ts";
+import { inputBarrier } from "../../../test/support/event_loop_fixtures.ts";
 
 const ORDER = {
   kind: OrderKind.Release,
@@ -30,7 +31,7 @@
     });
     server.on("connection", () => (connected += 1));
     const address = await listenOn(server, "127.0.0.1:0");
-    await using targets = new HttpTargets();
+    await using targets = new HttpTargets(inputBarrier());
     const send = () => {
       const isStillDue = () => connected === 0;
       return targets.order(address, ORDER, { timeout: 1_000, isStillDue });
@@ -54,7 +55,7 @@
   it("time out even if data trickles in", async () => {
     await using trickle = new TricklingTarget();
     const address = await trickle.listen();
-    await using targets = new HttpTargets();
+    await using targets = new HttpTargets(inputBarrier());
     const startedAt = performance.now();
     const report = await targets.report(address, 300);
     expect(report.isErr()).to.equal(true);
--- a/src/adapters/targets/target_connections.ts
+++ b/src/adapters/targets/target_connections.ts
@@ -5,8 +5,10 @@
  * immediately. A timeout therefore retires the whole pool, so that the next
  * call opens a new connection. Pools are also retired by age.
  */
-import { Client, Pool } from "undici";
+import { buildConnector, Client, Pool } from "undici";
 import type { Dispatcher } from "undici";
+import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
+import { barrierConnector } from "../barrier_connector.ts";
 
 /** Age from which a pool accepts no more calls, milliseconds. */
 const MAXIMUM_POOL_AGE = 60_000;
@@ -41,7 +43,7 @@
 
 /** Provides connections that are neither old nor known to be silent. */
 export class TargetConnections {
-  readonly #connectTimeout: number;
+  readonly #connect: buildConnector.connector;
   readonly #now: () => number;
   readonly #pools = new Map<string, IOpenPool>();
   /** Retired pools with calls still in flight. */
@@ -50,12 +52,18 @@
   readonly #silentPools = new Map<string, Set<AbortController>>();
 
   /**
-   * @param connectTimeout - milliseconds
-   * @param now - monotonic milliseconds
+   * @param parts.connectTimeout - milliseconds
+   * @param parts.barrier - delays the use of new connections
+   * @param parts.now - monotonic milliseconds
    */
-  constructor(connectTimeout: number, now: () => number) {
-    this.#connectTimeout = connectTimeout;
-    this.#now = now;
+  constructor(parts: {
+    readonly connectTimeout: number;
+    readonly barrier: IInputBarrier;
+    readonly now: () => number;
+  }) {
+    const connect = buildConnector({ timeout: parts.connectTimeout });
+    this.#connect = barrierConnector(connect, parts.barrier);
+    this.#now = parts.now;
   }
 
   /** Returns the current pool of an address. */
@@ -74,7 +82,7 @@
       void this.#retire(current.pool);
     }
     const pool = new Pool(`http://${address}`, {
-      connect: { timeout: this.#connectTimeout },
+      connect: this.#connect,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT,
       keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT,
     });
@@ -91,7 +99,7 @@
   /** Creates a connection for a single call, to be destroyed afterwards. */
   createSingleUse(address: string): Dispatcher {
     return new Client(`http://${address}`, {
-      connect: { timeout: this.#connectTimeout },
+      connect: this.#connect,
     });
   }
 
--- /dev/null
+++ b/src/adapters/timed_connector.ts
@@ -0,0 +1,33 @@
+/** Connections that fail soon if they are not made. */
+import type { Socket } from "node:net";
+import { buildConnector } from "undici";
+import { afterDelay } from "./event_loop/poll_timer.ts";
+
+/** How connections are made. */
+export interface IConnectionOptions {
+  /** Milliseconds. */
+  readonly timeout: number;
+  /** Whether to keep a connection open that its other end has closed. */
+  readonly allowHalfOpen: boolean;
+}
+
+/** A connector for undici, whose own timeout is up to half a second late. */
+export function timedConnector({
+  timeout,
+  allowHalfOpen,
+}: IConnectionOptions): buildConnector.connector {
+  const connect = buildConnector({ timeout: 0, allowHalfOpen });
+  // The typings omit that the connector returns the socket.
+  const connectWithSocket = connect as (
+    ...call: Parameters<typeof connect>
+  ) => Socket | undefined;
+  return (target, callback) => {
+    const timer = afterDelay(timeout, () => {
+      connecting?.destroy(new Error(`no connection in ${timeout} ms`));
+    });
+    const connecting = connectWithSocket(target, (...result) => {
+      timer.dispose();
+      callback(...result);
+    });
+  };
+}
--- a/src/common/services/at_most_once_runner.ts
+++ b/src/common/services/at_most_once_runner.ts
@@ -43,7 +43,7 @@
 }
 
 /**
- * Runs a call after writing its record. From then on, a caller that disconnects
+ * Runs a call after writing its record. Once it is sent, a caller that disconnects
  * does not cancel the call: the target might act and its answer be lost, and
  * the caller's retry would be told "unknown" needlessly.
  */
@@ -106,6 +106,10 @@
     let refusal = noTarget(request, groups);
     for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
       const target = this.#chooseTarget(request, avoid);
+      if (request.signal.aborted) {
+        refusal = notRun(Reason.CallerLeft, "the caller is gone");
+        break;
+      }
       if (clock.now() >= request.deadline) {
         refusal = notRun(Reason.DeadlinePassed, "no time was left to run it");
       }
@@ -145,6 +149,7 @@
       body,
       timeout,
       needsNewConnection: true,
+      isStillDue: () => !request.signal.aborted,
     };
     try {
       const neverAborted = new AbortController().signal;
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -209,6 +209,8 @@
    * request that must not be sent twice must not be lost on it.
    */
   readonly needsNewConnection: boolean;
+  /** Checked right before the call is sent. */
+  readonly isStillDue?: () => boolean;
 }
 
 /** Timeouts of an engine's answer, and the signal that cancels it. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -3,6 +3,7 @@
   HttpCallerServer,
   sha256Hex,
 } from "../adapters/callers/http_caller_server.ts";
+import { SystemEventLoop } from "../adapters/event_loop/system_event_loop.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { XxhashHash } from "../adapters/hash/xxhash_hash.ts";
 import { LogfmtLog } from "../adapters/log/logfmt_log.ts";
@@ -19,6 +20,7 @@
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import { InputBarrier } from "../common/calls/input_barrier.ts";
 import type { IPeerRequestHandler } from "../common/membership/peers.ts";
 import { LiveDaemons } from "../common/membership/live_daemons.ts";
 import { BurnRecorder } from "../common/reports/burn_recorder.ts";
@@ -83,7 +85,11 @@
   readonly #id: string;
   readonly #httpPlatform: HttpPlatform;
   readonly #platform: IPlatform;
-  readonly #httpTargets = new HttpTargets();
+  readonly #barrier = new InputBarrier({
+    eventLoop: new SystemEventLoop(),
+    clock: this.#clock,
+  });
+  readonly #httpTargets = new HttpTargets(this.#barrier);
   /** By address of the target. */
   readonly #cooldowns: TargetCooldowns;
   readonly #targets: ITargets;
@@ -146,7 +152,7 @@
     );
     this.#health = this.#createHealth();
     this.#sweeper = this.#createSweeper();
-    this.#forwarder = new GrpcForwarder(this.#credentials);
+    this.#forwarder = new GrpcForwarder(this.#credentials, this.#barrier);
     this.#quarantine = this.#createQuarantine();
     this.#pipeline = this.#createPipeline();
     this.#callerServer = this.#createCallerServer();
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -6,6 +6,7 @@
 import { ObjectStoreClient } from "../../platform/object_store_client.ts";
 import { TargetClient } from "../../platform/target_client.ts";
 import { decodeTarget } from "../../platform/target_decoder.ts";
+import { SystemEventLoop } from "../adapters/event_loop/system_event_loop.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
 import { HolderLink } from "../adapters/exchange/holder_link.ts";
 import { ForwardingHandlers } from "../adapters/forwarding/forwarding_handlers.ts";
@@ -15,6 +16,8 @@
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { ActiveConfiguration } from "../common/calls/active_configuration.ts";
+import { BarrierSender } from "../common/calls/barrier_sender.ts";
+import { InputBarrier } from "../common/calls/input_barrier.ts";
 import { ObservingSender } from "../common/calls/observing_sender.ts";
 import { CHECK_PERIOD, ModelCalls } from "../common/calls/model_calls.ts";
 import { ObjectFollower } from "../common/calls/object_follower.ts";
@@ -29,6 +32,7 @@
 import type { ICall, ICallReply } from "../common/calls/types.ts";
 import { DisposableStore } from "../common/disposable.ts";
 import { EventLoopLag } from "../common/event_loop_lag.ts";
+import { BarrierPeerLink } from "../common/forwarding/barrier_peer_link.ts";
 import { DirectEngineClient } from "../common/forwarding/direct_engine_client.ts";
 import { DirectSender } from "../common/forwarding/direct_sender.ts";
 import { ForwardedRequests } from "../common/forwarding/forwarded_requests.ts";
@@ -97,7 +101,11 @@
   readonly #metrics = new PrometheusMetrics();
   readonly #owned = new DisposableStore();
   readonly #store: ObjectStoreClient;
-  readonly #client = new TargetClient();
+  readonly #barrier = new InputBarrier({
+    eventLoop: new SystemEventLoop(),
+    clock: this.#clock,
+  });
+  readonly #client = new TargetClient(this.#barrier);
   readonly #configuration: ActiveConfiguration;
   readonly #targets = new TargetRegistry(decodeTarget, REAPPEARANCE_TIME);
   readonly #groups = new ServingGroups();
@@ -114,7 +122,7 @@
   readonly #ingress: IngressServer;
   readonly #readiness = new ReadinessServer(() => this.isReady);
   readonly #inner: InnerServer;
-  readonly #peerLink = new HttpPeerLink();
+  readonly #peerLink = new HttpPeerLink(this.#barrier);
   readonly #peers: ForwardingPeers;
   readonly #paths: ForwardingSender;
   readonly #forwarded: ForwardedRequests;
@@ -153,12 +161,15 @@
       serviceOf: (engine) => this.#serviceOf(engine),
       clock,
     });
-    const direct = new DirectSender(this.#client, this.#reach);
+    const barrier = this.#barrier;
+    const sender = new BarrierSender({ sender: this.#client, barrier, clock });
+    const direct = new DirectSender(sender, this.#reach);
     this.#paths = new ForwardingSender({
       direct,
       reach: this.#reach,
       peers: this.#peers,
-      ...{ link, clock, log },
+      link: new BarrierPeerLink({ link, barrier, clock }),
+      ...{ clock, log },
     });
     const configuration = this.#followConfiguration();
     const targetList = this.#followTargets();
@@ -223,7 +234,7 @@
       clock: this.#clock,
       random: this.#random,
     });
-    const handlers = new ForwardingHandlers(this.#forwarded);
+    const handlers = new ForwardingHandlers(this.#forwarded, this.#barrier);
     this.#inner = new InnerServer({
       exchange: (report) => this.#coordinator.answerReport(report),
       metrics: () => this.#metrics.expose(),
