--- a/src/adapters/barrier_connector.ts
+++ b/src/adapters/barrier_connector.ts
@@ -1,6 +1,7 @@
 /** Connections that are used when the news on callers is fresh. */
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
+import { TURNS_AFTER_CONNECT } from "../common/calls/input_barrier.ts";
 import type { IInputBarrier } from "../common/calls/input_barrier.ts";
 
 /**
@@ -27,7 +28,7 @@
         } else {
           callback(null, socket);
         }
-      });
+      }, TURNS_AFTER_CONNECT);
     });
   };
 }
--- a/src/common/calls/input_barrier.ts
+++ b/src/common/calls/input_barrier.ts
@@ -12,13 +12,16 @@
  * Milliseconds. A poll that took longer says little about what has arrived
  * meanwhile, so the connections are polled again.
  */
-const MAXIMUM_AGE = 200;
+const MAXIMUM_AGE = 250;
 
-/** The turn in which a send is decided, and a complete poll after it. */
-const MINIMUM_TURNS = 2;
+/** The turn in which a call was read, and a complete poll after it. */
+const TURNS_AFTER_READ = 2;
+
+/** The turn in which a connection was made: its call was read before. */
+export const TURNS_AFTER_CONNECT = 1;
 
 /** A process whose turns are all long sends nevertheless. */
-const MAXIMUM_TURNS = 6;
+const MAXIMUM_TURNS = 4;
 
 /** The event loop of the process. */
 export interface IEventLoop {
@@ -28,20 +31,25 @@
 
 /** Delays what must not be done on old news. */
 export interface IInputBarrier {
-  /** Calls back, later than this call, when the news is fresh. */
-  wait(callback: () => void): IDisposable;
+  /**
+   * Calls back, later than this call, when the news is fresh.
+   *
+   * @param turns - fewest turns of the event loop until then
+   */
+  wait(callback: () => void, turns?: number): IDisposable;
   /** Resolves when the news is fresh. */
   pass(): Promise<void>;
 }
 
 interface IWaiting {
   readonly callback: () => void;
+  readonly minimumTurns: number;
   isDisposed: boolean;
   /** Turns of the event loop that have ended since. */
   turns: number;
 }
 
-/** The barrier of one process; callbacks run in the order of their calls. */
+/** The barrier of one process; calls are let through in their order. */
 export class InputBarrier implements IInputBarrier {
   readonly #eventLoop: IEventLoop;
   readonly #clock: Pick<IClock, "now">;
@@ -58,8 +66,11 @@
     this.#clock = parts.clock;
   }
 
-  wait(callback: () => void): IDisposable {
-    const waiting = { callback, isDisposed: false, turns: 0 };
+  wait(
+    callback: () => void,
+    minimumTurns: number = TURNS_AFTER_READ,
+  ): IDisposable {
+    const waiting = { callback, minimumTurns, isDisposed: false, turns: 0 };
     this.#waiting.push(waiting);
     this.#schedule();
     return { dispose: () => (waiting.isDisposed = true) };
@@ -82,17 +93,17 @@
     const waiting = this.#waiting.filter(({ isDisposed }) => !isDisposed);
     this.#waiting = [];
     waiting.forEach((one) => (one.turns += 1));
-    let isFirst = true;
-    for (const [index, one] of waiting.entries()) {
-      if (!this.#mayRun(one, isFirst ? null : startedAt)) {
-        this.#waiting = [...waiting.slice(index), ...this.#waiting];
-        break;
-      }
-      isFirst = false;
-      if (!one.isDisposed) {
+    const kept: IWaiting[] = [];
+    let hasRun = false;
+    for (const one of waiting) {
+      if (!this.#mayRun(one, hasRun ? startedAt : null)) {
+        kept.push(one);
+      } else if (!one.isDisposed) {
+        hasRun = true;
         one.callback();
       }
     }
+    this.#waiting = [...kept, ...this.#waiting];
     this.#polledSince = this.#clock.now();
     if (this.#waiting.length > 0) {
       this.#schedule();
@@ -100,9 +111,12 @@
   }
 
   /** @param startedAt - when the first callback of this turn ran, if one did */
-  #mayRun({ turns }: IWaiting, startedAt: MonotonicTime | null): boolean {
+  #mayRun(
+    { turns, minimumTurns }: IWaiting,
+    startedAt: MonotonicTime | null,
+  ): boolean {
     const now = this.#clock.now();
-    if (turns < MINIMUM_TURNS) {
+    if (turns < minimumTurns) {
       return false;
     }
     if (now - this.#polledSince <= MAXIMUM_AGE) {
