--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -1,6 +1,8 @@
 /** Forwarded requests over HTTP, from one process's link to another's server. */
+import { once } from "node:events";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
+import { connect } from "node:net";
 import { expect } from "chai";
 import { request } from "undici";
 import {
@@ -21,7 +23,7 @@
 import { ForwardedRequests } from "../../common/forwarding/forwarded_requests.ts";
 import { ForwardRefusal } from "../../common/forwarding/types.ts";
 import type { IForwardReceiver } from "../../common/forwarding/types.ts";
-import { OrderOutcome } from "../../common/replicas/types.ts";
+import { OrderKind, OrderOutcome } from "../../common/replicas/types.ts";
 import { encodeLine, ForwardPath } from "./forwarding_protocol.ts";
 import { ForwardingHandlers } from "./forwarding_handlers.ts";
 import { HttpPeerLink } from "./http_peer_link.ts";
@@ -42,13 +44,18 @@
   readonly sender = new RecordingSender();
   readonly link = new HttpPeerLink(inputBarrier());
   outOfReach: readonly string[] = [];
+  /** Orders carried out. */
+  orders = 0;
   /** Listed state of all targets. */
   state = ListedState.Ready;
   readonly requests = new ForwardedRequests({
     sender: this.sender,
     engines: {
       fetchReport: () => Promise.reject(new Error("unexpected report")),
-      sendOrder: () => Promise.resolve(OrderOutcome.Accepted),
+      sendOrder: () => {
+        this.orders += 1;
+        return Promise.resolve(OrderOutcome.Accepted);
+      },
     },
     findTarget: (id) => {
       const listed = TARGETS.find((target) => target.id === id);
@@ -238,6 +245,31 @@
     expect(receiver.failure).to.equal(SendFailure.PathLost);
   });
 
+  // Guards against orders that are carried out late, for a lease holder that has
+  // given them up.
+  it("that is an order is not carried out once its sender has left", async () => {
+    await using harness = await startHarness();
+    const content = JSON.stringify({
+      engine: "one-0",
+      order: { kind: OrderKind.Leave, group: "group-1", epoch: 1 },
+      timeout: 1_000,
+    });
+    const length = Buffer.byteLength(content);
+    const message = `POST ${ForwardPath.Order} HTTP/1.1\r\nhost: here\r\ncontent-length: ${length}\r\n\r\n${content}`;
+    const [host, port] = harness.address.split(":");
+    const socket = connect(Number(port), host);
+    await once(socket, "connect");
+    socket.write(message);
+    socket.destroy();
+    const answer = await request(
+      `http://${harness.address}${ForwardPath.Order}`,
+      { method: "POST", body: content },
+    );
+    await answer.body.dump();
+    expect(answer.statusCode).to.equal(200);
+    expect(harness.orders).to.equal(1);
+  });
+
   it("is refused where no process listens", async () => {
     const receiver = new Receiver();
     const harness = await startHarness();
