Count the time that a call lies unread behind others

Cause: a call's time ran from its own turn within a poll. A process that reads 200 calls in one poll of 3 s gave the last of them up to 3 s too much: it was sent with more time than its caller waits.

Change: all calls read in one poll have arrived when the first of them was read, at the latest. What lay unread before that poll is not known, and not counted.

--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -101,8 +101,9 @@
   readonly #metrics = new PrometheusMetrics();
   readonly #owned = new DisposableStore();
   readonly #store: ObjectStoreClient;
+  readonly #eventLoop = new SystemEventLoop();
   readonly #barrier = new InputBarrier({
-    eventLoop: new SystemEventLoop(),
+    eventLoop: this.#eventLoop,
     clock: this.#clock,
   });
   readonly #client = new TargetClient(this.#barrier);
@@ -232,6 +233,7 @@
       handler: { handle: (call, reply) => this.#submit(call, reply) },
       routes: () => this.#configuration.routes,
       clock: this.#clock,
+      eventLoop: this.#eventLoop,
       random: this.#random,
     });
     const handlers = new ForwardingHandlers(this.#forwarded, this.#barrier);
