Weigh the parts of crashes in less time

It stood still meanwhile, and all processes with it.

Change: which crashes the known and likely causes explain is worked out once an evaluation; a crash without the part at hand has the same answer for all. An evaluation finds four causes at most, the next one 100 ms later finds more. What is found does not change; the 27 tests of the quarantine pass.

--- a/src/common/quarantine/crash_candidates.ts
+++ b/src/common/quarantine/crash_candidates.ts
@@ -72,18 +72,17 @@
 /**
  * The weighted number of crashes that speak against a part.
  *
- * @param others - other causes, known or likely; crashes that they explain say
- *   nothing of a cause from outside
  * @param all - all crashes
+ * @param explained - those that known or likely causes explain; without the
+ *   part, they say nothing of a cause from outside
  */
 export function weigh(
   { part, crashes }: ICandidate,
-  others: readonly ICrashCause[],
   all: readonly ICrash[],
+  explained: ReadonlySet<ICrash>,
 ): number {
   const unexplained = all.filter(
-    (crash) =>
-      crash.suspects.has(part) || !others.some((one) => explains(one, crash)),
+    (crash) => crash.suspects.has(part) || !explained.has(crash),
   );
   const inOrder = [...crashes].sort((one, other) => one.at - other.at);
   let evidence = 0;
--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -57,8 +57,11 @@
  */
 const LIKELY_SHARE = 0.7;
 
-/** Number of causes of one service that are found at once. */
-const MAXIMUM_CAUSES = 20;
+/**
+ * Number of causes of one service that one evaluation finds: the next one finds
+ * more, and the lease holder has other work meanwhile.
+ */
+const MAXIMUM_CAUSES = 4;
 
 /** The crashes that are known, and what speaks for parts. */
 export class CrashEvidence {
@@ -163,22 +166,25 @@
     const all = [...this.#crashes.values()].filter(
       (crash) => crash.service === service && crash.receivedAt <= settled,
     );
-    const shown = this.#candidates(service, known, settled)
-      .filter(
-        (candidate) =>
-          candidate.crashes.length >= FEWEST_CRASHES &&
-          candidate.newCalls >= FEWEST_CALLS &&
-          hasSettled(candidate, now) &&
-          candidate.crashes.some(
-            (crash) => !known.some((one) => explains(one, crash)),
-          ),
-      )
-      .map((candidate, _index, likely) => {
-        const others = likely
-          .filter((other) => other !== candidate && !isProbablySound(other))
-          .map(({ part }) => ({ service, parts: [part] }));
-        const causes = [...known, ...others];
-        return { ...candidate, evidence: weigh(candidate, causes, all) };
+    const isKnown = (crash: ICrash) =>
+      known.some((one) => explains(one, crash));
+    const unknown = new Set(all.filter((crash) => !isKnown(crash)));
+    const likely = this.#candidates(service, known, settled).filter(
+      (candidate) =>
+        candidate.crashes.length >= FEWEST_CRASHES &&
+        candidate.newCalls >= FEWEST_CALLS &&
+        hasSettled(candidate, now) &&
+        candidate.crashes.some((crash) => unknown.has(crash)),
+    );
+    const likelyParts = likely
+      .filter((candidate) => !isProbablySound(candidate))
+      .map(({ part }) => part);
+    const explained = withAnyPart(all, new Set(likelyParts));
+    all.filter(isKnown).forEach((crash) => explained.add(crash));
+    const shown = likely
+      .map((candidate) => {
+        const evidence = weigh(candidate, all, explained);
+        return { ...candidate, evidence };
       })
       .filter(({ evidence }) => evidence >= FEWEST_CRASHES);
     const most = Math.max(...shown.map(({ evidence }) => evidence));
@@ -258,3 +264,14 @@
     }
   }
 }
+
+/** The crashes that have one of some parts among their suspects. */
+function withAnyPart(
+  crashes: readonly ICrash[],
+  parts: ReadonlySet<string>,
+): Set<ICrash> {
+  const found = crashes.filter(({ suspects }) =>
+    [...suspects.keys()].some((part) => parts.has(part)),
+  );
+  return new Set(found);
+}
