Leave the lease to processes that can bear the holder's work

Cause: all processes bid for a free lease at once, and 83 of 91 machines there have a quarter of the processor time and a tenth of the link of the other 8. The work of the holder grows with the fleet: on a small machine it falls behind, does not read the reports of the engines in time, and loses the lease again.

Change: processes report what they get of a processor, the holder says to each whether it is among the most capable (within three quarters of the largest), and the others leave a free lease for 0.9 s. Alike processes, and those that know nothing, bid as before; so do all when the large ones are gone.

--- a/src/adapters/exchange/inner_server.ts
+++ b/src/adapters/exchange/inner_server.ts
@@ -77,6 +77,7 @@
       unsaved: z.array(quarantineEntrySchema),
     })
     .optional(),
+  cores: z.number().positive().optional(),
 });
 
 /** Answers the requests of the inner server. */
--- a/src/common/groups/domain_lease.ts
+++ b/src/common/groups/domain_lease.ts
@@ -41,6 +41,7 @@
   readonly #daemon: DaemonId;
   readonly #domain: DomainName;
   readonly #timing: ILeaseTiming;
+  readonly #bidDelay: () => number;
   #snapshot = getInitialSnapshot(LEASE_MACHINE);
   #lastSeen: IVersionedRecord | null = null;
   #seenSince: MonotonicTime = Number.NEGATIVE_INFINITY;
@@ -53,13 +54,24 @@
   #attempts = 0;
   /** A holder whose process is known to have ended. */
   #endedHolder: DaemonId | null = null;
+  /** Since when it could take the lease over; null while it cannot. */
+  #freeSince: MonotonicTime | null = null;
   /** Since when reads have found no object; null while there is one. */
   #absentSince: MonotonicTime | null = null;
 
-  constructor(daemon: DaemonId, domain: DomainName, timing: ILeaseTiming) {
+  /**
+   * @param bidDelay - milliseconds for which it leaves a free lease to others
+   */
+  constructor(
+    daemon: DaemonId,
+    domain: DomainName,
+    timing: ILeaseTiming,
+    bidDelay: () => number = () => 0,
+  ) {
     this.#daemon = daemon;
     this.#domain = domain;
     this.#timing = timing;
+    this.#bidDelay = bidDelay;
   }
 
   /** The newest record seen; null before the first read. */
@@ -229,7 +241,7 @@
       const isDue = now >= this.#renewAt && this.#absentSince === null;
       return isDue ? this.#write({ record, isChange: false }, now) : [];
     }
-    return this.#mayTakeOver(now) ? this.#takeOver(now) : [];
+    return this.#isTurn(now) ? this.#takeOver(now) : [];
   }
 
   #settlePending(
@@ -249,6 +261,16 @@
     return [{ kind: LeaseActionKind.Read }];
   }
 
+  #isTurn(now: MonotonicTime): boolean {
+    if (!this.#mayTakeOver(now)) {
+      this.#freeSince = null;
+      return false;
+    }
+    this.#freeSince ??= now;
+    const isOwn = this.#lastSeen?.record.holder === this.#daemon;
+    return isOwn || now - this.#freeSince >= this.#bidDelay();
+  }
+
   #mayTakeOver(now: MonotonicTime): boolean {
     const holder = this.#lastSeen?.record.holder ?? null;
     if (this.#absentSince !== null) {
--- a/src/common/groups/domain_lease_test.ts
+++ b/src/common/groups/domain_lease_test.ts
@@ -371,6 +371,30 @@
     expect(write).to.have.nested.property("record.epoch", 5);
   });
 
+  // Guards against a holder that cannot bear the work: of many processes that bid
+  // at once, a small one is the likeliest to win.
+  it("is left to more capable processes for a while", () => {
+    const lease = new DomainLease("new", "domain", TIMING, () => 500);
+    lease.observe({ version: 7, record }, 0);
+    lease.handleHolderEnded("old");
+    for (let now = 100; now < 600; now += TICK) {
+      expect(writes(lease.tick(now))).to.deep.equal([]);
+    }
+    expect(writes(lease.tick(600))).to.have.length(1);
+  });
+
+  it("is not taken when a more capable process has taken it", () => {
+    const lease = new DomainLease("new", "domain", TIMING, () => 500);
+    lease.observe({ version: 7, record }, 0);
+    lease.handleHolderEnded("old");
+    lease.tick(100);
+    const next = { ...record, epoch: 5, holder: "next", attempt: "next/1" };
+    lease.observe({ version: 8, record: next }, 400);
+    for (let now = 500; now < 1_200; now += TICK) {
+      expect(writes(lease.tick(now))).to.deep.equal([]);
+    }
+  });
+
   // Guards against taking over from the next holder when the end of the
   // previous one is learned late.
   it("is left to the next holder", () => {
--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -54,6 +54,8 @@
   readonly forwarding?: IForwardingReport;
   /** Absent if the process is of an older build. */
   readonly quarantine?: IQuarantineReport;
+  /** Processor cores that it gets; absent if unknown, or of an older build. */
+  readonly cores?: number;
 }
 
 /** The holder's reply to a process. */
@@ -97,6 +99,11 @@
   readonly peers?: readonly IForwardingPeer[];
   /** Absent if the holder, or the process, is of an older build. */
   readonly quarantine?: IQuarantineReply;
+  /**
+   * Whether the process takes the lease first when the holder is gone. Absent if
+   * the holder is of an older build.
+   */
+  readonly isSuccessor?: boolean;
 }
 
 /** The reply of a process that does not hold the lease. */
--- a/src/common/replicas/exchange_client.ts
+++ b/src/common/replicas/exchange_client.ts
@@ -75,6 +75,7 @@
   #othersInFlight: ReadonlyMap<string, number> = new Map();
   #processes = 1;
   #rateShares: RateShares | null = null;
+  #isSuccessor = true;
   #version = 0;
   #address: string | null = null;
   #repliedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
@@ -135,6 +136,11 @@
     return this.isFresh ? this.#rateShares : null;
   }
 
+  /** Whether this process takes the lease first, as the holder said last. */
+  get isSuccessor(): boolean {
+    return this.#isSuccessor;
+  }
+
   /** Number of processes known to the holder. */
   get processes(): number {
     return this.#processes;
@@ -226,6 +232,7 @@
     this.#isInDoubt = reply.isInDoubt;
     this.#processes = reply.processes;
     this.#rateShares = reply.rateShares ?? null;
+    this.#isSuccessor = reply.isSuccessor ?? true;
     this.#parts.onRateLimits(reply.rateLimits ?? {});
     this.#applyPeers(reply);
     this.#parts.onQuarantine(reply.quarantine);
--- a/src/common/replicas/exchange_server.ts
+++ b/src/common/replicas/exchange_server.ts
@@ -14,6 +14,7 @@
 import type { IQuarantineMember } from "../quarantine/types.ts";
 import type { IStoreVersions, IStoreUpdate } from "../relay/types.ts";
 import type { IClock } from "../services/services.ts";
+import { isSuccessor } from "./succession.ts";
 import { EXCHANGE_WAIT } from "./exchange_client.ts";
 import type {
   ExchangeAnswer,
@@ -107,7 +108,11 @@
 
   /** Requests in each group sent by other processes. */
   get othersInFlight(): ReadonlyMap<string, number> {
-    return sumInFlight(this.#reports.recent(this.#parts.clock.now()));
+    return sumInFlight(this.#otherReports);
+  }
+
+  get #otherReports(): readonly IProcessReport[] {
+    return this.#reports.recent(this.#parts.clock.now());
   }
 
   /** Requests per second that a process may send to limited targets. */
@@ -170,6 +175,7 @@
         rateLimits: this.#parts.rateLimits.observations,
         rateShares: this.rateSharesOf(report.process),
         store,
+        isSuccessor: isSuccessor(report, this.#otherReports),
         ...this.#newPeersOf(report, reports),
         ...this.#quarantineOf(report),
       },
--- a/src/common/replicas/exchange_server_test.ts
+++ b/src/common/replicas/exchange_server_test.ts
@@ -150,3 +150,46 @@
     expect(suspected).to.deep.equal(suspects);
   });
 });
+
+describe("the succession of the lease holder", () => {
+  async function successors(
+    cores: Readonly<Record<string, number | undefined>>,
+  ): Promise<readonly string[]> {
+    const server = startServer();
+    server.updateTable(TABLE, []);
+    const report = (process: string): IProcessReport => {
+      const known = cores[process];
+      return processReport(0, {
+        process,
+        ...(known === undefined ? {} : { cores: known }),
+      });
+    };
+    const names = Object.keys(cores);
+    await Promise.all(names.map((name) => server.answer(report(name))));
+    const answers = await Promise.all(
+      names.map((name) => server.answer(report(name))),
+    );
+    return names.filter((_, index) => {
+      const answer = answers[index];
+      return answer?.isHolder === true && answer.word.isSuccessor === true;
+    });
+  }
+
+  // Guards against a lease that goes to a process which falls behind with the
+  // holder's work, and loses it again and again.
+  it("leaves processes out that get far less processor time", async () => {
+    const large = { a: 1.35, b: 1.35 };
+    const small = { c: 0.324, d: 0.324, e: 0.324 };
+    expect(await successors({ ...small, ...large })).to.deep.equal(["a", "b"]);
+  });
+
+  it("is open to all processes that are alike", async () => {
+    const alike = { a: 0.675, b: 0.675, c: 0.6 };
+    expect(await successors(alike)).to.deep.equal(["a", "b", "c"]);
+  });
+
+  it("is open to a process of unknown size", async () => {
+    const mixed = { a: 1.35, b: undefined, c: 0.3 };
+    expect(await successors(mixed)).to.deep.equal(["a", "b"]);
+  });
+});
--- a/src/common/replicas/lease_manager.ts
+++ b/src/common/replicas/lease_manager.ts
@@ -51,6 +51,12 @@
  */
 const SILENT_READ_PERIOD = 300;
 
+/**
+ * Time for which a process leaves a free lease to more capable ones,
+ * milliseconds: they read the record, and write it, within half of that.
+ */
+const SUCCESSION_DELAY = 900;
+
 /** Minimum time between a failed write and the next, milliseconds. */
 const PAUSE_AFTER_FAILURE = 250;
 
@@ -61,6 +67,8 @@
   readonly log: ILog;
   /** Whether the holder has answered recently, so that few reads are needed. */
   readonly isHolderHealthy: () => boolean;
+  /** Whether no process is known to be far more capable of the holder's work. */
+  readonly isSuccessor: () => boolean;
   readonly onAcquired: () => void;
   readonly onLost: () => void;
 }
@@ -84,7 +92,9 @@
   constructor(process: DaemonId, parts: ILeaseManagerParts) {
     this.#process = process;
     this.#parts = parts;
-    this.#lease = new DomainLease(process, RECORD, TIMING);
+    this.#lease = new DomainLease(process, RECORD, TIMING, () =>
+      parts.isSuccessor() ? 0 : SUCCESSION_DELAY,
+    );
   }
 
   start(): void {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -455,6 +455,7 @@
         address,
         zone: instance.zone,
         isFirstStart: first_start,
+        cores: coresOf(this.#settings),
         bounds: {
           stallTime: bounds.stall_ms,
           loads: {
@@ -528,3 +529,8 @@
     });
   }
 }
+
+/** Processor cores that the process gets; undefined if unknown. */
+function coresOf({ processor }: EntrySettings): number | undefined {
+  return processor && processor.share * processor.speed;
+}
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -103,6 +103,8 @@
   readonly address: string;
   readonly zone: ZoneName;
   readonly isFirstStart: boolean;
+  /** Processor cores that this process gets; undefined if unknown. */
+  readonly cores?: number | undefined;
   readonly bounds: IReplicaBounds;
 }
 
@@ -135,6 +137,7 @@
       clock: parts.clock,
       log: parts.log,
       isHolderHealthy: () => this.#exchangeClient.isHolderHealthy,
+      isSuccessor: () => this.#exchangeClient.isSuccessor,
       onAcquired: () => this.#startServices(),
       onLost: () => this.#stopServicesIfReplaced(),
     });
@@ -282,6 +285,7 @@
   }
 
   #composeReport(tableVersion: number): IProcessReport {
+    const { cores } = this.#options;
     return {
       process: this.#lease.process,
       hasCalls: this.#parts.hasCalls(),
@@ -294,6 +298,7 @@
       takesTableChanges: true,
       forwarding: this.#parts.forwarding.report,
       quarantine: this.#parts.quarantine.composeReport(),
+      ...(cores === undefined ? {} : { cores }),
     };
   }
 
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -22,6 +22,14 @@
     /** For other processes and metrics. */
     inner_port: z.number().int().positive(),
   }),
+  /** What the process gets of a processor; unknown if left out. */
+  processor: z
+    .strictObject({
+      /** Share of one core, and how many times as fast that core is. */
+      share: positive,
+      speed: positive,
+    })
+    .optional(),
   store: z.strictObject({ address: addressSchema }),
   /** The region of each zone. */
   zones: z.record(z.string(), z.string()),
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -365,11 +365,15 @@
   demand: readonly IModelDemand[] = [];
   readonly targets = new TargetRegistry(decode, 2_000);
 
-  /** @param unlisted - an engine that the platform has dropped */
+  /**
+   * @param unlisted - an engine that the platform has dropped
+   * @param cores - what it gets of a processor
+   */
   constructor(
     deployment: TestDeployment,
     address = "127.0.0.1:1",
     unlisted: string | null = null,
+    cores?: number,
   ) {
     this.limits = new TargetRateLimits({
       clock: deployment.clock,
@@ -420,6 +424,7 @@
         address,
         zone: "one",
         isFirstStart: true,
+        cores,
         bounds: { stallTime: 5_000, loads: { window: 5_000, factor: 1.1 } },
       },
     );
