--- a/src/common/event_loop_lag.ts
+++ b/src/common/event_loop_lag.ts
@@ -33,7 +33,7 @@
     return delay;
   }
 
-  /** The longest delay of late, including that of a tick that is overdue. */
+  /** The longest recent delay, including that of a tick that is overdue. */
   at(now: MonotonicTime): number {
     return Math.max(this.#longest, this.#longestBefore, this.#delayAt(now));
   }
