--- a/src/common/calls/input_barrier.ts
+++ b/src/common/calls/input_barrier.ts
@@ -14,13 +14,13 @@
  */
 const MAXIMUM_AGE = 250;
 
-/** The turn in which a call was read, and a complete poll after it. */
+/** Turns: the one in which a call was read, and a complete poll after it. */
 const TURNS_AFTER_READ = 2;
 
-/** The turn in which a connection was made: its call was read before. */
+/** Turns: the one in which a connection was made; its call was read before. */
 export const TURNS_AFTER_CONNECT = 1;
 
-/** A process whose turns are all long sends nevertheless. */
+/** Turns after which a process sends nevertheless, if all of them are long. */
 const MAXIMUM_TURNS = 4;
 
 /** The event loop of the process. */
@@ -55,7 +55,7 @@
   readonly #clock: Pick<IClock, "now">;
   #waiting: IWaiting[] = [];
   #isScheduled = false;
-  /** When the last poll can have begun at the earliest. */
+  /** The earliest time at which the last poll can have begun. */
   #polledSince: MonotonicTime = 0;
 
   constructor(parts: {
