--- a/review/support/fleet.ts
+++ b/review/support/fleet.ts
@@ -104,6 +104,10 @@
     const entry = new EntryProcess(name, { callers, store }, child);
     this.#processes.push(entry);
     await waitFor(`${name} is ready`, async () => {
+      if (child.exitCode !== null) {
+        const [reason] = /^.*Error: .*$/m.exec(entry.output) ?? [];
+        throw new CannotRunError(`${name} ended: ${reason ?? "no reason"}`);
+      }
       const { status } = await send(readiness, { path: "/readyz" });
       return status === 200;
     });
--- a/review/support/http.ts
+++ b/review/support/http.ts
@@ -14,15 +14,36 @@
   });
 }
 
+/**
+ * Ports below the ephemeral range: an outgoing connection could take another
+ * one before the process that it is meant for listens there.
+ */
+const FIRST_PORT = 15_000;
+const PORT_COUNT = 15_000;
+
+/** Ports tried until one is free. */
+const MAXIMUM_TRIES = 100;
+
+/** Ports given out, so that two processes of a case get different ones. */
+const given = new Set<number>();
+
 /** Returns a loopback address on which nothing listens now. */
-export function freeAddress(): Promise<string> {
-  return new Promise((resolve, reject) => {
+export async function freeAddress(): Promise<string> {
+  for (let tried = 0; tried < MAXIMUM_TRIES; tried += 1) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+    if (!given.has(port) && (await isFree(port))) {
+      given.add(port);
+      return `127.0.0.1:${port}`;
+    }
+  }
+  throw new Error("no port is free");
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as AddressInfo;
-      server.close(() => resolve(`127.0.0.1:${port}`));
-    });
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
 }
 
--- a/review/support/targets.ts
+++ b/review/support/targets.ts
@@ -82,7 +82,7 @@
       address: this.address,
       zone: "north-a",
       version: "v1",
-      slots: 6,
+      slots: this.slots,
       state: "ready",
       coldLeftMs: 0,
       born: this.#born,
@@ -95,6 +95,11 @@
     return this.#born;
   }
 
+  /** Requests that it runs at once; the cases send fewer. */
+  protected get slots(): number {
+    return 6;
+  }
+
   /** Fields beyond those of every entry. */
   protected abstract get state(): object;
 
@@ -201,6 +206,10 @@
     this.#loadTimes = rest.loadTimes;
   }
 
+  protected override get slots(): number {
+    return 12;
+  }
+
   protected override get state(): object {
     const group = this.#group;
     return {
@@ -298,7 +307,7 @@
       return 202;
     }
     if (op === "close") {
-      group.state = "ready";
+      group.state = this.#active > 0 ? "closing" : "ready";
       return 202;
     }
     if (op !== "open" || group.rank !== 0 || group.state === "joining") {
@@ -347,6 +356,10 @@
       clearTimeout(start);
       clearInterval(timer ?? undefined);
       this.#active -= 1;
+      if (this.#active === 0 && this.#group?.state === "closing") {
+        this.#group.state = "ready";
+        this.publish();
+      }
     });
   }
 }
