--- a/src/common/calls/model_call_recorder.ts
+++ b/src/common/calls/model_call_recorder.ts
@@ -47,7 +47,10 @@
       took_ms: since(arrivedAt, now),
       read_lag_ms: Math.round(lagWhenRead),
       sends: run.sendCount,
+      counted_targets: run.countedTargets,
+      attempts: route.maximumAttempts,
       parts: describeParts(run.call.promptParts),
+      own_part: run.call.ownPart,
       ...fields,
     };
     if (outcome === WHOLE) {
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -313,7 +313,10 @@
         end,
         detail,
         answering_ms: beganAt === null ? null : Math.round(this.#now - beganAt),
+        counted_targets: run.countedTargets,
+        attempts: run.call.route.maximumAttempts,
         parts: describeParts(run.call.promptParts),
+        own_part: run.call.ownPart,
       });
       if (end === SendOutcome.Broken && currentSend !== null) {
         this.#retryAfterBreak(run, currentSend);
@@ -601,6 +604,8 @@
       group: run.currentSend?.group.group,
       is_lost: isLost,
       silent_ms: silentFor,
+      counted_targets: run.countedTargets,
+      attempts: run.call.route.maximumAttempts,
       last_event: run.lastEventId,
     });
     run.abort();
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -154,6 +154,14 @@
     return this.#sendCount;
   }
 
+  /** Targets counted against the route's attempts so far. */
+  get countedTargets(): number {
+    const mayHaveStarted = this.#abortedGroups.filter(
+      (group) => !this.#owner.isLostGroup(group),
+    );
+    return this.#targetsThatRan + mayHaveStarted.length;
+  }
+
   /** Whether a target may have received the call. */
   get mayHaveReachedTarget(): boolean {
     return this.#sendCount > this.#undeliveredSends;
@@ -180,10 +188,7 @@
   #hasAttempts(uncounted: number): boolean {
     const { maximumAttempts } = this.call.route;
     const delivered = this.#sendCount - this.#undeliveredSends;
-    const mayHaveStarted = this.#abortedGroups.filter(
-      (group) => !this.#owner.isLostGroup(group),
-    );
-    const ran = this.#targetsThatRan + mayHaveStarted.length + uncounted;
+    const ran = this.countedTargets + uncounted;
     return (
       ran < maximumAttempts &&
       delivered < maximumAttempts + EXTRA_SENDS &&
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -218,6 +218,11 @@
    * Without the last part, which belongs to this call or its session.
    */
   readonly promptParts: readonly string[];
+  /**
+   * Identifier of the last part of the prompt. Repetitions of a request have
+   * the same one under different ids; null if the call names no parts.
+   */
+  readonly ownPart: string | null;
   readonly tokens: ITokenEstimate;
   readonly arrivedAt: MonotonicTime;
   /** When the caller stops waiting or must no longer be kept waiting. */
