Count each target that may have run a call as an attempt

Callers' streams ran on three to five engines where their route allows two, and engines were short of the work that this cost.

Cause: a target counted as an attempt only once an event of it had arrived, or when this process aborted its send and did not believe its group to be lost. A run whose answer was lost before the first event was not counted, nor was the run of a head that goes on after the lease holder has given its group up for another member. Both are beliefs of one process; the rule excuses targets that have ended.

Change: a send counts once it may have arrived, unless its target rejected the call as not run. Sends that end as broken, with a lost path, whole or aborted count alike, so resumed and forwarded streams do too. Plain calls count each send that may have arrived already.

Two tests demanded the fault. "counts an abandoned silent group" wanted a third send once the first group was given up; it now wants none for longer. "are sent on after broken answers of engines that run" wanted a third run on a route of two attempts; both tests beside it now use a route of four, so that the limit of crashes is what holds them.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -243,10 +243,6 @@
     }
   }
 
-  isLostGroup(group: string): boolean {
-    return this.#lostGroups.has(group);
-  }
-
   onEvents(run: ModelRun): void {
     const now = this.#now;
     const { times, currentSend } = run;
@@ -592,7 +588,7 @@
       this.#now -
         (run.currentSend?.stream.lastEventAt ?? run.currentSend?.sentAt ?? 0),
     );
-    const isLost = this.isLostGroup(run.currentSend?.group.group ?? "");
+    const isLost = this.#lostGroups.has(run.currentSend?.group.group ?? "");
     const isUnanswered = !run.reply.isStarted && silentFor > HOPELESS_SILENCE;
     const isHopeless = isSilent && (isLost || isUnanswered);
     const canRetry = run.canRetryAfterAbort && this.#takeRetry(run);
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -278,10 +278,9 @@
     ]);
   });
 
-  // Guards against calls that run more often than their route allows: slow
-  // groups are silent for a while, and a call is retried at one after the
-  // other. Each may have started to run it, and its caller pays for work that
-  // nobody reads.
+  // Guards against calls that run more often than their route allows: silent
+  // groups are abandoned one after the other, and each may have started to run
+  // the call, also one that the lease holder has given up meanwhile.
   it("counts an abandoned silent group as having run the call", () => {
     const harness = new Harness(["a", "b", "c"]);
     harness.submit();
@@ -290,8 +289,8 @@
     harness.groups.replace(["b", "c"].map(servingGroup));
     const first = harness.getSend(0).target.replace("head-", "");
     harness.calls.handleGroupsChanged([first]);
-    harness.clock.advance(1_900);
-    expect(harness.sends).to.have.length(3);
+    harness.clock.advance(5_900);
+    expect(harness.sends).to.have.length(2);
   });
 
   // Guards against a call that runs on more targets than its route allows
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -21,7 +21,7 @@
 const STATUS_OK = 200;
 const STATUS_REDIRECT = 300;
 
-/** Sends allowed beyond the route's attempts, for groups that stalled. */
+/** Sends beyond the route's attempts, for targets that reject the call. */
 const EXTRA_SENDS = 3;
 
 /** Sends that may fail to reach a target before the call is abandoned. */
@@ -54,8 +54,6 @@
 export interface IModelRunOwner {
   onEvents(run: ModelRun): void;
   onSendEnded(run: ModelRun, end: SendOutcome, detail: string): void;
-  /** Whether a group is lost and starts no more calls. */
-  isLostGroup(group: string): boolean;
 }
 
 /** Timestamps of a run, for its log line. */
@@ -104,18 +102,12 @@
   #undeliveredSends = 0;
   /** Whether the next send already has its retry from the allowance. */
   hasRetryGrant = false;
-  #targetsThatRan = 0;
-  /**
-   * Groups whose send was aborted before any event. A group that was only slow
-   * may have started to run the call all the same.
-   */
-  readonly #abortedGroups: string[] = [];
+  #countedTargets = 0;
   #lastEventId: string | null;
   #splitter = new EventSplitter();
   #head: IResponseHead | null = null;
   /** Body of a response that is passed on only when complete. */
   #body: Uint8Array[] = [];
-  #hasEvents = false;
   #eventCount = 0;
   readonly times: IRunTimes = {
     firstSentAt: null,
@@ -154,12 +146,13 @@
     return this.#sendCount;
   }
 
-  /** Targets counted against the route's attempts so far. */
+  /**
+   * Targets counted against the route's attempts: all that may have received
+   * the call, unless they rejected it as not run. Neither silence nor the loss
+   * of the target's group shows that it did not run the call.
+   */
   get countedTargets(): number {
-    const mayHaveStarted = this.#abortedGroups.filter(
-      (group) => !this.#owner.isLostGroup(group),
-    );
-    return this.#targetsThatRan + mayHaveStarted.length;
+    return this.#countedTargets;
   }
 
   /** Whether a target may have received the call. */
@@ -174,9 +167,7 @@
 
   /** Whether the current send may be aborted for another one. */
   get canRetryAfterAbort(): boolean {
-    const group = this.currentSend?.group.group ?? "";
-    const isCounted = this.#hasEvents || this.#owner.isLostGroup(group);
-    return this.#isRetryable && this.#hasAttempts(isCounted ? 0 : 1);
+    return this.#isRetryable && this.#hasAttempts(1);
   }
 
   get #isRetryable(): boolean {
@@ -184,7 +175,7 @@
     return isResumable || kind === CallKind.Safe;
   }
 
-  /** @param uncounted - further targets that may have started to run it */
+  /** @param uncounted - targets that are not counted yet */
   #hasAttempts(uncounted: number): boolean {
     const { maximumAttempts } = this.call.route;
     const delivered = this.#sendCount - this.#undeliveredSends;
@@ -205,7 +196,6 @@
     this.#splitter = new EventSplitter();
     this.#head = null;
     this.#body = [];
-    this.#hasEvents = false;
     this.triedGroups.add(current.group.group);
     this.#sendHandle = open();
   }
@@ -213,11 +203,8 @@
   /** Aborts the current send; the target may have run it. */
   abort(): void {
     this.#sendHandle?.abort();
-    if (!this.#hasEvents && this.currentSend !== null) {
-      this.#abortedGroups.push(this.currentSend.group.group);
-    }
     this.#sendHandle = null;
-    this.mayHaveRun = true;
+    this.#countTarget();
   }
 
   onHead(head: IResponseHead): void {
@@ -284,11 +271,7 @@
   }
 
   #passOnEvent(event: ICompleteEvent): void {
-    if (!this.#hasEvents) {
-      this.#hasEvents = true;
-      this.#targetsThatRan += 1;
-      this.mayHaveRun = true;
-    }
+    this.mayHaveRun = true;
     if (this.#isDuplicate(event)) {
       return;
     }
@@ -318,7 +301,6 @@
   #passOnComplete(head: IResponseHead): void {
     this.mayHaveRun = true;
     if (this.reply.isStarted) {
-      this.#targetsThatRan += 1;
       this.#abortSend(
         SendOutcome.Broken,
         `status ${head.status} on resumption`,
@@ -339,9 +321,16 @@
     this.#endSend(end, detail);
   }
 
+  #countTarget(): void {
+    this.#countedTargets += 1;
+    this.mayHaveRun = true;
+  }
+
   #endSend(end: SendOutcome, detail: string): void {
     this.#sendHandle = null;
-    this.mayHaveRun ||= !UNSENT.has(end);
+    if (!UNSENT.has(end)) {
+      this.#countTarget();
+    }
     this.#owner.onSendEnded(this, end, detail);
   }
 }
--- a/src/common/calls/quarantined_calls_test.ts
+++ b/src/common/calls/quarantined_calls_test.ts
@@ -1,12 +1,15 @@
 import { expect } from "chai";
+import { routeOf } from "../../../test/support/call_fixtures.ts";
 import {
   ModelCallsHarness,
   SUCCESS_HEAD,
 } from "../../../test/support/model_calls_harness.ts";
 import { CallRefusalKind, CallRefusalReason, SendFailure } from "./types.ts";
 
-const CRASHING = { promptParts: ["system", "bad"] };
-const SOUND = { promptParts: ["system", "fine"] };
+/** Allows more attempts than engines may crash under one call. */
+const route = routeOf({ maximumAttempts: 4 });
+const CRASHING = { promptParts: ["system", "bad"], route };
+const SOUND = { promptParts: ["system", "fine"], route };
 
 describe("model calls with quarantined parts", () => {
   function breakOff(harness: ModelCallsHarness, index: number): void {
