Show requests that crash many engines, and answers without end

Requests: three processes before 40 engines; a request with a last part of its own crashes each engine that begins an answer to it, and its caller repeats it under new ids at other processes. A plain request ends six targets in six attempts.

Answers without end: the process is over 350 MB, which the platform gives it, with twelve calls to plain targets or failing engines, when the test ends it. Reports, orders, the store's answers, and all answers to the daemon are read for as long as they come.

--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -118,7 +118,7 @@
 
   async sendCall(
     index: number,
-    path: Path,
+    path: string,
     options: {
       readonly id?: string;
       readonly signal?: AbortSignal;
@@ -136,7 +136,7 @@
         authorization: "Bearer key-1",
         "x-attempt-id": id,
         "x-deadline-ms": "8000",
-        ...(path === Path.Stream
+        ...(path === String(Path.Stream)
           ? { "x-model": "small", "x-token-counts": "100,150" }
           : {}),
         ...(parts === undefined ? {} : { "x-prompt-prefix": parts }),
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -4,6 +4,7 @@
 import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { IArrival } from "./leaving_callers.ts";
+import { writeWithoutEnd } from "./endless_writer.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import { RetryAfterRule } from "./retry_after_rule.ts";
 
@@ -22,6 +23,18 @@
 /** Milliseconds after a crash until it is back, under another id. */
 const RESTART_TIME = 2_500;
 
+/** What an engine writes without end. */
+export enum EndlessAnswer {
+  /** A status check or report. */
+  Report = "report",
+  /** The answer to an order. */
+  Order = "order",
+  /** A stream, without the end of an event. */
+  Stream = "stream",
+  /** A failure in place of a stream. */
+  Failure = "failure",
+}
+
 /** Something that happened because of a part of a prompt. */
 export interface IPartEvent {
   /** Milliseconds. */
@@ -65,6 +78,11 @@
   readonly runs: string[] = [];
   /** Number of streams that it writes now. */
   openStreams = 0;
+  /** Own parts of requests that crash it when it begins an answer on them. */
+  crashingRequests: ReadonlySet<string> = new Set();
+  /** Its crashes by requests, and the calls with such a part that arrived. */
+  readonly requestCrashes: IPartEvent[] = [];
+  readonly requestArrivals: IPartEvent[] = [];
   /** Number of runs that have neither ended nor been aborted. */
   activeRuns = 0;
   /** Parts of prompts that crash it when it begins an answer on them. */
@@ -73,6 +91,8 @@
   startDelay = 0;
   /** Whether a run that it starts loses its answer, by a reset. */
   losesAnswer: () => boolean = () => false;
+  /** What it writes without end; null for nothing. */
+  endless: EndlessAnswer | null = null;
   /** Whether it is down after a crash. */
   isDown = false;
   /** Its crashes, and the calls with such a part that arrived. */
@@ -199,7 +219,9 @@
     if (this.isLeaving) {
       response.setHeader("server-leaving", "1");
     }
-    if (request.url === "/report") {
+    if (request.url === `/${this.endless}`) {
+      writeWithoutEnd(response);
+    } else if (request.url === "/report") {
       response.end(JSON.stringify(this.#report()));
     } else if (request.url === "/order") {
       const isDone = this.#applyOrder(
@@ -273,6 +295,14 @@
     return parts.find((part = "") => this.crashingParts.has(part)) ?? null;
   }
 
+  #crashingRequestOf({ headers }: IncomingMessage): string | null {
+    const own = String(headers["x-prompt-prefix"] ?? "")
+      .split(",")
+      .at(-1);
+    const part = own?.split(":")[0] ?? "";
+    return this.crashingRequests.has(part) ? part : null;
+  }
+
   #stream(request: IncomingMessage, response: ServerResponse): void {
     const attempt = String(request.headers["x-attempt-id"]);
     this.runs.push(attempt);
@@ -283,6 +313,16 @@
       this.crashingArrivals.push({ at: performance.now(), part });
       this.#after(CRASH_DELAY, () => this.crash(part));
     }
+    const own = this.#crashingRequestOf(request);
+    if (own !== null) {
+      this.requestArrivals.push({ at: performance.now(), part: own });
+      this.#after(this.startDelay + CRASH_DELAY, () => {
+        if (!this.isDown) {
+          this.requestCrashes.push({ at: performance.now(), part: own });
+        }
+        this.crash(own);
+      });
+    }
     if (this.losesAnswer()) {
       this.#after(LOSS_DELAY, () => response.socket?.resetAndDestroy());
     } else if (this.startDelay === 0) {
@@ -294,11 +334,20 @@
 
   #answer(request: IncomingMessage, response: ServerResponse): void {
     const attempt = String(request.headers["x-attempt-id"]);
+    if (this.endless === EndlessAnswer.Failure) {
+      response.writeHead(500, { "x-response-stamp": this.id });
+      writeWithoutEnd(response);
+      return;
+    }
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "x-attempt-id": attempt,
       "x-response-stamp": this.id,
     });
+    if (this.endless === EndlessAnswer.Stream) {
+      writeWithoutEnd(response);
+      return;
+    }
     let id = Number(request.headers["last-event-id"] ?? 0);
     this.openStreams += 1;
     const timer = setInterval(() => {
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -4,25 +4,49 @@
 import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { IArrival } from "./leaving_callers.ts";
+import { writeWithoutEnd } from "./endless_writer.ts";
 import type { PlatformStore } from "./platform_store.ts";
 
+/** Milliseconds from a crash to the next start. */
+const RESTART_TIME = 700;
+
+/** Where an answer has no end. */
+export enum EndlessPart {
+  Head = "head",
+  Body = "body",
+}
+
 /** Answers each request, by default at once, and records those that it ran. */
 export class PlatformPlainTarget {
-  readonly id: string;
+  id: string;
   address = "";
   /** Ids of the attempts that it ran. */
   readonly runs: string[] = [];
   /** The same attempts, and when they arrived. */
   readonly timedArrivals: IArrival[] = [];
+  /** The part of its answers that has no end; null if all have one. */
+  endless: EndlessPart | null = null;
   /** Milliseconds that a request runs. */
   runTime = 0;
+  /** Path of requests that crash it; null for none. */
+  crashingPath: string | null = null;
+  /** When it crashed, and when such requests arrived, milliseconds. */
+  readonly crashes: number[] = [];
+  readonly crashingArrivals: number[] = [];
   readonly #service: string;
-  readonly #server: Server;
+  #server: Server;
+  #store: PlatformStore | null = null;
+  #starts = 0;
+  #restart: NodeJS.Timeout | undefined;
 
   constructor(id: string, service: string) {
     this.id = id;
     this.#service = service;
-    this.#server = createServer((request, response) => {
+    this.#server = this.#createServer();
+  }
+
+  #createServer(): Server {
+    return createServer((request, response) => {
       request.resume();
       const attempt = request.headers["x-attempt-id"];
       if (attempt === undefined) {
@@ -32,18 +56,50 @@
       const id = String(attempt);
       this.runs.push(id);
       this.timedArrivals.push({ id, at: performance.now() });
+      if (request.url === this.crashingPath) {
+        this.crashingArrivals.push(performance.now());
+        this.#crash();
+        return;
+      }
+      if (this.endless === EndlessPart.Head && request.socket !== null) {
+        request.socket.write("HTTP/1.1 200 OK\r\nx-filler: ");
+        writeWithoutEnd(request.socket);
+        return;
+      }
       setTimeout(() => {
         response.writeHead(200, {
           "x-attempt-id": String(attempt),
           "x-response-stamp": this.id,
         });
-        response.end("done");
+        if (this.endless === EndlessPart.Body) {
+          writeWithoutEnd(response);
+        } else {
+          response.end("done");
+        }
       }, this.runTime);
     });
   }
 
-  async listen(store: PlatformStore): Promise<void> {
-    this.address = await listenOn(this.#server, "127.0.0.1:0");
+  /** Ends; it is back after a while under another id. */
+  #crash(): void {
+    this.crashes.push(performance.now());
+    this.#server.closeAllConnections();
+    this.#server.close();
+    this.#restart = setTimeout(() => {
+      const store = this.#store;
+      if (store !== null) {
+        store.remove("servers", this.id);
+        this.id = `${this.id.split("/")[0]}/${this.#starts}`;
+        this.#server = this.#createServer();
+        void this.listen(store, this.address);
+      }
+    }, RESTART_TIME);
+  }
+
+  async listen(store: PlatformStore, address = "127.0.0.1:0"): Promise<void> {
+    this.#store = store;
+    this.#starts += 1;
+    this.address = await listenOn(this.#server, address);
     store.put("servers", this.id, {
       service: this.#service,
       address: this.address,
@@ -57,6 +113,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    clearTimeout(this.#restart);
     this.#server.closeAllConnections();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
