--- a/bench/forwarding_bench.ts
+++ b/bench/forwarding_bench.ts
@@ -116,8 +116,8 @@
   link: HttpPeerLink,
   events: number,
 ): Promise<number> {
-  const handlers = new ForwardingHandlers(
-    new ForwardedRequests({
+  const handlers = new ForwardingHandlers({
+    requests: new ForwardedRequests({
       sender: streamingSender(events),
       engines: {
         fetchReport: () => Promise.reject(new Error("not measured")),
@@ -129,8 +129,9 @@
       log: new RecordingLog(),
       lag: () => 0,
     }),
-    inputBarrier(),
-  );
+    crashes: { handle: () => [] },
+    barrier: inputBarrier(),
+  });
   const server = createServer((request, response) => {
     handlers.handle(request, response);
   });
--- a/bench/quarantine_bench.ts
+++ b/bench/quarantine_bench.ts
@@ -53,6 +53,8 @@
     clock,
     log: new RecordingLog(),
     onCrash: () => undefined,
+    onRequestCrashes: () => Promise.resolve(),
+    onProof: () => undefined,
   });
   const calls = Array.from({ length: 1_000 }, (_, call) =>
     sendOf("engine-1", partsOf(partCount, call % 200)),
--- a/src/adapters/exchange/inner_server.ts
+++ b/src/adapters/exchange/inner_server.ts
@@ -30,6 +30,7 @@
     z.string(),
     z.object({ calls: z.number(), newCalls: z.number() }),
   ),
+  requests: z.array(z.string()).optional(),
 });
 
 const quarantineEntrySchema = z.object({
--- a/src/adapters/forwarding/forwarding_handlers.ts
+++ b/src/adapters/forwarding/forwarding_handlers.ts
@@ -7,8 +7,10 @@
   IResponseReceiver,
 } from "../../common/calls/types.ts";
 import type { ForwardedRequests } from "../../common/forwarding/forwarded_requests.ts";
+import type { CrashGossip } from "../../common/quarantine/crash_gossip.ts";
 import { hasCallerLeft, onCallerLeft } from "../caller_leave.ts";
 import {
+  decodeCrashNews,
   decodeExchange,
   decodeOrder,
   decodeSend,
@@ -31,11 +33,17 @@
 /** Answers forwarded requests. */
 export class ForwardingHandlers {
   readonly #requests: ForwardedRequests;
+  readonly #crashes: Pick<CrashGossip, "handle">;
   readonly #barrier: IInputBarrier;
 
-  constructor(requests: ForwardedRequests, barrier: IInputBarrier) {
-    this.#requests = requests;
-    this.#barrier = barrier;
+  constructor(parts: {
+    readonly requests: ForwardedRequests;
+    readonly crashes: Pick<CrashGossip, "handle">;
+    readonly barrier: IInputBarrier;
+  }) {
+    this.#requests = parts.requests;
+    this.#crashes = parts.crashes;
+    this.#barrier = parts.barrier;
   }
 
   /** Answers a request; returns false if its path is not one of these. */
@@ -118,6 +126,10 @@
     if (path === ForwardPath.Status) {
       return { outOfReach: this.#requests.outOfReach };
     }
+    if (path === ForwardPath.Crashes) {
+      const news = decodeCrashNews(content);
+      return news && { crashes: this.#crashes.handle(news) };
+    }
     if (path === ForwardPath.Order) {
       const order = decodeOrder(content);
       return order && { outcome: await this.#requests.sendOrder(order) };
--- a/src/adapters/forwarding/forwarding_protocol.ts
+++ b/src/adapters/forwarding/forwarding_protocol.ts
@@ -11,6 +11,7 @@
   IForwardedExchange,
   IForwardedSend,
 } from "../../common/forwarding/types.ts";
+import type { ICrashNews } from "../../common/quarantine/types.ts";
 import { OrderKind } from "../../common/replicas/types.ts";
 import type { EngineOrder } from "../../common/replicas/types.ts";
 
@@ -20,6 +21,7 @@
   Report = "/forward/report",
   Order = "/forward/order",
   Status = "/forward/status",
+  Crashes = "/forward/crashes",
 }
 
 /** The trailer at the end of a response: `whole`, or a failure. */
@@ -55,6 +57,19 @@
 
 const exchangeSchema = z.object({ engine: z.string(), timeout: z.number() });
 
+const crashNewsSchema = z.object({
+  crashes: z.array(
+    z.object({
+      service: z.string(),
+      fingerprint: z.string(),
+      target: z.string(),
+      startedAt: z.number(),
+      age: z.number(),
+    }),
+  ),
+  wantsAll: z.boolean(),
+});
+
 const orderSchema = exchangeSchema.extend({
   order: z.looseObject({ kind: z.enum(OrderKind) }),
 });
@@ -94,6 +109,11 @@
   return decode(exchangeSchema, content);
 }
 
+/** Decodes news of crashes; null if they are not valid. */
+export function decodeCrashNews(content: Buffer): ICrashNews | null {
+  return decode(crashNewsSchema, content);
+}
+
 /** Decodes an order; null if it is not valid. */
 export function decodeOrder(
   content: Buffer,
--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -73,7 +73,11 @@
   address = "";
 
   constructor() {
-    const handlers = new ForwardingHandlers(this.requests, inputBarrier());
+    const handlers = new ForwardingHandlers({
+      requests: this.requests,
+      crashes: { handle: () => [] },
+      barrier: inputBarrier(),
+    });
     this.#server = createServer((received, response) => {
       handlers.handle(received, response);
     });
--- a/src/adapters/forwarding/http_peer_link.ts
+++ b/src/adapters/forwarding/http_peer_link.ts
@@ -13,6 +13,11 @@
   IForwardReceiver,
   IPeerLink,
 } from "../../common/forwarding/types.ts";
+import type { ICrashNewsLink } from "../../common/quarantine/crash_gossip.ts";
+import type {
+  ICrashNews,
+  IRequestCrash,
+} from "../../common/quarantine/types.ts";
 import { OrderOutcome } from "../../common/replicas/types.ts";
 import type {
   EngineOrder,
@@ -43,7 +48,7 @@
 const NO_TIMEOUTS = { headersTimeout: 0, bodyTimeout: 0 };
 
 /** Forwards requests over HTTP. */
-export class HttpPeerLink implements IPeerLink {
+export class HttpPeerLink implements IPeerLink, ICrashNewsLink {
   readonly #connect: buildConnector.connector;
   readonly #agent: Agent;
 
@@ -130,6 +135,20 @@
       : null;
   }
 
+  async tellCrashes(
+    address: string,
+    news: ICrashNews,
+    timeout: number,
+  ): Promise<readonly IRequestCrash[] | null> {
+    const answer = await this.#exchange(address, ForwardPath.Crashes, {
+      content: news,
+      limit: timeout,
+    });
+    return answer.isOk()
+      ? (answer.value as { crashes: readonly IRequestCrash[] }).crashes
+      : null;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#agent.destroy();
   }
--- a/src/common/calls/model_call_recorder.ts
+++ b/src/common/calls/model_call_recorder.ts
@@ -50,7 +50,7 @@
       counted_targets: run.countedTargets,
       attempts: route.maximumAttempts,
       parts: describeParts(run.call.promptParts),
-      own_part: run.call.ownPart,
+      fingerprint: run.call.fingerprint,
       ...fields,
     };
     if (outcome === WHOLE) {
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -312,7 +312,7 @@
         counted_targets: run.countedTargets,
         attempts: run.call.route.maximumAttempts,
         parts: describeParts(run.call.promptParts),
-        own_part: run.call.ownPart,
+        fingerprint: run.call.fingerprint,
       });
       if (end === SendOutcome.Broken && currentSend !== null) {
         this.#retryAfterBreak(run, currentSend);
@@ -335,12 +335,14 @@
     if (quarantine.recordBroken(send, isRepeated)) {
       run.suspectedTargets.add(head.id);
     }
-    if (run.suspectedTargets.size < MAXIMUM_CRASHES) {
+    const hasAttempt = run.suspectedTargets.size < MAXIMUM_CRASHES;
+    if (hasAttempt && quarantine.mayCrashAnother(run.call)) {
       this.#retryOrEnd(run, SendOutcome.Broken);
       return;
     }
-    quarantine.waitForVerdict(head.id, () => {
-      const crashed = [...run.suspectedTargets].filter((target) =>
+    const suspected = [...run.suspectedTargets];
+    quarantine.waitForVerdicts(suspected, () => {
+      const crashed = suspected.filter((target) =>
         quarantine.hasCrashed(target),
       );
       if (crashed.length >= MAXIMUM_CRASHES) {
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -4,6 +4,8 @@
  */
 import type { IDisposable } from "../disposable.ts";
 import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
+import { SoundRequests } from "../quarantine/sound_requests.ts";
+import type { ICallQuarantine, IPromptedCall } from "../quarantine/types.ts";
 import type { ITargetPaths } from "../forwarding/types.ts";
 import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { InstanceId, MonotonicTime, ZoneName } from "../types.ts";
@@ -44,6 +46,9 @@
 /** Milliseconds over which callers return while no path is known. */
 const UNREACHABLE_SPREAD = 500;
 
+/** Retry-after of a request that would crash a target, milliseconds. */
+const QUARANTINE_RETRY_AFTER = 60_000;
+
 /** Outcome of a call whose target's response was passed on. */
 const WHOLE = "whole";
 
@@ -68,6 +73,7 @@
   readonly readyTargets: (service: string) => readonly IListedTarget[];
   readonly sender: ICallSender;
   readonly paths: ITargetPaths;
+  readonly quarantine: ICallQuarantine;
   readonly retries: ServiceRetryAllowances;
   readonly limits: Pick<TargetRateLimits, "maySend">;
   readonly cooldowns: Pick<
@@ -87,6 +93,7 @@
 export class PlainCalls {
   readonly #parts: IPlainCallParts;
   readonly #servingPeriod = new ServingPeriod();
+  readonly #soundRequests = new SoundRequests();
   /** By service, milliseconds from a send to the complete response. */
   readonly #responseTimes = new Map<string, HighEndEstimator>();
 
@@ -100,6 +107,7 @@
       reply,
       parts: this.#parts,
       isAdmitted: () => this.#isAdmitted(call),
+      soundRequests: this.#soundRequests,
       onResponse: (time) => this.#recordResponse(call, time),
     });
     run.start();
@@ -143,6 +151,7 @@
   readonly #reply: ICallReply;
   readonly #parts: IPlainCallParts;
   readonly #isAdmitted: () => boolean;
+  readonly #soundRequests: SoundRequests;
   readonly #onResponse: (time: number) => void;
   readonly #triedTargets = new Set<InstanceId>();
   readonly #timers: IDisposable[] = [];
@@ -153,6 +162,8 @@
   #currentSend: PlainSend | null = null;
   #mayHaveRun = false;
   #isFinished = false;
+  /** Targets that broke the call off. */
+  readonly #brokenOffBy: InstanceId[] = [];
 
   constructor(
     call: ICall,
@@ -161,6 +172,7 @@
       readonly parts: IPlainCallParts;
       /** Whether a stopping process still serves it if it is sent now. */
       readonly isAdmitted: () => boolean;
+      readonly soundRequests: SoundRequests;
       /** Receives the milliseconds that a complete response took. */
       readonly onResponse: (time: number) => void;
     },
@@ -169,6 +181,7 @@
     this.#reply = rest.reply;
     this.#parts = rest.parts;
     this.#isAdmitted = rest.isAdmitted;
+    this.#soundRequests = rest.soundRequests;
     this.#onResponse = rest.onResponse;
     this.#lagWhenRead = rest.parts.lag();
   }
@@ -191,8 +204,22 @@
     return this.#call.route.kind === CallKind.Safe;
   }
 
+  /** What the quarantine knows the call by. */
+  get #suspect(): IPromptedCall {
+    const { service, fingerprint } = this.#call;
+    const isSound =
+      fingerprint === null ||
+      this.#soundRequests.has(fingerprint, this.#parts.clock.now());
+    const known = isSound ? null : fingerprint;
+    return { service, promptParts: [], fingerprint: known };
+  }
+
   #send(): void {
     const now = this.#parts.clock.now();
+    if (this.#parts.quarantine.isQuarantined(this.#suspect)) {
+      this.#refuse(CallRefusalReason.Quarantined);
+      return;
+    }
     if (!this.#mayHaveRun && !this.#isAdmitted()) {
       this.#refuse(CallRefusalReason.Stopping);
       return;
@@ -218,7 +245,8 @@
     this.#sendCount += 1;
     this.#lastSentAt = now;
     this.#parts.targets.recordSend(target.id);
-    const send = new PlainSend({ target: target.id, sentAt: now }, (answer) =>
+    const { id, address } = target;
+    const send = new PlainSend({ target: id, address, sentAt: now }, (answer) =>
       this.#handleEnd(answer),
     );
     this.#currentSend = send;
@@ -323,12 +351,41 @@
       targets.recordFailure(send.target, clock.now());
     }
     if (isGood && !isNotRun) {
+      if (this.#call.fingerprint !== null) {
+        this.#soundRequests.record(this.#call.fingerprint, clock.now());
+      }
       this.#passOn(head, answer.body);
+    } else if (failure === SendFailure.Broken) {
+      this.#handleBreak(send, { answer, isNotRun });
     } else {
       this.#handleFailure(send.target, { answer, isNotRun });
     }
   }
 
+  /** The target may have crashed under the request. */
+  #handleBreak(
+    { target: id, address }: PlainSend,
+    end: { readonly answer: IPlainResponse; readonly isNotRun: boolean },
+  ): void {
+    const { quarantine } = this.#parts;
+    const call = this.#suspect;
+    const isRepeated = this.#brokenOffBy.length > 0;
+    quarantine.recordBroken(
+      { call, target: { id, address }, beganAt: null },
+      isRepeated,
+    );
+    this.#brokenOffBy.push(id);
+    if (quarantine.mayCrashAnother(call)) {
+      this.#handleFailure(id, end);
+      return;
+    }
+    quarantine.waitForVerdicts(this.#brokenOffBy, () => {
+      if (!this.#isFinished) {
+        this.#handleFailure(id, end);
+      }
+    });
+  }
+
   #handleFailure(
     target: InstanceId,
     end: { readonly answer: IPlainResponse; readonly isNotRun: boolean },
@@ -399,12 +456,23 @@
 
   #refuse(reason: CallRefusalReason): void {
     const kind = this.#refusalKindOf(reason);
-    const isStopping = reason === CallRefusalReason.Stopping;
-    const retryAfter = isStopping ? STOPPING_RETRY_AFTER : this.#retryAfter;
+    const retryAfter = this.#retryAfterOf(reason);
     this.#finish(kind, { reason });
     this.#reply.refuse({ kind, reason, retryAfter });
   }
 
+  /** Milliseconds after which the caller may retry. */
+  #retryAfterOf(reason: CallRefusalReason): number {
+    switch (reason) {
+      case CallRefusalReason.Stopping:
+        return STOPPING_RETRY_AFTER;
+      case CallRefusalReason.Quarantined:
+        return QUARANTINE_RETRY_AFTER;
+      default:
+        return this.#retryAfter;
+    }
+  }
+
   /** Milliseconds after which a target takes calls. */
   get #retryAfter(): number {
     const { cooldowns, paths, random, readyTargets } = this.#parts;
@@ -475,6 +543,7 @@
 /** Collects the response of one send. */
 class PlainSend implements IResponseReceiver {
   readonly target: InstanceId;
+  readonly address: string;
   readonly sentAt: MonotonicTime;
   handle: ISendHandle | null = null;
   readonly #onEnded: (answer: IPlainResponse) => void;
@@ -482,10 +551,15 @@
   #head: IResponseHead | null = null;
 
   constructor(
-    sent: { readonly target: InstanceId; readonly sentAt: MonotonicTime },
+    sent: {
+      readonly target: InstanceId;
+      readonly address: string;
+      readonly sentAt: MonotonicTime;
+    },
     onEnded: (answer: IPlainResponse) => void,
   ) {
     this.target = sent.target;
+    this.address = sent.address;
     this.sentAt = sent.sentAt;
     this.#onEnded = onEnded;
   }
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -7,6 +7,7 @@
 import { listedEngine } from "../../../test/support/engine_fixtures.ts";
 import { ManualClock } from "../../../test/support/manual_clock.ts";
 import {
+  FakeQuarantine,
   RecordingLog,
   NO_METRICS,
 } from "../../../test/support/recording_services.ts";
@@ -75,6 +76,8 @@
   readonly silences: string[] = [];
   readonly calls: PlainCalls;
 
+  readonly quarantine = new FakeQuarantine();
+
   constructor() {
     this.targets.applyRelayedChanges(
       { targets: ["a", "b", "c"].map((id) => listedEngine(id)), removed: [] },
@@ -97,6 +100,7 @@
         hasPath: () => this.hasPath,
         recordSilence: (_, target) => this.silences.push(target),
       },
+      quarantine: this.quarantine,
       random: new SeededRandom(20261203),
       sender: new ObservingSender({
         sender: {
@@ -125,11 +129,12 @@
     });
   }
 
-  submit(route = SAFE): RecordingReply {
+  submit(route = SAFE, fingerprint: string | null = null): RecordingReply {
     const reply = new RecordingReply();
     const now = this.clock.now();
     const deadline = now + route.timeout;
-    const call = callOf({ route, model: null, arrivedAt: now, deadline });
+    const timed = { arrivedAt: now, deadline };
+    const call = callOf({ route, model: null, fingerprint, ...timed });
     this.calls.submit(call, reply);
     return reply;
   }
@@ -421,3 +426,46 @@
     expect(harness.sends).to.have.length(1);
   });
 });
+
+describe("plain requests that crash targets", () => {
+  function breakOff(harness: PlainCallsHarness, index: number): void {
+    const receiver = harness.sends[index]?.options.receiver;
+    receiver?.onFailure(SendFailure.Broken, "other side closed");
+  }
+
+  // Guards against a request that is sent on before it is known whether it has
+  // ended as many targets as it may.
+  it("wait for the verdicts on the targets that broke them off", () => {
+    const harness = new PlainCallsHarness();
+    harness.quarantine.allowedCrashes = 1;
+    harness.quarantine.isVerdictPending = true;
+    const reply = harness.submit(SAFE, "request-1");
+    breakOff(harness, 0);
+    expect(harness.sends).to.have.length(1);
+    harness.quarantine.isRequestQuarantined = true;
+    harness.quarantine.onVerdict();
+    expect(harness.sends).to.have.length(1);
+    expect(reply.refusal?.kind).to.equal(CallRefusalKind.TargetFailed);
+  });
+
+  // Guards against a request that crashes a target at each of its attempts.
+  it("are refused as not run once they are known", () => {
+    const harness = new PlainCallsHarness();
+    harness.quarantine.isRequestQuarantined = true;
+    const { refusal } = harness.submit(SAFE, "request-1");
+    expect(harness.sends).to.have.length(0);
+    expect(refusal?.kind).to.equal(CallRefusalKind.NotRun);
+    expect(refusal?.reason).to.equal(CallRefusalReason.Quarantined);
+  });
+
+  // Guards against a request of many callers that is refused because several
+  // targets that had it ended for other reasons.
+  it("are not those that were answered before", () => {
+    const harness = new PlainCallsHarness();
+    harness.submit(SAFE, "request-1");
+    harness.answer(0, headOf(200), "done");
+    harness.quarantine.isRequestQuarantined = true;
+    harness.submit(SAFE, "request-1");
+    expect(harness.sends).to.have.length(2);
+  });
+});
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -219,10 +219,11 @@
    */
   readonly promptParts: readonly string[];
   /**
-   * Identifier of the last part of the prompt. Repetitions of a request have
-   * the same one under different ids; null if the call names no parts.
+   * Recognizes the attempts of one request, which have ids of their own: the
+   * last part of its prompt, or a digest of a plain request. Null if the call
+   * has neither.
    */
-  readonly ownPart: string | null;
+  readonly fingerprint: string | null;
   readonly tokens: ITokenEstimate;
   readonly arrivedAt: MonotonicTime;
   /** When the caller stops waiting or must no longer be kept waiting. */
--- a/src/common/forwarding/forwarding_peers.ts
+++ b/src/common/forwarding/forwarding_peers.ts
@@ -86,6 +86,11 @@
     }
   }
 
+  /** Where the known peers are reached. */
+  get addresses(): readonly string[] {
+    return [...this.#peers.keys()];
+  }
+
   /** Whether a peer is known that may reach a service, if it answers. */
   hasPeer(service: ServiceName): boolean {
     return this.#usable(service).length > 0;
--- a/src/common/quarantine/crash_candidates.ts
+++ b/src/common/quarantine/crash_candidates.ts
@@ -27,6 +27,16 @@
  */
 export const COMMON_SETTLING_TIME = 1_500;
 
+/**
+ * The same for crashes that one request explains, and a part that answers went
+ * on with before. Until then the next answers have shown the part sound, unless
+ * it has begun to crash engines by itself, such as under other weights.
+ */
+export const EXPLAINED_SETTLING_TIME = 5_000;
+
+/** Crashes under one request from which it explains them. */
+const REPEATED_CRASHES = 2;
+
 /** Calls in a crashed engine that had one part. */
 export interface ICounts {
   calls: number;
@@ -39,6 +49,8 @@
   readonly receivedAt: MonotonicTime;
   at: MonotonicTime;
   readonly suspects: Map<string, ICounts>;
+  /** Fingerprints of the calls that had hardly begun. */
+  readonly requests: Set<string>;
 }
 
 /** A part that crashes speak against. */
@@ -60,15 +72,39 @@
   return wasProved || calls > COMMON_CALLS * crashes.length;
 }
 
-/** Whether all that may speak for a part has been reported. */
-export function hasSettled(candidate: ICandidate, now: MonotonicTime): boolean {
-  const { crashes } = candidate;
-  const counted = crashes.filter(
-    ({ receivedAt }) => now - receivedAt >= COMMON_SETTLING_TIME,
-  );
+/**
+ * Whether all that may speak for a part has been reported.
+ *
+ * @param repeated - crashes that one request explains
+ */
+export function hasSettled(
+  candidate: ICandidate,
+  repeated: ReadonlySet<ICrash>,
+  now: MonotonicTime,
+): boolean {
+  const { crashes, wasProved } = candidate;
+  const counted = crashes.filter((crash) => {
+    const isExplained = wasProved && repeated.has(crash);
+    const time = isExplained ? EXPLAINED_SETTLING_TIME : COMMON_SETTLING_TIME;
+    return now - crash.receivedAt >= time;
+  });
   return !isProbablySound(candidate) || counted.length >= FEWEST_CRASHES;
 }
 
+/** The crashes that had a request in common with another one. */
+export function repeatedCrashes(
+  crashes: readonly ICrash[],
+): ReadonlySet<ICrash> {
+  const counts = new Map<string, number>();
+  for (const request of crashes.flatMap(({ requests }) => [...requests])) {
+    counts.set(request, (counts.get(request) ?? 0) + 1);
+  }
+  const repeated = crashes.filter(({ requests }) =>
+    [...requests].some((one) => (counts.get(one) ?? 0) >= REPEATED_CRASHES),
+  );
+  return new Set(repeated);
+}
+
 /**
  * The weighted number of crashes that speak against a part.
  *
--- a/src/common/quarantine/crash_evidence.ts
+++ b/src/common/quarantine/crash_evidence.ts
@@ -13,10 +13,12 @@
 import type { MonotonicTime, ServiceName } from "../types.ts";
 import {
   COMMON_SETTLING_TIME,
+  EXPLAINED_SETTLING_TIME,
   explains,
   FEWEST_CRASHES,
   hasSettled,
   isProbablySound,
+  repeatedCrashes,
   weigh,
 } from "./crash_candidates.ts";
 import type { ICandidate, ICounts, ICrash } from "./crash_candidates.ts";
@@ -39,7 +41,7 @@
 export const SETTLING_TIME = 600;
 
 /** Milliseconds after the last report in which all causes have been found. */
-const QUIET_TIME = 2 * COMMON_SETTLING_TIME;
+const QUIET_TIME = EXPLAINED_SETTLING_TIME + COMMON_SETTLING_TIME;
 
 /** Milliseconds after which a crash is forgotten. */
 const CRASH_LIFETIME = 600_000;
@@ -86,6 +88,7 @@
       receivedAt: now,
       at,
       suspects: new Map<string, ICounts>(),
+      requests: new Set<string>(),
     };
     this.#crashes.set(key, crash);
     crash.at = Math.min(crash.at, at);
@@ -95,6 +98,7 @@
       counts.newCalls += newCalls;
       crash.suspects.set(part, counts);
     }
+    report.requests?.forEach((request) => crash.requests.add(request));
     this.#expire(now);
   }
 
@@ -168,12 +172,13 @@
     );
     const isKnown = (crash: ICrash) =>
       known.some((one) => explains(one, crash));
+    const repeated = repeatedCrashes(all);
     const unknown = new Set(all.filter((crash) => !isKnown(crash)));
     const likely = this.#candidates(service, known, settled).filter(
       (candidate) =>
         candidate.crashes.length >= FEWEST_CRASHES &&
         candidate.newCalls >= FEWEST_CALLS &&
-        hasSettled(candidate, now) &&
+        hasSettled(candidate, repeated, now) &&
         candidate.crashes.some((crash) => unknown.has(crash)),
     );
     const likelyParts = likely
@@ -210,6 +215,7 @@
       parts: [best, ...together].map(({ part }) => part).sort(),
       crashes: best.crashes.length,
       calls: best.calls,
+      isInDoubt: isProbablySound(best),
     };
   }
 
--- a/src/common/quarantine/crash_evidence_test.ts
+++ b/src/common/quarantine/crash_evidence_test.ts
@@ -1,4 +1,8 @@
 import { expect } from "chai";
+import {
+  COMMON_SETTLING_TIME,
+  EXPLAINED_SETTLING_TIME,
+} from "./crash_candidates.ts";
 import { CrashEvidence, SETTLING_TIME } from "./crash_evidence.ts";
 import { partKey } from "./types.ts";
 import type { ICrashCause, ISuspectCounts } from "./types.ts";
@@ -11,7 +15,11 @@
   now = 0;
   #serial = 0;
 
-  record(calls: Readonly<Record<string, number>>, target?: string): void {
+  record(
+    calls: Readonly<Record<string, number>>,
+    target?: string,
+    requests: readonly string[] = [],
+  ): void {
     this.#serial += 1;
     const suspects: Record<string, ISuspectCounts> = {};
     for (const [part, count] of Object.entries(calls)) {
@@ -20,7 +28,7 @@
     const serial = this.#serial;
     const report = { serial, target: target ?? `engine-${serial}`, age: 0 };
     this.evidence.record(
-      { ...report, startedAt: 1, service: SERVICE, suspects },
+      { ...report, startedAt: 1, service: SERVICE, suspects, requests },
       this.now,
     );
   }
@@ -84,6 +92,36 @@
     expect(crashes.find()).to.deep.equal([]);
   });
 
+  // Guards against all sound calls of a route refused for the parts that they
+  // share with a few requests, each of which crashes several engines by itself,
+  // when the proofs of these parts come later than the crashes.
+  it("is not a part of requests that explain the crashes themselves", () => {
+    const crashes = new Crashes();
+    crashes.prove("common");
+    for (let count = 0; count < 9; count += 1) {
+      crashes.now += 100;
+      crashes.record({ common: 4 }, undefined, [`own-${count % 3}`]);
+    }
+    crashes.now += 2 * COMMON_SETTLING_TIME;
+    expect(crashes.find()).to.deep.equal([]);
+    crashes.prove("common");
+    crashes.now += EXPLAINED_SETTLING_TIME;
+    expect(crashes.find()).to.deep.equal([]);
+  });
+
+  // Guards against a part that was sound and has begun to crash engines, under
+  // calls that are all retried.
+  it("is such a part if no answer on it goes on any more", () => {
+    const crashes = new Crashes();
+    crashes.prove("common");
+    for (let count = 0; count < 9; count += 1) {
+      crashes.now += 100;
+      crashes.record({ common: 4 }, undefined, [`own-${count % 3}`]);
+    }
+    crashes.now += EXPLAINED_SETTLING_TIME;
+    expect(crashes.find()).to.deep.equal([["common"]]);
+  });
+
   // Guards against all calls of an account refused for one part of a few, when
   // no answer can show the common part to be sound any more.
   it("is the rarest of the parts that explain the crashes", () => {
--- a/src/common/quarantine/crash_witness.ts
+++ b/src/common/quarantine/crash_witness.ts
@@ -16,6 +16,8 @@
   ICrashReport,
   IEngineStartReader,
   IObservedSend,
+  IPromptedCall,
+  IRequestCrash,
   ISuspectCounts,
   PartKey,
   ProofAges,
@@ -60,7 +62,11 @@
   readonly startedAt: number;
   readonly at: MonotonicTime;
   verdict: Verdict;
+  /** Whether the verdict is known, and the other processes have heard of it. */
+  isSettled: boolean;
   isReported: boolean;
+  /** Fingerprints of the suspects. */
+  readonly requests: Set<string>;
   readonly suspects: Map<string, { calls: number; newCalls: number }>;
   waiting: (() => void)[];
 }
@@ -82,6 +88,12 @@
   readonly log: ILog;
   /** Called with each crash. */
   readonly onCrash: (report: ICrashReport) => void;
+  /** Resolves once the other processes have heard of crashes under requests. */
+  readonly onRequestCrashes: (
+    crashes: readonly IRequestCrash[],
+  ) => Promise<void>;
+  /** Called with each answer that has proved its call harmless. */
+  readonly onProof: (call: IPromptedCall) => void;
 }
 
 /** The crashes and proofs of one process. */
@@ -128,7 +140,8 @@
   }
 
   recordBegin(send: IObservedSend, isSound: () => boolean): void {
-    if (send.call.promptParts.length > 0) {
+    const { promptParts, fingerprint } = send.call;
+    if (promptParts.length > 0 || fingerprint !== null) {
       this.#begun.push({ send, at: this.#now, isSound });
     }
   }
@@ -145,16 +158,30 @@
         counts.newCalls += isRepeated ? 0 : 1;
         one.suspects.set(part, counts);
       }
+      this.#recordRequest(one, call);
     }
     return isSuspect;
   }
 
-  waitForVerdict(target: InstanceId, callback: () => void): void {
-    const one = this.#breaks.get(target);
-    if (one?.verdict === Verdict.Pending) {
-      one.waiting.push(callback);
-    } else {
+  /** Number of targets that may have crashed under a request. */
+  pendingCrashes({ service, fingerprint }: IPromptedCall): number {
+    const pending = [...this.#breaks.values()].filter(
+      (one) =>
+        one.verdict === Verdict.Pending &&
+        one.service === service &&
+        one.requests.has(fingerprint ?? ""),
+    );
+    return pending.length;
+  }
+
+  waitForVerdicts(targets: readonly InstanceId[], callback: () => void): void {
+    const open = targets
+      .map((target) => this.#breaks.get(target))
+      .find((one) => one !== undefined && !one.isSettled);
+    if (open === undefined) {
       callback();
+    } else {
+      open.waiting.push(() => this.waitForVerdicts(targets, callback));
     }
   }
 
@@ -179,7 +206,27 @@
     this.#forgetOld(now);
   }
 
+  #recordRequest(one: IBreak, { fingerprint }: IPromptedCall): void {
+    if (fingerprint !== null && !one.requests.has(fingerprint)) {
+      one.requests.add(fingerprint);
+      if (one.verdict === Verdict.Crashed) {
+        void this.#shareRequests(one, [fingerprint]);
+      }
+    }
+  }
+
+  #shareRequests(one: IBreak, fingerprints: readonly string[]): Promise<void> {
+    const { target, service, startedAt, at } = one;
+    const age = this.#now - at;
+    return this.#parts.onRequestCrashes(
+      fingerprints.map((fingerprint) => {
+        return { service, fingerprint, target, startedAt, age };
+      }),
+    );
+  }
+
   #recordProof({ call }: IObservedSend): void {
+    this.#parts.onProof(call);
     for (const part of call.promptParts) {
       const key = partKey(call.service, part);
       // Set again, so that the parts in use are the last to be forgotten.
@@ -216,7 +263,9 @@
       ...{ target, service, startedAt },
       at: isSameCrash ? known.at : this.#now,
       verdict: isSameCrash ? Verdict.Crashed : Verdict.Pending,
+      isSettled: isSameCrash,
       isReported: false,
+      requests: new Set(),
       suspects: new Map(),
       waiting: [],
     };
@@ -237,12 +286,20 @@
       // Asked again through another process, in case only this path is lost.
       !(await this.#isRunning(engine, one.startedAt));
     one.verdict = hasCrashed ? Verdict.Crashed : Verdict.Running;
-    one.waiting.forEach((callback) => callback());
-    one.waiting = [];
     if (hasCrashed) {
-      const left = Math.max(0, one.at + GATHERING_TIME - this.#now);
-      this.#parts.clock.after(left, () => this.#report(one));
+      const told = this.#shareRequests(one, [...one.requests]);
+      this.#scheduleReport(one);
+      await told;
     }
+    one.isSettled = true;
+    const { waiting } = one;
+    one.waiting = [];
+    waiting.forEach((callback) => callback());
+  }
+
+  #scheduleReport(one: IBreak): void {
+    const left = Math.max(0, one.at + GATHERING_TIME - this.#now);
+    this.#parts.clock.after(left, () => this.#report(one));
   }
 
   async #isRunning(
@@ -268,6 +325,7 @@
     );
     const report = {
       ...{ serial: this.#serial, target, startedAt, service, suspects },
+      requests: [...one.requests],
       age: this.#now - at,
     };
     this.#reports.push({ report, at });
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -14,18 +14,23 @@
 } from "../services/services.ts";
 import type { InstanceId, MonotonicTime } from "../types.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
+import type { CrashingRequests } from "./crashing_requests.ts";
+import { MAXIMUM_REQUEST_CRASHES } from "./crashing_requests.ts";
 import { CrashWitness } from "./crash_witness.ts";
-import { QuarantineList } from "./quarantine_list.ts";
+import { isSameCause, QuarantineList } from "./quarantine_list.ts";
 import { QuarantineRecord } from "./quarantine_record.ts";
 import { QuarantineSynchronizer } from "./quarantine_synchronizer.ts";
+import { QuarantineTrials } from "./quarantine_trials.ts";
 import { partKey } from "./types.ts";
 import type {
   ICallQuarantine,
+  ICrashCause,
   ICrashReport,
   IEngineStartReader,
   IFoundCause,
   IObservedSend,
   IPromptedCall,
+  IRequestCrash,
   IQuarantineEntry,
   IQuarantineMember,
   IQuarantineReply,
@@ -48,6 +53,9 @@
  */
 const LONGEST_LOADING_TIME = 3_000;
 
+/** Released causes that the other processes are told of. */
+const MAXIMUM_RELEASES = 100;
+
 /** Processes whose last report is remembered; more than run at once. */
 const MAXIMUM_PROCESSES = 2_000;
 
@@ -80,6 +88,10 @@
   readonly onNews: () => void;
   /** Called when there is a new crash to report to the holder. */
   readonly onCrash: () => void;
+  /** Crashes by request, as this process and others know them. */
+  readonly requests: CrashingRequests;
+  /** Resolves once the other processes have heard of crashes. */
+  readonly tellOthers: (crashes: readonly IRequestCrash[]) => Promise<void>;
 }
 
 /** The quarantine as one process knows it. */
@@ -100,6 +112,9 @@
   #suspects: readonly PartKey[] = [];
   /** Parts on which the holder asked for answers. */
   #askedFor: readonly PartKey[] = [];
+  readonly #trials = new QuarantineTrials();
+  /** Causes that this process has found to be wrong. */
+  #released: readonly ICrashCause[] = [];
   #heardVersion = 0;
   #changes = 0;
   /** Whether a change has not been sent to the other processes yet. */
@@ -124,6 +139,8 @@
     this.#witness = new CrashWitness({
       ...parts,
       onCrash: (report) => this.#handleCrash(report),
+      onRequestCrashes: (crashes) => this.#handleRequestCrashes(crashes),
+      onProof: (call) => this.#handleProof(call),
     });
   }
 
@@ -153,8 +170,32 @@
     return this.#list.entries;
   }
 
-  isQuarantined({ service, promptParts }: IPromptedCall): boolean {
-    return this.#list.find(service, promptParts) !== null;
+  isQuarantined(call: IPromptedCall): boolean {
+    if (this.#crashCount(call) >= MAXIMUM_REQUEST_CRASHES) {
+      return true;
+    }
+    const entry = this.#list.find(call.service, call.promptParts);
+    return entry !== null && !this.#isTrial(call, entry);
+  }
+
+  /** Whether a call is sent to find out if a finding is wrong. */
+  #isTrial(call: IPromptedCall, entry: IQuarantineEntry): boolean {
+    const role = this.#parts.role();
+    const isFoundHere = this.#trials.isScheduled(entry);
+    if (role === QuarantineRole.Holder && !isFoundHere) {
+      this.#trials.schedule(entry, false, this.#now);
+    }
+    const mayTry =
+      role === QuarantineRole.Holder ||
+      (role === QuarantineRole.Independent && isFoundHere);
+    return mayTry
+      ? this.#trials.admits(call, entry, this.#now)
+      : this.#trials.isTrial(call);
+  }
+
+  mayCrashAnother(call: IPromptedCall): boolean {
+    const pending = this.#witness.pendingCrashes(call);
+    return this.#crashCount(call) + pending < MAXIMUM_REQUEST_CRASHES;
   }
 
   recordBegin(send: IObservedSend, isSound: () => boolean): void {
@@ -162,11 +203,12 @@
   }
 
   recordBroken(send: IObservedSend, isRepeated: boolean): boolean {
+    this.#trials.recordBroken(send.call);
     return this.#witness.recordBroken(send, isRepeated);
   }
 
-  waitForVerdict(target: InstanceId, callback: () => void): void {
-    this.#witness.waitForVerdict(target, callback);
+  waitForVerdicts(targets: readonly InstanceId[], callback: () => void): void {
+    this.#witness.waitForVerdicts(targets, callback);
   }
 
   hasCrashed(target: InstanceId): boolean {
@@ -200,7 +242,10 @@
     for (const [key, age] of Object.entries(report.proofs)) {
       this.#evidence.recordProof(key, now - age);
     }
-    if (this.#list.add(report.unsaved)) {
+    const unsaved = report.unsaved.filter(
+      (entry) => !this.#released.some((cause) => isSameCause(cause, entry)),
+    );
+    if (this.#list.add(unsaved)) {
       this.#handleListChanged();
     }
     // Several processes report each crash; the others are updated once for all.
@@ -214,6 +259,7 @@
       suspects: this.#suspects,
       listVersion: this.#version,
       entries: listVersion === this.#version ? null : this.#list.entries,
+      released: this.#released,
     };
   }
 
@@ -228,6 +274,7 @@
     if (reply.entries !== null) {
       this.#hasHolderEntries = true;
       this.#logReleased(this.#list.replaceSaved(reply.entries));
+      this.#logReleased(this.#list.remove(reply.released ?? []));
       this.#parts.onListChanged();
     }
   }
@@ -247,6 +294,46 @@
     this.#parts.onCrash();
   }
 
+  /** A call that met an entry and was answered shows that it is wrong. */
+  #handleProof(call: IPromptedCall): void {
+    this.#parts.requests.recordProof(call);
+    const entry = this.#list.find(call.service, call.promptParts);
+    if (entry === null || this.#parts.role() === QuarantineRole.Follower) {
+      return;
+    }
+    const { service, parts } = entry;
+    this.#released = [...this.#released, { service, parts }].slice(
+      -MAXIMUM_RELEASES,
+    );
+    this.#list.release(entry);
+    this.#logReleased([entry]);
+    this.#handleListChanged();
+  }
+
+  #crashCount(call: IPromptedCall): number {
+    return this.#parts.requests.count(call, this.#now);
+  }
+
+  async #handleRequestCrashes(
+    crashes: readonly IRequestCrash[],
+  ): Promise<void> {
+    const { log, requests, tellOthers } = this.#parts;
+    for (const crash of crashes) {
+      const { service, fingerprint, target } = crash;
+      requests.record(crash, this.#now);
+      const count = this.#crashCount({
+        ...{ service, fingerprint, promptParts: [] },
+      });
+      if (count >= MAXIMUM_REQUEST_CRASHES) {
+        const fields = { service, fingerprint, target, crashes: count };
+        log.warn("request_quarantined", fields);
+      }
+    }
+    if (crashes.length > 0) {
+      await tellOthers(crashes);
+    }
+  }
+
   #evaluate(): void {
     const role = this.#parts.role();
     this.#suspects = [];
@@ -300,6 +387,12 @@
       };
       log.warn("prompt_parts_quarantined", fields);
     }
+    for (const cause of causes) {
+      this.#trials.schedule(cause, cause.isInDoubt, this.#now);
+    }
+    this.#released = this.#released.filter(
+      (one) => !causes.some((cause) => isSameCause(cause, one)),
+    );
     this.#list.add(causes.map((cause) => entryOf(cause, { since, until })));
     this.#handleListChanged();
   }
--- a/src/common/quarantine/quarantine_list.ts
+++ b/src/common/quarantine/quarantine_list.ts
@@ -13,6 +13,8 @@
 export class QuarantineList {
   #entries: readonly IQuarantineEntry[] = [];
   #byPart: ReadonlyMap<PartKey, readonly IQuarantineEntry[]> = new Map();
+  /** Causes that were released here and that the store may still have. */
+  #unsavedReleases: readonly ICrashCause[] = [];
 
   get entries(): readonly IQuarantineEntry[] {
     return this.#entries;
@@ -23,6 +25,33 @@
     return this.#entries.filter(({ isSaved }) => !isSaved);
   }
 
+  /** Whether the store may have entries that were released here. */
+  get hasUnsavedReleases(): boolean {
+    return this.#unsavedReleases.length > 0;
+  }
+
+  /** Drops an entry here, and from the store with the next write. */
+  release(entry: IQuarantineEntry): void {
+    this.#unsavedReleases = [...this.#unsavedReleases, entry];
+    this.#set(this.#entries.filter((one) => one !== entry));
+  }
+
+  /** Drops entries that the lease holder has released. */
+  remove(causes: readonly ICrashCause[]): ReleasedEntries {
+    const removed = this.#entries.filter((entry) =>
+      causes.some((cause) => isSameCause(cause, entry)),
+    );
+    if (removed.length > 0) {
+      this.#set(this.#entries.filter((entry) => !removed.includes(entry)));
+    }
+    return removed;
+  }
+
+  /** The store has been written without the releases. */
+  handleReleasesSaved(): void {
+    this.#unsavedReleases = [];
+  }
+
   /** Returns the entry that a call with these parts meets, or null. */
   find(
     service: ServiceName,
@@ -62,7 +91,11 @@
       (entry) => entry.isSaved && !isListed(entry),
     );
     const unsaved = this.unsaved.filter((entry) => !isListed(entry));
-    this.#set([...saved, ...unsaved].slice(-MAXIMUM_ENTRIES));
+    const kept = saved.filter(
+      (entry) =>
+        !this.#unsavedReleases.some((cause) => isSameCause(cause, entry)),
+    );
+    this.#set([...kept, ...unsaved].slice(-MAXIMUM_ENTRIES));
     return released;
   }
 
@@ -87,7 +120,7 @@
 }
 
 /** Whether two causes are the same; their parts are sorted. */
-function isSameCause(one: ICrashCause, other: ICrashCause): boolean {
+export function isSameCause(one: ICrashCause, other: ICrashCause): boolean {
   return (
     one.service === other.service &&
     one.parts.join(",") === other.parts.join(",")
--- a/src/common/quarantine/quarantine_synchronizer.ts
+++ b/src/common/quarantine/quarantine_synchronizer.ts
@@ -47,7 +47,8 @@
   /** @param isAlone - whether no other process sends this one changes */
   update(isAlone: boolean): void {
     const { clock, list } = this.#parts;
-    const isDone = this.#isLoaded && list.unsaved.length === 0;
+    const isWritten = list.unsaved.length === 0 && !list.hasUnsavedReleases;
+    const isDone = this.#isLoaded && isWritten;
     const period = isAlone ? ALONE_READ_PERIOD : READ_PERIOD;
     const pause = isDone ? period : RETRY_PERIOD;
     if (!this.#isBusy && clock.now() - this.#triedAt >= pause) {
@@ -90,7 +91,7 @@
   async #writeUnsaved(): Promise<string | null> {
     const { list, record } = this.#parts;
     const { unsaved } = list;
-    if (unsaved.length === 0) {
+    if (unsaved.length === 0 && !list.hasUnsavedReleases) {
       return null;
     }
     const written = await record.write(list.entries);
@@ -101,6 +102,7 @@
       unsaved.includes(entry) ? { ...entry, isSaved: true } : entry,
     );
     list.replaceSaved(saved);
+    list.handleReleasesSaved();
     return null;
   }
 }
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -30,6 +30,26 @@
   readonly age: number;
   /** By part of a prompt. */
   readonly suspects: Readonly<Record<string, ISuspectCounts>>;
+  /** Fingerprints of the suspects; absent in reports of older builds. */
+  readonly requests?: readonly string[] | undefined;
+}
+
+/** A target that crashed while it had a request. */
+export interface IRequestCrash {
+  readonly service: ServiceName;
+  readonly fingerprint: string;
+  readonly target: InstanceId;
+  /** Start of the crashed run in calendar milliseconds; 0 if unknown. */
+  readonly startedAt: number;
+  /** Milliseconds since the crash. */
+  readonly age: number;
+}
+
+/** What a process tells its peers about requests that crash targets. */
+export interface ICrashNews {
+  readonly crashes: readonly IRequestCrash[];
+  /** Whether all crashes are to be returned, as for a process that starts. */
+  readonly wantsAll: boolean;
 }
 
 /** Identifies a part within a service; see {@link partKey}. */
@@ -50,6 +70,8 @@
   readonly crashes: number;
   /** Calls that had the parts and were in these engines. */
   readonly calls: number;
+  /** Whether the parts were sound before, or are common. */
+  readonly isInDoubt: boolean;
 }
 
 /** A cause whose calls are refused. */
@@ -85,12 +107,19 @@
   readonly listVersion: number;
   /** Null if the process has this version already. */
   readonly entries: readonly IQuarantineEntry[] | null;
+  /** Causes that an answer has disproved; absent from an older build. */
+  readonly released?: readonly ICrashCause[] | undefined;
 }
 
 /** A call with the parts of its prompt that other calls may share. */
 export interface IPromptedCall {
   readonly service: ServiceName;
   readonly promptParts: readonly string[];
+  /**
+   * Recognizes the attempts of one request, which have ids of their own; null
+   * if nothing does.
+   */
+  readonly fingerprint: string | null;
 }
 
 /** A send that an engine has begun to answer, or broke off. */
@@ -112,7 +141,10 @@
 
 /** What the request path needs of the quarantine. */
 export interface ICallQuarantine {
-  /** Whether a call must not reach any engine. */
+  /**
+   * Whether a call must not reach any engine. Now and then a call with
+   * quarantined parts is admitted, to find out whether the finding is wrong.
+   */
   isQuarantined(call: IPromptedCall): boolean;
   /**
    * Records that an answer has begun.
@@ -122,8 +154,16 @@
   recordBegin(send: IObservedSend, isSound: () => boolean): void;
   /** Records a send that its engine broke off; whether it is a suspect. */
   recordBroken(send: IObservedSend, isRepeated: boolean): boolean;
-  /** Calls back once it is known whether an engine has crashed. */
-  waitForVerdict(target: InstanceId, callback: () => void): void;
+  /**
+   * Whether a request may be sent to another target before it is known whether
+   * those that broke it off have crashed.
+   */
+  mayCrashAnother(call: IPromptedCall): boolean;
+  /**
+   * Calls back once it is known whether targets have crashed, and the other
+   * processes have heard of it.
+   */
+  waitForVerdicts(targets: readonly InstanceId[], callback: () => void): void;
   hasCrashed(target: InstanceId): boolean;
 }
 
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -125,6 +125,7 @@
         yield Ok(batch.value);
         groups.recordReadResumed(target);
         if (progress.isComplete) {
+          quarantine.recordWhole(request);
           return;
         }
       }
--- a/src/common/services/prompt_parts.ts
+++ b/src/common/services/prompt_parts.ts
@@ -15,17 +15,25 @@
 
 const promptSchema = z.object({ prompt: z.string() });
 
+/** The parts of one prompt. */
+export interface IPromptParts {
+  /** Digests of the sections that other requests may share. */
+  readonly shared: readonly string[];
+  /** Digest of the whole prompt; null without one. */
+  readonly digest: string | null;
+}
+
 /** Identifies parts by digests, so that logs and records hold no prompts. */
 export class PromptParts {
   readonly #digest: (text: string) => string;
   /** The parts of requests that are being served. */
-  readonly #known = new WeakMap<ICallerRequest, readonly string[]>();
+  readonly #known = new WeakMap<ICallerRequest, IPromptParts>();
 
   constructor(digest: (text: string) => string) {
     this.#digest = digest;
   }
 
-  of(request: ICallerRequest): readonly string[] {
+  of(request: ICallerRequest): IPromptParts {
     let parts = this.#known.get(request);
     if (parts === undefined) {
       parts = this.#compute(request.body);
@@ -34,15 +42,16 @@
     return parts;
   }
 
-  #compute(body: unknown): readonly string[] {
+  #compute(body: unknown): IPromptParts {
     const parsed = promptSchema.safeParse(body);
     if (!parsed.success) {
-      return [];
+      return { shared: [], digest: null };
     }
-    const sections = parsed.data.prompt.trim().split(SECTION_END).slice(0, -1);
+    const prompt = parsed.data.prompt.trim();
+    const sections = prompt.split(SECTION_END).slice(0, -1);
     const parts = sections
       .slice(0, MAXIMUM_PARTS)
       .map((section) => this.#digest(section).slice(0, DIGEST_LENGTH));
-    return [...new Set(parts)];
+    return { shared: [...new Set(parts)], digest: this.#digest(prompt) };
   }
 }
--- a/src/common/services/prompt_parts_test.ts
+++ b/src/common/services/prompt_parts_test.ts
@@ -15,20 +15,20 @@
 
   it("are digests of all but the last, each once", () => {
     const prompt = "system\n\nnotes\n \n\nsystem\n\nquestion";
-    const found = parts.of(requestOf({ prompt }));
-    expect(found).to.deep.equal(["system#---------", "notes#----------"]);
+    const { shared } = parts.of(requestOf({ prompt }));
+    expect(shared).to.deep.equal(["system#---------", "notes#----------"]);
   });
 
   it("are none for one section, and for a body without a prompt", () => {
     for (const body of [{ prompt: "a\nb" }, { prompt: 3 }, null, "text"]) {
-      expect(parts.of(requestOf(body))).to.deep.equal([]);
+      expect(parts.of(requestOf(body)).shared).to.deep.equal([]);
     }
   });
 
   it("are computed once for a request, and bounded in number", () => {
     const prompt = Array.from({ length: 500 }, (_, index) => `part ${index}`);
     const request = requestOf({ prompt: prompt.join("\n\n") });
-    expect(parts.of(request)).to.have.length(64);
+    expect(parts.of(request).shared).to.have.length(64);
     const before = digests;
     parts.of(request);
     expect(digests).to.equal(before);
--- a/src/common/services/request_quarantine.ts
+++ b/src/common/services/request_quarantine.ts
@@ -1,5 +1,6 @@
 /** Applies the quarantine of prompt parts to requests for tokens. */
 import type { Result } from "ts-results-es";
+import { SoundRequests } from "../quarantine/sound_requests.ts";
 import type {
   ICallQuarantine,
   IObservedSend,
@@ -28,6 +29,9 @@
   readonly quarantine: ICallQuarantine;
   readonly clock: IClock;
   readonly #parts: PromptParts;
+  readonly #soundRequests = new SoundRequests();
+  /** The calls of requests that are being served. */
+  readonly #calls = new WeakMap<ICallerRequest, IPromptedCall>();
 
   constructor(quarantine: ICallQuarantine, parts: PromptParts, clock: IClock) {
     this.quarantine = quarantine;
@@ -36,8 +40,28 @@
   }
 
   callOf(request: ICallerRequest): IPromptedCall {
-    const promptParts = this.#parts.of(request);
-    return { service: request.service.name, promptParts };
+    const call = this.#calls.get(request) ?? this.#createCall(request);
+    this.#calls.set(request, call);
+    return call;
+  }
+
+  #createCall(request: ICallerRequest): IPromptedCall {
+    const { shared, digest } = this.#parts.of(request);
+    const { name: service } = request.service;
+    const { account } = request.account.customer;
+    const identity = `${account} ${digest}`;
+    const isKnown =
+      digest !== null && !this.#soundRequests.has(identity, this.clock.now());
+    const fingerprint = isKnown ? identity : null;
+    return { service, promptParts: shared, fingerprint };
+  }
+
+  /** Records that a request was answered whole. */
+  recordWhole(request: ICallerRequest): void {
+    const { fingerprint } = this.callOf(request);
+    if (fingerprint !== null) {
+      this.#soundRequests.record(fingerprint, this.clock.now());
+    }
   }
 
   /**
@@ -117,11 +141,12 @@
     if (quarantine.recordBroken(this.#send, isRepeated)) {
       suspectedEngines.add(this.#engine.id);
     }
-    if (suspectedEngines.size < MAXIMUM_CRASHES) {
+    const hasAttempt = suspectedEngines.size < MAXIMUM_CRASHES;
+    if (hasAttempt && quarantine.mayCrashAnother(this.#send.call)) {
       return;
     }
     await new Promise<void>((resolve) => {
-      quarantine.waitForVerdict(this.#engine.id, resolve);
+      quarantine.waitForVerdicts([...suspectedEngines], resolve);
     });
     const crashed = [...suspectedEngines].filter((engine) =>
       quarantine.hasCrashed(engine),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -28,6 +28,7 @@
 import { Alarms } from "../common/services/alarms.ts";
 import { CooldownObservingTargets } from "../common/services/cooldown_observing_targets.ts";
 import type { IDaemonStatus } from "../common/services/daemon_status.ts";
+import { CrashingRequests } from "../common/quarantine/crashing_requests.ts";
 import { Quarantine, QuarantineRole } from "../common/quarantine/quarantine.ts";
 import { DigestService } from "../common/services/digest_service.ts";
 import { EngineStarts } from "../common/services/engine_starts.ts";
@@ -388,6 +389,8 @@
       onListChanged: () => undefined,
       onNews: () => undefined,
       onCrash: () => undefined,
+      requests: new CrashingRequests(),
+      tellOthers: () => Promise.resolve(),
     });
   }
 
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -42,6 +42,9 @@
 import { TargetReach } from "../common/forwarding/target_reach.ts";
 import type { IForwardingMember } from "../common/forwarding/types.ts";
 import { TargetCooldowns } from "../common/target_cooldowns.ts";
+import { CrashGossip } from "../common/quarantine/crash_gossip.ts";
+import { CrashingRequests } from "../common/quarantine/crashing_requests.ts";
+import { TargetStartReader } from "../common/quarantine/target_start_reader.ts";
 import { Quarantine } from "../common/quarantine/quarantine.ts";
 import { StoreRelay } from "../common/relay/store_relay.ts";
 import type { InstanceId, ServiceName } from "../common/types.ts";
@@ -128,6 +131,8 @@
   readonly #paths: ForwardingSender;
   readonly #forwarded: ForwardedRequests;
   readonly #quarantine: Quarantine;
+  readonly #crashingRequests = new CrashingRequests();
+  readonly #crashGossip: CrashGossip;
   readonly #lag = new EventLoopLag(CHECK_PERIOD);
   #hasCalls = false;
   #isStopping = false;
@@ -182,6 +187,12 @@
       clock: this.#clock,
       onTargetsUpdated: () => this.#coordinator.handleTargetsChanged(),
     });
+    this.#crashGossip = new CrashGossip({
+      link,
+      peers: () => this.#peers.addresses,
+      requests: this.#crashingRequests,
+      ...{ clock, log },
+    });
     this.#quarantine = this.#createQuarantine();
     const retries = this.#createRetryAllowances();
     const limits = this.#rateLimits;
@@ -236,7 +247,11 @@
       eventLoop: this.#eventLoop,
       random: this.#random,
     });
-    const handlers = new ForwardingHandlers(this.#forwarded, this.#barrier);
+    const handlers = new ForwardingHandlers({
+      requests: this.#forwarded,
+      crashes: this.#crashGossip,
+      barrier,
+    });
     this.#inner = new InnerServer({
       exchange: (report) => this.#coordinator.answerReport(report),
       metrics: () => this.#metrics.expose(),
@@ -322,6 +337,8 @@
     }
     this.#quarantine.start();
     this.#owned.add(this.#quarantine);
+    this.#crashGossip.start();
+    this.#owned.add(this.#crashGossip);
     this.#coordinator.start();
     this.#owned.add(this.#coordinator);
     this.#owned.add(this.#reach);
@@ -353,8 +370,7 @@
       });
       return () => undefined;
     }
-    const isModelCall = this.#configuration.service(call.service)?.engine;
-    return isModelCall
+    return this.#isEngineService(call.service)
       ? this.#models.submit(call, reply)
       : this.#plain.submit(call, reply);
   }
@@ -469,7 +485,7 @@
 
   #createQuarantine(): Quarantine {
     return new Quarantine({
-      engines: this.#createEngineClient(),
+      engines: this.#createStartReader(),
       startOf: (target) => this.#targets.startOf(target),
       store: this.#store,
       role: () => this.#coordinator.quarantineRole,
@@ -480,9 +496,30 @@
       onListChanged: () => this.#models.handleQuarantineChanged(),
       onNews: () => this.#coordinator.announce(),
       onCrash: () => this.#coordinator.reportNow(),
+      requests: this.#crashingRequests,
+      tellOthers: (crashes) => this.#crashGossip.tell(crashes),
     });
   }
 
+  #createStartReader(): TargetStartReader {
+    return new TargetStartReader({
+      engines: this.#createEngineClient(),
+      prober: this.#client,
+      isEngine: (target) => {
+        const service = this.#serviceOf(target);
+        return service === null || this.#isEngineService(service);
+      },
+      hasPath: (target) => {
+        const service = this.#serviceOf(target);
+        return service === null || !this.#reach.isOutOfReach(service);
+      },
+    });
+  }
+
+  #isEngineService(service: ServiceName): boolean {
+    return Boolean(this.#configuration.service(service)?.engine);
+  }
+
   #createEngineClient(): ForwardingEngineClient {
     return new ForwardingEngineClient({
       direct: this.#engines,
--- a/src/stand_ins/engine_member/engine_member.ts
+++ b/src/stand_ins/engine_member/engine_member.ts
@@ -248,7 +248,7 @@
 
   #crashIfToldTo(prompt: string): void {
     const { crashOn } = this.#options;
-    const sections = prompt.split("\n\n").slice(0, -1);
+    const sections = prompt.split("\n\n");
     if (crashOn !== "" && sections.includes(crashOn)) {
       process.exit(EXIT_CRASHED);
     }
--- a/src/stand_ins/engine_member/types.ts
+++ b/src/stand_ins/engine_member/types.ts
@@ -24,8 +24,8 @@
   /** Whether an order is refused once its validity has expired. */
   readonly honoursValidity: boolean;
   /**
-   * A section of a prompt, other than its last, on which the engine's process
-   * ends when it begins to answer; empty for none.
+   * A section of a prompt on which the engine's process ends when it begins to
+   * answer; empty for none.
    */
   readonly crashOn: string;
 }
--- a/test/crashing_prompts_daemon_test.ts
+++ b/test/crashing_prompts_daemon_test.ts
@@ -14,6 +14,12 @@
 /** Engines that may crash before the cause is known. */
 const MAXIMUM_CRASHES = 6;
 
+/** Engines that one request may crash over all its attempts. */
+const OWN_CRASHES = 3;
+
+/** Attempts of its caller. */
+const OWN_ATTEMPTS = 6;
+
 /** Milliseconds between two requests: more than a decision takes. */
 const PAUSE = 700;
 
@@ -30,7 +36,14 @@
     serial += 1;
     const address = deployment.process(daemon).listeningField("callers");
     const call = longBrief(address, { id: `call-${serial}`, tokens: TOKENS });
-    const prompt = [...sections, `own ${serial}`].join("\n\n");
+    return sendPrompt(call, [...sections, `own ${serial}`]);
+  }
+
+  function sendPrompt(
+    call: ReturnType<typeof longBrief>,
+    sections: readonly string[],
+  ): Promise<IStreamReply> {
+    const prompt = sections.join("\n\n");
     const body = { prompt, maximum_tokens: TOKENS };
     return sendStreamCall({ ...call, body });
   }
@@ -83,4 +96,24 @@
     expect(reply.refusal).to.include("quarantined");
     expect(crashedEngines()).to.equal(crashed);
   });
+
+  // Guards against a request that ends two engines in each attempt of its
+  // caller, since only parts that other requests share are suspects.
+  it("stop at three engines if the part is the request's own", async () => {
+    const crashed = crashedEngines();
+    let quarantined = 0;
+    for (let attempt = 0; attempt < OWN_ATTEMPTS; attempt += 1) {
+      serial += 1;
+      const address = deployment.process(DAEMON).listeningField("callers");
+      const call = longBrief(address, { id: `call-${serial}`, tokens: TOKENS });
+      const reply = await sendPrompt(call, ["system", "bad"]);
+      quarantined += reply.refusal.includes("quarantined") ? 1 : 0;
+      await sleep(PAUSE);
+    }
+    expect(crashedEngines() - crashed).to.be.within(1, OWN_CRASHES);
+    expect(quarantined).to.be.greaterThan(0);
+    await waitFor("a sound request is answered", async () => {
+      return (await send(DAEMON, ["system"])).isWhole;
+    });
+  });
 });
--- a/test/support/call_fixtures.ts
+++ b/test/support/call_fixtures.ts
@@ -40,7 +40,7 @@
     priority: 1,
     model: "large",
     promptParts: [],
-    ownPart: null,
+    fingerprint: null,
     tokens: { prompt: 1_000, output: 100 },
     arrivedAt: 0,
     deadline: 8_000,
--- a/test/support/quarantine_fleet.ts
+++ b/test/support/quarantine_fleet.ts
@@ -5,7 +5,11 @@
   Quarantine,
   QuarantineRole,
 } from "../../src/common/quarantine/quarantine.ts";
-import type { IObservedSend } from "../../src/common/quarantine/types.ts";
+import { CrashingRequests } from "../../src/common/quarantine/crashing_requests.ts";
+import type {
+  IObservedSend,
+  IRequestCrash,
+} from "../../src/common/quarantine/types.ts";
 import type { IEngineReport } from "../../src/common/replicas/types.ts";
 import { WriteFailureKind } from "../../src/common/services/services.ts";
 import type {
@@ -56,6 +60,8 @@
 export class QuarantineProcess {
   readonly log = new RecordingLog();
   readonly quarantine: Quarantine;
+  /** Crashes by request. */
+  readonly requests = new CrashingRequests();
   readonly name: string;
   /** Whether it hears the holder. */
   isConnected = true;
@@ -77,6 +83,8 @@
       onListChanged: () => undefined,
       onNews: () => fleet.exchangeAll(),
       onCrash: () => fleet.exchange(this),
+      requests: this.requests,
+      tellOthers: async (crashes) => fleet.tellAll(crashes),
     });
     this.quarantine.start();
   }
@@ -95,6 +103,26 @@
     this.quarantine.recordBegin(sendOf(target, promptParts), () => true);
   }
 
+  /** An engine begins an answer, if the call is admitted; returns whether. */
+  answerIfAdmitted(target: string, ...parts: readonly string[]): boolean {
+    const send = sendOf(target, parts);
+    const isAdmitted = !this.quarantine.isQuarantined(send.call);
+    if (isAdmitted) {
+      this.quarantine.recordBegin(send, () => true);
+    }
+    return isAdmitted;
+  }
+
+  /** An engine breaks the call off, if it is admitted; returns whether. */
+  breakOffIfAdmitted(target: string, ...parts: readonly string[]): boolean {
+    const send = sendOf(target, parts);
+    const isAdmitted = !this.quarantine.isQuarantined(send.call);
+    if (isAdmitted) {
+      this.quarantine.recordBroken(send, false);
+    }
+    return isAdmitted;
+  }
+
   refuses(...promptParts: readonly string[]): boolean {
     return this.quarantine.isQuarantined(callOf({ promptParts }));
   }
@@ -158,6 +186,14 @@
     this.processes.forEach((process) => this.exchange(process));
   }
 
+  /** Tells all processes of crashes, as the gossip does. */
+  tellAll(crashes: readonly IRequestCrash[]): void {
+    const now = this.clock.now();
+    for (const { requests } of this.processes) {
+      crashes.forEach((crash) => requests.record(crash, now));
+    }
+  }
+
   /** Carries a report and its reply as they travel, as JSON. */
   exchange(process: QuarantineProcess): void {
     const { holder } = this;
--- a/test/support/recording_services.ts
+++ b/test/support/recording_services.ts
@@ -65,13 +65,18 @@
   /** Targets that have crashed. */
   readonly crashed = new Set<string>();
   isVerdictPending = false;
+  /** Whether requests that can be recognized are refused. */
+  isRequestQuarantined = false;
+  /** Broken sends after which the verdicts are awaited. */
+  allowedCrashes = Number.POSITIVE_INFINITY;
   /** Makes the pending verdict known. */
   onVerdict: () => void = () => undefined;
   readonly begun: { readonly isSound: () => boolean }[] = [];
   readonly broken: { readonly isRepeated: boolean }[] = [];
 
-  isQuarantined({ promptParts }: IPromptedCall): boolean {
-    return promptParts.some((part) => this.parts.has(part));
+  isQuarantined({ promptParts, fingerprint }: IPromptedCall): boolean {
+    const isRequestMet = this.isRequestQuarantined && fingerprint !== null;
+    return isRequestMet || promptParts.some((part) => this.parts.has(part));
   }
 
   recordBegin(_send: IObservedSend, isSound: () => boolean): void {
@@ -83,7 +88,11 @@
     return true;
   }
 
-  waitForVerdict(_target: string, callback: () => void): void {
+  mayCrashAnother(): boolean {
+    return this.broken.length < this.allowedCrashes;
+  }
+
+  waitForVerdicts(_targets: readonly string[], callback: () => void): void {
     if (this.isVerdictPending) {
       this.onVerdict = callback;
     } else {
@@ -101,7 +110,8 @@
   isQuarantined: () => false,
   recordBegin: () => undefined,
   recordBroken: () => false,
-  waitForVerdict: (_, callback) => callback(),
+  mayCrashAnother: () => true,
+  waitForVerdicts: (_, callback) => callback(),
   hasCrashed: () => false,
   composeReport: () => {
     return { crashes: [], proofs: {}, listVersion: 0, unsaved: [] };
