Bound the memory of answers that have no end

A target that writes without end used up the memory of the process, and with it all calls that it served.

Cause: whole answers of plain targets and failures of engines were kept with no bound; reports, orders, and the answers of the store, of other processes and to the daemon were read as text within their timeouts only. Events without an end were bounded one by one, but not in sum, and what callers and forwarding processes do not read was kept without a bound.

Change: one memory for all answers of a process, with a bound on each answer and on their sum, and a small share that any answer may take. Too long an answer ends its send as broken and closes the connection; after a rejection as not run it is not run. Exchanges have bounds of their own. Callers and processes that do not read lose their connections.

--- a/bench/forwarding_bench.ts
+++ b/bench/forwarding_bench.ts
@@ -3,6 +3,7 @@
  * while all targets are in reach, with and without it, and a call that is
  * forwarded over HTTP, by its number of events.
  */
+import { AnswerMemory } from "../src/common/calls/answer_memory.ts";
 import { createServer } from "node:http";
 import { performance } from "node:perf_hooks";
 import { setImmediate as nextTurn } from "node:timers/promises";
@@ -131,6 +132,7 @@
     }),
     crashes: { handle: () => [] },
     barrier: inputBarrier(),
+    memory: new AnswerMemory(),
   });
   const server = createServer((request, response) => {
     handlers.handle(request, response);
--- a/src/adapters/exchange/holder_link.ts
+++ b/src/adapters/exchange/holder_link.ts
@@ -9,12 +9,16 @@
 } from "../../common/replicas/exchange.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure } from "../../common/types.ts";
+import { readText } from "../bounded_body.ts";
 import { callFailureOf } from "../http_failure.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { EXCHANGE_PATH } from "./inner_server.ts";
 
 /** Milliseconds. */
 const CONNECT_TIMEOUT = 500;
+/** Bytes; the whole table of the target size takes some millions. */
+const LONGEST_REPLY = 33_554_432;
+
 const STATUS_OK = 200;
 const STATUS_NOT_HOLDER = 409;
 
@@ -37,7 +41,10 @@
           body: JSON.stringify(report),
           signal,
         });
-        return { status: answer.statusCode, text: await answer.body.text() };
+        return {
+          status: answer.statusCode,
+          text: await readText(answer.body, { limit: LONGEST_REPLY }),
+        };
       });
       if (status !== STATUS_OK && status !== STATUS_NOT_HOLDER) {
         const detail = `${attempted}: answered ${status}`;
--- a/src/adapters/forwarding/forwarding_handlers.ts
+++ b/src/adapters/forwarding/forwarding_handlers.ts
@@ -1,5 +1,9 @@
 /** The server side of requests that other processes forward. */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type {
+  AnswerMemory,
+  AnswerShare,
+} from "../../common/calls/answer_memory.ts";
 import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import type { SendFailure } from "../../common/calls/types.ts";
 import type {
@@ -35,15 +39,18 @@
   readonly #requests: ForwardedRequests;
   readonly #crashes: Pick<CrashGossip, "handle">;
   readonly #barrier: IInputBarrier;
+  readonly #memory: AnswerMemory;
 
   constructor(parts: {
     readonly requests: ForwardedRequests;
     readonly crashes: Pick<CrashGossip, "handle">;
     readonly barrier: IInputBarrier;
+    readonly memory: AnswerMemory;
   }) {
     this.#requests = parts.requests;
     this.#crashes = parts.crashes;
     this.#barrier = parts.barrier;
+    this.#memory = parts.memory;
   }
 
   /** Answers a request; returns false if its path is not one of these. */
@@ -90,7 +97,8 @@
       response.writeHead(STATUS_NOT_TAKEN);
       response.end(JSON.stringify({ refusal }));
     } else if (!hasCallerLeft(request, response)) {
-      const handle = this.#requests.send(send, new ResponseWriter(response));
+      const writer = new ResponseWriter(response, this.#memory);
+      const handle = this.#requests.send(send, writer);
       onCallerLeft(request, response, () => handle.abort());
     }
     return true;
@@ -146,9 +154,13 @@
 /** Writes a target's response to the process that forwarded the call. */
 class ResponseWriter implements IResponseReceiver {
   readonly #response: ServerResponse;
+  /** What the other process has not read yet. */
+  readonly #unread: AnswerShare;
 
-  constructor(response: ServerResponse) {
+  constructor(response: ServerResponse, memory: AnswerMemory) {
     this.#response = response;
+    this.#unread = memory.createShare();
+    response.once("close", () => this.#unread.dispose());
   }
 
   onHead(head: IResponseHead): void {
@@ -156,8 +168,13 @@
     this.#response.write(encodeLine({ head }));
   }
 
+  /** Ends the connection to a process that does not read. */
   onData(bytes: Uint8Array): void {
-    this.#response.write(bytes);
+    if (this.#unread.resize(this.#response.writableLength)) {
+      this.#response.write(bytes);
+    } else {
+      this.#response.destroy();
+    }
   }
 
   onEnd(): void {
--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -4,6 +4,7 @@
 import type { Server } from "node:http";
 import { connect } from "node:net";
 import { expect } from "chai";
+import { AnswerMemory } from "../../common/calls/answer_memory.ts";
 import { request } from "undici";
 import {
   callOf,
@@ -77,6 +78,7 @@
       requests: this.requests,
       crashes: { handle: () => [] },
       barrier: inputBarrier(),
+      memory: new AnswerMemory(),
     });
     this.#server = createServer((received, response) => {
       handlers.handle(received, response);
--- a/src/adapters/forwarding/http_peer_link.ts
+++ b/src/adapters/forwarding/http_peer_link.ts
@@ -25,6 +25,7 @@
 } from "../../common/replicas/types.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ServiceName } from "../../common/types.ts";
+import { readText } from "../bounded_body.ts";
 import { barrierConnector } from "../barrier_connector.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { timedConnector } from "../timed_connector.ts";
@@ -44,6 +45,12 @@
 /** Time beyond that of the engine until its answer is here, milliseconds. */
 const EXCHANGE_MARGIN = 100;
 
+/** Bytes of an answer that is no forwarded response. */
+const LONGEST_EXCHANGE = 4_194_304;
+
+/** Bytes of the first line of a response; a head takes some kilobytes. */
+const LONGEST_LINE = 262_144;
+
 /** The path has its own, shorter time limits. */
 const NO_TIMEOUTS = { headersTimeout: 0, bodyTimeout: 0 };
 
@@ -168,7 +175,7 @@
           body: JSON.stringify(content),
           signal,
         });
-        const text = await body.text();
+        const text = await readText(body, { limit: LONGEST_EXCHANGE });
         // Both ends run the same build, so the answer is not validated.
         return statusCode === STATUS_OK
           ? Ok(JSON.parse(text) as unknown)
@@ -223,6 +230,9 @@
     }
     this.#pending = Buffer.concat([this.#pending, chunk]);
     const end = this.#pending.indexOf(LINE_END);
+    if (end < 0 && this.#pending.byteLength > LONGEST_LINE) {
+      this.#failTooLong();
+    }
     if (end >= 0 && this.#status === STATUS_OK) {
       this.#hasLine = true;
       this.#handleLine(this.#pending.subarray(0, end));
@@ -289,6 +299,14 @@
     }
   }
 
+  /** The bytes are of another program; the peer may have sent the call. */
+  #failTooLong(): void {
+    if (this.#finish()) {
+      this.#controller?.abort(new Error("first line exceeds the size limit"));
+      this.#receiver.onFailure(SendFailure.PathLost, "no valid response");
+    }
+  }
+
   /** Nothing was written to the peer. */
   #refuse(detail: string): void {
     if (this.#finish()) {
--- a/src/adapters/platform/http_platform.ts
+++ b/src/adapters/platform/http_platform.ts
@@ -14,6 +14,7 @@
 } from "../../common/services/services.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, IInstance } from "../../common/types.ts";
+import { readText } from "../bounded_body.ts";
 import { callFailureOf } from "../http_failure.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { InstanceListCache } from "./instance_list_cache.ts";
@@ -28,6 +29,9 @@
 /** Added to the requested wait of a watch, milliseconds. */
 const WATCH_GRACE = 3_000;
 
+/** Bytes; the list of all instances takes some millions. */
+const LONGEST_ANSWER = 33_554_432;
+
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_CONFLICT = 412;
@@ -151,7 +155,7 @@
           bodyTimeout: timeout,
           signal: AbortSignal.any([signal, limitSignal]),
         });
-        const text = await answer.body.text();
+        const text = await readText(answer.body, { limit: LONGEST_ANSWER });
         const body: unknown = text === "" ? null : JSON.parse(text);
         return Ok({
           status: answer.statusCode,
--- a/src/adapters/targets/engine_stream_reader.ts
+++ b/src/adapters/targets/engine_stream_reader.ts
@@ -10,6 +10,9 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure } from "../../common/types.ts";
 
+/** Characters of an event that is not complete; a longer one is broken. */
+const LONGEST_EVENT = 262_144;
+
 /** The JSON data of one engine event. */
 interface IEngineEvent {
   readonly requestId: string;
@@ -32,6 +35,8 @@
   #failure: ICallFailure | null = null;
   readonly #parser = createParser({
     onEvent: (message) => this.#handleEvent(message),
+    onError: ({ message }) => this.#fail(message),
+    maxBufferSize: LONGEST_EVENT,
   });
 
   constructor(call: IEngineCall) {
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -14,9 +14,14 @@
   IServiceCall,
   ITargets,
 } from "../../common/services/services.ts";
+import {
+  AnswerMemory,
+  LONGEST_ANSWER,
+} from "../../common/calls/answer_memory.ts";
 import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
+import { readBeginning, readText } from "../bounded_body.ts";
 import { callFailureOf, isResponseTimeout } from "../http_failure.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
@@ -31,6 +36,12 @@
 /** Shortest timeout for the HTTP library, where 0 means none, milliseconds. */
 const SHORTEST_TIMEOUT = 1;
 
+/** Bytes of a report, which takes some hundred. */
+const LONGEST_REPORT = 262_144;
+
+/** Characters of a failure's body that its detail quotes. */
+const LONGEST_DETAIL = 1_024;
+
 const STATUS_OK = 200;
 
 /** The call was not sent. */
@@ -53,6 +64,7 @@
   readonly #barrier: IInputBarrier;
   readonly #connections: TargetConnections;
   readonly #wireIds = new WireIdGenerator();
+  readonly #memory = new AnswerMemory();
 
   /** @param barrier - delays calls until the news on their callers is fresh */
   constructor(barrier: IInputBarrier) {
@@ -78,7 +90,10 @@
           bodyTimeout: timeout,
           signal,
         });
-        return (await answer.body.json()) as ITargetReport;
+        const share = this.#memory.createShare();
+        const limit = LONGEST_REPORT;
+        const text = await readText(answer.body, { limit, share });
+        return JSON.parse(text) as ITargetReport;
       });
       this.#connections.recordAnswer(address);
       return Ok(report);
@@ -158,7 +173,7 @@
       });
       cancel.unlink(connectionLost);
       if (answer.statusCode !== STATUS_OK) {
-        const text = await answer.body.text();
+        const text = await readBeginning(answer.body, LONGEST_DETAIL);
         yield Err(failureOfStatus(attempted, answer, text));
         return;
       }
@@ -205,10 +220,13 @@
         bodyTimeout: timeout,
         signal,
       });
-      const text = await answer.body.text();
       if (answer.statusCode === STATUS_OK) {
+        const share = this.#memory.createShare();
+        const limit = LONGEST_ANSWER;
+        const text = await readText(answer.body, { limit, share });
         return Ok(JSON.parse(text) as unknown);
       }
+      const text = await readBeginning(answer.body, LONGEST_DETAIL);
       return Err(failureOfStatus(attempted, answer, text));
     } catch (error) {
       return Err(this.#failureOf(error, { attempted, address, dispatcher }));
--- a/src/common/calls/event_splitter.ts
+++ b/src/common/calls/event_splitter.ts
@@ -33,6 +33,11 @@
     return this.#buffered.length > 0;
   }
 
+  /** Bytes of the part that is buffered. */
+  get bufferedLength(): number {
+    return this.#buffered.length;
+  }
+
   get isTooLong(): boolean {
     return this.#buffered.length > LONGEST_EVENT;
   }
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -1,6 +1,7 @@
 /** Sends model calls to replica groups and retries failed ones elsewhere. */
 import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
 import type { MonotonicTime, ZoneName } from "../types.ts";
+import type { AnswerMemory } from "./answer_memory.ts";
 import { gapDuringPrefill, longestGap } from "./engine_timing.ts";
 import { chooseGroup } from "./group_choice.ts";
 import {
@@ -74,6 +75,7 @@
     "isActive" | "maySend" | "retryAfter" | "shortestWait"
   >;
   readonly paths: ITargetPaths;
+  readonly memory: AnswerMemory;
   readonly quarantine: ICallQuarantine;
   readonly service: (name: string) => IServiceEntry | null;
   readonly clock: IClock;
@@ -126,7 +128,9 @@
 
   /** Accepts a call; returns the handler for its caller's disconnect. */
   submit(call: ICall, reply: ICallReply): () => void {
-    const run = new ModelRun({ call, reply, work: queueItemOf(call) }, this);
+    const { memory } = this.#parts;
+    const work = queueItemOf(call);
+    const run = new ModelRun({ call, reply, work, memory }, this);
     run.times.lagWhenRead = this.#parts.lag();
     const { clock } = this.#parts;
     const timeLeft = call.deadline - this.#now;
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -5,6 +5,8 @@
 import type { IWorkItem } from "../decisions/work_item.ts";
 import type { IDisposable } from "../disposable.ts";
 import type { MonotonicTime } from "../types.ts";
+import { AnswerBuffer } from "./answer_memory.ts";
+import type { AnswerMemory, AnswerShare } from "./answer_memory.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { ICompleteEvent } from "./event_splitter.ts";
 import type { IServingGroup } from "./serving_groups.ts";
@@ -107,7 +109,9 @@
   #splitter = new EventSplitter();
   #head: IResponseHead | null = null;
   /** Body of a response that is passed on only when complete. */
-  #body: Uint8Array[] = [];
+  readonly #body: AnswerBuffer;
+  /** What the part of an event takes that is not complete. */
+  readonly #eventShare: AnswerShare;
   #eventCount = 0;
   readonly times: IRunTimes = {
     firstSentAt: null,
@@ -123,6 +127,7 @@
       readonly call: ICall;
       readonly reply: ICallReply;
       readonly work: IWorkItem;
+      readonly memory: AnswerMemory;
     },
     owner: IModelRunOwner,
   ) {
@@ -130,6 +135,8 @@
     this.reply = parts.reply;
     this.queueItem = parts.work;
     this.#owner = owner;
+    this.#body = new AnswerBuffer(parts.memory);
+    this.#eventShare = parts.memory.createShare();
     this.#lastEventId = parts.call.lastEventId;
   }
 
@@ -193,9 +200,8 @@
     this.#sendCount += 1;
     this.times.firstSentAt ??= current.sentAt;
     this.times.lastSentAt = current.sentAt;
-    this.#splitter = new EventSplitter();
+    this.#discardAnswer();
     this.#head = null;
-    this.#body = [];
     this.triedGroups.add(current.group.group);
     this.#sendHandle = open();
   }
@@ -204,6 +210,7 @@
   abort(): void {
     this.#sendHandle?.abort();
     this.#sendHandle = null;
+    this.#discardAnswer();
     this.#countTarget();
   }
 
@@ -216,7 +223,9 @@
 
   onData(bytes: Uint8Array): void {
     if (!this.#isStream) {
-      this.#body.push(bytes);
+      if (!this.#body.push(bytes)) {
+        this.#endTooLong();
+      }
       return;
     }
     const events = this.#splitter.push(bytes);
@@ -225,11 +234,28 @@
     }
     if (events.length > 0) {
       this.#owner.onEvents(this);
-    } else if (this.#splitter.isTooLong) {
+    } else if (this.#splitter.isTooLong || !this.#keepsEvent()) {
       this.#abortSend(SendOutcome.Broken, "event exceeds the size limit");
     }
   }
 
+  /** Whether there is memory for the part of an event that has arrived. */
+  #keepsEvent(): boolean {
+    return this.#eventShare.resize(this.#splitter.bufferedLength);
+  }
+
+  /** A target that has rejected the call has not run it, whatever follows. */
+  #endTooLong(): void {
+    const end = this.#head?.isNotRun ? SendOutcome.NotRun : SendOutcome.Broken;
+    this.#abortSend(end, "answer exceeds the size limit");
+  }
+
+  #discardAnswer(): void {
+    this.#splitter = new EventSplitter();
+    this.#body.dispose();
+    this.#eventShare.dispose();
+  }
+
   onEnd(): void {
     const head = this.#head;
     if (head === null) {
@@ -307,9 +333,10 @@
       );
       return;
     }
-    const length = this.#body.reduce((sum, { length }) => sum + length, 0);
+    const { chunks, length } = this.#body;
+    this.#body.dispose();
     this.reply.start(head, length);
-    for (const bytes of this.#body) {
+    for (const bytes of chunks) {
       this.reply.write(bytes);
     }
     this.#endSend(SendOutcome.Whole, `status ${head.status}`);
@@ -328,6 +355,7 @@
 
   #endSend(end: SendOutcome, detail: string): void {
     this.#sendHandle = null;
+    this.#discardAnswer();
     if (!UNSENT.has(end)) {
       this.#countTarget();
     }
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -9,6 +9,8 @@
 import type { ITargetPaths } from "../forwarding/types.ts";
 import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { InstanceId, MonotonicTime, ZoneName } from "../types.ts";
+import { AnswerBuffer } from "./answer_memory.ts";
+import type { AnswerMemory } from "./answer_memory.ts";
 import { HighEndEstimator } from "./high_end_estimator.ts";
 import type { PlainTargetSelector } from "./plain_target_selector.ts";
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
@@ -73,6 +75,7 @@
   readonly readyTargets: (service: string) => readonly IListedTarget[];
   readonly sender: ICallSender;
   readonly paths: ITargetPaths;
+  readonly memory: AnswerMemory;
   readonly quarantine: ICallQuarantine;
   readonly retries: ServiceRetryAllowances;
   readonly limits: Pick<TargetRateLimits, "maySend">;
@@ -246,9 +249,9 @@
     this.#lastSentAt = now;
     this.#parts.targets.recordSend(target.id);
     const { id, address } = target;
-    const send = new PlainSend({ target: id, address, sentAt: now }, (answer) =>
-      this.#handleEnd(answer),
-    );
+    const { memory } = this.#parts;
+    const sent = { target: id, address, sentAt: now, memory };
+    const send = new PlainSend(sent, (answer) => this.#handleEnd(answer));
     this.#currentSend = send;
     send.handle = this.#parts.sender.send(target, this.#call, {
       timeLeft: this.#call.deadline - now,
@@ -428,6 +431,7 @@
       this.#currentSend = null;
       this.#mayHaveRun = true;
       send.handle?.abort();
+      send.dispose();
       this.#parts.targets.recordEnd(send.target);
     }
   }
@@ -446,7 +450,7 @@
 
   #passOn(head: IResponseHead, body: readonly Uint8Array[]): void {
     this.#finish(WHOLE, { status: head.status });
-    const length = body.reduce((sum, { length }) => sum + length, 0);
+    const length = body.reduce((sum, bytes) => sum + bytes.length, 0);
     this.#reply.start(head, length);
     for (const bytes of body) {
       this.#reply.write(bytes);
@@ -541,13 +545,13 @@
 }
 
 /** Collects the response of one send. */
-class PlainSend implements IResponseReceiver {
+class PlainSend implements IResponseReceiver, IDisposable {
   readonly target: InstanceId;
   readonly address: string;
   readonly sentAt: MonotonicTime;
   handle: ISendHandle | null = null;
   readonly #onEnded: (answer: IPlainResponse) => void;
-  readonly #body: Uint8Array[] = [];
+  readonly #body: AnswerBuffer;
   #head: IResponseHead | null = null;
 
   constructor(
@@ -555,12 +559,14 @@
       readonly target: InstanceId;
       readonly address: string;
       readonly sentAt: MonotonicTime;
+      readonly memory: AnswerMemory;
     },
     onEnded: (answer: IPlainResponse) => void,
   ) {
     this.target = sent.target;
     this.address = sent.address;
     this.sentAt = sent.sentAt;
+    this.#body = new AnswerBuffer(sent.memory);
     this.#onEnded = onEnded;
   }
 
@@ -573,18 +579,33 @@
   }
 
   onData(bytes: Uint8Array): void {
-    this.#body.push(bytes);
+    if (this.#body.push(bytes)) {
+      return;
+    }
+    this.handle?.abort();
+    if (this.#head?.isNotRun === true) {
+      // The target has not run the call, whatever follows its head.
+      this.onEnd();
+    } else {
+      this.onFailure(SendFailure.Broken, "answer exceeds the size limit");
+    }
   }
 
   onEnd(): void {
     this.#onEnded(this.#response(null, ""));
   }
 
+  dispose(): void {
+    this.#body.dispose();
+  }
+
   onFailure(failure: SendFailure, detail: string): void {
     this.#onEnded(this.#response(failure, detail));
   }
 
   #response(failure: SendFailure | null, detail: string): IPlainResponse {
-    return { head: this.#head, body: this.#body, failure, detail };
+    const body = this.#body.chunks;
+    this.#body.dispose();
+    return { head: this.#head, body, failure, detail };
   }
 }
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -42,6 +42,7 @@
 import { TargetReach } from "../common/forwarding/target_reach.ts";
 import type { IForwardingMember } from "../common/forwarding/types.ts";
 import { TargetCooldowns } from "../common/target_cooldowns.ts";
+import { AnswerMemory } from "../common/calls/answer_memory.ts";
 import { CrashGossip } from "../common/quarantine/crash_gossip.ts";
 import { CrashingRequests } from "../common/quarantine/crashing_requests.ts";
 import { TargetStartReader } from "../common/quarantine/target_start_reader.ts";
@@ -109,7 +110,8 @@
     eventLoop: this.#eventLoop,
     clock: this.#clock,
   });
-  readonly #client = new TargetClient(this.#barrier);
+  readonly #memory = new AnswerMemory();
+  readonly #client = new TargetClient(this.#barrier, this.#memory);
   readonly #configuration: ActiveConfiguration;
   readonly #targets = new TargetRegistry(decodeTarget, REAPPEARANCE_TIME);
   readonly #groups = new ServingGroups();
@@ -213,7 +215,9 @@
       ...{ clock, log },
       lag: () => this.#currentLag,
     });
+    const memory = this.#memory;
     const shared = {
+      memory,
       sender: new ObservingSender({ ...observed, sender: this.#paths }),
       paths: this.#paths,
       quarantine: this.#quarantine,
@@ -246,11 +250,13 @@
       clock: this.#clock,
       eventLoop: this.#eventLoop,
       random: this.#random,
+      memory,
     });
     const handlers = new ForwardingHandlers({
       requests: this.#forwarded,
       crashes: this.#crashGossip,
       barrier,
+      memory,
     });
     this.#inner = new InnerServer({
       exchange: (report) => this.#coordinator.answerReport(report),
--- a/test/endless_answers_test.ts
+++ b/test/endless_answers_test.ts
@@ -1,7 +1,10 @@
 /** Targets whose answers have no end, and the memory of the process. */
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { EntryFleet, Path } from "./support/entry_fleet.ts";
-import type { ICallAnswer } from "./support/entry_fleet.ts";
+import type { ICallAnswer, IFleetProcess } from "./support/entry_fleet.ts";
 import { MemorySampler } from "./support/memory_sampler.ts";
 import { EndlessAnswer } from "./support/platform_engine.ts";
 import { EndlessPart } from "./support/platform_plain_target.ts";
@@ -32,10 +35,7 @@
   await using fleet = new EntryFleet();
   await fleet.start(1);
   prepare(fleet);
-  const handle = fleet.processes[0]?.handle;
-  if (handle === undefined) {
-    throw new Error("no process was started");
-  }
+  const { handle } = firstOf(fleet);
   using sampler = new MemorySampler(handle, MEMORY);
   const answers = await Promise.all(
     Array.from({ length: CALLS }, () =>
@@ -45,6 +45,34 @@
   return { peak: sampler.peak, answers };
 }
 
+function firstOf({ processes }: EntryFleet): IFleetProcess {
+  const [process] = processes;
+  if (process === undefined) {
+    throw new Error("no process was started");
+  }
+  return process;
+}
+
+/** Sends a stream call on a connection from which nothing is read. */
+function connectWithoutReading(address: string, id: string): Socket {
+  const [host = "", port = ""] = address.split(":");
+  const socket = connect(Number(port), host);
+  socket.on("error", () => socket.destroy());
+  socket.pause();
+  const headers = [
+    `POST ${Path.Stream} HTTP/1.1`,
+    "host: news.example",
+    "authorization: Bearer key-1",
+    `x-attempt-id: ${id}`,
+    "x-deadline-ms: 8000",
+    "x-model: small",
+    "x-token-counts: 100,150",
+    "content-length: 0",
+  ];
+  socket.write(`${headers.join("\r\n")}\r\n\r\n`);
+  return socket;
+}
+
 function expectBounded({ peak, answers }: IOutcome): void {
   const statuses = answers.map((answer) => answer?.status);
   expect(peak, `statuses ${statuses.join()}`).to.be.at.most(MEMORY);
@@ -87,14 +115,26 @@
     expectBounded(outcome);
   });
 
+  // Guards against events that are kept for a caller that does not read them.
+  it("to callers that do not read leave the memory bounded", async () => {
+    await using fleet = new EntryFleet();
+    await fleet.start(1);
+    fleet.engines.forEach((one) => (one.endless = EndlessAnswer.Events));
+    const { handle, callers } = firstOf(fleet);
+    using sampler = new MemorySampler(handle, MEMORY);
+    const sockets = Array.from({ length: CALLS }, (_, index) =>
+      connectWithoutReading(callers, `unread-${index}`),
+    );
+    await sleep(CONTROL_TIME);
+    sockets.forEach((socket) => socket.destroy());
+    expect(sampler.peak).to.be.at.most(MEMORY);
+  });
+
   // Guards against reports of engines that fill the memory of the lease holder.
   it("to status checks leave the memory bounded", async () => {
     await using fleet = new EntryFleet(ENGINES);
     await fleet.start(1);
-    const handle = fleet.processes[0]?.handle;
-    if (handle === undefined) {
-      throw new Error("no process was started");
-    }
+    const { handle } = firstOf(fleet);
     fleet.engines.forEach((one) => (one.endless = EndlessAnswer.Report));
     using sampler = new MemorySampler(handle, MEMORY);
     const startedAt = performance.now();
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -1,4 +1,5 @@
 /** Processes of one deployment that take calls and share its groups. */
+import { AnswerMemory } from "../../src/common/calls/answer_memory.ts";
 import { ObservingSender } from "../../src/common/calls/observing_sender.ts";
 import {
   CHECK_PERIOD,
@@ -64,6 +65,7 @@
     this.hasCalls = true;
     const cooldowns = new TargetCooldowns({ clock, log: this.log });
     this.calls = new ModelCalls({
+      memory: new AnswerMemory(),
       groups: this.groups,
       sender: new ObservingSender({
         sender: heads.senderOf(address),
--- a/test/support/endless_writer.ts
+++ b/test/support/endless_writer.ts
@@ -15,14 +15,30 @@
 ): void {
   const chunk = Buffer.alloc(CHUNK_LENGTH, "x");
   let written = 0;
-  const fill = () => {
-    while (!stream.destroyed && stream.write(chunk)) {
-      written += CHUNK_LENGTH;
-    }
+  writeChunks(stream, () => {
     written += CHUNK_LENGTH;
     if (written >= limit) {
       stream.destroy();
     }
+    return chunk;
+  });
+}
+
+/** Writes complete events of a stream until it is closed. */
+export function writeEventsWithoutEnd(stream: Writable): void {
+  const data = "x".repeat(CHUNK_LENGTH);
+  let id = 0;
+  writeChunks(stream, () => {
+    id += 1;
+    return Buffer.from(`id: ${id}\ndata: ${data}\n\n`);
+  });
+}
+
+function writeChunks(stream: Writable, next: () => Buffer): void {
+  const fill = () => {
+    while (!stream.destroyed && stream.write(next())) {
+      // Continues until the buffer is full.
+    }
   };
   stream.on("drain", fill);
   stream.on("error", () => stream.destroy());
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -1,4 +1,5 @@
 /** Runs one process's model calls against targets that a test controls. */
+import { AnswerMemory } from "../../src/common/calls/answer_memory.ts";
 import {
   CHECK_PERIOD,
   ModelCalls,
@@ -96,6 +97,7 @@
     this.groups.setOthersInFlight(new Map());
     this.cooldowns = new TargetCooldowns({ clock: this.clock, log: this.log });
     this.calls = new ModelCalls({
+      memory: new AnswerMemory(),
       groups: this.groups,
       sender: {
         send: (target, call, options) => {
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -4,7 +4,7 @@
 import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { IArrival } from "./leaving_callers.ts";
-import { writeWithoutEnd } from "./endless_writer.ts";
+import { writeEventsWithoutEnd, writeWithoutEnd } from "./endless_writer.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import { RetryAfterRule } from "./retry_after_rule.ts";
 
@@ -31,6 +31,8 @@
   Order = "order",
   /** A stream, without the end of an event. */
   Stream = "stream",
+  /** Events of a stream. */
+  Events = "events",
   /** A failure in place of a stream. */
   Failure = "failure",
 }
@@ -344,6 +346,10 @@
       "x-attempt-id": attempt,
       "x-response-stamp": this.id,
     });
+    if (this.endless === EndlessAnswer.Events) {
+      writeEventsWithoutEnd(response);
+      return;
+    }
     if (this.endless === EndlessAnswer.Stream) {
       writeWithoutEnd(response);
       return;
