Finish the stop of a process whatever signals follow

Cause: stop returned at once to its second caller, and the signal's handler exited when its own promise resolved. The daemon's main did the same. Both registered their handlers after the start, so a SIGTERM or SIGHUP during the start ended them.

Change: stop returns one promise to all callers, and one module handles the signals of both programs from the beginning of the start.

Other promises that resolve for a second caller while the first waits were looked for in the two main programs only.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -115,6 +115,8 @@
   readonly #digests: DigestService;
   #peerService: PeerService | null = null;
   #isStopping = false;
+  /** Resolves once the daemon has stopped; null before it begins to. */
+  #stopped: Promise<void> | null = null;
 
   private constructor(settings: Settings, log: LogfmtLog, hash: XxhashHash) {
     this.#settings = settings;
@@ -221,10 +223,12 @@
   }
 
   /** Completes all requests in flight, releases leases, and stops. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) {
-      return;
-    }
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     this.#isStopping = true;
     this.#log.info("stopping", {
       in_flight: this.#pipeline.dispatcher.inFlight,
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** Entry point of the daemon: `cranberryledged SETTINGS`. */
+import { handleSignals } from "../adapters/stop_signals.ts";
 import { formatFinding } from "../common/plans/findings.ts";
 import { Daemon } from "./daemon.ts";
 import { loadSettings } from "./settings.ts";
@@ -20,12 +21,9 @@
     }
     process.exit(EXIT_BAD_SETTINGS);
   }
-  const daemon = await Daemon.start(settings.value);
-  const stop = () => {
-    void daemon.stop().then(() => process.exit(0));
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
+  const starting = Daemon.start(settings.value);
+  handleSignals(starting);
+  await starting;
 }
 
 await main();
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -138,6 +138,8 @@
   readonly #lag = new EventLoopLag(CHECK_PERIOD);
   #hasCalls = false;
   #isStopping = false;
+  /** Resolves once the process has stopped; null before it begins to. */
+  #stopped: Promise<void> | null = null;
 
   private constructor(settings: EntrySettings) {
     this.#settings = settings;
@@ -289,10 +291,12 @@
   }
 
   /** Releases the lease, finishes calls in flight, and stops. */
-  async stop(): Promise<void> {
-    if (this.#isStopping) {
-      return;
-    }
+  stop(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     this.#isStopping = true;
     const stoppedAt = this.#clock.now();
     this.#log.info("stopping", { in_flight: this.#ingress.inFlight });
--- a/src/entry/main.ts
+++ b/src/entry/main.ts
@@ -1,4 +1,5 @@
 /** `cranberryledged-entry [SETTINGS]`: one entry process on the platform. */
+import { handleSignals } from "../adapters/stop_signals.ts";
 import { formatFinding } from "../common/plans/findings.ts";
 import { EntryProcess } from "./entry_process.ts";
 import { loadEntrySettings } from "./settings.ts";
@@ -22,13 +23,9 @@
     }
     process.exit(EXIT_BAD_SETTINGS);
   }
-  const entry = await EntryProcess.start(settings.value);
-  const stop = () => {
-    void entry.stop().then(() => process.exit(0));
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
-  process.on("SIGHUP", () => entry.handleReload());
+  const starting = EntryProcess.start(settings.value);
+  handleSignals(starting, (entry) => entry.handleReload());
+  await starting;
 }
 
 void main();
--- a/test/stopping_test.ts
+++ b/test/stopping_test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { configuration, EntryDeployment } from "./support/entry_deployment.ts";
+import { EntryFleet, Path } from "./support/entry_fleet.ts";
 import { waitFor } from "./support/process_handle.ts";
 
 /** Events of a stream of 7.6 s, which is longer than calls get after SIGTERM. */
@@ -10,6 +11,11 @@
 /** Milliseconds after which the balancer has usually removed the process. */
 const REMOVAL_TIME = 2_600;
 
+/** Milliseconds that an unsafe call runs. */
+const LONG_RUN = 2_000;
+
+const UNSAFE_CALLS = 6;
+
 /** Tokens of its prompt and its output. */
 const LONG_TOKENS = "100,1900";
 
@@ -91,3 +97,27 @@
     await platform.entry?.waitForExit();
   });
 });
+
+describe("a process that receives further signals", () => {
+  // Guards against calls that are cut because a second signal ends a process
+  // that finishes them.
+  it("finishes its calls after a second SIGTERM", async () => {
+    await using fleet = new EntryFleet();
+    await fleet.start(1);
+    const [process] = fleet.processes;
+    fleet.plainTargets.forEach((one) => (one.runTime = LONG_RUN));
+    const answers = fleet.statusesOf(0, Path.Unsafe, UNSAFE_CALLS);
+    await waitFor("all calls run", () => {
+      const runs = fleet.plainTargets.flatMap((one) => one.runs);
+      return runs.length >= UNSAFE_CALLS;
+    });
+    process?.handle.signal("SIGTERM");
+    await waitFor("it stops", () => {
+      return process?.handle.output.includes("event=stopping") ?? false;
+    });
+    process?.handle.signal("SIGTERM");
+    process?.handle.signal("SIGINT");
+    expect(await answers).to.deep.equal(Array(UNSAFE_CALLS).fill(200));
+    await process?.handle.waitForExit();
+  });
+});
