Tell the other processes of targets whose removal is put off

Cause: after a failed watch the holder keeps removed entries for a while, since they may return. Its change log compared contents, found none changed, and logged nothing; when the entry was dropped later, nothing was logged either. The others advanced to the version of the removal and never heard of it: a follower took a version for news that it had never been told.

Change: an entry that is kept counts as changed, and the holder's update names it with the time that is left. Each process drops it by itself when that is over, also if the holder changes meanwhile.

Other states that are put off and dropped later (cooldowns, quarantine, leases, configuration) were not examined.

--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -111,7 +111,7 @@
 
   /** Applies changes that another process has read from the store. */
   applyRelayedChanges(
-    { targets, removed }: ITargetChanges,
+    { targets, removed, expiring = {} }: ITargetChanges,
     now: MonotonicTime,
   ): void {
     for (const target of targets) {
@@ -121,6 +121,17 @@
     for (const id of removed) {
       this.#remove(id, now);
     }
+    for (const [id, timeLeft] of Object.entries(expiring)) {
+      if (this.#targets.has(id)) {
+        this.#missing.set(id, now + timeLeft);
+      }
+    }
+  }
+
+  /** Milliseconds for which a removed target is kept; null if it is not. */
+  timeLeft(id: InstanceId, now: MonotonicTime): number | null {
+    const until = this.#missing.get(id);
+    return until === undefined ? null : Math.max(0, until - now);
   }
 
   /** Drops entries that have not returned; returns whether any was dropped. */
--- a/src/common/relay/store_relay.ts
+++ b/src/common/relay/store_relay.ts
@@ -13,6 +13,7 @@
 import type { TargetRegistry } from "../calls/target_registry.ts";
 import type { IClock } from "../services/services.ts";
 import { TargetChangeLog } from "./target_change_log.ts";
+import type { IRecordedChange } from "./target_change_log.ts";
 import type { IStoreVersions, IStoreUpdate } from "./types.ts";
 
 /** Dependencies of {@link StoreRelay}. */
@@ -53,12 +54,7 @@
     version,
   }: IObjectChanges) {
     const ids = [...objects.map(({ name }) => name), ...removed];
-    this.#changeLog.record({
-      version,
-      isFullList,
-      ids,
-      all: this.#parts.targets.all,
-    });
+    this.#record({ version, isFullList, ids });
   }
 
   /**
@@ -95,9 +91,9 @@
       const ids = [
         ...targetChanges.targets.map(({ id }) => id),
         ...targetChanges.removed,
+        ...Object.keys(targetChanges.expiring ?? {}),
       ];
-      const { all } = this.#parts.targets;
-      this.#changeLog.record({ version, isFullList: false, ids, all });
+      this.#record({ version, isFullList: false, ids });
       targetList.advanceTo(version);
       if (ids.length > 0) {
         this.#parts.onTargetsUpdated();
@@ -105,4 +101,13 @@
     }
     targetList.receiveRelayedStatus(targets);
   }
+
+  #record(change: Omit<IRecordedChange, "all" | "timeLeft">): void {
+    const { targets, clock } = this.#parts;
+    this.#changeLog.record({
+      ...change,
+      all: targets.all,
+      timeLeft: (id) => targets.timeLeft(id, clock.now()),
+    });
+  }
 }
--- a/src/common/relay/target_change_log.ts
+++ b/src/common/relay/target_change_log.ts
@@ -28,6 +28,8 @@
   readonly ids: Iterable<InstanceId>;
   /** All targets, with the changes applied. */
   readonly all: ReadonlyMap<InstanceId, IListedTarget>;
+  /** Milliseconds for which a removed target is still kept; null if it is not. */
+  readonly timeLeft: (id: InstanceId) => number | null;
 }
 
 /** Target changes known to one process. */
@@ -36,6 +38,7 @@
   /** Content of each target when it last changed. */
   readonly #contents = new Map<InstanceId, string>();
   #all: ReadonlyMap<InstanceId, IListedTarget> = new Map();
+  #timeLeft: (id: InstanceId) => number | null = () => null;
   /**
    * All changes after this version are kept; null before a whole list was read.
    */
@@ -47,8 +50,10 @@
     return this.#changedVersion;
   }
 
-  record({ version, isFullList, ids, all }: IRecordedChange): void {
+  record(change: IRecordedChange): void {
+    const { version, isFullList, ids, all } = change;
     this.#all = all;
+    this.#timeLeft = change.timeLeft;
     if (isFullList) {
       this.#entries = [];
       this.#start = version;
@@ -72,20 +77,26 @@
     const ids = new Set(later.map(({ id }) => id));
     const targets: IListedTarget[] = [];
     const removed: InstanceId[] = [];
+    const expiring: Record<InstanceId, number> = {};
     for (const id of ids) {
       const target = this.#all.get(id);
+      const timeLeft = this.#timeLeft(id);
       if (target === undefined) {
         removed.push(id);
+      } else if (timeLeft !== null) {
+        expiring[id] = timeLeft;
       } else {
         targets.push(target);
       }
     }
-    return { targets, removed };
+    return { targets, removed, expiring };
   }
 
   #isChanged(id: InstanceId): boolean {
     const target = this.#all.get(id);
-    const current = target === undefined ? "" : JSON.stringify(target);
+    const isExpiring = this.#timeLeft(id) !== null;
+    const current =
+      target === undefined ? "" : JSON.stringify([target, isExpiring]);
     const previous = this.#contents.get(id) ?? "";
     if (current === "") {
       this.#contents.delete(id);
--- a/src/common/relay/target_change_log_test.ts
+++ b/src/common/relay/target_change_log_test.ts
@@ -32,6 +32,7 @@
       isFullList,
       ids,
       all: this.#all,
+      timeLeft: () => null,
     });
   }
 }
@@ -51,6 +52,7 @@
     expect(list.log.changesSince(3)).to.deep.equal({
       targets: [],
       removed: [],
+      expiring: {},
     });
   });
 
@@ -73,6 +75,7 @@
     expect(list.log.changesSince(3)).to.deep.equal({
       targets: [],
       removed: [],
+      expiring: {},
     });
   });
 });
--- a/src/common/relay/types.ts
+++ b/src/common/relay/types.ts
@@ -25,6 +25,11 @@
 export interface ITargetChanges {
   readonly targets: readonly IListedTarget[];
   readonly removed: readonly InstanceId[];
+  /**
+   * Targets that were removed and are kept for a while, since their entries may
+   * return, with the milliseconds left; absent from an older build.
+   */
+  readonly expiring?: Readonly<Record<InstanceId, number>> | undefined;
 }
 
 /** What the holder knows of the store. */
