--- a/src/common/quarantine/crash_witness.ts
+++ b/src/common/quarantine/crash_witness.ts
@@ -62,7 +62,7 @@
   readonly startedAt: number;
   readonly at: MonotonicTime;
   verdict: Verdict;
-  /** Whether the verdict is known, and the other processes have heard of it. */
+  /** Whether the verdict is known, and the peers have answered. */
   isSettled: boolean;
   isReported: boolean;
   /** Fingerprints of the suspects. */
@@ -88,7 +88,7 @@
   readonly log: ILog;
   /** Called with each crash. */
   readonly onCrash: (report: ICrashReport) => void;
-  /** Resolves once the other processes have heard of crashes under requests. */
+  /** Resolves once the peers have received crashes, or a timeout. */
   readonly onRequestCrashes: (
     crashes: readonly IRequestCrash[],
   ) => Promise<void>;
--- a/src/common/quarantine/crashing_requests.ts
+++ b/src/common/quarantine/crashing_requests.ts
@@ -42,7 +42,7 @@
       return false;
     }
     entry.crashes.set(crashKey, { ...crash, at: now - age });
-    // Set again, so that the requests of late are the last to be forgotten.
+    // Set again, so that recent requests are the last to be forgotten.
     this.#entries.delete(key);
     this.#entries.set(key, entry);
     for (const oldest of this.#entries.keys()) {
--- a/src/common/quarantine/quarantine.ts
+++ b/src/common/quarantine/quarantine.ts
@@ -53,7 +53,7 @@
  */
 const LONGEST_LOADING_TIME = 3_000;
 
-/** Released causes that the other processes are told of. */
+/** Number of released causes in replies to other processes. */
 const MAXIMUM_RELEASES = 100;
 
 /** Processes whose last report is remembered; more than run at once. */
@@ -90,7 +90,7 @@
   readonly onCrash: () => void;
   /** Crashes by request, as this process and others know them. */
   readonly requests: CrashingRequests;
-  /** Resolves once the other processes have heard of crashes. */
+  /** Resolves once the peers have received crashes, or a timeout. */
   readonly tellOthers: (crashes: readonly IRequestCrash[]) => Promise<void>;
 }
 
--- a/src/common/quarantine/sound_requests.ts
+++ b/src/common/quarantine/sound_requests.ts
@@ -16,7 +16,7 @@
   readonly #answeredAt = new Map<string, MonotonicTime>();
 
   record(fingerprint: string, now: MonotonicTime): void {
-    // Set again, so that the requests of late are the last to be forgotten.
+    // Set again, so that recent requests are the last to be forgotten.
     this.#answeredAt.delete(fingerprint);
     this.#answeredAt.set(fingerprint, now);
     const [oldest] = this.#answeredAt.keys();
--- a/src/common/quarantine/types.ts
+++ b/src/common/quarantine/types.ts
@@ -160,8 +160,8 @@
    */
   mayCrashAnother(call: IPromptedCall): boolean;
   /**
-   * Calls back once it is known whether targets have crashed, and the other
-   * processes have heard of it.
+   * Calls back once it is known whether targets have crashed, and
+   * the peers have answered or timed out.
    */
   waitForVerdicts(targets: readonly InstanceId[], callback: () => void): void;
   hasCrashed(target: InstanceId): boolean;
--- a/src/common/services/prompt_parts_test.ts
+++ b/src/common/services/prompt_parts_test.ts
@@ -25,6 +25,21 @@
     }
   });
 
+  // Guards against two requests that are taken for attempts of one, or attempts
+  // of one request that are not recognized.
+  it("have a digest of all of them, which is missing without a prompt", () => {
+    const digestOf = (body: unknown) => parts.of(requestOf(body)).digest;
+    expect(digestOf({ prompt: "a\n\nb" })).to.equal(
+      digestOf({ prompt: " a\n\nb\n" }),
+    );
+    expect(digestOf({ prompt: "a\n\nb" })).to.not.equal(
+      digestOf({ prompt: "a\n\nc" }),
+    );
+    for (const body of [{ prompt: 3 }, null, "text"]) {
+      expect(digestOf(body)).to.equal(null);
+    }
+  });
+
   it("are computed once for a request, and bounded in number", () => {
     const prompt = Array.from({ length: 500 }, (_, index) => `part ${index}`);
     const request = requestOf({ prompt: prompt.join("\n\n") });
