--- /dev/null
+++ b/src/common/calls/plain_send.ts
@@ -0,0 +1,82 @@
+/** Collects the response to one send of a plain call. */
+import type { IDisposable } from "../disposable.ts";
+import type { InstanceId, MonotonicTime } from "../types.ts";
+import { AnswerBuffer } from "./answer_memory.ts";
+import type { AnswerMemory } from "./answer_memory.ts";
+import { SendFailure } from "./types.ts";
+import type { IResponseHead, IResponseReceiver, ISendHandle } from "./types.ts";
+
+/** The response to one send as far as it arrived. */
+export interface IPlainResponse {
+  readonly head: IResponseHead | null;
+  readonly body: readonly Uint8Array[];
+  /** Null if the response is complete. */
+  readonly failure: SendFailure | null;
+  readonly detail: string;
+}
+
+/** Collects the response of one send. */
+export class PlainSend implements IResponseReceiver, IDisposable {
+  readonly target: InstanceId;
+  readonly address: string;
+  readonly sentAt: MonotonicTime;
+  handle: ISendHandle | null = null;
+  readonly #onEnded: (answer: IPlainResponse) => void;
+  readonly #body: AnswerBuffer;
+  #head: IResponseHead | null = null;
+
+  constructor(
+    sent: {
+      readonly target: InstanceId;
+      readonly address: string;
+      readonly sentAt: MonotonicTime;
+      readonly memory: AnswerMemory;
+    },
+    onEnded: (answer: IPlainResponse) => void,
+  ) {
+    this.target = sent.target;
+    this.address = sent.address;
+    this.sentAt = sent.sentAt;
+    this.#body = new AnswerBuffer(sent.memory);
+    this.#onEnded = onEnded;
+  }
+
+  onHead(head: IResponseHead): void {
+    this.#head = head;
+    if (head.isForOtherRequest) {
+      this.handle?.abort();
+      this.onFailure(SendFailure.Broken, "answer to another request");
+    }
+  }
+
+  onData(bytes: Uint8Array): void {
+    if (this.#body.push(bytes)) {
+      return;
+    }
+    this.handle?.abort();
+    if (this.#head?.isNotRun === true) {
+      // The target has not run the call, whatever follows its head.
+      this.onEnd();
+    } else {
+      this.onFailure(SendFailure.Broken, "answer exceeds the size limit");
+    }
+  }
+
+  onEnd(): void {
+    this.#onEnded(this.#response(null, ""));
+  }
+
+  dispose(): void {
+    this.#body.dispose();
+  }
+
+  onFailure(failure: SendFailure, detail: string): void {
+    this.#onEnded(this.#response(failure, detail));
+  }
+
+  #response(failure: SendFailure | null, detail: string): IPlainResponse {
+    const body = this.#body.chunks;
+    this.#body.dispose();
+    return { head: this.#head, body, failure, detail };
+  }
+}
