Log what calls wait for, and what a stopping process cuts

A lost call could not be followed to its cause: 'stopped in_flight=4' names no request, no line says what a call waits for after its send was given up, and model_call and plain_call do not say whether the process was stopping.

call_waits and call_cut are new; model_call, plain_call and send_silent get stopping_ms, and model_call has_started.

--- a/src/common/calls/model_call_recorder.ts
+++ b/src/common/calls/model_call_recorder.ts
@@ -15,6 +15,8 @@
   /** Further fields of the line, such as the reason. */
   readonly fields: Readonly<Record<string, string | number>>;
   readonly now: MonotonicTime;
+  /** Milliseconds since the process was told to stop; null before. */
+  readonly stoppingFor: number | null;
 }
 
 /** Writes one log line per call and counts it. */
@@ -27,7 +29,8 @@
     this.#metrics = metrics;
   }
 
-  recordEnd(run: ModelRun, { outcome, fields, now }: IModelCallEnd): void {
+  recordEnd(run: ModelRun, end: IModelCallEnd): void {
+    const { outcome, fields, now, stoppingFor } = end;
     const { arrivedAt, route } = run.call;
     const { firstSentAt, lastSentAt, firstEventAt } = run.times;
     const { longestPause, lagWhenRead } = run.times;
@@ -51,6 +54,8 @@
       attempts: route.maximumAttempts,
       parts: describeParts(run.call.promptParts),
       fingerprint: run.call.fingerprint,
+      has_started: run.reply.isStarted,
+      stopping_ms: stoppingFor,
       ...fields,
     };
     if (outcome === WHOLE) {
@@ -60,6 +65,24 @@
     }
   }
 
+  /** Logs a call that ends with the process, and what it was waiting for. */
+  recordCut(
+    { call, reply, currentSend, times, sendCount }: ModelRun,
+    { now, stoppingFor }: Pick<IModelCallEnd, "now" | "stoppingFor">,
+  ): void {
+    this.#log.warn("call_cut", {
+      request: call.id,
+      route: call.route.name,
+      target: currentSend?.group.head.id ?? null,
+      group: currentSend?.group.group ?? null,
+      sends: sendCount,
+      has_started: reply.isStarted,
+      took_ms: since(call.arrivedAt, now),
+      silent_ms: since(times.lastEventAt ?? times.lastSentAt ?? now, now),
+      stopping_ms: stoppingFor,
+    });
+  }
+
   #observe(run: ModelRun, now: MonotonicTime): void {
     const { arrivedAt, model } = run.call;
     const { firstSentAt, firstEventAt } = run.times;
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -98,6 +98,7 @@
   readonly #recorder: ModelCallRecorder;
   readonly #stallDetector = new StallDetector();
   readonly #reachability: ZoneReachability;
+  readonly #unfinished = new Set<ModelRun>();
   readonly #openRuns = new Set<ModelRun>();
   readonly #servingPeriod = new ServingPeriod();
   /** Groups recently reported as lost; their names are not used again. */
@@ -132,6 +133,7 @@
     const work = queueItemOf(call);
     const run = new ModelRun({ call, reply, work, memory }, this);
     run.times.lagWhenRead = this.#parts.lag();
+    this.#unfinished.add(run);
     const { clock } = this.#parts;
     const timeLeft = call.deadline - this.#now;
     run.deadlineTimer = clock.after(timeLeft, () => this.#handleTimeout(run));
@@ -162,6 +164,17 @@
     }
   }
 
+  /** Logs the calls that the end of the process cuts. */
+  logUnfinished(): void {
+    const now = this.#now;
+    for (const run of this.#unfinished) {
+      this.#recorder.recordCut(run, {
+        now,
+        stoppingFor: this.#servingPeriod.timeSinceStop(now),
+      });
+    }
+  }
+
   /**
    * Retries the calls of lost groups and places waiting calls on the new list.
    *
@@ -609,6 +622,7 @@
       counted_targets: run.countedTargets,
       attempts: run.call.route.maximumAttempts,
       last_event: run.lastEventId,
+      stopping_ms: this.#servingPeriod.timeSinceStop(this.#now),
     });
     run.abort();
     this.#releaseSend(run);
@@ -627,6 +641,7 @@
       if (run.reply.isStarted) {
         run.queueItem = startedQueueItemOf(run.call);
       }
+      this.#logWait(run);
       this.#enqueue(run);
       return;
     }
@@ -640,6 +655,23 @@
     );
   }
 
+  /** Logs what a call that is to be sent again waits for. */
+  #logWait(run: ModelRun): void {
+    const { service, model } = run.call;
+    const { groups, paths, log } = this.#parts;
+    const known = groups.ofModel(service, model ?? "");
+    const suspected = known.filter(({ group }) =>
+      this.#stallDetector.isSuspected(group, this.#now),
+    );
+    log.info("call_waits", {
+      request: run.call.id,
+      groups: known.length,
+      suspected: suspected.length,
+      has_path: paths.hasPath(service),
+      waiting: this.#models.getOrCreate(run.call).queue.size,
+    });
+  }
+
   #refuseHopeless(queue: ModelQueue): void {
     const hopeless = queue.removeHopeless(this.#now, (run) =>
       this.#models.shortestRun(run.call),
@@ -708,8 +740,11 @@
     fields: Readonly<Record<string, string | number>>,
   ): void {
     run.isFinished = true;
+    this.#unfinished.delete(run);
     run.deadlineTimer?.dispose();
-    this.#recorder.recordEnd(run, { outcome, fields, now: this.#now });
+    const now = this.#now;
+    const stoppingFor = this.#servingPeriod.timeSinceStop(now);
+    this.#recorder.recordEnd(run, { outcome, fields, now, stoppingFor });
   }
 }
 
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -14,6 +14,7 @@
 export class PlainCalls {
   readonly #parts: IPlainCallParts;
   readonly #servingPeriod = new ServingPeriod();
+  readonly #unfinished = new Set<PlainRun>();
   readonly #soundRequests = new SoundRequests();
   /** By service, milliseconds from a send to the complete response. */
   readonly #responseTimes = new Map<string, HighEndEstimator>();
@@ -30,7 +31,10 @@
       isAdmitted: () => this.#isAdmitted(call),
       soundRequests: this.#soundRequests,
       onResponse: (time) => this.#recordResponse(call, time),
+      stoppingFor: () => this.#stoppingFor,
+      onFinished: () => this.#unfinished.delete(run),
     });
+    this.#unfinished.add(run);
     run.start();
     return () => run.handleDisconnect();
   }
@@ -43,6 +47,11 @@
     this.#servingPeriod.stopAt(times);
   }
 
+  /** Logs the calls that the end of the process cuts. */
+  logUnfinished(): void {
+    this.#unfinished.forEach((run) => run.logCut());
+  }
+
   /**
    * Handles that this process has lost its own path to a service: what it saw
    * of the targets proves nothing.
@@ -51,6 +60,10 @@
     this.#parts.targets.clearEjections();
   }
 
+  get #stoppingFor(): number | null {
+    return this.#servingPeriod.timeSinceStop(this.#parts.clock.now());
+  }
+
   /** Whether a call that is sent now is served by a stopping process. */
   #isAdmitted(call: ICall): boolean {
     const time = this.#responseTimes.get(call.service)?.estimate;
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -175,7 +175,8 @@
 
 /** Lets the process end after some milliseconds. */
 function stopIn({ calls, clock }: PlainCallsHarness, time: number): void {
-  calls.stopAt({ removedAt: clock.now(), end: clock.now() + time });
+  const now = clock.now();
+  calls.stopAt({ startedAt: now, removedAt: now, end: now + time });
 }
 
 describe("plain calls", () => {
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -94,6 +94,8 @@
   readonly #isAdmitted: () => boolean;
   readonly #soundRequests: SoundRequests;
   readonly #onResponse: (time: number) => void;
+  readonly #stoppingFor: () => number | null;
+  readonly #onFinished: () => void;
   readonly #triedTargets = new Set<InstanceId>();
   readonly #timers: IDisposable[] = [];
   readonly #lagWhenRead: number;
@@ -116,6 +118,9 @@
       readonly soundRequests: SoundRequests;
       /** Receives the milliseconds that a complete response took. */
       readonly onResponse: (time: number) => void;
+      /** Milliseconds since the process was told to stop; null before. */
+      readonly stoppingFor: () => number | null;
+      readonly onFinished: () => void;
     },
   ) {
     this.#call = call;
@@ -124,6 +129,8 @@
     this.#isAdmitted = rest.isAdmitted;
     this.#soundRequests = rest.soundRequests;
     this.#onResponse = rest.onResponse;
+    this.#stoppingFor = rest.stoppingFor;
+    this.#onFinished = rest.onFinished;
     this.#lagWhenRead = rest.parts.lag();
   }
 
@@ -141,6 +148,22 @@
     }
   }
 
+  /** Logs a call that ends with the process. */
+  logCut(): void {
+    const { clock, log } = this.#parts;
+    const now = clock.now();
+    const sentAt = this.#lastSentAt;
+    log.warn("call_cut", {
+      request: this.#call.id,
+      route: this.#call.route.name,
+      target: this.#currentSend?.target ?? null,
+      sends: this.#sendCount,
+      took_ms: Math.round(now - this.#call.arrivedAt),
+      silent_ms: sentAt === null ? null : Math.round(now - sentAt),
+      stopping_ms: this.#stoppingFor(),
+    });
+  }
+
   get #isSafe(): boolean {
     return this.#call.route.kind === CallKind.Safe;
   }
@@ -447,6 +470,7 @@
     fields: Readonly<Record<string, string | number>>,
   ): void {
     this.#isFinished = true;
+    this.#onFinished();
     for (const timer of this.#timers) {
       timer.dispose();
     }
@@ -463,6 +487,7 @@
       took_ms: Math.round(took),
       read_lag_ms: Math.round(this.#lagWhenRead),
       targets: [...this.#triedTargets].join(","),
+      stopping_ms: this.#stoppingFor(),
       ...fields,
     };
     if (outcome === WHOLE) {
--- a/src/common/calls/stopping.ts
+++ b/src/common/calls/stopping.ts
@@ -9,6 +9,8 @@
 
 /** The times of a stop. */
 export interface IStopTimes {
+  /** When the process was told to stop. */
+  readonly startedAt: MonotonicTime;
   /** From when on callers are expected to reach other processes only. */
   readonly removedAt: MonotonicTime;
   /** When calls in flight are cut. */
@@ -17,7 +19,7 @@
 
 /** Until when a process serves calls; without an end until it stops. */
 export class ServingPeriod {
-  #times: IStopTimes = { removedAt: NEVER, end: NEVER };
+  #times: IStopTimes = { startedAt: NEVER, removedAt: NEVER, end: NEVER };
 
   stopAt(times: IStopTimes): void {
     this.#times = times;
@@ -27,6 +29,12 @@
     return this.#times.end !== NEVER;
   }
 
+  /** Milliseconds since the process was told to stop; null before. */
+  timeSinceStop(now: MonotonicTime): number | null {
+    const { startedAt } = this.#times;
+    return now < startedAt ? null : Math.round(now - startedAt);
+  }
+
   /**
    * Whether a call that has not run may be sent. A refused caller may well come
    * back here until the balancer has removed the process, and be refused again.
--- a/src/common/calls/stopping_test.ts
+++ b/src/common/calls/stopping_test.ts
@@ -34,7 +34,8 @@
   removalTime = 0,
 ): void {
   const now = clock.now();
-  calls.stopAt({ removedAt: now + removalTime, end: now + time });
+  const removedAt = now + removalTime;
+  calls.stopAt({ startedAt: now, removedAt, end: now + time });
 }
 
 /** Answers a send with events at a period, and completes it. */
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -304,7 +304,8 @@
     this.#forwarded.stopAt(stoppedAt + BALANCER_REMOVAL_TIME);
     const grace = this.#settings.bounds.grace_s * MILLISECONDS_A_SECOND;
     const end = stoppedAt + grace - GRACE_MARGIN;
-    const times = { removedAt: stoppedAt + USUAL_REMOVAL_TIME, end };
+    const removedAt = stoppedAt + USUAL_REMOVAL_TIME;
+    const times = { startedAt: stoppedAt, removedAt, end };
     this.#models.stopAt(times);
     this.#plain.stopAt(times);
     await this.#coordinator.releaseLease();
@@ -316,6 +317,8 @@
       }
       return now >= end || (isRemoved && this.#inFlight === 0);
     });
+    this.#models.logUnfinished();
+    this.#plain.logUnfinished();
     this.#log.info("stopped", { in_flight: this.#inFlight });
     this.#ingress.close();
     this.#owned.dispose();
