Show streams that are lost while their processes stop

A run of three real processes before 16 engines in groups of two, a stream of 1.4 s or an unsafe call to each every 45 ms; one process after the other gets SIGTERM, all callers go on using their connections, then it starts again. Calls count as lost that were sent up to 3 s after the signal and closed without a whole answer or a refusal, unless the deadline was reached or an engine was at work in the last sixth of the grace time.

The stand-in engines now write their state to the store 0.7 s after each order, as the platform's do; it was written at their start only.

--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -2,6 +2,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { performance } from "node:perf_hooks";
+import { setTimeout as sleep } from "node:timers/promises";
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { IArrival } from "./leaving_callers.ts";
 import { writeEventsWithoutEnd, writeWithoutEnd } from "./endless_writer.ts";
@@ -20,6 +21,9 @@
 /** Milliseconds after a crash until the platform drops the engine. */
 const EXPIRY_TIME = 2_000;
 
+/** Milliseconds from an order until its effect is listed in the store. */
+const LISTING_DELAY = 700;
+
 /** Milliseconds after a crash until it is back, under another id. */
 const RESTART_TIME = 2_500;
 
@@ -78,6 +82,10 @@
   readonly timedArrivals: IArrival[] = [];
   /** Ids of the attempts that this engine started to run. */
   readonly runs: string[] = [];
+  /** When each of these runs ended, milliseconds; missing while it lasts. */
+  readonly runEnds = new Map<string, number>();
+  /** Until when it writes nothing and reads no requests, milliseconds. */
+  #pausedUntil = 0;
   /** Number of streams that it writes now. */
   openStreams = 0;
   /** Own parts of requests that crash it when it begins an answer on them. */
@@ -116,7 +124,11 @@
     this.#store = store;
     this.#starts += 1;
     this.address = await listenOn(this.#server, address);
-    store.put("servers", this.id, {
+    this.#list();
+  }
+
+  #list(): void {
+    this.#store?.put("servers", this.id, {
       service: this.#service,
       address: this.address,
       zone: "north-a",
@@ -133,6 +145,15 @@
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
 
+  /** Stands still for some milliseconds, like a process that is stopped. */
+  pause(milliseconds: number): void {
+    this.#pausedUntil = performance.now() + milliseconds;
+  }
+
+  get #pauseLeft(): number {
+    return Math.max(0, this.#pausedUntil - performance.now());
+  }
+
   /** Ends it: its connections are reset and new ones refused. */
   stop(): void {
     this.#server.closeAllConnections();
@@ -214,6 +235,9 @@
     if (this.isStalled) {
       return;
     }
+    while (this.#pauseLeft > 0) {
+      await sleep(this.#pauseLeft);
+    }
     let text = "";
     for await (const chunk of request as AsyncIterable<Buffer>) {
       text += chunk.toString();
@@ -243,6 +267,12 @@
       return false;
     }
     this.#orderCount += 1;
+    const { id } = this;
+    this.#after(LISTING_DELAY, () => {
+      if (id === this.id && !this.isDown) {
+        this.#list();
+      }
+    });
     return true;
   }
 
@@ -309,7 +339,11 @@
     const attempt = String(request.headers["x-attempt-id"]);
     this.runs.push(attempt);
     this.activeRuns += 1;
-    response.on("close", () => (this.activeRuns -= 1));
+    this.runEnds.delete(attempt);
+    response.on("close", () => {
+      this.activeRuns -= 1;
+      this.runEnds.set(attempt, performance.now());
+    });
     const part = this.#crashingPartOf(request);
     if (part !== null) {
       this.crashingArrivals.push({ at: performance.now(), part });
@@ -357,7 +391,7 @@
     let id = Number(request.headers["last-event-id"] ?? 0);
     this.openStreams += 1;
     const timer = setInterval(() => {
-      if (this.isStalled) {
+      if (this.isStalled || this.#pauseLeft > 0) {
         return;
       }
       id += 1;
