Give up a silent send only when another one has answered

Cause: a silent send was aborted first, and another group sought after that. If all groups were suspected, the next one rejected the call, or the path was taken for lost, nothing was left that could answer. The class: what works slowly is given up on a belief, and its replacement is not there yet.

Once all sends of a call are silent or in groups believed to be lost, it seeks another group and keeps them; the first send with an event is kept and the others are aborted.

--- a/src/common/calls/lost_path_test.ts
+++ b/src/common/calls/lost_path_test.ts
@@ -50,8 +50,11 @@
     start(harness, 0);
     harness.calls.handlePathLost(SERVICE);
     harness.clock.advance(1_000);
-    expect(harness.getSend(0).isAborted).to.equal(true);
     expect(harness.getSend(1).options.lastEventId).to.equal("1");
+    expect(harness.getSend(0).isAborted).to.equal(false);
+    harness.getSend(1).options.receiver.onHead(SUCCESS_HEAD);
+    harness.deliverEvent(1, 2);
+    expect(harness.getSend(0).isAborted).to.equal(true);
   });
 
   // Guards against streams that are moved, at the cost of a second prefill,
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -39,12 +39,13 @@
     harness.deliverEvent(0, 1);
     harness.deliverEvent(0, 2);
     harness.clock.advance(1_000);
-    expect(first.isAborted).to.equal(true);
+    expect(first.isAborted).to.equal(false);
     const second = harness.getSend(1);
     expect(second.target).to.not.equal(first.target);
     expect(second.options.lastEventId).to.equal("2");
     second.options.receiver.onHead(SUCCESS_HEAD);
     harness.deliverEvent(1, 2);
+    expect(first.isAborted).to.equal(true);
     harness.deliverEvent(1, 3);
     second.options.receiver.onEnd();
     expect(reply.text.match(/id: \d/g)).to.deep.equal([
@@ -84,8 +85,10 @@
       ["a", "b"].filter((one) => one !== lost).map(servingGroup),
     );
     harness.calls.handleGroupsChanged([lost]);
-    expect(harness.getSend(0).isAborted).to.equal(true);
     expect(harness.sends).to.have.length(2);
+    harness.getSend(1).options.receiver.onHead(SUCCESS_HEAD);
+    harness.deliverEvent(1, 1);
+    expect(harness.getSend(0).isAborted).to.equal(true);
   });
 
   // Guards against half a response that looks complete: a started stream that
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -156,7 +156,7 @@
     log.warn("call_cut", {
       request: this.#call.id,
       route: this.#call.route.name,
-      target: this.#currentSend?.target ?? null,
+      targets: this.#currentSend?.target ?? "",
       sends: this.#sendCount,
       took_ms: Math.round(now - this.#call.arrivedAt),
       silent_ms: sentAt === null ? null : Math.round(now - sentAt),
