Keep a silent plain target until another one has answered

Callers of safe calls got 502 although their first target answered after all: after half of the objective it was given up, and the second target then broke the call off, rejected it or could not be reached, with no attempt or target left. The class is that of silent streams: what works slowly is given up before its replacement has answered.

The second send now goes beside the first, and the first answer is used; the other is aborted with it. A further send counts as an attempt and takes a retry as before, and is not begun while no path is known or the call is quarantined, where the call used to be refused.

Tests: two new ones of plain_calls_test fail before, as does the one that demanded the abort before the answer and now demands it with the answer.

--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -194,12 +194,37 @@
     const harness = new PlainCallsHarness();
     const reply = harness.submit();
     harness.clock.advance(100);
-    expect(harness.sends[0]?.isAborted).to.equal(true);
+    expect(harness.sends).to.have.length(2);
+    expect(harness.sends[0]?.isAborted).to.equal(false);
     harness.answer(1, headOf(200), "page");
+    expect(harness.sends[0]?.isAborted).to.equal(true);
     expect(reply.text).to.equal("page");
     expect(harness.sends[1]?.target).to.not.equal(harness.sends[0]?.target);
   });
 
+  // Guards against a safe call that fails although its silent target answers
+  // after all, since the other target it was sent to broke it off.
+  it("is answered by a silent target if the other one breaks off", () => {
+    const harness = new PlainCallsHarness();
+    const reply = harness.submit(routeOf({ ...SAFE, maximumAttempts: 2 }));
+    harness.clock.advance(100);
+    harness.sends[1]?.options.receiver.onFailure(SendFailure.Broken, "reset");
+    expect(harness.sends).to.have.length(2);
+    expect(reply.refusal).to.equal(null);
+    harness.answer(0, headOf(200), "page");
+    expect(reply.text).to.equal("page");
+  });
+
+  // Guards against a second run that goes on for an answered call.
+  it("aborts the other send of a safe call with its first answer", () => {
+    const harness = new PlainCallsHarness();
+    const reply = harness.submit();
+    harness.clock.advance(100);
+    harness.answer(0, headOf(200), "first");
+    expect(harness.sends[1]?.isAborted).to.equal(true);
+    expect(reply.text).to.equal("first");
+  });
+
   // Guards against an unsafe call that runs twice: no response came, and the
   // call is retried, or its caller is told "not run" and retries it.
   it("never retries an unsafe call, and does not report it as not run", () => {
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -1,4 +1,7 @@
-/** One plain call: its sends, its retries and its response. */
+/**
+ * One plain call: its sends, its retries and its response. A target that is
+ * silent keeps the call while another one is asked; the first answer is used.
+ */
 import type { IDisposable } from "../disposable.ts";
 import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
 import type { SoundRequests } from "../quarantine/sound_requests.ts";
@@ -102,7 +105,7 @@
   #lastSentAt: MonotonicTime | null = null;
   /** Number of targets that the call may have reached. */
   #sendCount = 0;
-  #currentSend: PlainSend | null = null;
+  readonly #openSends = new Set<PlainSend>();
   #mayHaveRun = false;
   #isFinished = false;
   /** Targets that broke the call off. */
@@ -143,7 +146,7 @@
 
   handleDisconnect(): void {
     if (!this.#isFinished) {
-      this.#abortSend();
+      this.#abortSends();
       this.#finish("caller_left", {});
     }
   }
@@ -156,7 +159,7 @@
     log.warn("call_cut", {
       request: this.#call.id,
       route: this.#call.route.name,
-      targets: this.#currentSend?.target ?? "",
+      targets: [...this.#openSends].map(({ target }) => target).join(","),
       sends: this.#sendCount,
       took_ms: Math.round(now - this.#call.arrivedAt),
       silent_ms: sentAt === null ? null : Math.round(now - sentAt),
@@ -184,7 +187,8 @@
       this.#refuse(CallRefusalReason.Quarantined);
       return;
     }
-    if (!this.#mayHaveRun && !this.#isAdmitted()) {
+    const isUnrun = !this.#mayHaveRun && this.#openSends.size === 0;
+    if (isUnrun && !this.#isAdmitted()) {
       this.#refuse(CallRefusalReason.Stopping);
       return;
     }
@@ -199,7 +203,9 @@
       now,
     });
     if (target === null) {
-      this.#refuse(this.#reasonWithoutTarget);
+      if (this.#openSends.size === 0) {
+        this.#refuse(this.#reasonWithoutTarget);
+      }
       return;
     }
     if (this.#triedTargets.size === 0) {
@@ -212,8 +218,10 @@
     const { id, address } = target;
     const { memory } = this.#parts;
     const sent = { target: id, address, sentAt: now, memory };
-    const send = new PlainSend(sent, (answer) => this.#handleEnd(answer));
-    this.#currentSend = send;
+    const send: PlainSend = new PlainSend(sent, (answer) =>
+      this.#handleEnd(send, answer),
+    );
+    this.#openSends.add(send);
     send.handle = this.#parts.sender.send(target, this.#call, {
       timeLeft: this.#call.deadline - now,
       lastEventId: this.#call.lastEventId,
@@ -255,7 +263,7 @@
     const { clock, paths } = this.#parts;
     const { route, service } = this.#call;
     const timer = clock.after(route.objective, () => {
-      if (this.#currentSend === send && !this.#isFinished) {
+      if (this.#openSends.has(send)) {
         paths.recordSilence(service, send.target);
       }
     });
@@ -271,13 +279,8 @@
     const delay = this.#call.route.objective * RETRY_SHARE;
     const left = this.#call.deadline - now;
     const timer = this.#parts.clock.after(Math.min(delay, left), () => {
-      if (
-        this.#currentSend === send &&
-        !this.#isFinished &&
-        this.#takeRetry()
-      ) {
+      if (this.#openSends.has(send) && this.#takeRetry()) {
         this.#recordSilence(send.target);
-        this.#abortSend();
         this.#logFailure(send.target, "silent");
         this.#send();
       }
@@ -291,12 +294,10 @@
     paths.recordSilence(this.#call.service, target);
   }
 
-  #handleEnd(answer: IPlainResponse): void {
-    const send = this.#currentSend;
-    if (send === null || this.#isFinished) {
+  #handleEnd(send: PlainSend, answer: IPlainResponse): void {
+    if (!this.#openSends.delete(send)) {
       return;
     }
-    this.#currentSend = null;
     const { targets, clock } = this.#parts;
     targets.recordEnd(send.target);
     const { head, failure } = answer;
@@ -318,6 +319,7 @@
       if (this.#call.fingerprint !== null) {
         this.#soundRequests.record(this.#call.fingerprint, clock.now());
       }
+      this.#abortSends();
       this.#passOn(head, answer.body);
     } else if (failure === SendFailure.Broken) {
       this.#handleBreak(send, { answer, isNotRun });
@@ -357,12 +359,16 @@
     const { head, failure, detail, body } = end.answer;
     this.#logFailure(target, detail || `status ${head?.status ?? 0}`);
     const isRetryable = this.#isSafe || !this.#mayHaveRun;
-    if (failure === SendFailure.Unreachable && !this.#mayHaveRun) {
+    const hasOpen = this.#openSends.size > 0;
+    if (failure === SendFailure.Unreachable && !this.#mayHaveRun && !hasOpen) {
       this.#refuse(CallRefusalReason.Unreachable);
     } else if (isRetryable && this.#takeRetry()) {
       this.#send();
     } else if (failure === null && head !== null && !end.isNotRun) {
+      this.#abortSends();
       this.#passOn(head, body);
+    } else if (hasOpen) {
+      // One of the targets that have the call may still answer.
     } else if (end.isNotRun && !this.#mayHaveRun) {
       this.#refuse(CallRefusalReason.TargetRefused);
     } else {
@@ -372,7 +378,7 @@
 
   /** Takes a retry from the allowance if the call may be sent again. */
   #takeRetry(): boolean {
-    const { clock, retries } = this.#parts;
+    const { clock, retries, paths, quarantine } = this.#parts;
     const { service, route, deadline } = this.#call;
     const now = clock.now();
     const hasOther = this.#usableTargets.some(
@@ -380,16 +386,17 @@
     );
     return (
       hasOther &&
+      paths.hasPath(service) &&
+      !quarantine.isQuarantined(this.#suspect) &&
       now < deadline &&
       this.#sendCount < route.maximumAttempts &&
       retries.tryTake(service, now)
     );
   }
 
-  #abortSend(): void {
-    const send = this.#currentSend;
-    if (send !== null) {
-      this.#currentSend = null;
+  #abortSends(): void {
+    for (const send of this.#openSends) {
+      this.#openSends.delete(send);
       this.#mayHaveRun = true;
       send.handle?.abort();
       send.dispose();
@@ -401,11 +408,10 @@
     if (this.#isFinished) {
       return;
     }
-    const send = this.#currentSend;
-    if (send !== null) {
-      this.#recordSilence(send.target);
+    for (const { target } of this.#openSends) {
+      this.#recordSilence(target);
     }
-    this.#abortSend();
+    this.#abortSends();
     this.#refuse(CallRefusalReason.DeadlinePassed);
   }
 
