Keep a forwarded call whose peer does not answer, and take another path beside

Callers of forwarded calls got 502, or a reset stream, as soon as the process between had not answered two pings, although it went on with the call when it ran again; and a stream whose peer froze was sent once more through the same peer, which took its last attempt.

The class is that of silent targets, on the path between processes. A peer that does not answer now makes the send doubtful (onSilence): a call that may be repeated is sent elsewhere beside it, one that may run once is awaited.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -313,6 +313,18 @@
     this.#placeWaiting(this.#models.getOrCreate(run.call));
   }
 
+  onSendSilent(run: ModelRun, send: ModelSend, detail: string): void {
+    if (send.isDoubtful) {
+      return;
+    }
+    send.doubt();
+    this.#logDoubt(run, send, detail);
+    if (run.needsAnotherSend) {
+      this.#seekingRuns.add(run);
+      this.#placeWaiting(this.#models.getOrCreate(run.call));
+    }
+  }
+
   #recordFailure(run: ModelRun, send: ModelSend, end: ISendEnd): void {
     const { group, zone, head } = send.group;
     const { outcome, detail } = end;
@@ -655,8 +667,8 @@
     for (const run of this.#openRuns) {
       for (const send of run.openSends) {
         if (!send.isDoubtful && isDoubtful(send)) {
-          send.isDoubtful = true;
-          this.#logDoubt(run, send);
+          send.doubt();
+          this.#logDoubt(run, send, "target");
         }
       }
       if (run.needsAnotherSend) {
@@ -665,7 +677,11 @@
     }
   }
 
-  #logDoubt(run: ModelRun, { group, stream, sentAt }: ModelSend): void {
+  #logDoubt(
+    run: ModelRun,
+    { group, stream, sentAt }: ModelSend,
+    detail: string,
+  ): void {
     const now = this.#now;
     const silence = now - (stream.lastEventAt ?? sentAt);
     this.#parts.log.info("send_silent", {
@@ -676,6 +692,7 @@
       counted_targets: run.countedTargets,
       attempts: run.call.route.maximumAttempts,
       last_event: run.lastEventId,
+      detail,
       stopping_ms: this.#servingPeriod.timeSinceStop(now),
     });
   }
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -47,6 +47,8 @@
   /** A send was aborted, since another one has answered. */
   onSendReplaced(run: ModelRun, send: ModelSend): void;
   onSendEnded(run: ModelRun, send: ModelSend, end: ISendEnd): void;
+  /** The path of a send is silent. */
+  onSendSilent(run: ModelRun, send: ModelSend, detail: string): void;
 }
 
 /** Timestamps of a run, for its log line. */
@@ -244,6 +246,10 @@
     this.#owner.onSendEnded(this, send, end);
   }
 
+  onSilence(send: ModelSend, detail: string): void {
+    this.#owner.onSendSilent(this, send, detail);
+  }
+
   /** The first send that answers is kept. */
   #replaceOthers(send: ModelSend): void {
     for (const other of this.#abortAllBut(send)) {
--- a/src/common/calls/model_send.ts
+++ b/src/common/calls/model_send.ts
@@ -64,6 +64,8 @@
   /** The response has ended; returns whether it was passed on. */
   onResponse(send: ModelSend, response: IModelResponse): ISendEnd;
   onEnded(send: ModelSend, end: ISendEnd): void;
+  /** Its path is silent. */
+  onSilence(send: ModelSend, detail: string): void;
 }
 
 /** A response that has ended. */
@@ -171,6 +173,16 @@
     });
   }
 
+  onSilence(detail: string): void {
+    this.#owner.onSilence(this, detail);
+  }
+
+  /** Marks it as possibly lost, so that another path is taken. */
+  doubt(): void {
+    this.isDoubtful = true;
+    this.#handle?.handleSilence?.();
+  }
+
   /** Events are passed on as they arrive, other responses when complete. */
   get #isStream(): boolean {
     const status = this.#head?.status ?? 0;
--- a/src/common/calls/observing_sender.ts
+++ b/src/common/calls/observing_sender.ts
@@ -129,4 +129,8 @@
   onFailure(failure: SendFailure, detail: string): void {
     this.#receiver.onFailure(failure, detail);
   }
+
+  onSilence(detail: string): void {
+    this.#receiver.onSilence?.(detail);
+  }
 }
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -215,6 +215,25 @@
     expect(reply.text).to.equal("page");
   });
 
+  // Guards against an unsafe call that is given up with the process between,
+  // which goes on with it.
+  it("awaits an unsafe call whose path is silent", () => {
+    const harness = new PlainCallsHarness();
+    const reply = harness.submit(UNSAFE);
+    harness.sends[0]?.options.receiver.onSilence?.("peer frozen");
+    expect(harness.sends).to.have.length(1);
+    harness.answer(0, headOf(200), "order");
+    expect(reply.text).to.equal("order");
+  });
+
+  // Guards against a safe call that waits for a process that does not answer.
+  it("retries a safe call at once whose path is silent", () => {
+    const harness = new PlainCallsHarness();
+    harness.submit();
+    harness.sends[0]?.options.receiver.onSilence?.("peer frozen");
+    expect(harness.sends).to.have.length(2);
+  });
+
   // Guards against a second run that goes on for an answered call.
   it("aborts the other send of a safe call with its first answer", () => {
     const harness = new PlainCallsHarness();
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -218,9 +218,10 @@
     const { id, address } = target;
     const { memory } = this.#parts;
     const sent = { target: id, address, sentAt: now, memory };
-    const send: PlainSend = new PlainSend(sent, (answer) =>
-      this.#handleEnd(send, answer),
-    );
+    const send: PlainSend = new PlainSend(sent, {
+      ended: (answer) => this.#handleEnd(send, answer),
+      silence: (detail) => this.#retryBeside(send, detail),
+    });
     this.#openSends.add(send);
     send.handle = this.#parts.sender.send(target, this.#call, {
       timeLeft: this.#call.deadline - now,
@@ -279,15 +280,24 @@
     const delay = this.#call.route.objective * RETRY_SHARE;
     const left = this.#call.deadline - now;
     const timer = this.#parts.clock.after(Math.min(delay, left), () => {
-      if (this.#openSends.has(send) && this.#takeRetry()) {
+      if (this.#openSends.has(send) && !send.isReplaced) {
         this.#recordSilence(send.target);
-        this.#logFailure(send.target, "silent");
-        this.#send();
+        this.#retryBeside(send, "silent");
       }
     });
     this.#timers.push(timer);
   }
 
+  /** Sends a safe call to another target beside one that is silent. */
+  #retryBeside(send: PlainSend, detail: string): void {
+    if (this.#isSafe && !send.isReplaced && this.#takeRetry()) {
+      send.isReplaced = true;
+      send.handle?.handleSilence?.();
+      this.#logFailure(send.target, detail);
+      this.#send();
+    }
+  }
+
   #recordSilence(target: InstanceId): void {
     const { targets, paths, clock } = this.#parts;
     targets.recordNoResponse(target, clock.now());
--- a/src/common/calls/plain_send.ts
+++ b/src/common/calls/plain_send.ts
@@ -21,7 +21,10 @@
   readonly address: string;
   readonly sentAt: MonotonicTime;
   handle: ISendHandle | null = null;
+  /** Whether another target was asked since this one was silent. */
+  isReplaced = false;
   readonly #onEnded: (answer: IPlainResponse) => void;
+  readonly #onSilence: (detail: string) => void;
   readonly #body: AnswerBuffer;
   #head: IResponseHead | null = null;
 
@@ -32,13 +35,18 @@
       readonly sentAt: MonotonicTime;
       readonly memory: AnswerMemory;
     },
-    onEnded: (answer: IPlainResponse) => void,
+    on: {
+      readonly ended: (answer: IPlainResponse) => void;
+      /** Its path is silent. */
+      readonly silence: (detail: string) => void;
+    },
   ) {
     this.target = sent.target;
     this.address = sent.address;
     this.sentAt = sent.sentAt;
     this.#body = new AnswerBuffer(sent.memory);
-    this.#onEnded = onEnded;
+    this.#onEnded = on.ended;
+    this.#onSilence = on.silence;
   }
 
   onHead(head: IResponseHead): void {
@@ -66,6 +74,10 @@
     this.#onEnded(this.#response(null, ""));
   }
 
+  onSilence(detail: string): void {
+    this.#onSilence(detail);
+  }
+
   dispose(): void {
     this.#body.dispose();
   }
--- a/src/common/calls/silent_targets_test.ts
+++ b/src/common/calls/silent_targets_test.ts
@@ -74,6 +74,20 @@
     });
   }
 
+  // Guards against a forwarded stream that stands still, or is cut, because the
+  // process between does not answer.
+  it("go on elsewhere if the path of their send is silent", () => {
+    const harness = new Harness(["a", "b"]);
+    const { reply } = harness.submit();
+    begin(harness, 0, 1);
+    harness.getSend(0).options.receiver.onSilence?.("peer frozen");
+    expect(harness.getSend(0).isAborted).to.equal(false);
+    expect(harness.getSend(1).options.lastEventId).to.equal("1");
+    begin(harness, 1, 2);
+    end(harness, 1);
+    expect(eventsOf(reply)).to.deep.equal([1, 2]);
+  });
+
   // Guards against a second run that goes on beside the first.
   it("are answered by the one that goes on first", () => {
     const harness = new Harness(["a", "b"]);
--- a/src/common/calls/types.ts
+++ b/src/common/calls/types.ts
@@ -284,12 +284,19 @@
   onData(bytes: Uint8Array): void;
   onEnd(): void;
   onFailure(failure: SendFailure, detail: string): void;
+  /**
+   * Nothing is heard on the path of the response, which may still go on; the
+   * send may be replaced, or awaited.
+   */
+  onSilence?(detail: string): void;
 }
 
 /** A call that is being sent to one target. */
 export interface ISendHandle {
   /** Aborts the send; the receiver is not called again. */
   abort(): void;
+  /** The response is silent: its path is avoided while another one works. */
+  handleSilence?(): void;
 }
 
 /** Where a call is sent. */
--- a/test/support/call_fixtures.ts
+++ b/test/support/call_fixtures.ts
@@ -61,6 +61,7 @@
   text = "";
   failure: SendFailure | null = null;
   detail = "";
+  isSilent = false;
   isFinished = false;
   readonly finished: Promise<void>;
   #resolve: () => void = () => undefined;
@@ -84,6 +85,10 @@
     this.#resolve();
   }
 
+  onSilence(): void {
+    this.isSilent = true;
+  }
+
   onFailure(failure: SendFailure, detail: string): void {
     this.failure = failure;
     this.detail = detail;
