Follow the lease while a process stops

Callers at a stopped holder, and at a process whose holder changed during its stop, waited for a group until they were cut, or were refused as hopeless: from 1.5 s after the release the process knew the groups by the platform's list only, seconds old and without the calls of others.

Cause: LeaseManager.release ended its reads, so the next holder was never learned and no report was sent to it; the table kept at the release ends with its lifetime. A released manager now goes on reading, and neither writes nor orders; a process does not report to itself by its own old record.

--- a/src/common/replicas/lease_manager.ts
+++ b/src/common/replicas/lease_manager.ts
@@ -86,6 +86,8 @@
    * well.
    */
   #writeAfter: MonotonicTime = Number.NEGATIVE_INFINITY;
+  /** Whether it has been given back: the lease is followed, not acquired. */
+  #isReleased = false;
   #isStopped = false;
 
   /** @param process - name of this process, by which its peers reach it */
@@ -104,7 +106,8 @@
 
   /** Whether the lease covers an order sent now. */
   get mayOrder(): boolean {
-    return !this.#isStopped && this.#lease.mayOrder(this.#now);
+    const hasEnded = this.#isReleased || this.#isStopped;
+    return !hasEnded && this.#lease.mayOrder(this.#now);
   }
 
   get isHolding(): boolean {
@@ -129,11 +132,11 @@
 
   /**
    * Releases the lease so that another process need not wait for it to expire.
+   * Its next holders are learned, since a process serves on while it stops.
    */
   async release(): Promise<void> {
-    this.#isStopped = true;
+    this.#isReleased = true;
     const actions = this.#lease.release(this.#now);
-    this.#owned.dispose();
     await Promise.all(actions.map((action) => this.#perform(action)));
   }
 
@@ -147,7 +150,9 @@
   }
 
   #tick(): void {
-    this.#performAll(this.#lease.tick(this.#now));
+    if (!this.#isReleased) {
+      this.#performAll(this.#lease.tick(this.#now));
+    }
     const isHealthy = this.isHolding || this.#parts.isHolderHealthy();
     const period = isHealthy ? HEALTHY_READ_PERIOD : SILENT_READ_PERIOD;
     const isFirst = this.#lease.lastSeen === null;
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -254,7 +254,10 @@
     this.#exchangeServer.announce();
   }
 
-  /** Releases the lease; its groups stay known until another holder replies. */
+  /**
+   * Releases the lease, and follows the next holder from then on; its own table
+   * is used for as long as a table lasts.
+   */
   async releaseLease(): Promise<void> {
     if (this.#isActiveHolder) {
       const { groups, abandonedGroups, othersInFlight, reports } =
@@ -277,8 +280,8 @@
   }
 
   #holderAddress(): string | null {
-    const holder = this.#lease.holder;
-    if (holder === null || this.#lease.isHolding) {
+    const { holder, isHolding, process } = this.#lease;
+    if (holder === null || isHolding || holder === process) {
       return null;
     }
     return addressOf(holder);
