Answer the calls that outlast a stopping process

Callers whose call had no answer yet when the grace time of its process ended saw a closed connection, which does not say whether to try elsewhere; so did those of calls that waited between two sends.

The calls are now ended before the connections close: what no target can have run is refused as not run, what may have run is answered 502 'stopping', and a started stream is reset as before, so that its caller resumes it elsewhere. The last answers get up to 200 ms of the 700 ms that the process has left.

Test: 'are answered' of stopping_test failed before with 'other side closed' (real process); one of model calls and one of plain calls are new.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -165,14 +165,18 @@
     }
   }
 
-  /** Logs the calls that the end of the process cuts. */
-  logUnfinished(): void {
+  /**
+   * Ends the calls that outlast the process: those without an answer are told
+   * so, since a closed connection would not say whether to try elsewhere.
+   */
+  endUnfinished(): void {
     const now = this.#now;
+    const stoppingFor = this.#servingPeriod.timeSinceStop(now);
     for (const run of this.#unfinished) {
-      this.#recorder.recordCut(run, {
-        now,
-        stoppingFor: this.#servingPeriod.timeSinceStop(now),
-      });
+      this.#recorder.recordCut(run, { now, stoppingFor });
+      this.#abortSends(run);
+      this.#models.getOrCreate(run.call).queue.remove(run);
+      this.#end(run, CallRefusalReason.Stopping, STOPPING_RETRY_AFTER);
     }
   }
 
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -47,9 +47,9 @@
     this.#servingPeriod.stopAt(times);
   }
 
-  /** Logs the calls that the end of the process cuts. */
-  logUnfinished(): void {
-    this.#unfinished.forEach((run) => run.logCut());
+  /** Ends the calls that outlast the process; their callers are told so. */
+  endUnfinished(): void {
+    this.#unfinished.forEach((run) => run.endWithProcess());
   }
 
   /**
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -458,6 +458,20 @@
     expect([unsafe.text, safe.text]).to.deep.equal(["order", "page"]);
   });
 
+  // Guards against a call whose connection closes with the process, so that its
+  // caller does not know whether it may have run.
+  it("answers calls that outlast the process", () => {
+    const harness = new PlainCallsHarness();
+    const reply = harness.submit(UNSAFE);
+    stopIn(harness, 90);
+    harness.calls.endUnfinished();
+    expect(reply.refusal).to.include({
+      kind: CallRefusalKind.TargetFailed,
+      reason: CallRefusalReason.Stopping,
+    });
+    expect(harness.sends[0]?.isAborted).to.equal(true);
+  });
+
   // Guards against a retry of a call that no target has run, and that would be
   // cut when the process ends.
   it("retries a call that has not run only if it can still end", () => {
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -151,8 +151,13 @@
     }
   }
 
-  /** Logs a call that ends with the process. */
-  logCut(): void {
+  endWithProcess(): void {
+    this.#logCut();
+    this.#abortSends();
+    this.#refuse(CallRefusalReason.Stopping);
+  }
+
+  #logCut(): void {
     const { clock, log } = this.#parts;
     const now = clock.now();
     const sentAt = this.#lastSentAt;
--- a/src/common/calls/stopping_test.ts
+++ b/src/common/calls/stopping_test.ts
@@ -166,6 +166,24 @@
     expect(harness.sends).to.have.length(1);
   });
 
+  // Guards against a call whose connection closes with the process, so that its
+  // caller does not know whether to try elsewhere.
+  it("answers what it cannot end, and says truly whether it has run", () => {
+    const harness = new Harness(["a"]);
+    const call = { tokens: SHORT, deadline: DEADLINE };
+    const [sent, started, waiting] = ["sent", "started", "waiting"].map(
+      (id) => harness.submit({ id, ...call }).reply,
+    );
+    harness.getSend(1).options.receiver.onHead(SUCCESS_HEAD);
+    harness.deliverEvent(1, 1);
+    stopIn(harness, 3_000);
+    harness.calls.endUnfinished();
+    expect(sent?.refusal?.kind).to.equal(CallRefusalKind.TargetFailed);
+    expect(waiting?.refusal?.kind).to.equal(CallRefusalKind.NotRun);
+    expect(started?.isBroken).to.equal(true);
+    expect(harness.sends.every(({ isAborted }) => isAborted)).to.equal(true);
+  });
+
   // Guards against a forecast by the published figures alone, when groups are
   // slower: prompts of others are prefilled between the tokens of a call.
   it("forecasts by the times that it has seen", () => {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -90,6 +90,9 @@
 /** Calls must end this long before the grace time does, milliseconds. */
 const GRACE_MARGIN = 700;
 
+/** For how long the last answers may be written, milliseconds. */
+const FLUSH_TIME = 200;
+
 /** Delays of the event loop that are logged, milliseconds. */
 const LOGGED_DELAY = 250;
 
@@ -317,8 +320,14 @@
       }
       return now >= end || (isRemoved && this.#inFlight === 0);
     });
-    this.#models.logUnfinished();
-    this.#plain.logUnfinished();
+    this.#models.endUnfinished();
+    this.#plain.endUnfinished();
+    const endedAt = this.#clock.now();
+    await this.#waitUntil(
+      () =>
+        this.#ingress.inFlight === 0 ||
+        this.#clock.now() - endedAt >= FLUSH_TIME,
+    );
     this.#log.info("stopped", { in_flight: this.#inFlight });
     this.#ingress.close();
     this.#owned.dispose();
--- a/test/stopping_test.ts
+++ b/test/stopping_test.ts
@@ -16,6 +16,9 @@
 
 const UNSAFE_CALLS = 6;
 
+/** Milliseconds until an engine begins; the process is gone by then. */
+const LONG_DELAY = 12_000;
+
 /** Tokens of its prompt and its output. */
 const LONG_TOKENS = "100,1900";
 
@@ -98,6 +101,28 @@
   });
 });
 
+describe("calls that outlast a stopping entry process", () => {
+  // Guards against a call that ends with a closed connection, because its engine
+  // has not begun to answer when the process ends.
+  it("are answered", async () => {
+    await using platform = new EntryDeployment();
+    await platform.start();
+    await platform.waitForOneGroup();
+    platform.engines.forEach((engine) => (engine.startDelay = LONG_DELAY));
+    const answer = platform.sendCall("unanswered");
+    await waitFor("an engine has it", () =>
+      platform.engines.some(({ runs }) => runs.includes("unanswered")),
+    );
+    await stop(platform);
+    const { status, text } = await answer;
+    expect({ status, text }).to.deep.equal({
+      status: 502,
+      text: '{"error":"stopping"}',
+    });
+    await platform.entry?.waitForExit();
+  });
+});
+
 describe("a process that receives further signals", () => {
   // Guards against calls that are cut because a second signal ends a process
   // that finishes them.
