Keep a silent plain target of a daemon until another one has answered

Callers of a daemon got 502 'target_lost' after two seconds of silence for a call that may be repeated, although its target answered before the deadline.

It is the fault of the platform's request path in the daemon's: an attempt was given up after two seconds, the last one too. Attempts now go on beside each other (CallRace) until the first answer, the caller's leave or the deadline. A connection that is silent for two seconds gets no further calls, as before; budget and number of attempts are unchanged.

--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -54,6 +54,8 @@
 interface IPostOptions {
   readonly body: string | Readable;
   readonly timeout: number;
+  /** Milliseconds without a response after which its pool is retired. */
+  readonly suspectAfter?: number;
   readonly signal?: AbortSignal;
   /** Uses a new connection that is closed after the call. */
   readonly needsNewConnection?: boolean;
@@ -141,7 +143,11 @@
     const content = JSON.stringify({ requestId, operation, body });
     const timeout = Math.max(SHORTEST_TIMEOUT, call.timeout);
     const needsNewConnection = call.needsNewConnection;
-    const sending = { body: content, timeout, signal, needsNewConnection };
+    const { suspectAfter = timeout } = call;
+    const sending = {
+      body: content,
+      ...{ timeout, suspectAfter, signal, needsNewConnection },
+    };
     const answer = await this.#post(address, "/call", sending);
     return answer.andThen((value) => checkServiceAnswer(value, requestId));
   }
@@ -210,6 +216,10 @@
     const dispatcher = needsNewConnection
       ? this.#connections.createSingleUse(address)
       : this.#connections.poolFor(address).dispatcher;
+    const suspicion = setTimeout(
+      () => this.#connections.retireSilentPool(address, dispatcher),
+      sending.suspectAfter ?? timeout,
+    );
     try {
       const answer = await request(`http://${address}${path}`, {
         method: "POST",
@@ -231,6 +241,7 @@
     } catch (error) {
       return Err(this.#failureOf(error, { attempted, address, dispatcher }));
     } finally {
+      clearTimeout(suspicion);
       if (needsNewConnection) {
         void dispatcher.destroy();
       }
--- a/src/common/services/plain_service_runner.ts
+++ b/src/common/services/plain_service_runner.ts
@@ -1,8 +1,9 @@
 /** Runs calls on plain services; non-repeatable calls run at most once. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { CallFailureKind, Reason } from "../types.ts";
+import { Reason } from "../types.ts";
 import type { ICallFailure, IRefusal } from "../types.ts";
+import { CallRace } from "./call_race.ts";
 import type { IChosenTarget } from "./group_directory.ts";
 import { noTarget, AtMostOnceRunner } from "./at_most_once_runner.ts";
 import type { IAtMostOnceParts } from "./at_most_once_runner.ts";
@@ -14,8 +15,9 @@
 const MAXIMUM_ATTEMPTS = 3;
 
 /**
- * Idle time after which a repeatable call is sent again, milliseconds. Without
- * it, one stalled connection would use up the caller's whole deadline.
+ * Idle time after which a repeatable call is also sent to another target,
+ * milliseconds. Without it, one stalled connection would use up the caller's
+ * whole deadline.
  */
 const RESPONSE_TIMEOUT = 2_000;
 
@@ -55,34 +57,49 @@
   async #runRepeatable(
     request: ICallerRequest,
   ): Promise<Result<IBufferedAnswer, IRefusal>> {
-    const { clock, groups, retries } = this.#parts;
-    const avoid = new Set<string>();
-    let mayHaveRun = false;
+    const { clock, retries } = this.#parts;
     retries.recordFirstAttempt(request);
-    for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt++) {
-      const target = groups.choosePlain(request, avoid);
-      if (target === null || clock.now() >= request.deadline) {
-        break;
-      }
-      const answer = await this.#call(request, target);
-      if (answer.isOk()) {
-        return Ok({ body: answer.value });
+    using race = new CallRace(clock, request.signal);
+    const avoid = new Set<string>();
+    let mayRetry = true;
+    do {
+      mayRetry =
+        mayRetry &&
+        avoid.size < MAXIMUM_ATTEMPTS &&
+        (avoid.size === 0 || (await retries.waitForRetry(request))) &&
+        this.#startAttempt(request, { race, avoid });
+      const left = request.deadline - clock.now();
+      const wait = mayRetry ? Math.min(left, RESPONSE_TIMEOUT) : left;
+      const result = await race.next(Math.max(0, wait));
+      if (result?.isOk()) {
+        return Ok({ body: result.value });
       }
       if (request.signal.aborted) {
         return Err(outcomeUnknown(Reason.CallerLeft, "the caller is gone"));
       }
-      avoid.add(target.id);
-      mayHaveRun ||= answer.error.kind === CallFailureKind.Unknown;
-      if (!(await retries.waitForRetry(request))) {
-        break;
-      }
+    } while (clock.now() < request.deadline && (mayRetry || race.hasNext));
+    return Err(this.#createRefusal(request, race.mayHaveRun));
+  }
+
+  /** Returns false if no further target takes the call. */
+  #startAttempt(
+    request: ICallerRequest,
+    call: { readonly race: CallRace; readonly avoid: Set<string> },
+  ): boolean {
+    const { race, avoid } = call;
+    const target = this.#parts.groups.choosePlain(request, avoid);
+    if (target === null) {
+      return false;
     }
-    return Err(this.#createRefusal(request, mayHaveRun));
+    avoid.add(target.id);
+    race.start((signal) => this.#call(request, target, signal));
+    return true;
   }
 
   async #call(
     request: ICallerRequest,
     target: IChosenTarget,
+    signal: AbortSignal,
   ): Promise<Result<unknown, ICallFailure>> {
     const { clock, groups, targets } = this.#parts;
     const end = groups.beginRequest(target);
@@ -92,11 +109,11 @@
       requestId,
       operation: operation.name,
       body,
-      timeout: Math.min(remaining, RESPONSE_TIMEOUT),
+      timeout: remaining,
+      suspectAfter: RESPONSE_TIMEOUT,
       needsNewConnection: false,
     };
     try {
-      const { signal } = request;
       const answer = await targets.call(target.address, call, signal);
       groups.recordTokens(target, answer.isOk() ? 1 : 0);
       return answer;
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -204,6 +204,11 @@
   readonly body: unknown;
   /** Milliseconds without a response after which the call fails. */
   readonly timeout: number;
+  /**
+   * Milliseconds without a response after which no further call uses its
+   * connection; by default its timeout.
+   */
+  readonly suspectAfter?: number;
   /**
    * Whether to open a new connection: an existing one may be dead, and a
    * request that must not be sent twice must not be lost on it.
