Let a started stream of a daemon wait for a group until its deadline

Callers of a daemon saw a started stream reset 10 s after all groups of its service had fallen silent, although they went on later and the deadline was far away. The stream has no attempt that runs then, so only the caller, the deadline or a group that serves again should end it; the bound of 10 s was a belief about how long groups stay down. A stream that another zone can serve is handed over as before.

Test: 'are answered whole by engines that stand still and go on' (real processes, all engines stopped for 20 s, deadline 60 s) failed before: the text ended with the silence.

--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -23,13 +23,6 @@
 /** Retry delay given to a caller while no group can serve, milliseconds. */
 const NO_REPLICA_RETRY_AFTER = 2_000;
 
-/**
- * How long an interrupted stream waits for a group to resume on, milliseconds.
- * A group that lost a member serves again within seconds if there is a spare,
- * and the caller keeps the tokens it has received.
- */
-const GROUP_WAIT_TIMEOUT = 10_000;
-
 /** How often an interrupted stream looks for a group, milliseconds. */
 const GROUP_WAIT_INTERVAL = 100;
 
@@ -147,7 +140,10 @@
     );
   }
 
-  /** Chooses a group; a stream that has started waits for one if necessary. */
+  /**
+   * Chooses a group. A stream that has started waits for one until its deadline:
+   * groups that stood still serve again, and its caller keeps its tokens.
+   */
   async #chooseGroup(
     request: ICallerRequest,
     progress: StreamProgress,
@@ -163,9 +159,7 @@
         groups.chooseGroup(request, progress.suspects) ??
         groups.chooseGroup(request, progress.excluded);
       const hasStarted = progress.position > 0;
-      const isTimeLeft = waited < GROUP_WAIT_TIMEOUT;
-      const mayWait =
-        hasStarted && isTimeLeft && !this.#isServedOnlyElsewhere(request);
+      const mayWait = hasStarted && !this.#isServedOnlyElsewhere(request);
       if (target !== null || !mayWait || progress.signal.aborted) {
         return target;
       }
--- a/test/silent_targets_daemon_test.ts
+++ b/test/silent_targets_daemon_test.ts
@@ -1,16 +1,20 @@
 /** Calls at a daemon whose targets are silent for a while, and then go on. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
+import { wholeText } from "../src/stand_ins/engine_member/text.ts";
 import { CallFault } from "../src/stand_ins/plain_service/call_fault_injector.ts";
-import { sendCall } from "./support/caller.ts";
+import { longBrief, sendCall, sendStreamCall } from "./support/caller.ts";
 import { Deployment } from "./support/deployment.ts";
+import { waitFor } from "./support/process_handle.ts";
 
 const ZONE = "vn-north-a";
 const DAEMON = `daemon-${ZONE}-0`;
 const SERVICE = `service-${ZONE}`;
+const TOKENS = 100;
 
 /** Milliseconds, well before the callers' deadlines. */
 const PLAIN_SILENCE = 3_500;
+const ENGINE_SILENCE = 20_000;
 
 describe("calls at a daemon whose targets are silent for a while", () => {
   let deployment: Deployment;
@@ -47,4 +51,25 @@
     await deployment.setFault(SERVICE, CallFault.None);
     expect((await answer).status).to.equal(200);
   });
+
+  // Guards against a started stream that ends after some silent attempts,
+  // although its engines go on before its deadline.
+  it("are answered whole by engines that stand still and go on", async () => {
+    const id = "silent";
+    let hasText = false;
+    const reply = sendStreamCall({
+      ...longBrief(callersAddress(), { id, tokens: TOKENS }),
+      onFirstText: () => (hasText = true),
+    });
+    await waitFor("it has text", () => hasText);
+    const engines = deployment.processNames("engine-");
+    engines.forEach((name) => deployment.process(name).signal("SIGSTOP"));
+    await sleep(ENGINE_SILENCE);
+    engines.forEach((name) => deployment.process(name).signal("SIGCONT"));
+    const { text, isWhole } = await reply;
+    expect({ text, isWhole }).to.deep.equal({
+      text: wholeText(`story ${id}`, TOKENS),
+      isWhole: true,
+    });
+  });
 });
