--- a/src/common/quarantine/crash_witness.ts
+++ b/src/common/quarantine/crash_witness.ts
@@ -69,6 +69,8 @@
   readonly requests: Set<string>;
   readonly suspects: Map<string, { calls: number; newCalls: number }>;
   waiting: (() => void)[];
+  /** What the reports that were asked for showed, for the log. */
+  readonly reports: string[];
 }
 
 interface IBegunAnswer {
@@ -268,6 +270,7 @@
       requests: new Set(),
       suspects: new Map(),
       waiting: [],
+      reports: [],
     };
     this.#breaks.set(target, one);
     if (isSameCrash) {
@@ -282,10 +285,17 @@
   async #judge(one: IBreak, address: string): Promise<void> {
     const engine = { id: one.target, address };
     const hasCrashed =
-      !(await this.#isRunning(engine, one.startedAt)) &&
+      !(await this.#isRunning(engine, one)) &&
       // Asked again through another process, in case only this path is lost.
-      !(await this.#isRunning(engine, one.startedAt));
+      !(await this.#isRunning(engine, one));
     one.verdict = hasCrashed ? Verdict.Crashed : Verdict.Running;
+    this.#parts.log.info("engine_judged", {
+      target: one.target,
+      verdict: one.verdict,
+      reports: one.reports.join(","),
+      requests: one.requests.size,
+      after_ms: Math.round(this.#now - one.at),
+    });
     if (hasCrashed) {
       const told = this.#shareRequests(one, [...one.requests]);
       this.#scheduleReport(one);
@@ -304,12 +314,13 @@
 
   async #isRunning(
     engine: { readonly id: InstanceId; readonly address: string },
-    startedAt: number,
+    { startedAt, reports }: Pick<IBreak, "startedAt" | "reports">,
   ): Promise<boolean> {
     const report = await this.#parts.engines.fetchReport(
       engine,
       REPORT_TIMEOUT,
     );
+    reports.push(report.isErr() ? report.error.kind : "answered");
     if (report.isErr()) {
       return report.error.kind === CallFailureKind.NoPath;
     }
