--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -238,6 +238,9 @@
     while (this.#pauseLeft > 0) {
       await sleep(this.#pauseLeft);
     }
+    if (response.destroyed) {
+      return;
+    }
     let text = "";
     for await (const chunk of request as AsyncIterable<Buffer>) {
       text += chunk.toString();
