Show streams that are given up while all engines reject others

The fix that keeps a silent send until another has answered had no row of its own in the rolling stops: with all engines paused, calls sent again are read and answered later, so that nothing is lost without it. Here all engines make no progress for 3 s from 1 s after the signal and reject new calls meanwhile.

--- a/test/rolling_stops_test.ts
+++ b/test/rolling_stops_test.ts
@@ -24,6 +24,9 @@
 const ALL_SILENT_FROM = 1_000;
 const ALL_SILENT_UNTIL = 6_000;
 
+/** Milliseconds for which all engines make no progress and reject calls. */
+const STALL_TIME = 3_000;
+
 async function signalTwice({ handle }: IStop): Promise<void> {
   await sleep(SECOND_SIGNAL);
   handle.signal("SIGTERM");
@@ -56,6 +59,13 @@
   }
 }
 
+async function stallAllHeads({ fleet }: IStop): Promise<void> {
+  await sleep(ALL_SILENT_FROM);
+  for (const engine of fleet.engines) {
+    engine.stall(STALL_TIME);
+  }
+}
+
 async function expectNoneLost(trouble: StopTrouble): Promise<void> {
   const { calls, whole, lost, stopTimes } = await rollStops(SEED, trouble);
   const times = stopTimes.map((time) => Math.round(time)).join(", ");
@@ -88,9 +98,14 @@
     await expectNoneLost(pauseHeads);
   });
 
-  // Guards against streams that are given up for another engine while there is
-  // none that takes them.
+  // Guards against streams that are given up while their engines stand still.
   it("lose no call if all engines are silent for a while", async () => {
     await expectNoneLost(pauseAllHeads);
   });
+
+  // Guards against streams that are given up for another engine while there is
+  // none that takes them.
+  it("lose no call if all engines are silent and reject others", async () => {
+    await expectNoneLost(stallAllHeads);
+  });
 });
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -86,6 +86,8 @@
   readonly runEnds = new Map<string, number>();
   /** Until when it writes nothing and reads no requests, milliseconds. */
   #pausedUntil = 0;
+  /** Until when its streams write nothing and it rejects calls, milliseconds. */
+  #stalledUntil = 0;
   /** Number of streams that it writes now. */
   openStreams = 0;
   /** Own parts of requests that crash it when it begins an answer on them. */
@@ -150,6 +152,15 @@
     this.#pausedUntil = performance.now() + milliseconds;
   }
 
+  /** Makes no progress for some milliseconds, and takes no calls meanwhile. */
+  stall(milliseconds: number): void {
+    this.#stalledUntil = performance.now() + milliseconds;
+  }
+
+  get #isStalling(): boolean {
+    return performance.now() < this.#stalledUntil;
+  }
+
   get #pauseLeft(): number {
     return Math.max(0, this.#pausedUntil - performance.now());
   }
@@ -310,6 +321,10 @@
     this.arrivals.push(id);
     this.timedArrivals.push({ id, at: performance.now() });
     this.rejectionRule.recordArrival("entry", this.id);
+    if (this.#isStalling) {
+      response.writeHead(503, { "x-not-executed": "1" }).end();
+      return;
+    }
     if (this.retryAfter === null) {
       this.#stream(request, response);
       return;
@@ -394,7 +409,7 @@
     let id = Number(request.headers["last-event-id"] ?? 0);
     this.openStreams += 1;
     const timer = setInterval(() => {
-      if (this.isStalled || this.#pauseLeft > 0) {
+      if (this.isStalled || this.#isStalling || this.#pauseLeft > 0) {
         return;
       }
       id += 1;
