Look through open calls only when a send is silent or a group is lost

The redesign of silent sends made every check, 50 a second, look through all calls in progress, as well as every refresh of the groups. It did so before only when there was something to do; so it does again. Found by reading the change; its cost was not measured. 156 tests of src/common/calls pass.

--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -187,7 +187,9 @@
    */
   handleGroupsChanged(lost: readonly string[]): void {
     this.#rememberLost(lost);
-    this.#doubt(({ group }) => lost.includes(group.group));
+    if (lost.length > 0) {
+      this.#doubt(({ group }) => lost.includes(group.group));
+    }
     for (const state of this.#models.all) {
       this.#placeWaiting(state);
     }
@@ -234,7 +236,9 @@
     const now = this.#now;
     const stalls = this.#stallDetector.check(now);
     const stalled = new Set(stalls.stalledStreams);
-    this.#doubt(({ stream }) => stalled.has(stream));
+    if (stalled.size > 0) {
+      this.#doubt(({ stream }) => stalled.has(stream));
+    }
     const all = this.#parts.groups.all;
     for (const group of stalls.suspectedGroups) {
       const known = all.find((one) => one.group === group);
