--- a/src/common/calls/model_call_recorder.ts
+++ b/src/common/calls/model_call_recorder.ts
@@ -15,7 +15,7 @@
   /** Further fields of the line, such as the reason. */
   readonly fields: Readonly<Record<string, string | number>>;
   readonly now: MonotonicTime;
-  /** Milliseconds since the process was told to stop; null before. */
+  /** Milliseconds since the process received the signal; null before. */
   readonly stoppingFor: number | null;
 }
 
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -166,8 +166,8 @@
   }
 
   /**
-   * Ends the calls that outlast the process: those without an answer are told
-   * so, since a closed connection would not say whether to try elsewhere.
+   * Ends the calls that outlast the process. Those without an answer get one,
+   * since a closed connection does not show whether to try elsewhere.
    */
   endUnfinished(): void {
     const now = this.#now;
--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -47,7 +47,7 @@
     this.#servingPeriod.stopAt(times);
   }
 
-  /** Ends the calls that outlast the process; their callers are told so. */
+  /** Ends the calls that outlast the process with an answer. */
   endUnfinished(): void {
     this.#unfinished.forEach((run) => run.endWithProcess());
   }
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -121,7 +121,7 @@
       readonly soundRequests: SoundRequests;
       /** Receives the milliseconds that a complete response took. */
       readonly onResponse: (time: number) => void;
-      /** Milliseconds since the process was told to stop; null before. */
+      /** Milliseconds since the process received the signal; null before. */
       readonly stoppingFor: () => number | null;
       readonly onFinished: () => void;
     },
--- a/src/common/calls/stopping.ts
+++ b/src/common/calls/stopping.ts
@@ -9,7 +9,7 @@
 
 /** The times of a stop. */
 export interface IStopTimes {
-  /** When the process was told to stop. */
+  /** When the process received the signal. */
   readonly startedAt: MonotonicTime;
   /** From when on callers are expected to reach other processes only. */
   readonly removedAt: MonotonicTime;
@@ -29,7 +29,7 @@
     return this.#times.end !== NEVER;
   }
 
-  /** Milliseconds since the process was told to stop; null before. */
+  /** Milliseconds since the process received the signal; null before. */
   timeSinceStop(now: MonotonicTime): number | null {
     const { startedAt } = this.#times;
     return now < startedAt ? null : Math.round(now - startedAt);
--- a/src/common/forwarding/forwarding_sender.ts
+++ b/src/common/forwarding/forwarding_sender.ts
@@ -234,7 +234,7 @@
     );
   }
 
-  /** A peer that only stands still may go on with the call. */
+  /** A peer that is only paused may go on with the call. */
   #handlePeerLost(): void {
     const { receiver } = this.#sent.options;
     receiver.onSilence?.(`peer ${this.#peer} does not answer`);
--- a/src/common/services/engine_runner.ts
+++ b/src/common/services/engine_runner.ts
@@ -142,7 +142,7 @@
 
   /**
    * Chooses a group. A stream that has started waits for one until its deadline:
-   * groups that stood still serve again, and its caller keeps its tokens.
+   * groups that stalled may serve again, and its caller keeps its tokens.
    */
   async #chooseGroup(
     request: ICallerRequest,
--- a/test/rolling_stops_test.ts
+++ b/test/rolling_stops_test.ts
@@ -98,7 +98,7 @@
     await expectNoneLost(pauseHeads);
   });
 
-  // Guards against streams that are given up while their engines stand still.
+  // Guards against streams that are given up while their engines are paused.
   it("lose no call if all engines are silent for a while", async () => {
     await expectNoneLost(pauseAllHeads);
   });
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -147,7 +147,7 @@
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
 
-  /** Stands still for some milliseconds, like a process that is stopped. */
+  /** Pauses for some milliseconds, like a process that gets SIGSTOP. */
   pause(milliseconds: number): void {
     this.#pausedUntil = performance.now() + milliseconds;
   }
