--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -70,7 +70,11 @@
 class PlainCallsHarness {
   readonly clock = new ManualClock();
   readonly sends: ISend[] = [];
-  readonly targets = new TargetRegistry(() => null, 0);
+  readonly targets = new TargetRegistry({
+    decode: () => null,
+    reappearTime: 0,
+    log: new RecordingLog(),
+  });
   /** Whether any path to the targets is known. */
   hasPath = true;
   /** Targets that were reported as silent. */
--- a/src/common/calls/silent_targets_test.ts
+++ b/src/common/calls/silent_targets_test.ts
@@ -74,7 +74,7 @@
     });
   }
 
-  // Guards against a forwarded stream that stands still, or is cut, because the
+  // Guards against a forwarded stream that stalls, or is cut, because the
   // process between does not answer.
   it("go on elsewhere if the path of their send is silent", () => {
     const harness = new Harness(["a", "b"]);
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -10,6 +10,7 @@
  * the list lags.
  */
 import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
+import type { ILog } from "../services/services.ts";
 import type { ITargetChanges } from "../relay/types.ts";
 import type { IObjectChanges } from "./object_follower.ts";
 import { ListedState } from "./types.ts";
@@ -24,21 +25,44 @@
 /** Leaving targets remembered; beyond it the oldest is forgotten. */
 const MAXIMUM_LEAVING = 10_000;
 
+/** Targets that one log line names. */
+const MAXIMUM_LOGGED = 5;
+
+/** Dependencies of {@link TargetRegistry}. */
+export interface ITargetRegistryParts {
+  readonly decode: DecodeTarget;
+  /** Milliseconds that a missing entry is kept after an outage. */
+  readonly reappearTime: number;
+  readonly log: ILog;
+}
+
+/** Where a removal was learned. */
+enum RemovalSource {
+  Store = "store",
+  Relay = "relay",
+  /** The entry was kept, and has not returned. */
+  Expiry = "expiry",
+}
+
+interface IMissingEntry {
+  /** When the removal was learned first. */
+  readonly since: MonotonicTime;
+  /** Until when the target is kept. */
+  readonly until: MonotonicTime;
+}
+
 /** Targets by id. */
 export class TargetRegistry {
-  readonly #decode: DecodeTarget;
-  /** Milliseconds that a missing entry is kept after an outage. */
-  readonly #reappearTime: number;
+  readonly #parts: ITargetRegistryParts;
   readonly #targets = new Map<InstanceId, IListedTarget>();
-  /** Entries missing after an outage, and until when they are kept. */
-  readonly #missing = new Map<InstanceId, MonotonicTime>();
+  /** Entries missing after an outage. */
+  readonly #missing = new Map<InstanceId, IMissingEntry>();
   /** Targets that are about to leave, with the start of that run. */
   readonly #leaving = new Map<InstanceId, number>();
   #storeReturnedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
 
-  constructor(decode: DecodeTarget, reappearTime: number) {
-    this.#decode = decode;
-    this.#reappearTime = reappearTime;
+  constructor(parts: ITargetRegistryParts) {
+    this.#parts = parts;
   }
 
   get all(): ReadonlyMap<InstanceId, IListedTarget> {
@@ -92,7 +116,7 @@
     }
     const listed = new Set<InstanceId>();
     for (const { name, value } of change.objects) {
-      const target = this.#decode(name, value);
+      const target = this.#parts.decode(name, value);
       if (target !== null) {
         listed.add(name);
         this.#missing.delete(name);
@@ -104,9 +128,7 @@
     const removedIds = change.isFullList
       ? [...this.#targets.keys()].filter((id) => !listed.has(id))
       : change.removed;
-    for (const id of removedIds) {
-      this.#remove(id, now);
-    }
+    this.#removeAll(removedIds, RemovalSource.Store, now);
   }
 
   /** Applies changes that another process has read from the store. */
@@ -118,32 +140,33 @@
       this.#missing.delete(target.id);
       this.#set(target);
     }
-    for (const id of removed) {
-      this.#remove(id, now);
-    }
+    this.#removeAll(removed, RemovalSource.Relay, now);
     for (const [id, timeLeft] of Object.entries(expiring)) {
       if (this.#targets.has(id)) {
-        this.#missing.set(id, now + timeLeft);
+        this.#keep(id, now, now + timeLeft);
       }
     }
+    this.#logKept(Object.keys(expiring), RemovalSource.Relay, now);
   }
 
   /** Milliseconds for which a removed target is kept; null if it is not. */
   timeLeft(id: InstanceId, now: MonotonicTime): number | null {
-    const until = this.#missing.get(id);
-    return until === undefined ? null : Math.max(0, until - now);
+    const missing = this.#missing.get(id);
+    return missing === undefined ? null : Math.max(0, missing.until - now);
   }
 
   /** Drops entries that have not returned; returns whether any was dropped. */
   removeExpired(now: MonotonicTime): boolean {
-    let isChanged = false;
-    for (const [id, until] of this.#missing) {
-      if (now >= until) {
-        this.#missing.delete(id);
-        isChanged = this.#delete(id) || isChanged;
-      }
+    const expired = [...this.#missing].filter(([, { until }]) => now >= until);
+    const dropped = expired.filter(([id]) => this.#targets.has(id));
+    for (const [id] of expired) {
+      this.#missing.delete(id);
+      this.#delete(id);
     }
-    return isChanged;
+    const firstSince = Math.min(...dropped.map(([, { since }]) => since));
+    const ids = dropped.map(([id]) => id);
+    this.#logDropped(ids, RemovalSource.Expiry, now - firstSince);
+    return dropped.length > 0;
   }
 
   #set(target: IListedTarget): void {
@@ -153,20 +176,74 @@
     this.#targets.set(target.id, { ...target, state });
   }
 
-  #remove(id: InstanceId, now: MonotonicTime): void {
-    const until = this.#storeReturnedAt + this.#reappearTime;
+  #removeAll(
+    ids: readonly InstanceId[],
+    source: RemovalSource,
+    now: MonotonicTime,
+  ): void {
+    const known = ids.filter((id) => this.#targets.has(id));
+    const until = this.#storeReturnedAt + this.#parts.reappearTime;
+    for (const id of known) {
+      if (now < until) {
+        this.#keep(id, now, until);
+      } else {
+        this.#delete(id);
+      }
+    }
     if (now < until) {
-      this.#missing.set(id, until);
+      this.#logKept(known, source, now);
     } else {
-      this.#delete(id);
+      this.#logDropped(known, source, 0);
     }
   }
 
-  #delete(id: InstanceId): boolean {
+  #keep(id: InstanceId, now: MonotonicTime, until: MonotonicTime): void {
+    const since = this.#missing.get(id)?.since ?? now;
+    this.#missing.set(id, { since, until });
+  }
+
+  #delete(id: InstanceId): void {
     // Without a start time, only its removal tells that it may start again.
     if (this.startOf(id) === NO_START_TIME) {
       this.#leaving.delete(id);
     }
-    return this.#targets.delete(id);
+    this.#targets.delete(id);
+  }
+
+  #logKept(
+    ids: readonly InstanceId[],
+    source: RemovalSource,
+    now: MonotonicTime,
+  ): void {
+    const times = ids.map((id) => this.timeLeft(id, now) ?? 0);
+    if (ids.length > 0) {
+      this.#parts.log.info("targets_kept", {
+        source,
+        ...namesOf(ids),
+        for_ms: Math.round(Math.max(...times)),
+      });
+    }
+  }
+
+  /** @param age - milliseconds since the first of the removals was learned */
+  #logDropped(
+    ids: readonly InstanceId[],
+    source: RemovalSource,
+    age: number,
+  ): void {
+    if (ids.length > 0) {
+      this.#parts.log.info("targets_dropped", {
+        source,
+        ...namesOf(ids),
+        after_ms: Math.round(age),
+      });
+    }
   }
 }
+
+function namesOf(ids: readonly InstanceId[]) {
+  return {
+    count: ids.length,
+    targets: ids.slice(0, MAXIMUM_LOGGED).join(","),
+  };
+}
--- a/src/common/calls/target_registry_test.ts
+++ b/src/common/calls/target_registry_test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { RecordingLog } from "../../../test/support/recording_services.ts";
 import { TargetRegistry } from "./target_registry.ts";
 import type { IObjectChanges } from "./object_follower.ts";
 import { ListedState } from "./types.ts";
@@ -38,8 +39,13 @@
   return { kind: "targets", name, version: 1, value };
 }
 
+function newRegistry(): TargetRegistry {
+  const log = new RecordingLog();
+  return new TargetRegistry({ decode, reappearTime: REAPPEAR_TIME, log });
+}
+
 function registryOf(...names: readonly string[]): TargetRegistry {
-  const registry = new TargetRegistry(decode, REAPPEAR_TIME);
+  const registry = newRegistry();
   const objects = names.map((name) => entry(name, "10.0.0.1:80"));
   registry.applyStoreChanges(change({ objects, isFullList: true }), 0);
   return registry;
@@ -109,7 +115,7 @@
   // Guards against a target that is never used again because a former run of
   // the same id has left.
   it("uses a target that has started again under the same id", () => {
-    const registry = new TargetRegistry(decode, REAPPEAR_TIME);
+    const registry = newRegistry();
     const listAs = (startedAt: number) => {
       const target = decode("a", "10.0.0.1:80");
       const targets = target === null ? [] : [{ ...target, startedAt }];
--- a/src/common/relay/store_relay_test.ts
+++ b/src/common/relay/store_relay_test.ts
@@ -157,10 +157,11 @@
     },
   ) {
     const { clock, isHolder, reappearTime } = parts;
-    this.registry = new TargetRegistry((id) => listedEngine(id), reappearTime);
+    const log = new RecordingLog();
+    const decode = (id: string) => listedEngine(id);
+    this.registry = new TargetRegistry({ decode, reappearTime, log });
     clock.every(STEP, () => this.registry.removeExpired(clock.now()));
     this.link = new Link(store, clock);
-    const log = new RecordingLog();
     const shared = { store: this.link, clock, log };
     const watchTime = () => (isHolder() ? 400 : 2_500);
     const configuration = new ObjectFollower(
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -116,7 +116,7 @@
   readonly #memory = new AnswerMemory();
   readonly #client = new TargetClient(this.#barrier, this.#memory);
   readonly #configuration: ActiveConfiguration;
-  readonly #targets = new TargetRegistry(decodeTarget, REAPPEARANCE_TIME);
+  readonly #targets: TargetRegistry;
   readonly #groups = new ServingGroups();
   readonly #plainTargets = new PlainTargetSelector();
   readonly #rateLimits: TargetRateLimits;
@@ -150,6 +150,11 @@
     this.#log = new BoundedLog(this.#clock, { process: name });
     const log = this.#log;
     this.#store = new ObjectStoreClient(settings.store.address);
+    this.#targets = new TargetRegistry({
+      decode: decodeTarget,
+      reappearTime: REAPPEARANCE_TIME,
+      log,
+    });
     this.#configuration = new ActiveConfiguration(decodeConfiguration, log);
     this.#rateLimits = new TargetRateLimits({
       clock: this.#clock,
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -363,7 +363,11 @@
   fewestGroups = Number.POSITIVE_INFINITY;
   hasCalls = false;
   demand: readonly IModelDemand[] = [];
-  readonly targets = new TargetRegistry(decode, 2_000);
+  readonly targets = new TargetRegistry({
+    decode,
+    reappearTime: 2_000,
+    log: this.log,
+  });
 
   /**
    * @param unlisted - an engine that the platform has dropped
