Drop a target at once that another process has dropped

A process whose own watch had failed shortly before kept a target for up to 2.3 s more although the lease holder had dropped it: callers' requests reached targets over 2 s after they had left.

Cause: a removal that the holder relays was judged again by the receiver's own last failure. The holder has decided already, with what it has read; where it keeps an entry, its update says so with the time left.

Evidence: the new test of the registry, which failed before: the target was still listed 0.1 s after the relayed removal.

--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -128,7 +128,7 @@
     const removedIds = change.isFullList
       ? [...this.#targets.keys()].filter((id) => !listed.has(id))
       : change.removed;
-    this.#removeAll(removedIds, RemovalSource.Store, now);
+    this.#removeAll(removedIds, now);
   }
 
   /** Applies changes that another process has read from the store. */
@@ -140,7 +140,9 @@
       this.#missing.delete(target.id);
       this.#set(target);
     }
-    this.#removeAll(removed, RemovalSource.Relay, now);
+    const dropped = removed.filter((id) => this.#targets.has(id));
+    dropped.forEach((id) => this.#delete(id));
+    this.#logDropped(dropped, RemovalSource.Relay, 0);
     for (const [id, timeLeft] of Object.entries(expiring)) {
       if (this.#targets.has(id)) {
         this.#keep(id, now, now + timeLeft);
@@ -159,10 +161,7 @@
   removeExpired(now: MonotonicTime): boolean {
     const expired = [...this.#missing].filter(([, { until }]) => now >= until);
     const dropped = expired.filter(([id]) => this.#targets.has(id));
-    for (const [id] of expired) {
-      this.#missing.delete(id);
-      this.#delete(id);
-    }
+    expired.forEach(([id]) => this.#delete(id));
     const firstSince = Math.min(...dropped.map(([, { since }]) => since));
     const ids = dropped.map(([id]) => id);
     this.#logDropped(ids, RemovalSource.Expiry, now - firstSince);
@@ -176,11 +175,7 @@
     this.#targets.set(target.id, { ...target, state });
   }
 
-  #removeAll(
-    ids: readonly InstanceId[],
-    source: RemovalSource,
-    now: MonotonicTime,
-  ): void {
+  #removeAll(ids: readonly InstanceId[], now: MonotonicTime): void {
     const known = ids.filter((id) => this.#targets.has(id));
     const until = this.#storeReturnedAt + this.#parts.reappearTime;
     for (const id of known) {
@@ -191,9 +186,9 @@
       }
     }
     if (now < until) {
-      this.#logKept(known, source, now);
+      this.#logKept(known, RemovalSource.Store, now);
     } else {
-      this.#logDropped(known, source, 0);
+      this.#logDropped(known, RemovalSource.Store, 0);
     }
   }
 
@@ -208,6 +203,7 @@
       this.#leaving.delete(id);
     }
     this.#targets.delete(id);
+    this.#missing.delete(id);
   }
 
   #logKept(
--- a/src/common/calls/target_registry_test.ts
+++ b/src/common/calls/target_registry_test.ts
@@ -73,6 +73,17 @@
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
 
+  // Guards against calls to a target that has left: the process that relays the
+  // store drops it, and this one puts that off for an outage of its own.
+  it("drops a target at once that another process has dropped", () => {
+    const registry = registryOf("a", "b");
+    const objects = [entry("a", "10.0.0.1:80"), entry("b", "10.0.0.1:80")];
+    const whole = { objects, isFullList: true, isAfterOutage: true };
+    registry.applyStoreChanges(change(whole), 10_000);
+    registry.applyRelayedChanges({ targets: [], removed: ["a"] }, 10_100);
+    expect([...registry.all.keys()]).to.deep.equal(["b"]);
+  });
+
   it("keeps an entry that returns soon after an outage", () => {
     const registry = registryOf("a");
     registry.applyStoreChanges(
