Keep missing entries while the store is not read

After an outage of the store that was followed by another one within 2.3 s, all targets whose entries had expired were dropped in the middle of the second outage: callers were refused until the targets had written again.

Cause: the time for which a missing entry is kept ran out by the clock, also while the store could not tell that the entry had returned.

Change: it ends only once the store has been read, by this process or by the one that relays it, after that time.

Evidence: the new test of the registry, which failed before: the entry was dropped 4 s after the last read.

--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -93,6 +93,7 @@
   #isLoaded = false;
   #failedSince: MonotonicTime | null = null;
   #answeredAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  #relayReadAt: MonotonicTime = Number.NEGATIVE_INFINITY;
 
   constructor(parts: IFollowerParts, options: IFollowerOptions) {
     this.#parts = parts;
@@ -109,9 +110,9 @@
     return this.#isLoaded;
   }
 
-  /** When the store last answered. */
-  get answeredAt(): MonotonicTime {
-    return this.#answeredAt;
+  /** When the store was last read, by this process or by another one. */
+  get readAt(): MonotonicTime {
+    return Math.max(this.#answeredAt, this.#relayReadAt);
   }
 
   /** The status to relay to others; null before the first list. */
@@ -132,7 +133,9 @@
 
   /** Receives the store's status as another process last read it. */
   receiveRelayedStatus({ version, changedVersion, age }: IKindStatus): void {
-    const until = this.#parts.clock.now() + LONGEST_RELAY_AGE - age;
+    const readAt = this.#parts.clock.now() - age;
+    const until = readAt + LONGEST_RELAY_AGE;
+    this.#relayReadAt = Math.max(this.#relayReadAt, readAt);
     this.#relayedStatus = { version, changedVersion, until };
   }
 
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -157,9 +157,15 @@
     return missing === undefined ? null : Math.max(0, missing.until - now);
   }
 
-  /** Drops entries that have not returned; returns whether any was dropped. */
-  removeExpired(now: MonotonicTime): boolean {
-    const expired = [...this.#missing].filter(([, { until }]) => now >= until);
+  /**
+   * Drops entries that have not returned; returns whether any was dropped.
+   *
+   * @param readAt - when the store was last read: an outage may have begun since
+   */
+  removeExpired(now: MonotonicTime, readAt: MonotonicTime): boolean {
+    const expired = [...this.#missing].filter(
+      ([, { until }]) => readAt >= until,
+    );
     const dropped = expired.filter(([id]) => this.#targets.has(id));
     expired.forEach(([id]) => this.#delete(id));
     const firstSince = Math.min(...dropped.map(([, { since }]) => since));
--- a/src/common/calls/target_registry_test.ts
+++ b/src/common/calls/target_registry_test.ts
@@ -67,9 +67,9 @@
     const whole = { objects, isFullList: true, isAfterOutage: true };
     registry.applyStoreChanges(change(whole), 10_000);
     expect([...registry.all.keys()]).to.deep.equal(["a", "b"]);
-    registry.removeExpired(10_000 + REAPPEAR_TIME - 1);
+    registry.removeExpired(20_000, 10_000 + REAPPEAR_TIME - 1);
     expect([...registry.all.keys()]).to.deep.equal(["a", "b"]);
-    expect(registry.removeExpired(10_000 + REAPPEAR_TIME)).to.equal(true);
+    expect(registry.removeExpired(20_000, 10_000 + REAPPEAR_TIME)).to.equal(true);
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
 
@@ -84,6 +84,18 @@
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
 
+  // Guards against refusing every call after a series of outages: the second one
+  // begins before the entries that expired in the first have returned.
+  it("keeps missing entries while the store is not read", () => {
+    const registry = registryOf("a");
+    const whole = { isFullList: true, isAfterOutage: true };
+    registry.applyStoreChanges(change(whole), 10_000);
+    expect(registry.removeExpired(15_000, 11_000)).to.equal(false);
+    registry.applyStoreChanges(change(whole), 16_000);
+    expect(registry.removeExpired(17_000, 17_000)).to.equal(false);
+    expect([...registry.all.keys()]).to.deep.equal(["a"]);
+  });
+
   it("keeps an entry that returns soon after an outage", () => {
     const registry = registryOf("a");
     registry.applyStoreChanges(
@@ -94,7 +106,7 @@
       change({ objects: [entry("a", "10.0.0.2:80")] }),
       11_000,
     );
-    expect(registry.removeExpired(20_000)).to.equal(false);
+    expect(registry.removeExpired(20_000, 20_000)).to.equal(false);
     expect(registry.all.get("a")?.address).to.equal("10.0.0.2:80");
   });
 
--- a/src/common/relay/store_relay_test.ts
+++ b/src/common/relay/store_relay_test.ts
@@ -160,7 +160,9 @@
     const log = new RecordingLog();
     const decode = (id: string) => listedEngine(id);
     this.registry = new TargetRegistry({ decode, reappearTime, log });
-    clock.every(STEP, () => this.registry.removeExpired(clock.now()));
+    clock.every(STEP, () =>
+      this.registry.removeExpired(clock.now(), targetList.readAt),
+    );
     this.link = new Link(store, clock);
     const shared = { store: this.link, clock, log };
     const watchTime = () => (isHolder() ? 400 : 2_500);
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -124,6 +124,7 @@
   readonly #reach: TargetReach;
   readonly #engines: DirectEngineClient;
   readonly #followers: readonly ObjectFollower[];
+  readonly #targetList: ObjectFollower;
   readonly #relay: StoreRelay;
   readonly #coordinator: FleetCoordinator;
   readonly #models: ModelCalls;
@@ -191,6 +192,7 @@
     });
     const configuration = this.#followConfiguration();
     const targetList = this.#followTargets();
+    this.#targetList = targetList;
     this.#followers = [configuration, targetList];
     this.#relay = new StoreRelay({
       configuration,
@@ -575,7 +577,8 @@
   }
 
   #cleanUp(): void {
-    if (this.#targets.removeExpired(this.#clock.now())) {
+    const { readAt } = this.#targetList;
+    if (this.#targets.removeExpired(this.#clock.now(), readAt)) {
       this.#coordinator.handleTargetsChanged();
     }
     this.#plainTargets.keepOnly(this.#targets.all);
