--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -9,6 +9,7 @@
  * than the bounds for changes allow, so a relay that freezes or is cut off
  * costs at most a second.
  */
+import type { Result } from "ts-results-es";
 import { Backoff } from "../backoff.ts";
 import type {
   IClock,
@@ -19,7 +20,12 @@
   IWatchResult,
 } from "../services/services.ts";
 import type { IKindStatus } from "../relay/types.ts";
-import type { MonotonicTime } from "../types.ts";
+import type { ICallFailure, MonotonicTime } from "../types.ts";
+import type {
+  IStoreCall,
+  IStoreTimes,
+  StoreAvailability,
+} from "./store_availability.ts";
 
 /**
  * Duration of one watch, milliseconds. A dead connection is noticed only at its
@@ -36,6 +42,12 @@
 /** Interval of checks whether the relayed status is recent, milliseconds. */
 const RELAY_CHECK_PERIOD = 50;
 
+/**
+ * Longest time from the store to this process that is allowed for, milliseconds:
+ * what an answer contains may be older by it.
+ */
+const LONGEST_TRANSFER = 600;
+
 /** Pauses after failures, milliseconds: within the bounds for changes. */
 const BACKOFF = { shortest: 50, longest: 400 };
 
@@ -54,6 +66,7 @@
   readonly pause: () => number;
   /** Duration of one watch, milliseconds; {@link WATCH_TIME} by default. */
   readonly watchTime?: () => number;
+  readonly availability: StoreAvailability;
   readonly onChanged: (changed: IObjectChanges) => void;
 }
 
@@ -72,8 +85,9 @@
   readonly version: number;
   /** All objects of the kind were listed: any not named are gone. */
   readonly isFullList: boolean;
-  /** The store was unreachable just before. */
-  readonly isAfterOutage: boolean;
+  /** All changes since the answer before are later than this time. */
+  readonly notBefore: MonotonicTime;
+  readonly availability: IStoreTimes;
 }
 
 /** Follows the objects of one kind. */
@@ -93,7 +107,8 @@
   #isLoaded = false;
   #failedSince: MonotonicTime | null = null;
   #answeredAt: MonotonicTime = Number.NEGATIVE_INFINITY;
-  #relayReadAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  /** No change of which the last answer does not tell is earlier than this. */
+  #knownAt: MonotonicTime = Number.NEGATIVE_INFINITY;
 
   constructor(parts: IFollowerParts, options: IFollowerOptions) {
     this.#parts = parts;
@@ -110,20 +125,24 @@
     return this.#isLoaded;
   }
 
-  /** When the store was last read, by this process or by another one. */
-  get readAt(): MonotonicTime {
-    return Math.max(this.#answeredAt, this.#relayReadAt);
+  /** Availability of the store, for the objects of this kind. */
+  get availability(): StoreAvailability {
+    return this.#options.availability;
   }
 
   /** The status to relay to others; null before the first list. */
   get status(): IKindStatus | null {
-    return this.#version === null
-      ? null
-      : {
-          version: this.#version,
-          changedVersion: this.#changedVersion,
-          age: this.#parts.clock.now() - this.#answeredAt,
-        };
+    if (this.#version === null) {
+      return null;
+    }
+    const now = this.#parts.clock.now();
+    const { returnedAt } = this.#options.availability;
+    return {
+      version: this.#version,
+      changedVersion: this.#changedVersion,
+      age: now - this.#answeredAt,
+      ...(Number.isFinite(returnedAt) ? { returnAge: now - returnedAt } : {}),
+    };
   }
 
   /** Store version up to which all changes are known; 0 before a list. */
@@ -132,11 +151,12 @@
   }
 
   /** Receives the store's status as another process last read it. */
-  receiveRelayedStatus({ version, changedVersion, age }: IKindStatus): void {
-    const readAt = this.#parts.clock.now() - age;
-    const until = readAt + LONGEST_RELAY_AGE;
-    this.#relayReadAt = Math.max(this.#relayReadAt, readAt);
+  receiveRelayedStatus(status: IKindStatus): void {
+    const { version, changedVersion, age, returnAge = Infinity } = status;
+    const now = this.#parts.clock.now();
+    const until = now + LONGEST_RELAY_AGE - age;
     this.#relayedStatus = { version, changedVersion, until };
+    this.#options.availability.recordRelayed(now - age, now - returnAge);
   }
 
   /** Records that another process relayed all changes up to a version. */
@@ -172,8 +192,9 @@
     if (isUpToDate) {
       this.advanceTo(status.version);
       this.#mustList = false;
-      // The relaying process keeps what expired in an outage. If an old outage
+      // The relaying process has seen the end of any outage. If an old one
       // counted as just ended here, removed entries would be kept.
+      this.#options.availability.clearFailures();
       this.#failedSince = null;
     }
     return isUpToDate;
@@ -188,90 +209,83 @@
   }
 
   async #query(): Promise<void> {
-    const isFullList = this.#mustList || this.#version === null;
-    const found = isFullList ? await this.#list() : await this.#watch();
+    const isList = this.#mustList || this.#version === null;
+    const watchTime = this.#options.watchTime?.() ?? WATCH_TIME;
+    const call = {
+      sentAt: this.#parts.clock.now(),
+      wait: isList ? 0 : watchTime,
+      isList,
+    };
+    const found = await (isList ? this.#list() : this.#watch(watchTime));
     if (this.#abort.signal.aborted) {
       return;
     }
-    if (found === null) {
+    if (found.isErr()) {
+      this.#recordFailure(call, found.error.detail);
+      // The history may have expired, or events were lost with the connection.
+      this.#mustList = true;
       await this.#wait(this.#backoff.nextDelay());
       return;
     }
-    this.#apply(found, isFullList);
-    const changes = found.objects.length + (found.removed ?? []).length;
-    if (!isFullList && changes > 0) {
+    const { objects, removed = [] } = found.value;
+    this.#apply(found.value, call);
+    if (!isList && objects.length + removed.length > 0) {
       await this.#wait(this.#options.pause());
     }
   }
 
-  #apply(found: IWatchResult, isFullList: boolean): void {
-    const { log, clock } = this.#parts;
-    const { kind, onChanged } = this.#options;
-    const isAfterOutage = this.#failedSince !== null;
-    if (this.#failedSince !== null) {
-      log.info("store_regained", {
-        kind,
-        away_ms: Math.round(clock.now() - this.#failedSince),
-      });
-    }
-    this.#failedSince = null;
-    this.#answeredAt = clock.now();
-    this.#backoff.reset();
+  #apply(found: IWatchResult, call: IStoreCall): void {
+    const { availability, onChanged } = this.#options;
+    const now = this.#parts.clock.now();
     const { objects, removed = [], version } = found;
+    const notBefore = this.#knownAt;
+    const isReturn = availability.recordAnswer(now);
+    this.#logReturn(isReturn, now);
+    this.#answeredAt = now;
+    this.#backoff.reset();
     // Another process relayed later versions while this response was awaited.
     if (version < this.version) {
       return;
     }
+    this.#knownAt = Math.max(call.sentAt, now - LONGEST_TRANSFER);
     this.#version = version;
     this.#mustList = false;
     this.#isLoaded = true;
-    const isChanged = isFullList || objects.length > 0 || removed.length > 0;
-    if (isChanged) {
+    const isFullList = call.isList;
+    if (isFullList || objects.length > 0 || removed.length > 0) {
       this.#changedVersion = version;
+      const time = { notBefore, availability };
+      onChanged({ objects, removed, version, isFullList, ...time });
     }
-    if (isChanged || isAfterOutage) {
-      onChanged({
-        objects,
-        removed,
-        version,
-        isFullList,
-        isAfterOutage,
+  }
+
+  #logReturn(isAfterOutage: boolean, now: MonotonicTime): void {
+    if (this.#failedSince !== null || isAfterOutage) {
+      this.#parts.log.info("store_regained", {
+        kind: this.#options.kind,
+        away_ms: Math.round(now - (this.#failedSince ?? now)),
+        unread_ms: Math.round(now - this.#answeredAt),
+        is_outage: isAfterOutage,
       });
     }
+    this.#failedSince = null;
   }
 
-  async #list(): Promise<IWatchResult | null> {
-    const found = await this.#parts.store.list(this.#options.kind);
-    if (found.isErr()) {
-      this.#recordFailure(found.error.detail);
-      return null;
-    }
-    return found.value;
+  #list(): Promise<Result<IWatchResult, ICallFailure>> {
+    return this.#parts.store.list(this.#options.kind);
   }
 
-  async #watch(): Promise<IWatchResult | null> {
-    const found = await this.#parts.store.watch(
-      this.#options.kind,
-      this.version,
-      {
-        timeout: this.#options.watchTime?.() ?? WATCH_TIME,
-        signal: this.#abort.signal,
-      },
-    );
-    if (found.isErr()) {
-      if (!this.#abort.signal.aborted) {
-        this.#recordFailure(found.error.detail);
-      }
-      // The history may have expired, or events were lost with the connection.
-      this.#mustList = true;
-      return null;
-    }
-    return found.value;
+  #watch(timeout: number): Promise<Result<IWatchResult, ICallFailure>> {
+    const { signal } = this.#abort;
+    const options = { timeout, signal };
+    return this.#parts.store.watch(this.#options.kind, this.version, options);
   }
 
-  #recordFailure(detail: string): void {
+  #recordFailure(call: IStoreCall, detail: string): void {
+    const now = this.#parts.clock.now();
+    this.#options.availability.recordFailure(call, now);
     if (this.#failedSince === null) {
-      this.#failedSince = this.#parts.clock.now();
+      this.#failedSince = now;
       this.#parts.log.warn("store_lost", { kind: this.#options.kind, detail });
     }
   }
--- a/src/common/calls/object_follower_test.ts
+++ b/src/common/calls/object_follower_test.ts
@@ -7,6 +7,10 @@
 import { CallFailureKind } from "../types.ts";
 import { ObjectFollower } from "./object_follower.ts";
 import type { IObjectChanges } from "./object_follower.ts";
+import { StoreAvailability } from "./store_availability.ts";
+
+/** Milliseconds between two heartbeats of a target. */
+const HEARTBEAT = 1_200;
 
 const UNAVAILABLE = { kind: CallFailureKind.Refused, detail: "unavailable" };
 
@@ -64,6 +68,7 @@
       {
         kind: "targets",
         pause: () => 0,
+        availability: new StoreAvailability(HEARTBEAT),
         onChanged: (change) => changes.push(change),
       },
     );
@@ -79,9 +84,7 @@
     await advance(clock, 1_000);
     follower.dispose();
     expect(log.fieldsOf("store_regained")).to.have.length(1);
-    expect(changes.at(-1)).to.include({
-      isFullList: true,
-      isAfterOutage: true,
-    });
+    expect(changes.at(-1)).to.include({ isFullList: true });
+    expect(changes.at(-1)?.availability.returnedAt).to.be.above(2_000);
   });
 });
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -72,6 +72,7 @@
   readonly sends: ISend[] = [];
   readonly targets = new TargetRegistry({
     decode: () => null,
+    expiryTime: 0,
     reappearTime: 0,
     log: new RecordingLog(),
   });
--- /dev/null
+++ b/src/common/calls/store_availability.ts
@@ -0,0 +1,121 @@
+/**
+ * Judges from the answers of the platform's store whether it has been away for
+ * so long that entries can have expired although their targets are alive.
+ *
+ * A watch that is cut off or rejected shows nothing of that while the store
+ * answers the list that follows. What counts is that a list fails, that a watch
+ * gets no answer, or that nothing was read for a while.
+ */
+import type { MonotonicTime } from "../types.ts";
+
+/**
+ * Heartbeats of a target that fit into an outage before its entry can expire:
+ * it expires after three without one, and the last may have just been written.
+ */
+const HEARTBEATS_IN_OUTAGE = 2;
+
+/** Heartbeat intervals by which a usual answer may be late. */
+const USUAL_DELAY = 0.5;
+
+/** A call to the store that has ended. */
+export interface IStoreCall {
+  readonly sentAt: MonotonicTime;
+  /** Milliseconds that the store was asked to wait; 0 for a list. */
+  readonly wait: number;
+  readonly isList: boolean;
+}
+
+/** What is known of the store's outages. */
+export interface IStoreTimes {
+  /** When the store was last read, by this process or by another one. */
+  readonly readAt: MonotonicTime;
+  /**
+   * End of the last outage in which targets missed their chance to write;
+   * negative infinity before the first.
+   */
+  readonly returnedAt: MonotonicTime;
+  /** End of the last interruption, be it as short as it may. */
+  readonly interruptedUntil: MonotonicTime;
+}
+
+/** Availability of the store, as one process has seen it. */
+export class StoreAvailability implements IStoreTimes {
+  /** Milliseconds between two heartbeats of a target. */
+  readonly #heartbeat: number;
+  #readAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  #returnedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  #interruptedUntil: MonotonicTime = Number.NEGATIVE_INFINITY;
+  /** First failure since the last answer; null for none. */
+  #failedSince: MonotonicTime | null = null;
+  /** Whether a call has failed that a store in service answers. */
+  #isInterrupted = false;
+
+  constructor(heartbeat: number) {
+    this.#heartbeat = heartbeat;
+  }
+
+  get readAt(): MonotonicTime {
+    return this.#readAt;
+  }
+
+  get returnedAt(): MonotonicTime {
+    return this.#returnedAt;
+  }
+
+  get interruptedUntil(): MonotonicTime {
+    return this.#interruptedUntil;
+  }
+
+  recordFailure(call: IStoreCall, now: MonotonicTime): void {
+    const isLate = now - call.sentAt - call.wait >= this.#usualDelay;
+    this.#failedSince ??= isLate ? call.sentAt : now;
+    this.#isInterrupted ||= call.isList || isLate;
+  }
+
+  /** Returns whether the answer is the first one after an outage. */
+  recordAnswer(now: MonotonicTime): boolean {
+    const isInterrupted = this.#isInterrupted;
+    const isReturn = this.#isReturn(now);
+    this.#readAt = now;
+    this.clearFailures();
+    if (isReturn) {
+      this.#returnedAt = now;
+    }
+    if (isReturn || isInterrupted) {
+      this.#interruptedUntil = now;
+    }
+    return isReturn;
+  }
+
+  /**
+   * Records what another process has read, which this one uses.
+   *
+   * @param returnedAt - end of the last outage that it has seen
+   */
+  recordRelayed(readAt: MonotonicTime, returnedAt: MonotonicTime): void {
+    this.#readAt = Math.max(this.#readAt, readAt);
+    this.#returnedAt = Math.max(this.#returnedAt, returnedAt);
+    this.#interruptedUntil = Math.max(this.#interruptedUntil, returnedAt);
+  }
+
+  /** Forgets own failures: another process reads the store in their place. */
+  clearFailures(): void {
+    this.#failedSince = null;
+    this.#isInterrupted = false;
+  }
+
+  #isReturn(now: MonotonicTime): boolean {
+    const failedFor = now - (this.#failedSince ?? now);
+    const wasDown = this.#isInterrupted && failedFor >= this.#usualDelay;
+    const isUnread = failedFor > 0 && this.#isLongGap(now - this.#readAt);
+    return wasDown || isUnread;
+  }
+
+  get #usualDelay(): number {
+    return this.#heartbeat * USUAL_DELAY;
+  }
+
+  #isLongGap(time: number): boolean {
+    return time >= HEARTBEATS_IN_OUTAGE * this.#heartbeat;
+  }
+}
--- /dev/null
+++ b/src/common/calls/store_availability_test.ts
@@ -0,0 +1,67 @@
+import { expect } from "chai";
+import { StoreAvailability } from "./store_availability.ts";
+
+/** Milliseconds between two heartbeats of a target. */
+const HEARTBEAT = 1_200;
+
+function watchFrom(sentAt: number) {
+  return { sentAt, wait: 400, isList: false };
+}
+
+function listFrom(sentAt: number) {
+  return { sentAt, wait: 0, isList: true };
+}
+
+/** A store that has answered regularly until 10 s. */
+function servingStore(): StoreAvailability {
+  const availability = new StoreAvailability(HEARTBEAT);
+  availability.recordAnswer(9_010);
+  availability.recordAnswer(10_000);
+  return availability;
+}
+
+describe("StoreAvailability", () => {
+  // Guards against targets that are kept after they left, since one connection
+  // broke while the store served.
+  it("takes no watch that is cut off for an outage", () => {
+    const availability = servingStore();
+    availability.recordFailure(watchFrom(10_200), 10_300);
+    availability.recordAnswer(10_360);
+    expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
+    expect(availability.interruptedUntil).to.equal(Number.NEGATIVE_INFINITY);
+  });
+
+  it("takes a list that fails once for an interruption only", () => {
+    const availability = servingStore();
+    availability.recordFailure(listFrom(10_200), 10_210);
+    availability.recordAnswer(10_310);
+    expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
+    expect(availability.interruptedUntil).to.equal(10_310);
+  });
+
+  it("takes lists that fail for a while for an outage", () => {
+    const availability = servingStore();
+    availability.recordFailure(listFrom(10_200), 10_210);
+    availability.recordFailure(listFrom(10_600), 10_610);
+    availability.recordAnswer(11_010);
+    expect(availability.returnedAt).to.equal(11_010);
+  });
+
+  // Guards against live targets that are dropped after an outage in which the
+  // only call that was open got no answer.
+  it("takes a watch without an answer for an outage", () => {
+    const availability = servingStore();
+    availability.recordFailure(watchFrom(10_200), 11_600);
+    availability.recordAnswer(11_660);
+    expect(availability.returnedAt).to.equal(11_660);
+  });
+
+  // Guards against an outage of the others' reader that this process has not
+  // seen, since it did not read the store meanwhile.
+  it("uses the outages that another process has seen", () => {
+    const availability = servingStore();
+    availability.recordRelayed(12_000, 11_500);
+    expect(availability.readAt).to.equal(12_000);
+    expect(availability.returnedAt).to.equal(11_500);
+  });
+});
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -1,9 +1,10 @@
 /**
  * The platform's list of targets as known to this process. During an outage of
  * the store, entries expire although their targets are alive; they return
- * within about two seconds after the outage. So entries that are missing after
- * an outage are kept for that long. Otherwise an outage would empty the list,
- * and every call would be refused at its end.
+ * within about two seconds after the outage. So entries that may have expired
+ * in an outage are kept for that long. Otherwise an outage would empty the list,
+ * and every call would be refused at its end. An entry that was written too
+ * recently to expire was removed, and its target is dropped at once.
  *
  * A target that has said in an answer that it is about to leave counts as
  * draining, whatever the list shows: some never report it to the platform, and
@@ -12,7 +13,9 @@
 import type { InstanceId, MonotonicTime, ServiceName } from "../types.ts";
 import type { ILog } from "../services/services.ts";
 import type { ITargetChanges } from "../relay/types.ts";
+import { EntryRenewals } from "./entry_renewals.ts";
 import type { IObjectChanges } from "./object_follower.ts";
+import type { IStoreTimes } from "./store_availability.ts";
 import { ListedState } from "./types.ts";
 import type { IListedTarget } from "./types.ts";
 
@@ -31,6 +34,8 @@
 /** Dependencies of {@link TargetRegistry}. */
 export interface ITargetRegistryParts {
   readonly decode: DecodeTarget;
+  /** Milliseconds without a heartbeat after which an entry expires. */
+  readonly expiryTime: number;
   /** Milliseconds that a missing entry is kept after an outage. */
   readonly reappearTime: number;
   readonly log: ILog;
@@ -59,7 +64,7 @@
   readonly #missing = new Map<InstanceId, IMissingEntry>();
   /** Targets that are about to leave, with the start of that run. */
   readonly #leaving = new Map<InstanceId, number>();
-  #storeReturnedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  readonly #renewals = new EntryRenewals();
 
   constructor(parts: ITargetRegistryParts) {
     this.#parts = parts;
@@ -111,24 +116,23 @@
   }
 
   applyStoreChanges(change: IObjectChanges, now: MonotonicTime): void {
-    if (change.isAfterOutage) {
-      this.#storeReturnedAt = now;
-    }
     const listed = new Set<InstanceId>();
-    for (const { name, value } of change.objects) {
+    for (const { name, version, value } of change.objects) {
       const target = this.#parts.decode(name, value);
       if (target !== null) {
         listed.add(name);
         this.#missing.delete(name);
         this.#set(target);
+        this.#renewals.record(name, version, change);
       } else {
-        this.#targets.delete(name);
+        this.#delete(name);
       }
     }
     const removedIds = change.isFullList
       ? [...this.#targets.keys()].filter((id) => !listed.has(id))
       : change.removed;
-    this.#removeAll(removedIds, now);
+    const known = removedIds.filter((id) => this.#targets.has(id));
+    this.#removeAll(known, change, now);
   }
 
   /** Applies changes that another process has read from the store. */
@@ -151,6 +155,19 @@
     this.#logKept(Object.keys(expiring), RemovalSource.Relay, now);
   }
 
+  /** Records that all targets that are not missing were written since then. */
+  recordRenewal(since: MonotonicTime): void {
+    this.#renewals.recordAll(since);
+  }
+
+  /** All targets that are not missing were written since this time. */
+  get renewedSince(): MonotonicTime {
+    const times = [...this.#targets.keys()]
+      .filter((id) => !this.#missing.has(id))
+      .map((id) => this.#renewals.timeOf(id));
+    return times.reduce((first, time) => Math.min(first, time), Infinity);
+  }
+
   /** Milliseconds for which a removed target is kept; null if it is not. */
   timeLeft(id: InstanceId, now: MonotonicTime): number | null {
     const missing = this.#missing.get(id);
@@ -158,20 +175,22 @@
   }
 
   /**
-   * Drops entries that have not returned; returns whether any was dropped.
-   *
-   * @param readAt - when the store was last read: an outage may have begun since
+   * Drops entries that have not returned; returns whether any was dropped. An
+   * outage may have begun since the store was last read.
    */
-  removeExpired(now: MonotonicTime, readAt: MonotonicTime): boolean {
+  removeExpired(
+    now: MonotonicTime,
+    { readAt, returnedAt }: IStoreTimes,
+  ): boolean {
+    const shortestUntil = returnedAt + this.#parts.reappearTime;
     const expired = [...this.#missing].filter(
-      ([, { until }]) => readAt >= until,
+      ([, { until }]) => readAt >= Math.max(until, shortestUntil),
     );
-    const dropped = expired.filter(([id]) => this.#targets.has(id));
     expired.forEach(([id]) => this.#delete(id));
-    const firstSince = Math.min(...dropped.map(([, { since }]) => since));
-    const ids = dropped.map(([id]) => id);
+    const firstSince = Math.min(...expired.map(([, { since }]) => since));
+    const ids = expired.map(([id]) => id);
     this.#logDropped(ids, RemovalSource.Expiry, now - firstSince);
-    return dropped.length > 0;
+    return expired.length > 0;
   }
 
   #set(target: IListedTarget): void {
@@ -181,26 +200,28 @@
     this.#targets.set(target.id, { ...target, state });
   }
 
-  #removeAll(ids: readonly InstanceId[], now: MonotonicTime): void {
-    const known = ids.filter((id) => this.#targets.has(id));
-    const until = this.#storeReturnedAt + this.#parts.reappearTime;
-    for (const id of known) {
-      if (now < until) {
-        this.#keep(id, now, until);
-      } else {
-        this.#delete(id);
-      }
-    }
-    if (now < until) {
-      this.#logKept(known, RemovalSource.Store, now);
-    } else {
-      this.#logDropped(known, RemovalSource.Store, 0);
-    }
+  #removeAll(
+    ids: readonly InstanceId[],
+    { availability }: IObjectChanges,
+    now: MonotonicTime,
+  ): void {
+    // The time of those that are kept already does not start anew.
+    const present = ids.filter((id) => !this.#missing.has(id));
+    const until = availability.interruptedUntil + this.#parts.reappearTime;
+    const mayHaveExpired = (id: InstanceId) =>
+      now < until && now - this.#renewals.timeOf(id) >= this.#parts.expiryTime;
+    const kept = present.filter(mayHaveExpired);
+    const dropped = present.filter((id) => !mayHaveExpired(id));
+    kept.forEach((id) => this.#keep(id, now, until));
+    dropped.forEach((id) => this.#delete(id));
+    this.#logKept(kept, RemovalSource.Store, now);
+    this.#logDropped(dropped, RemovalSource.Store, 0);
   }
 
   #keep(id: InstanceId, now: MonotonicTime, until: MonotonicTime): void {
     const since = this.#missing.get(id)?.since ?? now;
     this.#missing.set(id, { since, until });
+    this.#renewals.forget(id);
   }
 
   #delete(id: InstanceId): void {
@@ -210,6 +231,7 @@
     }
     this.#targets.delete(id);
     this.#missing.delete(id);
+    this.#renewals.forget(id);
   }
 
   #logKept(
--- a/src/common/calls/target_registry_test.ts
+++ b/src/common/calls/target_registry_test.ts
@@ -1,13 +1,23 @@
 import { expect } from "chai";
 import { RecordingLog } from "../../../test/support/recording_services.ts";
+import type { IStoreTimes } from "./store_availability.ts";
 import { TargetRegistry } from "./target_registry.ts";
 import type { IObjectChanges } from "./object_follower.ts";
 import { ListedState } from "./types.ts";
 import type { IListedTarget } from "./types.ts";
 
+/** Milliseconds without a heartbeat after which an entry expires. */
+const EXPIRY_TIME = 3_600;
+
 /** Milliseconds that a missing entry is kept after an outage. */
 const REAPPEAR_TIME = 2_300;
 
+const NO_OUTAGE: IStoreTimes = {
+  readAt: 0,
+  returnedAt: Number.NEGATIVE_INFINITY,
+  interruptedUntil: Number.NEGATIVE_INFINITY,
+};
+
 function decode(id: string, value: unknown): IListedTarget | null {
   if (typeof value !== "string") {
     return null;
@@ -30,18 +40,29 @@
     removed: [],
     version: 1,
     isFullList: false,
-    isAfterOutage: false,
+    notBefore: Number.NEGATIVE_INFINITY,
+    availability: NO_OUTAGE,
     ...part,
   };
 }
 
-function entry(name: string, value: unknown) {
-  return { kind: "targets", name, version: 1, value };
+function entry(name: string, value: unknown, version = 1) {
+  return { kind: "targets", name, version, value };
 }
 
 function newRegistry(): TargetRegistry {
   const log = new RecordingLog();
-  return new TargetRegistry({ decode, reappearTime: REAPPEAR_TIME, log });
+  return new TargetRegistry({
+    decode,
+    expiryTime: EXPIRY_TIME,
+    reappearTime: REAPPEAR_TIME,
+    log,
+  });
+}
+
+/** The store served until then, after an outage that ended at 10 s. */
+function availability(readAt: number): IStoreTimes {
+  return { readAt, returnedAt: 10_000, interruptedUntil: 10_000 };
 }
 
 function registryOf(...names: readonly string[]): TargetRegistry {
@@ -64,22 +85,65 @@
   it("keeps entries missing after an outage until they had time to return", () => {
     const registry = registryOf("a", "b");
     const objects = [entry("b", "10.0.0.1:80")];
-    const whole = { objects, isFullList: true, isAfterOutage: true };
+    const whole = {
+      objects,
+      isFullList: true,
+      availability: availability(10_000),
+    };
     registry.applyStoreChanges(change(whole), 10_000);
     expect([...registry.all.keys()]).to.deep.equal(["a", "b"]);
-    registry.removeExpired(20_000, 10_000 + REAPPEAR_TIME - 1);
+    registry.removeExpired(20_000, availability(10_000 + REAPPEAR_TIME - 1));
     expect([...registry.all.keys()]).to.deep.equal(["a", "b"]);
-    expect(registry.removeExpired(20_000, 10_000 + REAPPEAR_TIME)).to.equal(true);
+    expect(
+      registry.removeExpired(20_000, availability(10_000 + REAPPEAR_TIME)),
+    ).to.equal(true);
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
 
+  // Guards against calls to a target that has left: one watch that was cut off
+  // counts as an outage in which its entry may have expired.
+  it("drops a removed target at once whose entry was just written", () => {
+    const registry = registryOf("a", "b");
+    const objects = [entry("a", "10.0.0.1:80", 2)];
+    registry.applyStoreChanges(change({ objects, notBefore: 9_000 }), 9_400);
+    const after = { availability: availability(10_000) };
+    const removed = ["a", "b"];
+    registry.applyStoreChanges(change({ removed, ...after }), 10_100);
+    expect([...registry.all.keys()]).to.deep.equal(["b"]);
+  });
+
+  // Guards against the same at a process that was told of the writes only.
+  it("drops a removed target at once that others saw written", () => {
+    const registry = registryOf("a", "b");
+    const after = { availability: availability(10_000) };
+    registry.recordRenewal(5_000);
+    registry.applyStoreChanges(change({ removed: ["b"], ...after }), 10_100);
+    expect([...registry.all.keys()]).to.deep.equal(["a", "b"]);
+    registry.recordRenewal(8_500);
+    registry.applyStoreChanges(change({ removed: ["a"], ...after }), 10_100);
+    expect([...registry.all.keys()]).to.deep.equal(["b"]);
+  });
+
+  // Guards against a target that is kept for good while watches fail in series.
+  it("does not begin anew to keep an entry that is still missing", () => {
+    const registry = registryOf("a");
+    const whole = { isFullList: true, availability: availability(10_000) };
+    registry.applyStoreChanges(change(whole), 10_000);
+    const later = { ...availability(12_000), interruptedUntil: 12_000 };
+    const again = { isFullList: true, availability: later };
+    registry.applyStoreChanges(change(again), 12_000);
+    expect(
+      registry.removeExpired(12_400, { ...later, readAt: 12_400 }),
+    ).to.equal(true);
+  });
+
   // Guards against calls to a target that has left: the process that relays the
   // store drops it, and this one puts that off for an outage of its own.
   it("drops a target at once that another process has dropped", () => {
     const registry = registryOf("a", "b");
     const objects = [entry("a", "10.0.0.1:80"), entry("b", "10.0.0.1:80")];
-    const whole = { objects, isFullList: true, isAfterOutage: true };
-    registry.applyStoreChanges(change(whole), 10_000);
+    const after = { isFullList: true, availability: availability(10_000) };
+    registry.applyStoreChanges(change({ objects, ...after }), 10_000);
     registry.applyRelayedChanges({ targets: [], removed: ["a"] }, 10_100);
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
@@ -88,25 +152,37 @@
   // begins before the entries that expired in the first have returned.
   it("keeps missing entries while the store is not read", () => {
     const registry = registryOf("a");
-    const whole = { isFullList: true, isAfterOutage: true };
+    const whole = { isFullList: true, availability: availability(10_000) };
     registry.applyStoreChanges(change(whole), 10_000);
-    expect(registry.removeExpired(15_000, 11_000)).to.equal(false);
-    registry.applyStoreChanges(change(whole), 16_000);
-    expect(registry.removeExpired(17_000, 17_000)).to.equal(false);
+    expect(registry.removeExpired(15_000, availability(11_000))).to.equal(
+      false,
+    );
+    const second = {
+      readAt: 17_000,
+      returnedAt: 16_000,
+      interruptedUntil: 16_000,
+    };
+    registry.applyStoreChanges(
+      change({ isFullList: true, availability: second }),
+      16_000,
+    );
+    expect(registry.removeExpired(17_000, second)).to.equal(false);
     expect([...registry.all.keys()]).to.deep.equal(["a"]);
   });
 
   it("keeps an entry that returns soon after an outage", () => {
     const registry = registryOf("a");
     registry.applyStoreChanges(
-      change({ isFullList: true, isAfterOutage: true }),
+      change({ isFullList: true, availability: availability(10_000) }),
       10_000,
     );
     registry.applyStoreChanges(
       change({ objects: [entry("a", "10.0.0.2:80")] }),
       11_000,
     );
-    expect(registry.removeExpired(20_000, 20_000)).to.equal(false);
+    expect(registry.removeExpired(20_000, availability(20_000))).to.equal(
+      false,
+    );
     expect(registry.all.get("a")?.address).to.equal("10.0.0.2:80");
   });
 
--- a/src/common/relay/store_relay.ts
+++ b/src/common/relay/store_relay.ts
@@ -12,6 +12,7 @@
 import type { IObjectChanges } from "../calls/object_follower.ts";
 import type { TargetRegistry } from "../calls/target_registry.ts";
 import type { IClock } from "../services/services.ts";
+import type { MonotonicTime } from "../types.ts";
 import { TargetChangeLog } from "./target_change_log.ts";
 import type { IRecordedChange } from "./target_change_log.ts";
 import type { IStoreVersions, IStoreUpdate } from "./types.ts";
@@ -30,6 +31,8 @@
 export class StoreRelay {
   readonly #parts: IStoreRelayParts;
   readonly #changeLog = new TargetChangeLog();
+  /** All targets were written since this time, but those that are missing. */
+  #renewedSince: MonotonicTime = Number.NEGATIVE_INFINITY;
 
   constructor(parts: IStoreRelayParts) {
     this.#parts = parts;
@@ -55,6 +58,7 @@
   }: IObjectChanges) {
     const ids = [...objects.map(({ name }) => name), ...removed];
     this.#record({ version, isFullList, ids });
+    this.#renewedSince = this.#parts.targets.renewedSince;
   }
 
   /**
@@ -70,9 +74,11 @@
       return null;
     }
     const { changedVersion } = this.#changeLog;
+    const renewalAge = this.#parts.clock.now() - this.#renewedSince;
+    const renewal = Number.isFinite(renewalAge) ? { renewalAge } : {};
     return {
       configuration,
-      targets: { ...targets, changedVersion },
+      targets: { ...targets, changedVersion, ...renewal },
       targetChanges: this.#changeLog.changesSince(versions.targets),
     };
   }
@@ -100,6 +106,10 @@
       }
     }
     targetList.receiveRelayedStatus(targets);
+    const { changedVersion, renewalAge } = targets;
+    if (renewalAge !== undefined && targetList.version >= changedVersion) {
+      this.#parts.targets.recordRenewal(clock.now() - renewalAge);
+    }
   }
 
   #record(change: Omit<IRecordedChange, "all" | "timeLeft">): void {
--- a/src/common/relay/store_relay_test.ts
+++ b/src/common/relay/store_relay_test.ts
@@ -1,268 +1,18 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { Err, Ok } from "ts-results-es";
-import type { Result } from "ts-results-es";
-import { listedEngine } from "../../../test/support/engine_fixtures.ts";
-import { ManualClock } from "../../../test/support/manual_clock.ts";
-import { RecordingLog } from "../../../test/support/recording_services.ts";
-import { SeededRandom } from "../../../test/support/seeded_random.ts";
-import { ObjectFollower } from "../calls/object_follower.ts";
-import { TargetRegistry } from "../calls/target_registry.ts";
-import type { IObjectStore, IWatchResult } from "../services/services.ts";
-import { CallFailureKind } from "../types.ts";
-import type { ICallFailure } from "../types.ts";
-import { StoreRelay } from "./store_relay.ts";
-import type { IStoreUpdate } from "./types.ts";
+import {
+  Deployment,
+  REAPPEAR_TIME,
+  STEP,
+} from "../../../test/support/relay_deployment.ts";
 
-const UNREACHABLE = { kind: CallFailureKind.Refused, detail: "unreachable" };
 const SEED = 20261203;
-const TARGETS = "targets";
 
 /**
  * Milliseconds within which processes that reach the store must know a change.
  */
 const CHANGE_BOUND = 2_000;
 
-/** Milliseconds that entries which are missing after an outage are kept. */
-const REAPPEAR_TIME = 2_300;
-
-/** Step of simulated time, milliseconds. */
-const STEP = 50;
-
-/** Objects with their history, like the platform's store. */
-class HistoryStore {
-  version = 1;
-  readonly #objects = new Map<string, number>();
-  readonly #events: { name: string; version: number; isGone: boolean }[] = [];
-
-  put(name: string): void {
-    this.version += 1;
-    this.#objects.set(name, this.version);
-    this.#events.push({ name, version: this.version, isGone: false });
-  }
-
-  remove(name: string): void {
-    if (this.#objects.delete(name)) {
-      this.version += 1;
-      this.#events.push({ name, version: this.version, isGone: true });
-    }
-  }
-
-  get names(): readonly string[] {
-    return [...this.#objects.keys()].sort();
-  }
-
-  /** Result for a kind that is never written. */
-  get nothing(): IWatchResult {
-    return { version: this.version, objects: [], removed: [] };
-  }
-
-  list(kind: string): IWatchResult {
-    const objects = [...this.#objects].map(([name, version]) =>
-      objectOf(kind, name, version),
-    );
-    return { version: this.version, objects, removed: [] };
-  }
-
-  since(kind: string, after: number): IWatchResult {
-    const later = this.#events.filter(({ version }) => version > after);
-    const names = new Set(later.map(({ name }) => name));
-    const objects = [...names].flatMap((name) => {
-      const version = this.#objects.get(name);
-      return version === undefined ? [] : [objectOf(kind, name, version)];
-    });
-    const removed = [...names].filter((name) => !this.#objects.has(name));
-    return { version: this.version, objects, removed };
-  }
-}
-
-function objectOf(kind: string, name: string, version: number) {
-  return { kind, name, version, value: { version } };
-}
-
-/** One process's connection to the store; counts its calls. */
-class Link implements IObjectStore {
-  isCut = false;
-  calls = 0;
-  readonly #store: HistoryStore;
-  readonly #clock: ManualClock;
-
-  constructor(store: HistoryStore, clock: ManualClock) {
-    this.#store = store;
-    this.#clock = clock;
-  }
-
-  async list(kind: string): Promise<Result<IWatchResult, ICallFailure>> {
-    this.calls += 1;
-    if (this.isCut) {
-      return Err(UNREACHABLE);
-    }
-    return Ok(kind === TARGETS ? this.#store.list(kind) : this.#store.nothing);
-  }
-
-  /** Waits for changes in steps; a watch that is cut meanwhile fails. */
-  async watch(
-    kind: string,
-    after: number,
-    { timeout }: { readonly timeout: number },
-  ): Promise<Result<IWatchResult, ICallFailure>> {
-    this.calls += 1;
-    let wasCut = this.isCut;
-    for (let waited = 0; waited < timeout; waited += STEP) {
-      wasCut ||= this.isCut;
-      const isChanged = kind === TARGETS && this.#store.version > after;
-      if (!wasCut && isChanged) {
-        break;
-      }
-      await new Promise<void>((resolve) => {
-        this.#clock.after(STEP, resolve);
-      });
-    }
-    if (wasCut) {
-      return Err(UNREACHABLE);
-    }
-    const { nothing } = this.#store;
-    return Ok(kind === TARGETS ? this.#store.since(kind, after) : nothing);
-  }
-
-  async read() {
-    return Err(UNREACHABLE);
-  }
-
-  async write() {
-    return Err({ kind: "not_applied", detail: "never" } as never);
-  }
-
-  async remove() {
-    return Err({ kind: "not_applied", detail: "never" } as never);
-  }
-}
-
-/** The part of a process that follows the store. */
-class Process {
-  readonly link: Link;
-  readonly relay: StoreRelay;
-  readonly registry: TargetRegistry;
-  /** Number of answers that were the first after an outage. */
-  outages = 0;
-  readonly #followers: readonly ObjectFollower[];
-
-  constructor(
-    store: HistoryStore,
-    parts: {
-      readonly clock: ManualClock;
-      readonly isHolder: () => boolean;
-      /** Milliseconds that missing entries are kept after an outage. */
-      readonly reappearTime: number;
-    },
-  ) {
-    const { clock, isHolder, reappearTime } = parts;
-    const log = new RecordingLog();
-    const decode = (id: string) => listedEngine(id);
-    this.registry = new TargetRegistry({ decode, reappearTime, log });
-    clock.every(STEP, () =>
-      this.registry.removeExpired(clock.now(), targetList.readAt),
-    );
-    this.link = new Link(store, clock);
-    const shared = { store: this.link, clock, log };
-    const watchTime = () => (isHolder() ? 400 : 2_500);
-    const configuration = new ObjectFollower(
-      { ...shared, random: new SeededRandom(SEED) },
-      {
-        kind: "configuration",
-        pause: () => 0,
-        watchTime,
-        onChanged: () => undefined,
-      },
-    );
-    const targetList = new ObjectFollower(
-      { ...shared, random: new SeededRandom(SEED) },
-      {
-        kind: TARGETS,
-        pause: () => (isHolder() ? 200 : 900),
-        watchTime,
-        onChanged: (change) => {
-          this.outages += change.isAfterOutage ? 1 : 0;
-          this.registry.applyStoreChanges(change, clock.now());
-          this.relay.recordTargetChanges(change);
-        },
-      },
-    );
-    this.relay = new StoreRelay({
-      configuration,
-      targetList,
-      targets: this.registry,
-      clock,
-      onTargetsUpdated: () => undefined,
-    });
-    this.#followers = [configuration, targetList];
-    this.#followers.forEach((follower) => follower.start());
-  }
-
-  get names(): readonly string[] {
-    return [...this.registry.all.keys()].sort();
-  }
-
-  dispose(): void {
-    this.#followers.forEach((follower) => follower.dispose());
-  }
-}
-
-/** Several processes, one of which relays store updates. */
-class Deployment {
-  readonly store = new HistoryStore();
-  readonly clock = new ManualClock();
-  readonly processes: readonly Process[];
-  holder = 0;
-  /** Processes that neither send nor receive updates. */
-  readonly mute = new Set<number>();
-  #pending: { readonly to: number; readonly update: IStoreUpdate }[] = [];
-
-  constructor(count: number, reappearTime = 0) {
-    this.processes = Array.from(
-      { length: count },
-      (_, index) =>
-        new Process(this.store, {
-          clock: this.clock,
-          isHolder: () => this.holder === index,
-          reappearTime,
-        }),
-    );
-  }
-
-  /** Advances time; sent updates arrive one step later. */
-  async advance(milliseconds: number): Promise<void> {
-    for (let passed = 0; passed < milliseconds; passed += STEP) {
-      this.clock.advance(STEP);
-      for (let turn = 0; turn < 30; turn += 1) {
-        await Promise.resolve();
-      }
-      this.#exchange();
-    }
-  }
-
-  #exchange(): void {
-    for (const { to, update } of this.#pending) {
-      this.processes[to]?.relay.applyUpdate(update);
-    }
-    this.#pending = [];
-    const holder = this.processes[this.holder];
-    if (holder === undefined || this.mute.has(this.holder)) {
-      return;
-    }
-    this.processes.forEach((process, to) => {
-      const update = holder.relay.updateFor(process.relay.versions);
-      if (to !== this.holder && !this.mute.has(to) && update !== null) {
-        this.#pending.push({ to, update });
-      }
-    });
-  }
-
-  dispose(): void {
-    this.processes.forEach((process) => process.dispose());
-  }
-}
-
 describe("StoreRelay", () => {
   // Guards against store calls that grow with the number of processes: ten
   // processes, and one target that writes heartbeats.
@@ -360,11 +110,13 @@
     const link = processes[0]?.link;
     if (link !== undefined) {
       link.isCut = true;
-      await deployment.advance(STEP);
+      await deployment.advance(1_000);
       link.isCut = false;
     }
     await deployment.advance(600);
     store.remove("a");
+    await deployment.advance(700);
+    expect(processes[0]?.names).to.deep.equal(["a", "b"]);
     await deployment.advance(CHANGE_BOUND + REAPPEAR_TIME);
     for (const { names } of processes) {
       expect(names).to.deep.equal(["b"]);
@@ -372,6 +124,23 @@
     deployment.dispose();
   });
 
+  // Guards against targets that get calls for long after they have left, since a
+  // cut watch counts as an outage; and against live ones that are dropped at the
+  // end of a real outage.
+  it("keeps targets through outages, and drops them after cut watches", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(OUTAGE_STEP, { minLength: 1, maxLength: 12 }),
+        async (steps) => {
+          const play = new OutagePlay();
+          await play.run(steps);
+          expect(play.findings).to.deep.equal([]);
+        },
+      ),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+
   // Guards against changes that arrive late or never, when cuts, freezes and
   // changes of the holder come in any order, also together.
   for (const reappearTime of [0, REAPPEAR_TIME]) {
@@ -406,6 +175,116 @@
   }
 });
 
+/** Milliseconds until a process counts as calm after an outage. */
+const STABLE_TIME = 3_000;
+
+/** What happens to the processes, in the order of the plays. */
+type OutageStep = {
+  readonly kind: "cut" | "series" | "remove" | "holder" | "mute" | "outage";
+  readonly at: number;
+  /** Milliseconds until the next step. */
+  readonly wait: number;
+};
+
+const OUTAGE_STEP: fc.Arbitrary<OutageStep> = fc.record({
+  kind: fc.constantFrom(
+    ...(["cut", "series", "remove", "holder", "mute", "outage"] as const),
+  ),
+  at: fc.nat(3),
+  wait: fc.nat(46).map((steps) => steps * STEP),
+});
+
+/** Plays steps, and notes where targets are kept or dropped wrongly. */
+class OutagePlay {
+  readonly findings: string[] = [];
+  readonly #deployment = new Deployment(3, REAPPEAR_TIME);
+  /** Targets that were removed, and when. */
+  readonly #removedAt = new Map<string, number>();
+  #outageEndedAt = Number.NEGATIVE_INFINITY;
+  #isAway = false;
+
+  async run(steps: readonly OutageStep[]): Promise<void> {
+    for (let target = 0; target < 4; target += 1) {
+      this.#deployment.startTarget(`target-${target}`);
+    }
+    this.#deployment.startTarget("other");
+    await this.#deployment.advance(4_000);
+    for (const step of steps) {
+      await this.#apply(step);
+      await this.#advance(step.wait);
+    }
+    await this.#advance(STABLE_TIME + CHANGE_BOUND);
+    this.#deployment.dispose();
+  }
+
+  async #apply({ kind, at, wait }: OutageStep): Promise<void> {
+    const { processes, mute } = this.#deployment;
+    const cut = at === 3 ? processes : processes.slice(at, at + 1);
+    const name = `target-${at}`;
+    if (kind === "remove" && !this.#removedAt.has(name)) {
+      this.#removedAt.set(name, this.#deployment.clock.now());
+      this.#deployment.removeTarget(name);
+    } else if (kind === "cut") {
+      cut.forEach(({ link }) => link.cutWatches());
+    } else if (kind === "series") {
+      for (let count = 0; count < 6; count += 1) {
+        cut.forEach(({ link }) => link.cutWatches());
+        await this.#advance(300 + wait / 4);
+      }
+    } else if (kind === "holder") {
+      this.#deployment.holder = at % 3;
+    } else if (kind === "mute") {
+      mute.add(at % 3);
+      await this.#advance(wait);
+      mute.delete(at % 3);
+    } else if (kind === "outage") {
+      await this.#playOutage(1_000 + 2 * wait);
+    }
+  }
+
+  async #playOutage(duration: number): Promise<void> {
+    this.#setAway(true);
+    await this.#advance(duration);
+    this.#setAway(false);
+    this.#outageEndedAt = this.#deployment.clock.now();
+  }
+
+  #setAway(isAway: boolean): void {
+    this.#isAway = isAway;
+    this.#deployment.isStoreWritable = !isAway;
+    for (const { link } of this.#deployment.processes) {
+      link.isCut = isAway;
+    }
+  }
+
+  async #advance(duration: number): Promise<void> {
+    for (let passed = 0; passed < duration; passed += STEP) {
+      await this.#deployment.advance(STEP);
+      this.#check();
+    }
+  }
+
+  #check(): void {
+    const now = this.#deployment.clock.now();
+    const { alive, processes } = this.#deployment;
+    processes.forEach(({ names }, index) => {
+      for (const name of alive.filter((one) => !names.includes(one))) {
+        this.findings.push(`${now}: ${index} has dropped ${name}`);
+      }
+      for (const name of names.filter((one) => this.#isOverdue(one, now))) {
+        this.findings.push(`${now}: ${index} still has ${name}`);
+      }
+    });
+  }
+
+  /** Whether no process may have a target any more. */
+  #isOverdue(name: string, now: number): boolean {
+    const removedAt = this.#removedAt.get(name) ?? Infinity;
+    const calmAt = this.#outageEndedAt + STABLE_TIME;
+    return !this.#isAway && now > Math.max(removedAt, calmAt) + CHANGE_BOUND;
+  }
+}
+
 async function applyStep(
   deployment: Deployment,
   kind: string,
--- a/src/common/relay/types.ts
+++ b/src/common/relay/types.ts
@@ -19,6 +19,16 @@
   readonly changedVersion: number;
   /** Milliseconds since that answer. */
   readonly age: number;
+  /**
+   * Milliseconds since the end of the store's last outage; absent if there was
+   * none, or if the holder is of an older build.
+   */
+  readonly returnAge?: number | undefined;
+  /**
+   * Milliseconds within which all objects were written that are not about to be
+   * dropped; absent if that is not known, or from an older build.
+   */
+  readonly renewalAge?: number | undefined;
 }
 
 /** Targets that changed, and those that were removed. */
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -26,6 +26,7 @@
 import { PlainTargetSelector } from "../common/calls/plain_target_selector.ts";
 import { ServiceRetryAllowances } from "../common/calls/service_retry_allowances.ts";
 import { ServingGroups } from "../common/calls/serving_groups.ts";
+import { StoreAvailability } from "../common/calls/store_availability.ts";
 import { TargetRateLimits } from "../common/calls/target_rate_limits.ts";
 import { TargetRegistry } from "../common/calls/target_registry.ts";
 import { CallRefusalReason, CallRefusalKind } from "../common/calls/types.ts";
@@ -69,6 +70,9 @@
 const HOLDER_WATCH_TIME = 400;
 const WATCH_TIME = 2_500;
 
+/** Heartbeats without which the platform removes an entry. */
+const HEARTBEATS_UNTIL_EXPIRY = 3;
+
 /** Milliseconds; entries that expired in an outage are back 2 s after it. */
 const REAPPEARANCE_TIME = 2_300;
 
@@ -153,6 +157,7 @@
     this.#store = new ObjectStoreClient(settings.store.address);
     this.#targets = new TargetRegistry({
       decode: decodeTarget,
+      expiryTime: HEARTBEATS_UNTIL_EXPIRY * settings.heartbeat_ms,
       reappearTime: REAPPEARANCE_TIME,
       log,
     });
@@ -409,6 +414,7 @@
       kind: ObjectKind.configuration,
       pause: () => 0,
       watchTime: () => this.#watchTime,
+      availability: new StoreAvailability(this.#settings.heartbeat_ms),
       onChanged: ({ objects }) => {
         for (const { name, value } of objects) {
           if (
@@ -428,6 +434,7 @@
       pause: () =>
         this.#coordinator.isHolder ? HOLDER_TARGETS_PAUSE : TARGETS_PAUSE,
       watchTime: () => this.#watchTime,
+      availability: new StoreAvailability(this.#settings.heartbeat_ms),
       onChanged: (change) => {
         this.#targets.applyStoreChanges(change, this.#clock.now());
         this.#relay.recordTargetChanges(change);
@@ -577,8 +584,8 @@
   }
 
   #cleanUp(): void {
-    const { readAt } = this.#targetList;
-    if (this.#targets.removeExpired(this.#clock.now(), readAt)) {
+    const { availability } = this.#targetList;
+    if (this.#targets.removeExpired(this.#clock.now(), availability)) {
       this.#coordinator.handleTargetsChanged();
     }
     this.#plainTargets.keepOnly(this.#targets.all);
--- /dev/null
+++ b/test/leaving_targets_test.ts
@@ -0,0 +1,146 @@
+/** Targets whose entries are removed, or expire, beside trouble of the store. */
+import { expect } from "chai";
+import { LinkMode } from "../src/stand_ins/fault_proxy/fault_proxy.ts";
+import {
+  CutProcesses,
+  HolderTrouble,
+  LeavingTargets,
+} from "./support/leaving_targets.ts";
+import type { ILeavingPlan, IOutagePlan } from "./support/leaving_targets.ts";
+import { SeededRandom } from "./support/seeded_random.ts";
+
+/** First seed of the plans; `LEAVING_TARGETS_SEED` names another one. */
+const SEED = Number(process.env.LEAVING_TARGETS_SEED ?? 20261204);
+
+/** Plans that are played; `LEAVING_TARGETS_PLANS` names another number. */
+const PLANS = Number(process.env.LEAVING_TARGETS_PLANS ?? 2);
+
+/** Milliseconds for all plans of a test. */
+const TIME_LIMIT = 60_000;
+
+/** Milliseconds from the first cut until the targets leave, at most. */
+const LATEST_MOMENT = 2_300;
+
+/** Milliseconds between two cuts. */
+const SHORTEST_PERIOD = 300;
+const LONGEST_PERIOD = 2_000;
+
+/** Milliseconds for which a cut may reset new connections too. */
+const LONGEST_CUT = 150;
+
+/** Milliseconds of the outages, and of those in a series. */
+const OUTAGE = 6_000;
+const SHORT_OUTAGES = [3_000, 4_000, 3_000];
+
+function planOf(seed: number): ILeavingPlan {
+  const random = new SeededRandom(seed);
+  const pick = <T>(values: readonly T[], fallback: T): T =>
+    values[Math.floor(random.next() * values.length)] ?? fallback;
+  const range = LONGEST_PERIOD - SHORTEST_PERIOD;
+  const isSeries = random.next() < 0.5;
+  return {
+    cut: pick(
+      [CutProcesses.Holder, CutProcesses.Others, CutProcesses.All],
+      CutProcesses.All,
+    ),
+    moment: Math.round(random.next() * LATEST_MOMENT),
+    period: isSeries
+      ? Math.round(SHORTEST_PERIOD + random.next() * range)
+      : null,
+    duration: random.next() < 0.5 ? 0 : Math.round(random.next() * LONGEST_CUT),
+    holder: pick(
+      [HolderTrouble.None, HolderTrouble.Killed, HolderTrouble.Frozen],
+      HolderTrouble.None,
+    ),
+  };
+}
+
+async function play(plan: ILeavingPlan) {
+  await using targets = new LeavingTargets();
+  await targets.start();
+  await targets.play(plan);
+  return targets.end();
+}
+
+async function expectNoneLate(plan: ILeavingPlan): Promise<void> {
+  const { late, refused, calls } = await play(plan);
+  if (process.env.LEAVING_TARGETS_REPORT) {
+    const shown = `${calls} calls, late ${late.length}`;
+    const more = `refused ${refused.length}`;
+    process.stderr.write(`${JSON.stringify(plan)}: ${shown}, ${more}\n`);
+  }
+  expect(late, JSON.stringify(plan)).to.deep.equal([]);
+}
+
+async function expectServing(plan: IOutagePlan): Promise<void> {
+  await using targets = new LeavingTargets();
+  await targets.start();
+  targets.silence("p-1");
+  await targets.playOutages(plan);
+  const { refused } = await targets.end();
+  expect(refused).to.deep.equal([]);
+  expect(targets.lateCallsAfterOutage("p-1")).to.deep.equal([]);
+}
+
+describe("targets whose entries are removed while they serve", () => {
+  // Guards against calls that reach a target for longer than it may get them,
+  // since one watch that was cut off counts as an outage of the store.
+  it("get none later than they may after one cut of a watch", async () => {
+    await expectNoneLate({
+      cut: CutProcesses.All,
+      moment: 50,
+      period: null,
+      duration: 0,
+      holder: HolderTrouble.None,
+    });
+  });
+
+  // Guards against a target that is never dropped, since each cut of a watch
+  // starts the time for which it is kept anew.
+  it("get none later than they may while watches are cut in series", async () => {
+    await expectNoneLate({
+      cut: CutProcesses.All,
+      moment: 300,
+      period: 600,
+      duration: 0,
+      holder: HolderTrouble.None,
+    });
+  });
+
+  // Guards against processes that judge the store by their own connection after
+  // the holder, which would have told them, is gone.
+  it("get none later than they may while the holder is frozen", async () => {
+    await expectNoneLate({
+      cut: CutProcesses.Others,
+      moment: 50,
+      period: 600,
+      duration: 0,
+      holder: HolderTrouble.Frozen,
+    });
+  });
+
+  // Guards against the same in other orders of cuts, removals and holders.
+  for (let seed = SEED; seed < SEED + PLANS; seed += 1) {
+    it(`get none later than they may, seed ${seed}`, async () => {
+      await expectNoneLate(planOf(seed));
+    });
+  }
+});
+
+describe("targets whose entries expire in an outage of the store", () => {
+  // Guards against refusing calls at the end of an outage, when the entries of
+  // live targets are missing.
+  const plans: readonly [string, IOutagePlan][] = [
+    ["refuses", { mode: LinkMode.Refuse, delay: 0, durations: [OUTAGE] }],
+    ["is silent", { mode: LinkMode.Silent, delay: 0, durations: [OUTAGE] }],
+    [
+      "is away again and again",
+      { mode: LinkMode.Refuse, delay: 0, durations: SHORT_OUTAGES },
+    ],
+  ];
+  for (const [name, plan] of plans) {
+    it(`are served while it ${name}`, async () => {
+      await expectServing(plan);
+    }).timeout(TIME_LIMIT);
+  }
+});
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -55,6 +55,10 @@
   /** Address at which other processes reach it. */
   readonly inner: string;
   readonly links: ReadonlyMap<string, FaultProxy>;
+  /** Its link to the store. */
+  readonly storeLink: FaultProxy;
+  /** The store's address behind that link. */
+  readonly storeAddress: string;
 }
 
 /** Entry processes, their store and their targets. */
@@ -68,9 +72,6 @@
   readonly processes: IFleetProcess[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-fleet-"));
   #calls = 0;
-  /** Address of the store. */
-  #store = "";
-
   constructor(engines = ENGINES) {
     this.engines = Array.from(
       { length: engines },
@@ -80,7 +81,6 @@
 
   /** Starts processes; the first of them holds the lease. */
   async start(count: number): Promise<void> {
-    this.#store = await this.store.listen();
     const { services, ...rest } = configuration(1, PLAIN_ROUTES) as {
       readonly services: readonly object[];
     };
@@ -90,19 +90,15 @@
     const targets = [...this.engines, ...this.plainTargets];
     await Promise.all(targets.map((one) => one.listen(this.store)));
     for (let index = 0; index < count; index += 1) {
-      this.processes.push(await this.#startProcess(index, this.#store));
+      this.processes.push(await this.#startProcess(index));
     }
     await this.#waitUntilServing();
   }
 
   /** Kills a process and starts another one in its place. */
   async restartProcess(index: number): Promise<void> {
-    const { handle, links } = this.#processAt(index);
-    await handle[Symbol.asyncDispose]();
-    for (const link of links.values()) {
-      await link[Symbol.asyncDispose]();
-    }
-    this.processes[index] = await this.#startProcess(index, this.#store);
+    await disposeProcess(this.#processAt(index));
+    this.processes[index] = await this.#startProcess(index);
   }
 
   /** Changes the links of one process to all targets, or to some of them. */
@@ -199,11 +195,8 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    for (const { handle, links } of this.processes) {
-      await handle[Symbol.asyncDispose]();
-      for (const link of links.values()) {
-        await link[Symbol.asyncDispose]();
-      }
+    for (const process of this.processes) {
+      await disposeProcess(process);
     }
     rmSync(this.#folder, { recursive: true });
     const targets = [...this.engines, ...this.plainTargets];
@@ -227,7 +220,7 @@
     return this.#processAt(index).callers;
   }
 
-  async #startProcess(index: number, store: string): Promise<IFleetProcess> {
+  async #startProcess(index: number): Promise<IFleetProcess> {
     const links = new Map<string, FaultProxy>();
     const redirected: Record<string, string> = {};
     for (const { id, address } of [...this.engines, ...this.plainTargets]) {
@@ -235,10 +228,18 @@
       redirected[address] = await link.listen("127.0.0.1:0");
       links.set(id, link);
     }
+    const storeAddress = await this.store.listen();
+    const storeLink = new FaultProxy(storeAddress);
     const callers = await freeAddress();
     const inner = await freeAddress();
     const file = join(this.#folder, `entry-${index}.yaml`);
-    writeFileSync(file, await this.#settings({ index, callers, inner, store }));
+    const settings = await this.#settings({
+      index,
+      callers,
+      inner,
+      store: await storeLink.listen("127.0.0.1:0"),
+    });
+    writeFileSync(file, settings);
     const handle = await ProcessHandle.start(
       `entry-${index}`,
       "entry/main.js",
@@ -248,7 +249,7 @@
         environment: { LINKS: JSON.stringify(redirected) },
       },
     );
-    return { handle, callers, inner, links };
+    return { handle, callers, inner, links, storeLink, storeAddress };
   }
 
   async #settings(process: {
@@ -293,3 +294,11 @@
     }
   }
 }
+
+async function disposeProcess(process: IFleetProcess): Promise<void> {
+  const { handle, links, storeLink } = process;
+  await handle[Symbol.asyncDispose]();
+  for (const link of [...links.values(), storeLink]) {
+    await link[Symbol.asyncDispose]();
+  }
+}
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -5,6 +5,7 @@
 import type { IObjectChanges } from "../../src/common/calls/object_follower.ts";
 import { ServingGroups } from "../../src/common/calls/serving_groups.ts";
 import { TargetRateLimits } from "../../src/common/calls/target_rate_limits.ts";
+import { StoreAvailability } from "../../src/common/calls/store_availability.ts";
 import { TargetRegistry } from "../../src/common/calls/target_registry.ts";
 import { ListedState, GroupMemberState } from "../../src/common/calls/types.ts";
 import type {
@@ -346,7 +347,8 @@
 
 const NO_CHANGES: IObjectChanges = {
   isFullList: false,
-  isAfterOutage: false,
+  notBefore: 0,
+  availability: new StoreAvailability(1_200),
   objects: [],
   removed: [],
   version: 1,
@@ -365,6 +367,7 @@
   demand: readonly IModelDemand[] = [];
   readonly targets = new TargetRegistry({
     decode,
+    expiryTime: 3_600,
     reappearTime: 2_000,
     log: this.log,
   });
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -129,6 +129,12 @@
     this.#list();
   }
 
+  /** Its entry is removed, and it serves on. */
+  leaveUnannounced(): void {
+    this.#store?.remove("servers", this.id);
+    this.#store = null;
+  }
+
   #list(): void {
     this.#store?.put("servers", this.id, {
       service: this.#service,
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -112,6 +112,12 @@
     });
   }
 
+  /** Its entry is removed, and it serves on. */
+  leaveUnannounced(): void {
+    this.#store?.remove("servers", this.id);
+    this.#store = null;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     clearTimeout(this.#restart);
     this.#server.closeAllConnections();
--- a/test/support/platform_store.ts
+++ b/test/support/platform_store.ts
@@ -14,24 +14,45 @@
   readonly removed: boolean;
 }
 
+/** A watch that waits for changes. */
+interface IWaitingWatch {
+  /** The store's address that it came to. */
+  readonly address: string;
+  readonly kind: string;
+  readonly response: ServerResponse;
+  readonly wake: () => void;
+}
+
 /** Objects by kind and name, with long-polling watches. */
 export class PlatformStore {
-  readonly #server: Server;
+  readonly #servers: Server[] = [];
   readonly #objects = new Map<string, IStoredObject>();
   readonly #events: IStoredEvent[] = [];
-  readonly #watchers = new Set<() => void>();
+  readonly #watches = new Set<IWaitingWatch>();
   #revision = 1;
   /** While true, every request is answered with 503. */
   isUnavailable = false;
 
-  constructor() {
-    this.#server = createServer((request, response) => {
-      void this.#handleRequest(request, response);
+  /** Opens an address; each call opens another one of the same store. */
+  async listen(): Promise<string> {
+    const server = createServer((request, response) => {
+      void this.#handleRequest(address, request, response);
     });
+    this.#servers.push(server);
+    const address = await listenOn(server, "127.0.0.1:0");
+    return address;
   }
 
-  listen(): Promise<string> {
-    return listenOn(this.#server, "127.0.0.1:0");
+  /** Cuts off the watches of a kind that wait at one address. */
+  cutWatches(address: string, kind: string): number {
+    const cut = [...this.#watches].filter(
+      (watch) => watch.address === address && watch.kind === kind,
+    );
+    for (const { response, wake } of cut) {
+      response.socket?.resetAndDestroy();
+      wake();
+    }
+    return cut.length;
   }
 
   /** Writes an object without a revision check; returns its new revision. */
@@ -43,6 +64,11 @@
     return this.#revision;
   }
 
+  /** What an object contains; undefined if there is none. */
+  specOf(kind: string, name: string): unknown {
+    return this.#objects.get(`${kind}/${name}`)?.spec;
+  }
+
   remove(kind: string, name: string): void {
     const object = this.#objects.get(`${kind}/${name}`);
     if (object !== undefined) {
@@ -53,17 +79,20 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.#watchers.forEach((wake) => wake());
-    this.#server.closeAllConnections();
-    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+    this.#watches.forEach(({ wake }) => wake());
+    for (const server of this.#servers) {
+      server.closeAllConnections();
+      await new Promise<void>((resolve) => server.close(() => resolve()));
+    }
   }
 
   #publish(event: IStoredEvent): void {
     this.#events.push(event);
-    this.#watchers.forEach((wake) => wake());
+    this.#watches.forEach(({ wake }) => wake());
   }
 
   async #handleRequest(
+    address: string,
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
@@ -77,7 +106,8 @@
       const object = this.#objects.get(`${kind}/${name}`);
       send(response, object ? 200 : 404, object ? encode(object) : {});
     } else if (url.searchParams.has("watch")) {
-      await this.#handleWatch(response, kind, url.searchParams);
+      const watch = { address, kind, response };
+      await this.#handleWatch(watch, url.searchParams);
     } else {
       const items = [...this.#objects.values()].filter(
         (object) => object.kind === kind,
@@ -111,10 +141,10 @@
   }
 
   async #handleWatch(
-    response: ServerResponse,
-    kind: string,
+    watch: Omit<IWaitingWatch, "wake">,
     query: URLSearchParams,
   ): Promise<void> {
+    const { kind, response } = watch;
     const after = Number(query.get("watch"));
     const newerEvents = () =>
       this.#events.filter((one) => one.kind === kind && one.revision > after);
@@ -123,12 +153,16 @@
         const timer = setTimeout(() => wake(), Number(query.get("waitMs")));
         const wake = () => {
           clearTimeout(timer);
-          this.#watchers.delete(wake);
+          this.#watches.delete(waiting);
           resolve();
         };
-        this.#watchers.add(wake);
+        const waiting = { ...watch, wake };
+        this.#watches.add(waiting);
       });
     }
+    if (response.destroyed) {
+      return;
+    }
     const events = newerEvents().map((event) => ({
       object: encode(event),
       removed: event.removed,
