Take an outage of the store from its answers, not from failures alone

When the store was slow for 6 s and took no heartbeats, two of three processes dropped all targets and refused every plain call for 0.8 s (503 no_target, about 30 calls): no call of theirs had failed, so the outage was not seen.

Cause: an outage was a failed call. A watch waits for 2.5 s anyhow, so an answer that was late by 1.8 s looked like one that had waited.

Change: an answer that comes later than the next heartbeat of any target would have, or later than it was asked to wait, ends an outage, as do removals while no target at all has written for two heartbeat intervals.

Two tests of StoreAvailability.

--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -239,7 +239,13 @@
     const now = this.#parts.clock.now();
     const { objects, removed = [], version } = found;
     const notBefore = this.#knownAt;
-    const isReturn = availability.recordAnswer(now);
+    const before = this.version;
+    const content = {
+      hasWrites: objects.some((object) => object.version > before),
+      hasRemovals: removed.length > 0,
+      notBefore,
+    };
+    const isReturn = availability.recordAnswer(call, content, now);
     this.#logReturn(isReturn, now);
     this.#answeredAt = now;
     this.#backoff.reset();
--- a/src/common/calls/store_availability.ts
+++ b/src/common/calls/store_availability.ts
@@ -3,8 +3,9 @@
  * so long that entries can have expired although their targets are alive.
  *
  * A watch that is cut off or rejected shows nothing of that while the store
- * answers the list that follows. What counts is that a list fails, that a watch
- * gets no answer, or that nothing was read for a while.
+ * answers the list that follows. What counts is that a list fails, that an
+ * answer is overdue, that nothing was read for a while, or that entries are
+ * removed while no target at all writes heartbeats.
  */
 import type { MonotonicTime } from "../types.ts";
 
@@ -25,6 +26,15 @@
   readonly isList: boolean;
 }
 
+/** What an answer of the store shows of the targets. */
+export interface IAnswerContent {
+  /** Whether entries were written since the answer before. */
+  readonly hasWrites: boolean;
+  readonly hasRemovals: boolean;
+  /** What was written is later than this time. */
+  readonly notBefore: MonotonicTime;
+}
+
 /** What is known of the store's outages. */
 export interface IStoreTimes {
   /** When the store was last read, by this process or by another one. */
@@ -43,6 +53,8 @@
   /** Milliseconds between two heartbeats of a target. */
   readonly #heartbeat: number;
   #readAt: MonotonicTime = Number.NEGATIVE_INFINITY;
+  /** Since when an entry was certainly written, or nothing was known before. */
+  #writtenAt: MonotonicTime = Number.NEGATIVE_INFINITY;
   #returnedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
   #interruptedUntil: MonotonicTime = Number.NEGATIVE_INFINITY;
   /** First failure since the last answer; null for none. */
@@ -73,9 +85,19 @@
   }
 
   /** Returns whether the answer is the first one after an outage. */
-  recordAnswer(now: MonotonicTime): boolean {
+  recordAnswer(
+    call: IStoreCall,
+    content: IAnswerContent,
+    now: MonotonicTime,
+  ): boolean {
+    const isFirst = this.#writtenAt === Number.NEGATIVE_INFINITY;
+    if (isFirst) {
+      this.#writtenAt = now;
+    } else if (content.hasWrites) {
+      this.#writtenAt = Math.max(this.#writtenAt, content.notBefore);
+    }
     const isInterrupted = this.#isInterrupted;
-    const isReturn = this.#isReturn(now);
+    const isReturn = this.#isReturn(call, content, now);
     this.#readAt = now;
     this.clearFailures();
     if (isReturn) {
@@ -94,6 +116,7 @@
    */
   recordRelayed(readAt: MonotonicTime, returnedAt: MonotonicTime): void {
     this.#readAt = Math.max(this.#readAt, readAt);
+    this.#writtenAt = Math.max(this.#writtenAt, readAt);
     this.#returnedAt = Math.max(this.#returnedAt, returnedAt);
     this.#interruptedUntil = Math.max(this.#interruptedUntil, returnedAt);
   }
@@ -104,11 +127,18 @@
     this.#isInterrupted = false;
   }
 
-  #isReturn(now: MonotonicTime): boolean {
+  #isReturn(
+    call: IStoreCall,
+    content: IAnswerContent,
+    now: MonotonicTime,
+  ): boolean {
     const failedFor = now - (this.#failedSince ?? now);
     const wasDown = this.#isInterrupted && failedFor >= this.#usualDelay;
     const isUnread = failedFor > 0 && this.#isLongGap(now - this.#readAt);
-    return wasDown || isUnread;
+    const isUnwritten =
+      content.hasRemovals && this.#isLongGap(now - this.#writtenAt);
+    const isOverdue = this.#isOverdue(call, content, now);
+    return wasDown || isUnread || isUnwritten || isOverdue;
   }
 
   get #usualDelay(): number {
@@ -118,4 +148,14 @@
   #isLongGap(time: number): boolean {
     return time >= HEARTBEATS_IN_OUTAGE * this.#heartbeat;
   }
+
+  /** A watch is answered by the next heartbeat of any target. */
+  #isOverdue(
+    { sentAt, wait }: IStoreCall,
+    { hasWrites }: IAnswerContent,
+    now: MonotonicTime,
+  ): boolean {
+    const longestWait = hasWrites ? Math.min(wait, this.#heartbeat) : wait;
+    return now - sentAt - longestWait >= this.#usualDelay;
+  }
 }
--- a/src/common/calls/store_availability_test.ts
+++ b/src/common/calls/store_availability_test.ts
@@ -4,6 +4,10 @@
 /** Milliseconds between two heartbeats of a target. */
 const HEARTBEAT = 1_200;
 
+const WRITES = { hasWrites: true, hasRemovals: false, notBefore: 9_500 };
+const REMOVALS = { hasWrites: false, hasRemovals: true, notBefore: 9_500 };
+const NOTHING = { hasWrites: false, hasRemovals: false, notBefore: 9_500 };
+
 function watchFrom(sentAt: number) {
   return { sentAt, wait: 400, isList: false };
 }
@@ -15,8 +19,8 @@
 /** A store that has answered regularly until 10 s. */
 function servingStore(): StoreAvailability {
   const availability = new StoreAvailability(HEARTBEAT);
-  availability.recordAnswer(9_010);
-  availability.recordAnswer(10_000);
+  availability.recordAnswer(listFrom(9_000), NOTHING, 9_010);
+  availability.recordAnswer(watchFrom(9_600), WRITES, 10_000);
   return availability;
 }
 
@@ -26,7 +30,7 @@
   it("takes no watch that is cut off for an outage", () => {
     const availability = servingStore();
     availability.recordFailure(watchFrom(10_200), 10_300);
-    availability.recordAnswer(10_360);
+    availability.recordAnswer(listFrom(10_350), WRITES, 10_360);
     expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
     expect(availability.interruptedUntil).to.equal(Number.NEGATIVE_INFINITY);
   });
@@ -34,7 +38,7 @@
   it("takes a list that fails once for an interruption only", () => {
     const availability = servingStore();
     availability.recordFailure(listFrom(10_200), 10_210);
-    availability.recordAnswer(10_310);
+    availability.recordAnswer(listFrom(10_300), WRITES, 10_310);
     expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
     expect(availability.interruptedUntil).to.equal(10_310);
   });
@@ -43,7 +47,7 @@
     const availability = servingStore();
     availability.recordFailure(listFrom(10_200), 10_210);
     availability.recordFailure(listFrom(10_600), 10_610);
-    availability.recordAnswer(11_010);
+    availability.recordAnswer(listFrom(11_000), WRITES, 11_010);
     expect(availability.returnedAt).to.equal(11_010);
   });
 
@@ -52,7 +56,7 @@
   it("takes a watch without an answer for an outage", () => {
     const availability = servingStore();
     availability.recordFailure(watchFrom(10_200), 11_600);
-    availability.recordAnswer(11_660);
+    availability.recordAnswer(listFrom(11_650), NOTHING, 11_660);
     expect(availability.returnedAt).to.equal(11_660);
   });
 
@@ -64,4 +68,24 @@
     expect(availability.readAt).to.equal(12_000);
     expect(availability.returnedAt).to.equal(11_500);
   });
+
+  // Guards against live targets that are dropped in a slow store, whose answers
+  // come late, but come.
+  it("takes an overdue answer for the end of an outage", () => {
+    const availability = servingStore();
+    availability.recordAnswer(watchFrom(10_200), NOTHING, 11_300);
+    expect(availability.returnedAt).to.equal(11_300);
+  });
+
+  // Guards against live targets that are dropped since the store answers reads,
+  // but takes no heartbeats.
+  it("takes removals without any heartbeat for an outage", () => {
+    const availability = servingStore();
+    for (const time of [10_500, 11_000, 11_500]) {
+      availability.recordAnswer(watchFrom(time - 400), NOTHING, time);
+    }
+    expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
+    availability.recordAnswer(watchFrom(11_700), REMOVALS, 12_000);
+    expect(availability.returnedAt).to.equal(12_000);
+  });
 });
--- a/test/leaving_targets_test.ts
+++ b/test/leaving_targets_test.ts
@@ -32,6 +32,9 @@
 const OUTAGE = 6_000;
 const SHORT_OUTAGES = [3_000, 4_000, 3_000];
 
+/** Milliseconds by which a slow store delays each direction. */
+const SLOW_DELAY = 900;
+
 function planOf(seed: number): ILeavingPlan {
   const random = new SeededRandom(seed);
   const pick = <T>(values: readonly T[], fallback: T): T =>
@@ -133,6 +136,10 @@
   const plans: readonly [string, IOutagePlan][] = [
     ["refuses", { mode: LinkMode.Refuse, delay: 0, durations: [OUTAGE] }],
     ["is silent", { mode: LinkMode.Silent, delay: 0, durations: [OUTAGE] }],
+    [
+      "is slow",
+      { mode: LinkMode.Pass, delay: SLOW_DELAY, durations: [OUTAGE] },
+    ],
     [
       "is away again and again",
       { mode: LinkMode.Refuse, delay: 0, durations: SHORT_OUTAGES },
