Do not take an answer that was read late for the end of an outage

A process that is behind reads the answers of its watches late. Each was taken for the end of an outage, and the lease holder told the others: entries that had expired in calm would be kept, and kept on while the holder is behind.

An answer that contains new writes shows that the store took heartbeats meanwhile, so only one without any can be overdue.

Evidence: the new test of StoreAvailability, which failed before.

--- a/src/common/calls/store_availability.ts
+++ b/src/common/calls/store_availability.ts
@@ -4,8 +4,8 @@
  *
  * A watch that is cut off or rejected shows nothing of that while the store
  * answers the list that follows. What counts is that a list fails, that an
- * answer is overdue, that nothing was read for a while, or that entries are
- * removed while no target at all writes heartbeats.
+ * answer without any new write is overdue, that nothing was read for a while, or
+ * that entries are removed while no target at all writes heartbeats.
  */
 import type { MonotonicTime } from "../types.ts";
 
@@ -53,7 +53,7 @@
   /** Milliseconds between two heartbeats of a target. */
   readonly #heartbeat: number;
   #readAt: MonotonicTime = Number.NEGATIVE_INFINITY;
-  /** Since when an entry was certainly written, or nothing was known before. */
+  /** Since when an entry was written, or the store was read by another process. */
   #writtenAt: MonotonicTime = Number.NEGATIVE_INFINITY;
   #returnedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
   #interruptedUntil: MonotonicTime = Number.NEGATIVE_INFINITY;
@@ -149,13 +149,12 @@
     return time >= HEARTBEATS_IN_OUTAGE * this.#heartbeat;
   }
 
-  /** A watch is answered by the next heartbeat of any target. */
+  /** An answer with new writes is late because this process read it late. */
   #isOverdue(
     { sentAt, wait }: IStoreCall,
     { hasWrites }: IAnswerContent,
     now: MonotonicTime,
   ): boolean {
-    const longestWait = hasWrites ? Math.min(wait, this.#heartbeat) : wait;
-    return now - sentAt - longestWait >= this.#usualDelay;
+    return !hasWrites && now - sentAt - wait >= this.#usualDelay;
   }
 }
--- a/src/common/calls/store_availability_test.ts
+++ b/src/common/calls/store_availability_test.ts
@@ -77,6 +77,15 @@
     expect(availability.returnedAt).to.equal(11_300);
   });
 
+  // Guards against entries that are kept, here and at the others, since the
+  // process that reads the store is behind.
+  it("takes no answer that was read late for the end of an outage", () => {
+    const availability = servingStore();
+    availability.recordAnswer(watchFrom(10_200), WRITES, 12_800);
+    expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
+    expect(availability.interruptedUntil).to.equal(Number.NEGATIVE_INFINITY);
+  });
+
   // Guards against live targets that are dropped since the store answers reads,
   // but takes no heartbeats.
   it("takes removals without any heartbeat for an outage", () => {
