--- a/src/common/calls/observing_sender.ts
+++ b/src/common/calls/observing_sender.ts
@@ -94,7 +94,11 @@
   #recordLeaving({ target, call, startedAt }: ISentCall): void {
     const { targets, log, onTargetLeaving } = this.#parts;
     if (targets.recordLeaving(target.id, startedAt)) {
-      log.info("target_leaving", { target: target.id, request: call.id });
+      log.info("target_leaving", {
+        target: target.id,
+        request: call.id,
+        started_at: startedAt,
+      });
       onTargetLeaving();
     }
   }
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -117,12 +117,15 @@
 
   applyStoreChanges(change: IObjectChanges, now: MonotonicTime): void {
     const listed = new Set<InstanceId>();
+    const draining: InstanceId[] = [];
     for (const { name, version, value } of change.objects) {
       const target = this.#parts.decode(name, value);
       if (target !== null) {
         listed.add(name);
         this.#missing.delete(name);
-        this.#set(target);
+        if (this.#set(target)) {
+          draining.push(name);
+        }
         this.#renewals.record(name, version, change);
       } else {
         this.#delete(name);
@@ -133,6 +136,7 @@
       : change.removed;
     const known = removedIds.filter((id) => this.#targets.has(id));
     this.#removeAll(known, change, now);
+    this.#logDraining(draining, RemovalSource.Store);
   }
 
   /** Applies changes that another process has read from the store. */
@@ -140,19 +144,20 @@
     { targets, removed, expiring = {} }: ITargetChanges,
     now: MonotonicTime,
   ): void {
-    for (const target of targets) {
-      this.#missing.delete(target.id);
-      this.#set(target);
-    }
+    targets.forEach(({ id }) => this.#missing.delete(id));
+    const draining = targets.filter((target) => this.#set(target));
+    this.#logDraining(
+      draining.map(({ id }) => id),
+      RemovalSource.Relay,
+    );
     const dropped = removed.filter((id) => this.#targets.has(id));
     dropped.forEach((id) => this.#delete(id));
     this.#logDropped(dropped, RemovalSource.Relay, 0);
-    for (const [id, timeLeft] of Object.entries(expiring)) {
-      if (this.#targets.has(id)) {
-        this.#keep(id, now, now + timeLeft);
-      }
-    }
-    this.#logKept(Object.keys(expiring), RemovalSource.Relay, now);
+    const kept = Object.keys(expiring).filter((id) => this.#targets.has(id));
+    this.#keepAll(kept, RemovalSource.Relay, {
+      now,
+      until: (id) => now + (expiring[id] ?? 0),
+    });
   }
 
   /** Records that all targets that are not missing were written since then. */
@@ -193,11 +198,14 @@
     return expired.length > 0;
   }
 
-  #set(target: IListedTarget): void {
+  /** Returns whether the target has begun to drain. */
+  #set(target: IListedTarget): boolean {
     const leaving = this.#leaving.get(target.id);
     const isLeaving = leaving !== undefined && target.startedAt <= leaving;
     const state = isLeaving ? ListedState.Draining : target.state;
+    const before = this.#targets.get(target.id)?.state;
     this.#targets.set(target.id, { ...target, state });
+    return state === ListedState.Draining && before === ListedState.Ready;
   }
 
   #removeAll(
@@ -212,9 +220,8 @@
       now < until && now - this.#renewals.timeOf(id) >= this.#parts.expiryTime;
     const kept = present.filter(mayHaveExpired);
     const dropped = present.filter((id) => !mayHaveExpired(id));
-    kept.forEach((id) => this.#keep(id, now, until));
+    this.#keepAll(kept, RemovalSource.Store, { now, until: () => until });
     dropped.forEach((id) => this.#delete(id));
-    this.#logKept(kept, RemovalSource.Store, now);
     this.#logDropped(dropped, RemovalSource.Store, 0);
   }
 
@@ -234,18 +241,34 @@
     this.#renewals.forget(id);
   }
 
-  #logKept(
+  #keepAll(
     ids: readonly InstanceId[],
     source: RemovalSource,
-    now: MonotonicTime,
+    {
+      now,
+      until,
+    }: {
+      readonly now: MonotonicTime;
+      readonly until: (id: InstanceId) => MonotonicTime;
+    },
   ): void {
+    if (ids.length === 0) {
+      return;
+    }
+    const writtenAges = ids.map((id) => now - this.#renewals.timeOf(id));
+    ids.forEach((id) => this.#keep(id, now, until(id)));
     const times = ids.map((id) => this.timeLeft(id, now) ?? 0);
+    this.#parts.log.info("targets_kept", {
+      source,
+      ...namesOf(ids),
+      for_ms: Math.round(Math.max(...times)),
+      written_ms: roundedOrNull(Math.max(...writtenAges)),
+    });
+  }
+
+  #logDraining(ids: readonly InstanceId[], source: RemovalSource): void {
     if (ids.length > 0) {
-      this.#parts.log.info("targets_kept", {
-        source,
-        ...namesOf(ids),
-        for_ms: Math.round(Math.max(...times)),
-      });
+      this.#parts.log.info("targets_draining", { source, ...namesOf(ids) });
     }
   }
 
@@ -265,6 +288,11 @@
   }
 }
 
+/** Null for an age that is not known. */
+function roundedOrNull(age: number): number | null {
+  return Number.isFinite(age) ? Math.round(age) : null;
+}
+
 function namesOf(ids: readonly InstanceId[]) {
   return {
     count: ids.length,
