--- a/src/common/relay/store_relay_test.ts
+++ b/src/common/relay/store_relay_test.ts
@@ -13,6 +13,9 @@
  */
 const CHANGE_BOUND = 2_000;
 
+/** Milliseconds until a process counts as calm after an outage. */
+const STABLE_TIME = 3_000;
+
 describe("StoreRelay", () => {
   // Guards against store calls that grow with the number of processes: ten
   // processes, and one target that writes heartbeats.
@@ -141,6 +144,47 @@
     );
   });
 
+  // Guards against calls to a target that has left: the holder alone was cut off
+  // from the store, and all keep what has left around its return.
+  it("drops targets that leave as a cut holder returns", async () => {
+    const deployment = new Deployment(3, REAPPEAR_TIME);
+    const [holder, ...others] = deployment.processes;
+    for (const name of ["a", "b", "c", "d"]) {
+      deployment.startTarget(name);
+      await deployment.advance(300);
+    }
+    await deployment.advance(4_000);
+    if (holder !== undefined) {
+      holder.link.isCut = true;
+      await deployment.advance(2_200);
+      holder.link.isCut = false;
+    }
+    deployment.removeTarget("a");
+    await deployment.advance(CHANGE_BOUND - STEP);
+    for (const { names } of others) {
+      expect(names).to.deep.equal(["b", "c", "d"]);
+    }
+    await deployment.advance(STABLE_TIME - CHANGE_BOUND);
+    expect(holder?.names).to.deep.equal(["b", "c", "d"]);
+    deployment.dispose();
+  });
+
+  // Guards against the same in other orders of cuts of single processes, holders
+  // and real outages, in which no live target may be dropped.
+  it("judges removals by what any process has read", async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(CUT_STEP, { minLength: 1, maxLength: 12 }),
+        async (steps) => {
+          const play = new OutagePlay();
+          await play.run(steps);
+          expect(play.findings).to.deep.equal([]);
+        },
+      ),
+      { seed: SEED, numRuns: 100 },
+    );
+  });
+
   // Guards against changes that arrive late or never, when cuts, freezes and
   // changes of the holder come in any order, also together.
   for (const reappearTime of [0, REAPPEAR_TIME]) {
@@ -175,12 +219,17 @@
   }
 });
 
-/** Milliseconds until a process counts as calm after an outage. */
-const STABLE_TIME = 3_000;
-
 /** What happens to the processes, in the order of the plays. */
 type OutageStep = {
-  readonly kind: "cut" | "series" | "remove" | "holder" | "mute" | "outage";
+  readonly kind:
+    | "cut"
+    | "series"
+    | "remove"
+    | "holder"
+    | "mute"
+    | "outage"
+    /** One process is cut off from the store, which serves on. */
+    | "apart";
   readonly at: number;
   /** Milliseconds until the next step. */
   readonly wait: number;
@@ -194,12 +243,22 @@
   wait: fc.nat(46).map((steps) => steps * STEP),
 });
 
+const CUT_STEP: fc.Arbitrary<OutageStep> = fc.record({
+  kind: fc.constantFrom(
+    ...(["apart", "apart", "remove", "holder", "mute", "outage"] as const),
+  ),
+  at: fc.nat(3),
+  wait: fc.nat(46).map((steps) => steps * STEP),
+});
+
 /** Plays steps, and notes where targets are kept or dropped wrongly. */
 class OutagePlay {
   readonly findings: string[] = [];
   readonly #deployment = new Deployment(3, REAPPEAR_TIME);
   /** Targets that were removed, and when. */
   readonly #removedAt = new Map<string, number>();
+  /** Until when each process is cut off. */
+  readonly #cutUntil = [0, 0, 0];
   #outageEndedAt = Number.NEGATIVE_INFINITY;
   #isAway = false;
 
@@ -237,6 +296,8 @@
       mute.add(at % 3);
       await this.#advance(wait);
       mute.delete(at % 3);
+    } else if (kind === "apart") {
+      this.#cutUntil[at % 3] = this.#deployment.clock.now() + 300 + 2 * wait;
     } else if (kind === "outage") {
       await this.#playOutage(1_000 + 2 * wait);
     }
@@ -252,14 +313,20 @@
   #setAway(isAway: boolean): void {
     this.#isAway = isAway;
     this.#deployment.isStoreWritable = !isAway;
-    for (const { link } of this.#deployment.processes) {
-      link.isCut = isAway;
-    }
+    this.#setLinks();
+  }
+
+  #setLinks(): void {
+    const now = this.#deployment.clock.now();
+    this.#deployment.processes.forEach(({ link }, index) => {
+      link.isCut = this.#isAway || now < (this.#cutUntil[index] ?? 0);
+    });
   }
 
   async #advance(duration: number): Promise<void> {
     for (let passed = 0; passed < duration; passed += STEP) {
       await this.#deployment.advance(STEP);
+      this.#setLinks();
       this.#check();
     }
   }
@@ -271,7 +338,10 @@
       for (const name of alive.filter((one) => !names.includes(one))) {
         this.findings.push(`${now}: ${index} has dropped ${name}`);
       }
-      for (const name of names.filter((one) => this.#isOverdue(one, now))) {
+      const calmAt = (this.#cutUntil[index] ?? 0) + STABLE_TIME;
+      const isOverdue = (name: string) =>
+        now > calmAt && this.#isOverdue(name, now);
+      for (const name of names.filter(isOverdue)) {
         this.findings.push(`${now}: ${index} still has ${name}`);
       }
     });
--- a/test/leaving_targets_test.ts
+++ b/test/leaving_targets_test.ts
@@ -6,7 +6,11 @@
   HolderTrouble,
   LeavingTargets,
 } from "./support/leaving_targets.ts";
-import type { ILeavingPlan, IOutagePlan } from "./support/leaving_targets.ts";
+import type {
+  ICutOffPlan,
+  ILeavingPlan,
+  IOutagePlan,
+} from "./support/leaving_targets.ts";
 import { SeededRandom } from "./support/seeded_random.ts";
 
 /** First seed of the plans; `LEAVING_TARGETS_SEED` names another one. */
@@ -28,6 +32,14 @@
 /** Milliseconds for which a cut may reset new connections too. */
 const LONGEST_CUT = 150;
 
+/** Milliseconds for which a process is cut off from the store. */
+const SHORTEST_CUT_OFF = 300;
+const LONGEST_CUT_OFF = 6_000;
+
+/** Milliseconds from the end of the cut until the targets leave. */
+const EARLIEST_LEAVE = -2_000;
+const LATEST_LEAVE = 1_500;
+
 /** Milliseconds of the outages, and of those in a series. */
 const OUTAGE = 6_000;
 const SHORT_OUTAGES = [3_000, 4_000, 3_000];
@@ -58,14 +70,41 @@
   };
 }
 
-async function play(plan: ILeavingPlan) {
+function cutOffPlanOf(seed: number): ICutOffPlan {
+  const random = new SeededRandom(seed);
+  // The first numbers of neighbouring seeds are the same.
+  random.next();
+  const pick = <T>(values: readonly T[], fallback: T): T =>
+    values[Math.floor(random.next() * values.length)] ?? fallback;
+  const between = (shortest: number, longest: number) =>
+    Math.round(shortest + random.next() * (longest - shortest));
+  return {
+    cut: pick(
+      [CutProcesses.Holder, CutProcesses.Holder, CutProcesses.Others],
+      CutProcesses.Holder,
+    ),
+    mode: pick(
+      [
+        LinkMode.Silent,
+        LinkMode.Cut,
+        LinkMode.DropAnswers,
+        LinkMode.DropRequests,
+      ],
+      LinkMode.Silent,
+    ),
+    duration: between(SHORTEST_CUT_OFF, LONGEST_CUT_OFF),
+    moment: between(EARLIEST_LEAVE, LATEST_LEAVE),
+  };
+}
+
+async function play(plan: ILeavingPlan | ICutOffPlan) {
   await using targets = new LeavingTargets();
   await targets.start();
-  await targets.play(plan);
+  await ("mode" in plan ? targets.playCutOff(plan) : targets.play(plan));
   return targets.end();
 }
 
-async function expectNoneLate(plan: ILeavingPlan): Promise<void> {
+async function expectNoneLate(plan: ILeavingPlan | ICutOffPlan): Promise<void> {
   const { late, refused, calls } = await play(plan);
   if (process.env.LEAVING_TARGETS_REPORT) {
     const shown = `${calls} calls, late ${late.length}`;
@@ -130,6 +169,26 @@
   }
 });
 
+describe("targets that leave while processes are cut off from the store", () => {
+  // Guards against calls to targets that have left: the lease holder alone was
+  // cut off, and takes that for an outage of the store.
+  it("get none later than they may as the holder returns", async () => {
+    await expectNoneLate({
+      cut: CutProcesses.Holder,
+      mode: LinkMode.Silent,
+      duration: 2_200,
+      moment: 50,
+    });
+  });
+
+  // Guards against the same with other processes, cuts and moments.
+  for (let seed = SEED; seed < SEED + PLANS; seed += 1) {
+    it(`get none later than they may, cut by seed ${seed}`, async () => {
+      await expectNoneLate(cutOffPlanOf(seed));
+    });
+  }
+});
+
 describe("targets whose entries expire in an outage of the store", () => {
   // Guards against refusing calls at the end of an outage, when the entries of
   // live targets are missing.
--- a/test/support/leaving_targets.ts
+++ b/test/support/leaving_targets.ts
@@ -57,6 +57,17 @@
   readonly holder: HolderTrouble;
 }
 
+/** Processes lose their paths to the store, which serves all others. */
+export interface ICutOffPlan {
+  readonly cut: CutProcesses;
+  /** What their links do meanwhile. */
+  readonly mode: LinkMode;
+  /** Milliseconds of the cut. */
+  readonly duration: number;
+  /** Milliseconds from its end until the targets leave; negative: before it. */
+  readonly moment: number;
+}
+
 /** An outage of the store, or several. */
 export interface IOutagePlan {
   /** What the links of all processes to the store do meanwhile. */
@@ -142,6 +153,36 @@
     }
   }
 
+  /** Cuts processes off from the store, and watches the targets that leave. */
+  async playCutOff(plan: ICutOffPlan): Promise<void> {
+    const { cut, mode, duration, moment } = plan;
+    const indexes = this.#indexesOf(cut);
+    const returnsAt = performance.now() + duration;
+    const endsAt = returnsAt + Math.max(0, moment) + WATCHED_TIME;
+    indexes.forEach((index) =>
+      this.#disruptedUntil.set(index, returnsAt + STABLE_TIME),
+    );
+    this.#setLinkModes(indexes, mode);
+    let isCut = true;
+    while (performance.now() < endsAt) {
+      const now = performance.now();
+      if (isCut && now >= returnsAt) {
+        isCut = false;
+        this.#setLinkModes(indexes, LinkMode.Pass);
+      }
+      if (now >= returnsAt + moment && this.#leftAt.size === 0) {
+        this.leave();
+      }
+      await sleep(5);
+    }
+  }
+
+  #setLinkModes(indexes: readonly number[], mode: LinkMode): void {
+    indexes.forEach((index) =>
+      this.fleet.processes[index]?.storeLink.setMode(mode),
+    );
+  }
+
   /** Removes the entries of a plain target and of a head, which serve on. */
   leave(): void {
     const plain = this.fleet.plainTargets[0];
