Do not take hidden heartbeats for an outage of the store

Callers saw calls that reached a target later than 2 s after its entry was removed, in calm.

Cause: a removal counted as the sign of an outage if no target had written for 2.4 s. The platform shows no change of an entry in which only the heartbeat count differs, so between changes no target ever seems to write. In the relay of three processes without any trouble the removed target was still known 1.95 s later: the new test fails on the code before. Change: silence of all targets counts only where heartbeats were seen before, from the share of the targets that write; and only until their entries have expired. Measured: the test passes; the slow store that takes no heartbeats is judged as before where they are shown. Checks: the fixture of the serving store now answers regularly for 9 s, since two answers do not show heartbeats.

--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -67,6 +67,8 @@
   /** Duration of one watch, milliseconds; {@link WATCH_TIME} by default. */
   readonly watchTime?: () => number;
   readonly availability: StoreAvailability;
+  /** Number of known objects that write heartbeats; 0 by default. */
+  readonly objectCount?: () => number;
   readonly onChanged: (changed: IObjectChanges) => void;
 }
 
@@ -240,8 +242,10 @@
     const { objects, removed = [], version } = found;
     const notBefore = this.#knownAt;
     const before = this.version;
+    const written = objects.filter((object) => object.version > before);
+    const count = this.#options.objectCount?.() ?? 0;
     const content = {
-      hasWrites: objects.some((object) => object.version > before),
+      writtenShare: written.length / Math.max(written.length, count, 1),
       hasRemovals: removed.length > 0,
       notBefore,
     };
--- a/src/common/calls/store_availability.ts
+++ b/src/common/calls/store_availability.ts
@@ -5,7 +5,8 @@
  * A watch that is cut off or rejected shows nothing of that while the store
  * answers the list that follows. What counts is that a list fails, that an
  * answer without any new write is overdue, that nothing was read for a while, or
- * that entries are removed while no target at all writes heartbeats.
+ * that entries are removed while no target at all writes heartbeats which were
+ * seen before. A store may show no heartbeat that changes nothing else.
  */
 import type { MonotonicTime } from "../types.ts";
 
@@ -18,6 +19,18 @@
 /** Heartbeat intervals by which a usual answer may be late. */
 const USUAL_DELAY = 0.5;
 
+/**
+ * Heartbeats from the last write of all targets until their entries have
+ * expired in an outage, with what an answer takes to show it.
+ */
+const HEARTBEATS_UNTIL_EXPIRED = 5;
+
+/** Heartbeats over which the share of targets that write is averaged. */
+const SHOWN_OVER_HEARTBEATS = 4;
+
+/** Share of the targets whose writes are seen if heartbeats are shown at all. */
+const SHOWN_SHARE = 0.5;
+
 /** A call to the store that has ended. */
 export interface IStoreCall {
   readonly sentAt: MonotonicTime;
@@ -28,8 +41,8 @@
 
 /** What an answer of the store shows of the targets. */
 export interface IAnswerContent {
-  /** Whether entries were written since the answer before. */
-  readonly hasWrites: boolean;
+  /** Share of the known entries that were written since the answer before. */
+  readonly writtenShare: number;
   readonly hasRemovals: boolean;
   /** What was written is later than this time. */
   readonly notBefore: MonotonicTime;
@@ -57,6 +70,8 @@
   #writtenAt: MonotonicTime = Number.NEGATIVE_INFINITY;
   #returnedAt: MonotonicTime = Number.NEGATIVE_INFINITY;
   #interruptedUntil: MonotonicTime = Number.NEGATIVE_INFINITY;
+  /** Share of the targets whose heartbeats were seen, averaged. */
+  #shownShare = 0;
   /** First failure since the last answer; null for none. */
   #failedSince: MonotonicTime | null = null;
   /** Whether a call has failed that a store in service answers. */
@@ -93,8 +108,9 @@
     const isFirst = this.#writtenAt === Number.NEGATIVE_INFINITY;
     if (isFirst) {
       this.#writtenAt = now;
-    } else if (content.hasWrites) {
+    } else if (content.writtenShare > 0) {
       this.#writtenAt = Math.max(this.#writtenAt, content.notBefore);
+      this.#averageShown(content.writtenShare, now - this.#readAt);
     }
     const isInterrupted = this.#isInterrupted;
     const isReturn = this.#isReturn(call, content, now);
@@ -135,12 +151,35 @@
     const failedFor = now - (this.#failedSince ?? now);
     const wasDown = this.#isInterrupted && failedFor >= this.#usualDelay;
     const isUnread = failedFor > 0 && this.#isLongGap(now - this.#readAt);
-    const isUnwritten =
-      content.hasRemovals && this.#isLongGap(now - this.#writtenAt);
+    const isUnwritten = content.hasRemovals && this.#isUnwritten(now);
     const isOverdue = this.#isOverdue(call, content, now);
     return wasDown || isUnread || isUnwritten || isOverdue;
   }
 
+  /**
+   * Averages over the answers that show writes: there are none in an outage, and
+   * a store may show no heartbeats that change nothing else.
+   */
+  #averageShown(writtenShare: number, time: number): void {
+    const heartbeats = Math.max(0, time) / this.#heartbeat;
+    const share = Math.min(1, writtenShare / Math.min(1, heartbeats));
+    const weight = Math.min(1, heartbeats / SHOWN_OVER_HEARTBEATS);
+    this.#shownShare += weight * (share - this.#shownShare);
+  }
+
+  #areHeartbeatsShown(now: MonotonicTime): boolean {
+    const heartbeats = (now - this.#writtenAt) / this.#heartbeat;
+    const isRecent = heartbeats < HEARTBEATS_UNTIL_EXPIRED;
+    return isRecent && this.#shownShare >= SHOWN_SHARE;
+  }
+
+  /** Whether no target has written for long, although writes would be seen. */
+  #isUnwritten(now: MonotonicTime): boolean {
+    return (
+      this.#areHeartbeatsShown(now) && this.#isLongGap(now - this.#writtenAt)
+    );
+  }
+
   get #usualDelay(): number {
     return this.#heartbeat * USUAL_DELAY;
   }
@@ -152,9 +191,9 @@
   /** An answer with new writes is late because this process read it late. */
   #isOverdue(
     { sentAt, wait }: IStoreCall,
-    { hasWrites }: IAnswerContent,
+    { writtenShare }: IAnswerContent,
     now: MonotonicTime,
   ): boolean {
-    return !hasWrites && now - sentAt - wait >= this.#usualDelay;
+    return writtenShare === 0 && now - sentAt - wait >= this.#usualDelay;
   }
 }
--- a/src/common/calls/store_availability_test.ts
+++ b/src/common/calls/store_availability_test.ts
@@ -4,9 +4,9 @@
 /** Milliseconds between two heartbeats of a target. */
 const HEARTBEAT = 1_200;
 
-const WRITES = { hasWrites: true, hasRemovals: false, notBefore: 9_500 };
-const REMOVALS = { hasWrites: false, hasRemovals: true, notBefore: 9_500 };
-const NOTHING = { hasWrites: false, hasRemovals: false, notBefore: 9_500 };
+const WRITES = { writtenShare: 1, hasRemovals: false, notBefore: 9_500 };
+const REMOVALS = { writtenShare: 0, hasRemovals: true, notBefore: 9_500 };
+const NOTHING = { writtenShare: 0, hasRemovals: false, notBefore: 9_500 };
 
 function watchFrom(sentAt: number) {
   return { sentAt, wait: 400, isList: false };
@@ -19,7 +19,11 @@
 /** A store that has answered regularly until 10 s. */
 function servingStore(): StoreAvailability {
   const availability = new StoreAvailability(HEARTBEAT);
-  availability.recordAnswer(listFrom(9_000), NOTHING, 9_010);
+  availability.recordAnswer(listFrom(990), NOTHING, 1_000);
+  for (let time = 2_000; time < 10_000; time += 1_000) {
+    const content = { ...WRITES, notBefore: time - 500 };
+    availability.recordAnswer(watchFrom(time - 400), content, time);
+  }
   availability.recordAnswer(watchFrom(9_600), WRITES, 10_000);
   return availability;
 }
@@ -97,4 +101,18 @@
     availability.recordAnswer(watchFrom(11_700), REMOVALS, 12_000);
     expect(availability.returnedAt).to.equal(12_000);
   });
+
+  // Guards against targets that are kept after they left: the platform shows no
+  // heartbeats that change nothing else, and none is taken for an outage.
+  it("takes no removal for an outage where heartbeats are not shown", () => {
+    const availability = new StoreAvailability(HEARTBEAT);
+    availability.recordAnswer(listFrom(0), NOTHING, 10);
+    for (let time = 400; time <= 8_000; time += 400) {
+      const isChange = time === 4_000;
+      const content = { ...NOTHING, writtenShare: isChange ? 0.1 : 0 };
+      availability.recordAnswer(watchFrom(time - 400), content, time);
+    }
+    availability.recordAnswer(watchFrom(8_000), REMOVALS, 8_100);
+    expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
+  });
 });
--- a/src/common/relay/store_relay_test.ts
+++ b/src/common/relay/store_relay_test.ts
@@ -144,6 +144,21 @@
     );
   });
 
+  // Guards against calls to a target that has left in calm: the platform shows no
+  // heartbeats that change nothing else, which was taken for an outage.
+  it("drops targets at once where heartbeats are not shown", async () => {
+    const deployment = new Deployment(3, REAPPEAR_TIME);
+    const { store, processes } = deployment;
+    ["a", "b", "c"].forEach((name) => store.put(name));
+    await deployment.advance(6_000);
+    store.remove("a");
+    await deployment.advance(CHANGE_BOUND - STEP);
+    for (const { names } of processes) {
+      expect(names).to.deep.equal(["b", "c"]);
+    }
+    deployment.dispose();
+  });
+
   // Guards against calls to a target that has left: the holder alone was cut off
   // from the store, and all keep what has left around its return.
   it("drops targets that leave as a cut holder returns", async () => {
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -435,6 +435,7 @@
         this.#coordinator.isHolder ? HOLDER_TARGETS_PAUSE : TARGETS_PAUSE,
       watchTime: () => this.#watchTime,
       availability: new StoreAvailability(this.#settings.heartbeat_ms),
+      objectCount: () => this.#targets.all.size,
       onChanged: (change) => {
         this.#targets.applyStoreChanges(change, this.#clock.now());
         this.#relay.recordTargetChanges(change);
--- a/test/support/relay_deployment.ts
+++ b/test/support/relay_deployment.ts
@@ -198,6 +198,7 @@
         pause: () => (isHolder() ? 200 : 900),
         watchTime,
         availability: new StoreAvailability(HEARTBEAT),
+        objectCount: () => this.registry.all.size,
         onChanged: (change) => {
           this.outages +=
             change.availability.returnedAt === clock.now() ? 1 : 0;
