Judge the store's service by what any process has read

Cause: a process that could not read the store took that for an outage of the store and told the others, who kept what had left meanwhile (targets_kept source=store and source=relay at processes that were never cut off). Class: what one process did not read is taken for what did not happen. Change: the store serves as long as answers come with less than two heartbeat intervals in between; processes report for how long it has, and updates say it. A removal after three intervals of service is news. What is kept is judged again with each answer. The holder's word that it keeps a target no longer binds a process that knows better. Processes that read by themselves watch for 600 ms instead of 2.5 s: an answered watch shows that the store serves. Why it works: no outage in which live entries expire fits between such answers, whoever reads them; a statement that has waited in a paused process counts only for the time before it can have been made.

Checks: 'distributes removals that are put off' cuts all processes off for 2.5 s, since the cut of the holder alone puts off nothing any more; it asserts the same.

--- a/src/adapters/exchange/inner_server.ts
+++ b/src/adapters/exchange/inner_server.ts
@@ -60,6 +60,13 @@
   versions: z
     .object({ configuration: z.number(), targets: z.number() })
     .default({ configuration: 0, targets: 0 }),
+  storeService: z
+    .object({
+      age: z.number(),
+      length: z.number(),
+      updateTime: z.string(),
+    })
+    .optional(),
   rateLimits: z
     .record(
       z.string(),
--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -22,6 +22,7 @@
 import type { IKindStatus } from "../relay/types.ts";
 import type { ICallFailure, MonotonicTime } from "../types.ts";
 import type {
+  IServiceTime,
   IStoreCall,
   IStoreTimes,
   StoreAvailability,
@@ -138,12 +139,13 @@
       return null;
     }
     const now = this.#parts.clock.now();
-    const { returnedAt } = this.#options.availability;
+    const { returnedAt, service } = this.#options.availability;
     return {
       version: this.#version,
       changedVersion: this.#changedVersion,
       age: now - this.#answeredAt,
       ...(Number.isFinite(returnedAt) ? { returnAge: now - returnedAt } : {}),
+      ...(service === null ? {} : { service: spanOf(service, now) }),
     };
   }
 
@@ -152,13 +154,22 @@
     return this.#version ?? 0;
   }
 
-  /** Receives the store's status as another process last read it. */
-  receiveRelayedStatus(status: IKindStatus): void {
+  /**
+   * Receives the store's status as another process last read it.
+   *
+   * @param askedAt - when it was asked for: it may have waited here since
+   */
+  receiveRelayedStatus(status: IKindStatus, askedAt: MonotonicTime): void {
     const { version, changedVersion, age, returnAge = Infinity } = status;
+    const { availability } = this.#options;
     const now = this.#parts.clock.now();
     const until = now + LONGEST_RELAY_AGE - age;
     this.#relayedStatus = { version, changedVersion, until };
-    this.#options.availability.recordRelayed(now - age, now - returnAge);
+    availability.recordRelayed(now - age, now - returnAge);
+    if (status.service !== undefined) {
+      const times = { notBefore: askedAt, now };
+      availability.recordService(status.service, times);
+    }
   }
 
   /** Records that another process relayed all changes up to a version. */
@@ -306,3 +317,7 @@
     });
   }
 }
+
+function spanOf({ from, until }: IServiceTime, now: MonotonicTime) {
+  return { age: now - until, length: until - from };
+}
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -13,6 +13,7 @@
 } from "../../../test/support/recording_services.ts";
 import { RetryAfterRule } from "../../../test/support/retry_after_rule.ts";
 import { SeededRandom } from "../../../test/support/seeded_random.ts";
+import { SERVING_STORE } from "../../../test/support/serving_store.ts";
 import { TargetCooldowns } from "../target_cooldowns.ts";
 import { ObservingSender } from "./observing_sender.ts";
 import { PlainCalls } from "./plain_calls.ts";
@@ -87,6 +88,7 @@
   constructor() {
     this.targets.applyRelayedChanges(
       { targets: ["a", "b", "c"].map((id) => listedEngine(id)), removed: [] },
+      SERVING_STORE,
       0,
     );
     const bounds = { ratio: 0.2, window: 10_000, slack: 100 };
--- a/src/common/calls/store_availability.ts
+++ b/src/common/calls/store_availability.ts
@@ -7,7 +7,13 @@
  * answer without any new write is overdue, that nothing was read for a while, or
  * that entries are removed while no target at all writes heartbeats which were
  * seen before. A store may show no heartbeat that changes nothing else.
+ *
+ * One process may be cut off from a store that serves all others. So processes
+ * tell each other how long the store has answered without a gap, and an entry
+ * that was removed meanwhile has not expired by an outage, whatever a single
+ * process has missed.
  */
+import type { IServiceSpan } from "../relay/types.ts";
 import type { MonotonicTime } from "../types.ts";
 
 /**
@@ -59,6 +65,21 @@
   readonly returnedAt: MonotonicTime;
   /** End of the last interruption, be it as short as it may. */
   readonly interruptedUntil: MonotonicTime;
+  /** The last time of service that any process knows of; null for none. */
+  readonly service: IServiceTime | null;
+  /** Since when it serves without a gap; now if it may not have until now. */
+  servesSince(now: MonotonicTime): MonotonicTime;
+  /** Whether the store has served without a gap between two times. */
+  hasServed(from: MonotonicTime, until: MonotonicTime): boolean;
+}
+
+/**
+ * A time in which the store has answered without a gap in which entries expire,
+ * and targets wrote, where the store shows that.
+ */
+export interface IServiceTime {
+  readonly from: MonotonicTime;
+  readonly until: MonotonicTime;
 }
 
 /** Availability of the store, as one process has seen it. */
@@ -72,6 +93,10 @@
   #interruptedUntil: MonotonicTime = Number.NEGATIVE_INFINITY;
   /** Share of the targets whose heartbeats were seen, averaged. */
   #shownShare = 0;
+  /** As this process has read it; null if that is not known. */
+  #ownService: IServiceTime | null = null;
+  /** The same, as other processes have read it. */
+  #othersService: IServiceTime | null = null;
   /** First failure since the last answer; null for none. */
   #failedSince: MonotonicTime | null = null;
   /** Whether a call has failed that a store in service answers. */
@@ -93,6 +118,27 @@
     return this.#interruptedUntil;
   }
 
+  get service(): IServiceTime | null {
+    const own = this.#ownService;
+    const others = this.#othersService;
+    return own && others ? this.#join(own, others) : (own ?? others);
+  }
+
+  servesSince(now: MonotonicTime): MonotonicTime {
+    const { service } = this;
+    const isCurrent = service && !this.#isLongGap(now - service.until);
+    return isCurrent ? service.from : now;
+  }
+
+  hasServed(from: MonotonicTime, until: MonotonicTime): boolean {
+    const { service } = this;
+    return (
+      service !== null &&
+      service.from <= from &&
+      !this.#isLongGap(until - service.until)
+    );
+  }
+
   recordFailure(call: IStoreCall, now: MonotonicTime): void {
     const isLate = now - call.sentAt - call.wait >= this.#usualDelay;
     this.#failedSince ??= isLate ? call.sentAt : now;
@@ -115,6 +161,7 @@
     const isInterrupted = this.#isInterrupted;
     const isReturn = this.#isReturn(call, content, now);
     this.#readAt = now;
+    this.#updateService(isReturn, now);
     this.clearFailures();
     if (isReturn) {
       this.#returnedAt = now;
@@ -137,6 +184,24 @@
     this.#interruptedUntil = Math.max(this.#interruptedUntil, returnedAt);
   }
 
+  /**
+   * Records for how long the store has served, as another process knows.
+   *
+   * @param times - between which it was stated: only what is certain is used
+   */
+  recordService(
+    { age, length }: IServiceSpan,
+    times: { readonly notBefore: MonotonicTime; readonly now: MonotonicTime },
+  ): void {
+    const from = times.now - age - length;
+    const until = times.notBefore - age;
+    const known = this.#othersService;
+    if (from <= until) {
+      const time = { from, until };
+      this.#othersService = known ? this.#join(known, time) : time;
+    }
+  }
+
   /** Forgets own failures: another process reads the store in their place. */
   clearFailures(): void {
     this.#failedSince = null;
@@ -156,6 +221,16 @@
     return wasDown || isUnread || isUnwritten || isOverdue;
   }
 
+  /** The store serves targets only until they should have written again. */
+  #updateService(isReturn: boolean, now: MonotonicTime): void {
+    const until = this.#areHeartbeatsShown(now)
+      ? Math.min(now, this.#writtenAt + this.#heartbeat)
+      : now;
+    const answered = isReturn ? instant(now) : instant(until);
+    const known = isReturn ? null : this.#ownService;
+    this.#ownService = known ? this.#join(known, answered) : answered;
+  }
+
   /**
    * Averages over the answers that show writes: there are none in an outage, and
    * a store may show no heartbeats that change nothing else.
@@ -180,6 +255,15 @@
     );
   }
 
+  /** Both times if no gap is between them, else the later one. */
+  #join(one: IServiceTime, other: IServiceTime): IServiceTime {
+    const [first, last] =
+      one.until <= other.until ? [one, other] : [other, one];
+    return !this.#isLongGap(last.from - first.until)
+      ? { from: Math.min(first.from, last.from), until: last.until }
+      : last;
+  }
+
   get #usualDelay(): number {
     return this.#heartbeat * USUAL_DELAY;
   }
@@ -197,3 +281,7 @@
     return writtenShare === 0 && now - sentAt - wait >= this.#usualDelay;
   }
 }
+
+function instant(time: MonotonicTime): IServiceTime {
+  return { from: time, until: time };
+}
--- a/src/common/calls/store_availability_test.ts
+++ b/src/common/calls/store_availability_test.ts
@@ -114,5 +114,60 @@
     }
     availability.recordAnswer(watchFrom(8_000), REMOVALS, 8_100);
     expect(availability.returnedAt).to.equal(Number.NEGATIVE_INFINITY);
+    expect(availability.hasServed(10, 8_100)).to.equal(true);
+  });
+
+  it("has served while answers come without a gap", () => {
+    const availability = servingStore();
+    expect(availability.hasServed(1_000, 10_500)).to.equal(true);
+    expect(availability.hasServed(999, 10_500)).to.equal(false);
+    expect(availability.hasServed(1_000, 12_400)).to.equal(false);
+    expect(availability.servesSince(10_500)).to.equal(1_000);
+    expect(availability.servesSince(12_400)).to.equal(12_400);
+  });
+
+  // Guards against live targets that are dropped: an outage of the store fits
+  // between two answers.
+  it("has not served across a gap between answers", () => {
+    const availability = servingStore();
+    const content = { ...WRITES, notBefore: 12_300 };
+    availability.recordAnswer(watchFrom(12_100), content, 12_450);
+    expect(availability.hasServed(10_000, 12_450)).to.equal(false);
+    expect(availability.servesSince(12_450)).to.equal(12_450);
+  });
+
+  // Guards against live targets that are dropped: the store answers, but no
+  // target can write.
+  it("has not served while no target wrote", () => {
+    const availability = servingStore();
+    for (let time = 10_400; time <= 13_200; time += 400) {
+      availability.recordAnswer(watchFrom(time - 400), NOTHING, time);
+    }
+    expect(availability.hasServed(9_500, 13_200)).to.equal(false);
+  });
+
+  // Guards against targets that are kept for long after they left: this process
+  // alone was cut off, and takes that for an outage of the store.
+  it("has served in an outage of its own that another one did not see", () => {
+    const availability = servingStore();
+    availability.recordFailure(watchFrom(10_200), 11_600);
+    availability.recordAnswer(listFrom(12_500), WRITES, 12_510);
+    expect(availability.hasServed(5_000, 12_510)).to.equal(false);
+    const span = { age: 100, length: 7_600 };
+    availability.recordService(span, { notBefore: 12_700, now: 12_700 });
+    expect(availability.hasServed(5_000, 12_700)).to.equal(true);
+  });
+
+  // Guards against live targets that are dropped: a process that has been paused
+  // reads what another one said before an outage.
+  it("does not join times of service across an outage", () => {
+    const availability = servingStore();
+    availability.recordFailure(watchFrom(10_200), 11_600);
+    const content = { ...WRITES, notBefore: 13_500 };
+    availability.recordAnswer(listFrom(14_000), content, 14_010);
+    const span = { age: 100, length: 5_100 };
+    availability.recordService(span, { notBefore: 10_200, now: 14_010 });
+    expect(availability.hasServed(10_000, 14_010)).to.equal(false);
+    expect(availability.hasServed(14_010, 14_010)).to.equal(true);
   });
 });
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -142,6 +142,7 @@
   /** Applies changes that another process has read from the store. */
   applyRelayedChanges(
     { targets, removed, expiring = {} }: ITargetChanges,
+    availability: IStoreTimes,
     now: MonotonicTime,
   ): void {
     targets.forEach(({ id }) => this.#missing.delete(id));
@@ -150,12 +151,17 @@
       draining.map(({ id }) => id),
       RemovalSource.Relay,
     );
-    const dropped = removed.filter((id) => this.#targets.has(id));
+    // The other process may have missed what this one or others have read.
+    const isKept = !this.#hasServedUntil(now, availability);
+    const doubtful = Object.keys(expiring);
+    const dropped = [...removed, ...(isKept ? [] : doubtful)].filter((id) =>
+      this.#targets.has(id),
+    );
     dropped.forEach((id) => this.#delete(id));
     this.#logDropped(dropped, RemovalSource.Relay, 0);
-    const kept = Object.keys(expiring).filter((id) => this.#targets.has(id));
+    const kept = doubtful.filter((id) => this.#targets.has(id));
     this.#keepAll(kept, RemovalSource.Relay, {
-      now,
+      ...{ availability, now },
       until: (id) => now + (expiring[id] ?? 0),
     });
   }
@@ -180,16 +186,20 @@
   }
 
   /**
-   * Drops entries that have not returned; returns whether any was dropped. An
-   * outage may have begun since the store was last read.
+   * Drops entries that have not returned, or that cannot have expired by an
+   * outage, as is known now; returns whether any was dropped. An outage may have
+   * begun since the store was last read.
    */
-  removeExpired(
-    now: MonotonicTime,
-    { readAt, returnedAt }: IStoreTimes,
-  ): boolean {
-    const shortestUntil = returnedAt + this.#parts.reappearTime;
+  removeExpired(now: MonotonicTime, availability: IStoreTimes): boolean {
+    const { readAt, returnedAt } = availability;
+    const { reappearTime } = this.#parts;
+    const shortestUntil = returnedAt + reappearTime;
+    const hadTime = availability.hasServed(readAt - reappearTime, readAt);
     const expired = [...this.#missing].filter(
-      ([, { until }]) => readAt >= Math.max(until, shortestUntil),
+      ([, { since, until }]) =>
+        hadTime ||
+        readAt >= Math.max(until, shortestUntil) ||
+        this.#hasServedUntil(since, availability),
     );
     expired.forEach(([id]) => this.#delete(id));
     const firstSince = Math.min(...expired.map(([, { since }]) => since));
@@ -215,12 +225,21 @@
   ): void {
     // The time of those that are kept already does not start anew.
     const present = ids.filter((id) => !this.#missing.has(id));
-    const until = availability.interruptedUntil + this.#parts.reappearTime;
+    const { interruptedUntil } = availability;
+    const doubtfulSince = Math.max(
+      interruptedUntil,
+      availability.servesSince(now),
+    );
+    const until = doubtfulSince + this.#parts.reappearTime;
+    const isDoubtful = now < until && !this.#hasServedUntil(now, availability);
     const mayHaveExpired = (id: InstanceId) =>
-      now < until && now - this.#renewals.timeOf(id) >= this.#parts.expiryTime;
+      isDoubtful && now - this.#renewals.timeOf(id) >= this.#parts.expiryTime;
     const kept = present.filter(mayHaveExpired);
     const dropped = present.filter((id) => !mayHaveExpired(id));
-    this.#keepAll(kept, RemovalSource.Store, { now, until: () => until });
+    this.#keepAll(kept, RemovalSource.Store, {
+      ...{ availability, now },
+      until: () => until,
+    });
     dropped.forEach((id) => this.#delete(id));
     this.#logDropped(dropped, RemovalSource.Store, 0);
   }
@@ -241,13 +260,23 @@
     this.#renewals.forget(id);
   }
 
+  /**
+   * Whether the store served for so long until a time that an entry which was
+   * missing then has expired by its target's own silence, or was removed.
+   */
+  #hasServedUntil(time: MonotonicTime, availability: IStoreTimes): boolean {
+    return availability.hasServed(time - this.#parts.expiryTime, time);
+  }
+
   #keepAll(
     ids: readonly InstanceId[],
     source: RemovalSource,
     {
+      availability: { service },
       now,
       until,
     }: {
+      readonly availability: IStoreTimes;
       readonly now: MonotonicTime;
       readonly until: (id: InstanceId) => MonotonicTime;
     },
@@ -263,6 +292,8 @@
       ...namesOf(ids),
       for_ms: Math.round(Math.max(...times)),
       written_ms: roundedOrNull(Math.max(...writtenAges)),
+      served_ms: service && Math.round(service.until - service.from),
+      served_age_ms: service && Math.round(now - service.until),
     });
   }
 
--- a/src/common/calls/target_registry_test.ts
+++ b/src/common/calls/target_registry_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { RecordingLog } from "../../../test/support/recording_services.ts";
+import { SERVING_STORE } from "../../../test/support/serving_store.ts";
 import type { IStoreTimes } from "./store_availability.ts";
 import { TargetRegistry } from "./target_registry.ts";
 import type { IObjectChanges } from "./object_follower.ts";
@@ -12,12 +13,6 @@
 /** Milliseconds that a missing entry is kept after an outage. */
 const REAPPEAR_TIME = 2_300;
 
-const NO_OUTAGE: IStoreTimes = {
-  readAt: 0,
-  returnedAt: Number.NEGATIVE_INFINITY,
-  interruptedUntil: Number.NEGATIVE_INFINITY,
-};
-
 function decode(id: string, value: unknown): IListedTarget | null {
   if (typeof value !== "string") {
     return null;
@@ -41,7 +36,7 @@
     version: 1,
     isFullList: false,
     notBefore: Number.NEGATIVE_INFINITY,
-    availability: NO_OUTAGE,
+    availability: SERVING_STORE,
     ...part,
   };
 }
@@ -62,7 +57,14 @@
 
 /** The store served until then, after an outage that ended at 10 s. */
 function availability(readAt: number): IStoreTimes {
-  return { readAt, returnedAt: 10_000, interruptedUntil: 10_000 };
+  const times = { returnedAt: 10_000, interruptedUntil: 10_000 };
+  const serves = { servesSince: () => 10_000, hasServed: () => false };
+  return { ...SERVING_STORE, ...times, ...serves, readAt };
+}
+
+/** As before, but other processes have read the store meanwhile. */
+function serving(readAt: number): IStoreTimes {
+  return { ...availability(readAt), hasServed: () => true };
 }
 
 function registryOf(...names: readonly string[]): TargetRegistry {
@@ -144,10 +146,47 @@
     const objects = [entry("a", "10.0.0.1:80"), entry("b", "10.0.0.1:80")];
     const after = { isFullList: true, availability: availability(10_000) };
     registry.applyStoreChanges(change({ objects, ...after }), 10_000);
-    registry.applyRelayedChanges({ targets: [], removed: ["a"] }, 10_100);
+    registry.applyRelayedChanges(
+      { targets: [], removed: ["a"] },
+      SERVING_STORE,
+      10_100,
+    );
+    expect([...registry.all.keys()]).to.deep.equal(["b"]);
+  });
+
+  // Guards against calls to a target that has left: another process takes its
+  // own cut for an outage, and this one takes its word.
+  it("drops a target at once that another process keeps if the store served", () => {
+    const expiring = { a: 2_000 };
+    const update = { targets: [], removed: [], expiring };
+    const unsure = registryOf("a", "b");
+    unsure.applyRelayedChanges(update, availability(10_000), 10_100);
+    expect([...unsure.all.keys()]).to.deep.equal(["a", "b"]);
+    const registry = registryOf("a", "b");
+    registry.applyRelayedChanges(update, serving(10_000), 10_100);
+    expect([...registry.all.keys()]).to.deep.equal(["b"]);
+  });
+
+  it("drops a removed target at once if the store served meanwhile", () => {
+    const registry = registryOf("a", "b");
+    const after = { availability: serving(10_000) };
+    registry.applyStoreChanges(change({ removed: ["a"], ...after }), 10_100);
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
 
+  // Guards against calls to a target that has left: this process missed that the
+  // store served, and keeps the target although it learns of that.
+  it("drops a kept target once it is known that the store served", () => {
+    const registry = registryOf("a");
+    const whole = { isFullList: true, availability: availability(10_000) };
+    registry.applyStoreChanges(change(whole), 10_000);
+    expect(registry.removeExpired(10_200, availability(10_200))).to.equal(
+      false,
+    );
+    expect(registry.removeExpired(10_400, serving(10_400))).to.equal(true);
+    expect([...registry.all.keys()]).to.deep.equal([]);
+  });
+
   // Guards against refusing every call after a series of outages: the second one
   // begins before the entries that expired in the first have returned.
   it("keeps missing entries while the store is not read", () => {
@@ -158,6 +197,7 @@
       false,
     );
     const second = {
+      ...availability(16_000),
       readAt: 17_000,
       returnedAt: 16_000,
       interruptedUntil: 16_000,
@@ -218,7 +258,7 @@
     const listAs = (startedAt: number) => {
       const target = decode("a", "10.0.0.1:80");
       const targets = target === null ? [] : [{ ...target, startedAt }];
-      registry.applyRelayedChanges({ targets, removed: [] }, 0);
+      registry.applyRelayedChanges({ targets, removed: [] }, SERVING_STORE, 0);
     };
     listAs(1_000);
     registry.recordLeaving("a", 1_000);
--- a/src/common/relay/store_relay.ts
+++ b/src/common/relay/store_relay.ts
@@ -15,7 +15,14 @@
 import type { MonotonicTime } from "../types.ts";
 import { TargetChangeLog } from "./target_change_log.ts";
 import type { IRecordedChange } from "./target_change_log.ts";
-import type { IStoreVersions, IStoreUpdate } from "./types.ts";
+import type {
+  IReportedService,
+  IStoreVersions,
+  IStoreUpdate,
+} from "./types.ts";
+
+/** Between the run and the time in {@link IStoreUpdate.updateTime}. */
+const TIME_SEPARATOR = "@";
 
 /** Dependencies of {@link StoreRelay}. */
 export interface IStoreRelayParts {
@@ -23,6 +30,8 @@
   readonly targetList: ObjectFollower;
   readonly targets: TargetRegistry;
   readonly clock: IClock;
+  /** Unique to this run of the process. */
+  readonly runId: string;
   /** Called when the holder has sent target changes. */
   readonly onTargetsUpdated: () => void;
 }
@@ -33,6 +42,8 @@
   readonly #changeLog = new TargetChangeLog();
   /** All targets were written since this time, but those that are missing. */
   #renewedSince: MonotonicTime = Number.NEGATIVE_INFINITY;
+  /** Of the last update that this process received. */
+  #updateTime: string | null = null;
 
   constructor(parts: IStoreRelayParts) {
     this.#parts = parts;
@@ -47,6 +58,29 @@
     };
   }
 
+  /**
+   * For how long the store has served, to report to the holder, which may have
+   * missed it; null while that is not known.
+   */
+  get service(): IReportedService | null {
+    const span = this.#parts.targetList.status?.service;
+    return span === undefined || this.#updateTime === null
+      ? null
+      : { ...span, updateTime: this.#updateTime };
+  }
+
+  /** Receives what another process reports of the store. */
+  receiveService({ updateTime, ...span }: IReportedService): void {
+    const { targetList, clock, runId } = this.#parts;
+    const [sender, time] = updateTime.split(TIME_SEPARATOR);
+    if (sender === runId) {
+      // The report may have waited, but it was composed after that update.
+      const notBefore = Number(time);
+      const now = clock.now();
+      targetList.availability.recordService(span, { notBefore, now });
+    }
+  }
+
   /**
    * Records changes read from the store itself, which the registry has applied.
    */
@@ -80,20 +114,30 @@
       configuration,
       targets: { ...targets, changedVersion, ...renewal },
       targetChanges: this.#changeLog.changesSince(versions.targets),
+      updateTime: `${this.#parts.runId}${TIME_SEPARATOR}${this.#parts.clock.now()}`,
     };
   }
 
   /**
    * Applies the holder's update, with the changes since the versions that this
    * process reported.
+   *
+   * @param askedAt - when this process asked for it
    */
-  applyUpdate({ configuration, targets, targetChanges }: IStoreUpdate): void {
+  applyUpdate(
+    { configuration, targets, targetChanges, updateTime }: IStoreUpdate,
+    askedAt: MonotonicTime,
+  ): void {
+    this.#updateTime = updateTime ?? null;
     const { targetList, clock } = this.#parts;
-    this.#parts.configuration.receiveRelayedStatus(configuration);
+    this.#parts.configuration.receiveRelayedStatus(configuration, askedAt);
+    targetList.receiveRelayedStatus(targets, askedAt);
     const isNewer = targets.version > targetList.version;
     if (targetChanges !== null && isNewer && targetList.isLoaded) {
       const { version } = targets;
-      this.#parts.targets.applyRelayedChanges(targetChanges, clock.now());
+      const { availability } = targetList;
+      const now = clock.now();
+      this.#parts.targets.applyRelayedChanges(targetChanges, availability, now);
       const ids = [
         ...targetChanges.targets.map(({ id }) => id),
         ...targetChanges.removed,
@@ -105,7 +149,6 @@
         this.#parts.onTargetsUpdated();
       }
     }
-    targetList.receiveRelayedStatus(targets);
     const { changedVersion, renewalAge } = targets;
     if (renewalAge !== undefined && targetList.version >= changedVersion) {
       this.#parts.targets.recordRenewal(clock.now() - renewalAge);
--- a/src/common/relay/store_relay_test.ts
+++ b/src/common/relay/store_relay_test.ts
@@ -13,6 +13,9 @@
  */
 const CHANGE_BOUND = 2_000;
 
+/** Milliseconds of an outage in which entries may expire. */
+const OUTAGE_TIME = 2_500;
+
 /** Milliseconds until a process counts as calm after an outage. */
 const STABLE_TIME = 3_000;
 
@@ -110,12 +113,9 @@
     store.put("a");
     store.put("b");
     await deployment.advance(3_000);
-    const link = processes[0]?.link;
-    if (link !== undefined) {
-      link.isCut = true;
-      await deployment.advance(1_000);
-      link.isCut = false;
-    }
+    processes.forEach(({ link }) => (link.isCut = true));
+    await deployment.advance(OUTAGE_TIME);
+    processes.forEach(({ link }) => (link.isCut = false));
     await deployment.advance(600);
     store.remove("a");
     await deployment.advance(700);
--- a/src/common/relay/types.ts
+++ b/src/common/relay/types.ts
@@ -11,6 +11,14 @@
   readonly targets: number;
 }
 
+/** A time in which the store has served without a gap. */
+export interface IServiceSpan {
+  /** Milliseconds since its end, an answer of the store to any process. */
+  readonly age: number;
+  /** Its milliseconds. */
+  readonly length: number;
+}
+
 /** The holder's knowledge of the objects of one kind. */
 export interface IKindStatus {
   /** The store's version at its last answer to the holder. */
@@ -24,6 +32,8 @@
    * none, or if the holder is of an older build.
    */
   readonly returnAge?: number | undefined;
+  /** Absent if that is not known, or from an older build. */
+  readonly service?: IServiceSpan | undefined;
   /**
    * Milliseconds within which all objects were written that are not about to be
    * dropped; absent if that is not known, or from an older build.
@@ -42,6 +52,12 @@
   readonly expiring?: Readonly<Record<InstanceId, number>> | undefined;
 }
 
+/** For how long the store has served, as the reporting process knows. */
+export interface IReportedService extends IServiceSpan {
+  /** From the last update that it received, whose sender judges its age by it. */
+  readonly updateTime: string;
+}
+
 /** What the holder knows of the store. */
 export interface IStoreUpdate {
   /**
@@ -55,4 +71,9 @@
    * known that far back.
    */
   readonly targetChanges: ITargetChanges | null;
+  /**
+   * Names the sender's run and when it sent this, for reports to return; absent
+   * from an older build.
+   */
+  readonly updateTime?: string | undefined;
 }
--- a/src/common/replicas/exchange.ts
+++ b/src/common/replicas/exchange.ts
@@ -18,7 +18,11 @@
   IQuarantineReply,
   IQuarantineReport,
 } from "../quarantine/types.ts";
-import type { IStoreVersions, IStoreUpdate } from "../relay/types.ts";
+import type {
+  IReportedService,
+  IStoreVersions,
+  IStoreUpdate,
+} from "../relay/types.ts";
 import type { ICallFailure } from "../types.ts";
 import type { ITableChanges } from "./table_history.ts";
 
@@ -37,6 +41,11 @@
   readonly suspects: readonly string[];
   /** Versions of the store that it has. */
   readonly versions: IStoreVersions;
+  /**
+   * For how long the store has served; absent while that is not known, or from
+   * an older build.
+   */
+  readonly storeService?: IReportedService | undefined;
   /**
    * Request limits that targets named. Absent if the process is of an older
    * build.
--- a/src/common/replicas/exchange_client.ts
+++ b/src/common/replicas/exchange_client.ts
@@ -48,7 +48,11 @@
   readonly holderAddress: () => string | null;
   readonly report: (tableVersion: number) => IProcessReport;
   readonly onReply: () => void;
-  readonly onStoreUpdate: (update: IStoreUpdate) => void;
+  /** @param askedAt - when the report was sent that it replies to */
+  readonly onStoreUpdate: (
+    update: IStoreUpdate,
+    askedAt: MonotonicTime,
+  ) => void;
   readonly onRateLimits: (limits: RateLimitObservations) => void;
   readonly onPeers: (peers: readonly IForwardingPeer[]) => void;
   readonly onQuarantine: (reply: IQuarantineReply | undefined) => void;
@@ -198,6 +202,7 @@
     }
     const report = this.#parts.report(this.#version);
     const timeout = EXCHANGE_WAIT + EXCHANGE_GRACE;
+    const askedAt = this.#parts.clock.now();
     const answer = await this.#parts.link.exchange(address, report, timeout);
     if (answer.isErr()) {
       this.#handleLost(address, answer.error.detail);
@@ -213,7 +218,7 @@
       this.#parts.log.info("holder_heard", { address });
     }
     this.#hasAnswered = true;
-    this.#applyReply(answer.value.word);
+    this.#applyReply(answer.value.word, askedAt);
     return true;
   }
 
@@ -224,7 +229,7 @@
     this.#hasAnswered = false;
   }
 
-  #applyReply(reply: IHolderReply): void {
+  #applyReply(reply: IHolderReply, askedAt: MonotonicTime): void {
     this.#repliedAt = this.#parts.clock.now();
     this.#applyTable(reply);
     this.#abandonedGroups = reply.givenUp ?? this.#abandonedGroups;
@@ -237,7 +242,7 @@
     this.#applyPeers(reply);
     this.#parts.onQuarantine(reply.quarantine);
     if (reply.store) {
-      this.#parts.onStoreUpdate(reply.store);
+      this.#parts.onStoreUpdate(reply.store, askedAt);
     }
     this.#parts.onReply();
   }
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -65,10 +65,11 @@
 
 /**
  * How long a watch waits for changes, milliseconds. The holder's are shorter,
- * since other processes rely on its updates and need them to be recent.
+ * since other processes rely on its updates and need them to be recent. A process
+ * that reads in its place notes from the answers that the store serves.
  */
 const HOLDER_WATCH_TIME = 400;
-const WATCH_TIME = 2_500;
+const WATCH_TIME = 600;
 
 /** Heartbeats without which the platform removes an entry. */
 const HEARTBEATS_UNTIL_EXPIRY = 3;
@@ -204,6 +205,7 @@
       targetList,
       targets: this.#targets,
       clock: this.#clock,
+      runId: this.#random.identifier(),
       onTargetsUpdated: () => this.#coordinator.handleTargetsChanged(),
     });
     this.#crashGossip = new CrashGossip({
--- a/src/entry/fleet_coordinator.ts
+++ b/src/entry/fleet_coordinator.ts
@@ -67,7 +67,7 @@
 /** Exchanges updates of the store with other processes. */
 export type IStoreRelay = Pick<
   StoreRelay,
-  "versions" | "updateFor" | "applyUpdate"
+  "versions" | "service" | "updateFor" | "applyUpdate" | "receiveService"
 >;
 
 /** Dependencies of the coordinator. */
@@ -148,7 +148,8 @@
       holderAddress: () => this.#holderAddress(),
       report: (tableVersion) => this.#composeReport(tableVersion),
       onReply: () => this.#refresh(),
-      onStoreUpdate: (update) => parts.relay.applyUpdate(update),
+      onStoreUpdate: (update, askedAt) =>
+        parts.relay.applyUpdate(update, askedAt),
       onRateLimits: (limits) => parts.rateLimits.merge(limits),
       onPeers: (peers) => parts.forwarding.updatePeers(peers),
       onQuarantine: (reply) => parts.quarantine.handleReply(reply),
@@ -211,6 +212,9 @@
 
   /** Answers the report of another process. */
   answerReport(report: IProcessReport): Promise<ExchangeAnswer> {
+    if (report.storeService !== undefined) {
+      this.#parts.relay.receiveService(report.storeService);
+    }
     return this.#exchangeServer.answer(report);
   }
 
@@ -289,6 +293,7 @@
 
   #composeReport(tableVersion: number): IProcessReport {
     const { cores } = this.#options;
+    const { service } = this.#parts.relay;
     return {
       process: this.#lease.process,
       hasCalls: this.#parts.hasCalls(),
@@ -297,6 +302,7 @@
       tableVersion,
       suspects: this.#parts.suspects(),
       versions: this.#parts.relay.versions,
+      ...(service === null ? {} : { storeService: service }),
       rateLimits: this.#parts.rateLimits.observations,
       takesTableChanges: true,
       forwarding: this.#parts.forwarding.report,
--- a/test/support/fleet_deployment.ts
+++ b/test/support/fleet_deployment.ts
@@ -5,7 +5,6 @@
 import type { IObjectChanges } from "../../src/common/calls/object_follower.ts";
 import { ServingGroups } from "../../src/common/calls/serving_groups.ts";
 import { TargetRateLimits } from "../../src/common/calls/target_rate_limits.ts";
-import { StoreAvailability } from "../../src/common/calls/store_availability.ts";
 import { TargetRegistry } from "../../src/common/calls/target_registry.ts";
 import { ListedState, GroupMemberState } from "../../src/common/calls/types.ts";
 import type {
@@ -39,6 +38,7 @@
   NO_METRICS,
 } from "./recording_services.ts";
 import { SeededRandom } from "./seeded_random.ts";
+import { SERVING_STORE } from "./serving_store.ts";
 
 const ENGINES = 10;
 
@@ -87,6 +87,8 @@
   versions: { configuration: 0, targets: 0 },
   updateFor: () => null,
   applyUpdate: () => undefined,
+  service: null,
+  receiveService: () => undefined,
 };
 
 /** A store of one object that can be made unavailable. */
@@ -348,7 +350,7 @@
 const NO_CHANGES: IObjectChanges = {
   isFullList: false,
   notBefore: 0,
-  availability: new StoreAvailability(1_200),
+  availability: SERVING_STORE,
   objects: [],
   removed: [],
   version: 1,
--- a/test/support/relay_deployment.ts
+++ b/test/support/relay_deployment.ts
@@ -150,6 +150,8 @@
   }
 }
 
+const runIds = new SeededRandom(SEED);
+
 /** The part of a process that follows the store. */
 export class Process {
   readonly link: Link;
@@ -180,7 +182,7 @@
     );
     this.link = new Link(store, clock);
     const shared = { store: this.link, clock, log };
-    const watchTime = () => (isHolder() ? 400 : 2_500);
+    const watchTime = () => (isHolder() ? 400 : 600);
     const configuration = new ObjectFollower(
       { ...shared, random: new SeededRandom(SEED) },
       {
@@ -212,6 +214,7 @@
       targetList,
       targets: this.registry,
       clock,
+      runId: runIds.identifier(),
       onTargetsUpdated: () => undefined,
     });
     this.#followers = [configuration, targetList];
@@ -235,7 +238,11 @@
   holder = 0;
   /** Processes that neither send nor receive updates. */
   readonly mute = new Set<number>();
-  #pending: { readonly to: number; readonly update: IStoreUpdate }[] = [];
+  #pending: {
+    readonly to: number;
+    readonly update: IStoreUpdate;
+    readonly askedAt: number;
+  }[] = [];
 
   constructor(count: number, reappearTime = 0) {
     this.processes = Array.from(
@@ -296,18 +303,24 @@
   }
 
   #exchange(): void {
-    for (const { to, update } of this.#pending) {
-      this.processes[to]?.relay.applyUpdate(update);
+    for (const { to, update, askedAt } of this.#pending) {
+      this.processes[to]?.relay.applyUpdate(update, askedAt);
     }
     this.#pending = [];
     const holder = this.processes[this.holder];
     if (holder === undefined || this.mute.has(this.holder)) {
       return;
     }
+    this.processes.forEach((process, from) => {
+      const { service } = process.relay;
+      if (from !== this.holder && !this.mute.has(from) && service !== null) {
+        holder.relay.receiveService(service);
+      }
+    });
     this.processes.forEach((process, to) => {
       const update = holder.relay.updateFor(process.relay.versions);
       if (to !== this.holder && !this.mute.has(to) && update !== null) {
-        this.#pending.push({ to, update });
+        this.#pending.push({ to, update, askedAt: this.clock.now() });
       }
     });
   }
