Remember for a while that a target without a known start leaves

Callers saw (the users' measurement): one call more than 2 s after the target had said in an answer that it leaves, after its entry had lapsed for 1.5 s.

Cause: a target without a start time was taken for a new run as soon as its entry was removed; and a notice that came while another writer's entry without a start stood under its id was forgotten with the target's next write. What is not listed was taken for what has ended. Change: where one of the two starts is not known, the notice holds for 60 s, which is longer than targets serve on; then the target counts as it is listed. Checks: 'uses a target without a start time that is listed again' asked for the fault; in its place one test asks that it is not used before, and one that it is used again after the time.

--- a/src/common/calls/observing_sender.ts
+++ b/src/common/calls/observing_sender.ts
@@ -92,8 +92,8 @@
   }
 
   #recordLeaving({ target, call, startedAt }: ISentCall): void {
-    const { targets, log, onTargetLeaving } = this.#parts;
-    if (targets.recordLeaving(target.id, startedAt)) {
+    const { targets, clock, log, onTargetLeaving } = this.#parts;
+    if (targets.recordLeaving(target.id, startedAt, clock.now())) {
       log.info("target_leaving", {
         target: target.id,
         request: call.id,
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -25,6 +25,12 @@
 /** Start of targets that do not report it. */
 const NO_START_TIME = 0;
 
+/**
+ * Milliseconds for which a target whose start is not known counts as leaving: it
+ * serves on for a while after it has said so, whether it is listed or not.
+ */
+const LEAVING_TIME = 60_000;
+
 /** Leaving targets remembered; beyond it the oldest is forgotten. */
 const MAXIMUM_LEAVING = 10_000;
 
@@ -49,6 +55,13 @@
   Expiry = "expiry",
 }
 
+/** What a target has said in an answer. */
+interface ILeavingNotice {
+  /** Start of the run that is about to end; {@link NO_START_TIME} if unknown. */
+  readonly startedAt: number;
+  readonly at: MonotonicTime;
+}
+
 interface IMissingEntry {
   /** When the removal was learned first. */
   readonly since: MonotonicTime;
@@ -62,8 +75,9 @@
   readonly #targets = new Map<InstanceId, IListedTarget>();
   /** Entries missing after an outage. */
   readonly #missing = new Map<InstanceId, IMissingEntry>();
-  /** Targets that are about to leave, with the start of that run. */
-  readonly #leaving = new Map<InstanceId, number>();
+  readonly #leaving = new Map<InstanceId, ILeavingNotice>();
+  /** Leaving targets as they are listed. */
+  readonly #leavingListed = new Map<InstanceId, IListedTarget>();
   readonly #renewals = new EntryRenewals();
 
   constructor(parts: ITargetRegistryParts) {
@@ -95,24 +109,28 @@
   /**
    * Records that a target is about to leave; returns whether that is new.
    *
-   * @param startedAt - start of the run that is about to end: the same id may
-   *   start again
+   * @param startedAt - start of the run that is about to end, in calendar
+   *   milliseconds: the same id may start again; 0 if it is not known
    */
-  recordLeaving(id: InstanceId, startedAt: number): boolean {
-    const known = this.#leaving.get(id);
-    if (known !== undefined && known >= startedAt) {
+  recordLeaving(
+    id: InstanceId,
+    startedAt: number,
+    now: MonotonicTime,
+  ): boolean {
+    const isNew = !this.#isLeaving(id, startedAt, now);
+    if (!isNew && startedAt !== NO_START_TIME) {
       return false;
     }
-    this.#leaving.set(id, startedAt);
+    this.#leaving.set(id, { startedAt, at: now });
     const target = this.#targets.get(id);
     if (target !== undefined) {
-      this.#set(target);
+      this.#set(target, now);
     }
     const [oldest] = this.#leaving.keys();
     if (this.#leaving.size > MAXIMUM_LEAVING && oldest !== undefined) {
       this.#leaving.delete(oldest);
     }
-    return true;
+    return isNew;
   }
 
   applyStoreChanges(change: IObjectChanges, now: MonotonicTime): void {
@@ -123,7 +141,7 @@
       if (target !== null) {
         listed.add(name);
         this.#missing.delete(name);
-        if (this.#set(target)) {
+        if (this.#set(target, now)) {
           draining.push(name);
         }
         this.#renewals.record(name, version, change);
@@ -146,7 +164,7 @@
     now: MonotonicTime,
   ): void {
     targets.forEach(({ id }) => this.#missing.delete(id));
-    const draining = targets.filter((target) => this.#set(target));
+    const draining = targets.filter((target) => this.#set(target, now));
     this.#logDraining(
       draining.map(({ id }) => id),
       RemovalSource.Relay,
@@ -185,12 +203,33 @@
     return missing === undefined ? null : Math.max(0, missing.until - now);
   }
 
+  /** Ends what holds for a time; returns whether any target has changed. */
+  update(now: MonotonicTime, availability: IStoreTimes): boolean {
+    const hasEnded = this.#endNotices(now);
+    return this.#removeExpired(now, availability) || hasEnded;
+  }
+
+  #endNotices(now: MonotonicTime): boolean {
+    const ended = [...this.#leaving].filter(
+      ([, { startedAt, at }]) =>
+        startedAt === NO_START_TIME && now - at >= LEAVING_TIME,
+    );
+    for (const [id] of ended) {
+      this.#leaving.delete(id);
+      const listed = this.#leavingListed.get(id);
+      if (listed !== undefined) {
+        this.#set(listed, now);
+      }
+    }
+    return ended.length > 0;
+  }
+
   /**
    * Drops entries that have not returned, or that cannot have expired by an
    * outage, as is known now; returns whether any was dropped. An outage may have
    * begun since the store was last read.
    */
-  removeExpired(now: MonotonicTime, availability: IStoreTimes): boolean {
+  #removeExpired(now: MonotonicTime, availability: IStoreTimes): boolean {
     const { readAt, returnedAt } = availability;
     const { reappearTime } = this.#parts;
     const shortestUntil = returnedAt + reappearTime;
@@ -209,15 +248,30 @@
   }
 
   /** Returns whether the target has begun to drain. */
-  #set(target: IListedTarget): boolean {
-    const leaving = this.#leaving.get(target.id);
-    const isLeaving = leaving !== undefined && target.startedAt <= leaving;
+  #set(target: IListedTarget, now: MonotonicTime): boolean {
+    const isLeaving = this.#isLeaving(target.id, target.startedAt, now);
     const state = isLeaving ? ListedState.Draining : target.state;
+    if (isLeaving) {
+      this.#leavingListed.set(target.id, target);
+    } else {
+      this.#leavingListed.delete(target.id);
+    }
     const before = this.#targets.get(target.id)?.state;
     this.#targets.set(target.id, { ...target, state });
     return state === ListedState.Draining && before === ListedState.Ready;
   }
 
+  #isLeaving(id: InstanceId, startedAt: number, now: MonotonicTime): boolean {
+    const notice = this.#leaving.get(id);
+    if (notice === undefined) {
+      return false;
+    }
+    // Without both starts, nothing tells the run that leaves from a later one.
+    return notice.startedAt === NO_START_TIME || startedAt === NO_START_TIME
+      ? now - notice.at < LEAVING_TIME
+      : startedAt <= notice.startedAt;
+  }
+
   #removeAll(
     ids: readonly InstanceId[],
     { availability }: IObjectChanges,
@@ -251,11 +305,8 @@
   }
 
   #delete(id: InstanceId): void {
-    // Without a start time, only its removal tells that it may start again.
-    if (this.startOf(id) === NO_START_TIME) {
-      this.#leaving.delete(id);
-    }
     this.#targets.delete(id);
+    this.#leavingListed.delete(id);
     this.#missing.delete(id);
     this.#renewals.forget(id);
   }
--- a/src/common/calls/target_registry_test.ts
+++ b/src/common/calls/target_registry_test.ts
@@ -94,10 +94,10 @@
     };
     registry.applyStoreChanges(change(whole), 10_000);
     expect([...registry.all.keys()]).to.deep.equal(["a", "b"]);
-    registry.removeExpired(20_000, availability(10_000 + REAPPEAR_TIME - 1));
+    registry.update(20_000, availability(10_000 + REAPPEAR_TIME - 1));
     expect([...registry.all.keys()]).to.deep.equal(["a", "b"]);
     expect(
-      registry.removeExpired(20_000, availability(10_000 + REAPPEAR_TIME)),
+      registry.update(20_000, availability(10_000 + REAPPEAR_TIME)),
     ).to.equal(true);
     expect([...registry.all.keys()]).to.deep.equal(["b"]);
   });
@@ -134,9 +134,9 @@
     const later = { ...availability(12_000), interruptedUntil: 12_000 };
     const again = { isFullList: true, availability: later };
     registry.applyStoreChanges(change(again), 12_000);
-    expect(
-      registry.removeExpired(12_400, { ...later, readAt: 12_400 }),
-    ).to.equal(true);
+    expect(registry.update(12_400, { ...later, readAt: 12_400 })).to.equal(
+      true,
+    );
   });
 
   // Guards against calls to a target that has left: the process that relays the
@@ -180,10 +180,8 @@
     const registry = registryOf("a");
     const whole = { isFullList: true, availability: availability(10_000) };
     registry.applyStoreChanges(change(whole), 10_000);
-    expect(registry.removeExpired(10_200, availability(10_200))).to.equal(
-      false,
-    );
-    expect(registry.removeExpired(10_400, serving(10_400))).to.equal(true);
+    expect(registry.update(10_200, availability(10_200))).to.equal(false);
+    expect(registry.update(10_400, serving(10_400))).to.equal(true);
     expect([...registry.all.keys()]).to.deep.equal([]);
   });
 
@@ -193,9 +191,7 @@
     const registry = registryOf("a");
     const whole = { isFullList: true, availability: availability(10_000) };
     registry.applyStoreChanges(change(whole), 10_000);
-    expect(registry.removeExpired(15_000, availability(11_000))).to.equal(
-      false,
-    );
+    expect(registry.update(15_000, availability(11_000))).to.equal(false);
     const second = {
       ...availability(16_000),
       readAt: 17_000,
@@ -206,7 +202,7 @@
       change({ isFullList: true, availability: second }),
       16_000,
     );
-    expect(registry.removeExpired(17_000, second)).to.equal(false);
+    expect(registry.update(17_000, second)).to.equal(false);
     expect([...registry.all.keys()]).to.deep.equal(["a"]);
   });
 
@@ -220,9 +216,7 @@
       change({ objects: [entry("a", "10.0.0.2:80")] }),
       11_000,
     );
-    expect(registry.removeExpired(20_000, availability(20_000))).to.equal(
-      false,
-    );
+    expect(registry.update(20_000, availability(20_000))).to.equal(false);
     expect(registry.all.get("a")?.address).to.equal("10.0.0.2:80");
   });
 
@@ -242,8 +236,8 @@
   it("counts a target that has said that it leaves as draining", () => {
     const registry = registryOf("a", "b");
     const startedAt = registry.startOf("a") ?? -1;
-    expect(registry.recordLeaving("a", startedAt)).to.equal(true);
-    expect(registry.recordLeaving("a", startedAt)).to.equal(false);
+    expect(registry.recordLeaving("a", startedAt, 0)).to.equal(true);
+    expect(registry.recordLeaving("a", startedAt, 0)).to.equal(false);
     const objects = [entry("a", "10.0.0.1:80")];
     registry.applyStoreChanges(change({ objects }), 1_000);
     expect(registry.ready("orders").map(({ id }) => id)).to.deep.equal(["b"]);
@@ -261,19 +255,48 @@
       registry.applyRelayedChanges({ targets, removed: [] }, SERVING_STORE, 0);
     };
     listAs(1_000);
-    registry.recordLeaving("a", 1_000);
+    registry.recordLeaving("a", 1_000, 0);
     listAs(1_000);
     expect(registry.ready("orders")).to.have.length(0);
     listAs(2_000);
     expect(registry.ready("orders")).to.have.length(1);
   });
 
-  it("uses a target without a start time that is listed again", () => {
+  // Guards against calls to a target that has said that it leaves: its entry was
+  // missing for a moment, and tells no start.
+  it("uses no leaving target without a start time that is listed again", () => {
     const registry = registryOf("a");
-    registry.recordLeaving("a", 0);
+    registry.recordLeaving("a", 0, 9_000);
     registry.applyStoreChanges(change({ removed: ["a"] }), 10_000);
     const objects = [entry("a", "10.0.0.1:80")];
     registry.applyStoreChanges(change({ objects }), 11_000);
+    expect(registry.ready("orders")).to.have.length(0);
+  });
+
+  it("uses a target without a start time again after a while", () => {
+    const registry = registryOf("a");
+    registry.recordLeaving("a", 0, 9_000);
+    const objects = [entry("a", "10.0.0.1:80")];
+    registry.applyStoreChanges(change({ objects }), 10_000);
+    expect(registry.update(68_900, SERVING_STORE)).to.equal(false);
+    expect(registry.ready("orders")).to.have.length(0);
+    expect(registry.update(69_000, SERVING_STORE)).to.equal(true);
     expect(registry.ready("orders")).to.have.length(1);
   });
+
+  // Guards against calls to a target that has said that it leaves: another writer
+  // left an entry without a start under its id, and the target writes its own.
+  it("uses no leaving target whose start was not known", () => {
+    const registry = newRegistry();
+    const target = decode("a", "10.0.0.1:80");
+    const listAs = (startedAt: number) => {
+      const targets = target === null ? [] : [{ ...target, startedAt }];
+      const update = { targets, removed: [] };
+      registry.applyRelayedChanges(update, SERVING_STORE, 1_000);
+    };
+    listAs(0);
+    registry.recordLeaving("a", 0, 500);
+    listAs(5_000);
+    expect(registry.ready("orders")).to.have.length(0);
+  });
 });
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -588,7 +588,7 @@
 
   #cleanUp(): void {
     const { availability } = this.#targetList;
-    if (this.#targets.removeExpired(this.#clock.now(), availability)) {
+    if (this.#targets.update(this.#clock.now(), availability)) {
       this.#coordinator.handleTargetsChanged();
     }
     this.#plainTargets.keepOnly(this.#targets.all);
--- a/test/support/relay_deployment.ts
+++ b/test/support/relay_deployment.ts
@@ -178,7 +178,7 @@
       ...{ decode, expiryTime, reappearTime, log },
     });
     clock.every(STEP, () =>
-      this.registry.removeExpired(clock.now(), targetList.availability),
+      this.registry.update(clock.now(), targetList.availability),
     );
     this.link = new Link(store, clock);
     const shared = { store: this.link, clock, log };
