Do not write a waiting call to a target that has left meanwhile

Cause: a call that waits in the HTTP client for a connection, or for a decision on the path, was written whatever its target said or the list showed meanwhile; only a named time of rest was asked about. What callers can see: a call that reaches a target long after it has left, while its connections are all in use. Change: it is asked just before the write whether the target is still listed and ready; if not, the call goes to another one, as not run.

--- a/src/common/calls/observing_sender.ts
+++ b/src/common/calls/observing_sender.ts
@@ -23,7 +23,10 @@
   readonly sender: ICallSender;
   readonly limits: TargetRateLimits;
   readonly cooldowns: TargetCooldowns;
-  readonly targets: Pick<TargetRegistry, "startOf" | "recordLeaving">;
+  readonly targets: Pick<
+    TargetRegistry,
+    "startOf" | "recordLeaving" | "isReady"
+  >;
   /** Called when a target is found to be about to leave. */
   readonly onTargetLeaving: () => void;
   readonly clock: IClock;
@@ -64,7 +67,9 @@
     );
     limits.recordSend(target.id);
     cooldowns.recordSend(target.id);
-    const mayWrite = () => !cooldowns.isActive(target.id);
+    // The call may have waited for a connection since its target was chosen.
+    const mayWrite = () =>
+      !cooldowns.isActive(target.id) && targets.isReady(target.id);
     return sender.send(target, call, { ...options, receiver, mayWrite });
   }
 
--- a/src/common/calls/target_registry.ts
+++ b/src/common/calls/target_registry.ts
@@ -101,6 +101,11 @@
     );
   }
 
+  /** Whether a target is listed and accepts new calls. */
+  isReady(id: InstanceId): boolean {
+    return this.#targets.get(id)?.state === ListedState.Ready;
+  }
+
   /** Start of a target in calendar milliseconds; null if it is not listed. */
   startOf(id: InstanceId): number | null {
     return this.#targets.get(id)?.startedAt ?? null;
