Leave objects that cannot be read out of the store's answers

From other operators' reports: another writer left one odd entry, and the machines that read the list ended or stopped following it.

Cause: answers of the store were used as if they had the documented form. An item or event without metadata threw outside of the client's try, in the follower's loop: the process ended. Entries in themselves were checked already, but for their numbers: a huge number of slots was the emptiest target, a huge epoch the newest group. Change: items and events are checked one by one; what has no name or version is left out, counted and logged (objects_unreadable). An answer in another form is a failure, and the list is read again.

--- a/src/adapters/platform/http_platform.ts
+++ b/src/adapters/platform/http_platform.ts
@@ -19,6 +19,11 @@
 import { withTimeLimit } from "../time_limit.ts";
 import { InstanceListCache } from "./instance_list_cache.ts";
 import type { ITaggedAnswer } from "./instance_list_cache.ts";
+import {
+  decodeObject,
+  decodeObjects,
+  decodeWrittenVersion,
+} from "./object_decoder.ts";
 
 /** Milliseconds; the platform normally answers within a few. */
 const CALL_TIMEOUT = 2_000;
@@ -60,15 +65,14 @@
     if (answer.value.status === STATUS_NOT_FOUND) {
       return Ok(None);
     }
-    return this.#expectOk<IPlatformObject>(answer.value).map((object) =>
-      Some(object),
-    );
+    const object = this.#expectOk(answer.value, decodeObject);
+    return object.map((found) => Some(found));
   }
 
   async list(kind: string): Promise<Result<IWatchResult, ICallFailure>> {
     const path = `/objects/${encodeURIComponent(kind)}`;
     const answer = await this.#get(path, CALL_TIMEOUT);
-    return answer.andThen((value) => this.#expectOk<IWatchResult>(value));
+    return answer.andThen((value) => this.#expectOk(value, decodeObjects));
   }
 
   async watch(
@@ -80,7 +84,7 @@
     const query = `after=${after}&timeout_ms=${timeout}`;
     const path = `/watch/${encodeURIComponent(kind)}?${query}`;
     const answer = await this.#get(path, timeout + WATCH_GRACE, signal);
-    return answer.andThen((value) => this.#expectOk<IWatchResult>(value));
+    return answer.andThen((value) => this.#expectOk(value, decodeObjects));
   }
 
   async write(
@@ -95,9 +99,13 @@
       headers: { ...headers, "content-type": "application/json" },
       body: JSON.stringify(write.value),
     });
-    return writeResultOf(answer).map(
-      (body) => (body as { version: number }).version,
-    );
+    return writeResultOf(answer).andThen((body) => {
+      const version = decodeWrittenVersion(body);
+      const detail = "platform answered a write with no version";
+      return version === null
+        ? Err({ kind: WriteFailureKind.Unknown, detail })
+        : Ok(version);
+    });
   }
 
   async remove(
@@ -168,11 +176,17 @@
     }
   }
 
-  #expectOk<T>(answer: ITaggedAnswer): Result<T, ICallFailure> {
-    if (answer.status === STATUS_OK) {
-      return Ok(answer.body as T);
+  /** @param decode - returns null for an answer that it cannot read */
+  #expectOk<T>(
+    { status, body }: ITaggedAnswer,
+    decode: (body: unknown) => T | null,
+  ): Result<T, ICallFailure> {
+    const decoded = status === STATUS_OK ? decode(body) : null;
+    if (decoded !== null) {
+      return Ok(decoded);
     }
-    const detail = `platform answered ${answer.status}`;
+    const problem = status === STATUS_OK ? "in another form" : String(status);
+    const detail = `platform answered ${problem}`;
     return Err({ kind: CallFailureKind.Refused, detail });
   }
 }
--- a/src/common/calls/object_follower.ts
+++ b/src/common/calls/object_follower.ts
@@ -262,6 +262,11 @@
     };
     const isReturn = availability.recordAnswer(call, content, now);
     this.#logReturn(isReturn, now);
+    if (found.unreadable) {
+      const { kind } = this.#options;
+      const count = found.unreadable;
+      this.#parts.log.warn("objects_unreadable", { kind, count });
+    }
     this.#answeredAt = now;
     this.#backoff.reset();
     // Another process relayed later versions while this response was awaited.
--- a/src/common/services/services.ts
+++ b/src/common/services/services.ts
@@ -114,6 +114,8 @@
   readonly objects: readonly IPlatformObject[];
   /** Names of removed objects, where the platform reports them. */
   readonly removed?: readonly string[];
+  /** Number of objects left out since they cannot be read; 0 by default. */
+  readonly unreadable?: number;
 }
 
 /** A store of versioned objects with conditional writes and watches. */
--- a/test/support/platform_store.ts
+++ b/test/support/platform_store.ts
@@ -30,6 +30,8 @@
   readonly #events: IStoredEvent[] = [];
   readonly #watches = new Set<IWaitingWatch>();
   #revision = 1;
+  /** Items and events of another form that every list and watch also shows. */
+  oddItems: readonly unknown[] = [];
   /** While true, every request is answered with 503. */
   isUnavailable = false;
 
@@ -113,7 +115,8 @@
         (object) => object.kind === kind,
       );
       const asOf = this.#revision;
-      send(response, 200, { items: items.map(encode), truncated: false, asOf });
+      const all = [...this.oddItems, ...items.map(encode)];
+      send(response, 200, { items: all, truncated: false, asOf });
     }
   }
 
@@ -167,7 +170,8 @@
       object: encode(event),
       removed: event.removed,
     }));
-    send(response, 200, { events, asOf: this.#revision });
+    const all = [...this.oddItems, ...events];
+    send(response, 200, { events: all, asOf: this.#revision });
   }
 }
 
