Show that answers which stop in their head are no success

From other operators' reports: a runner stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

The fault proxy can stop answers for that. No logic changes.

--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -20,6 +20,8 @@
   DropRequests = "no_requests",
   /** Resets the connection of the next answer instead of forwarding it. */
   LoseAnswer = "lose_answer",
+  /** Ends the connection within each answer; see {@link FaultProxy.stopAnswersAt}. */
+  StopAnswers = "stop_answers",
 }
 
 /** What happens to the next matching request. */
@@ -43,6 +45,8 @@
   /** Bytes held back; null while the connection is not held. */
   held: Buffer[] | null;
   losesAnswer: boolean;
+  /** Bytes forwarded of the answer to the last request. */
+  answered: number;
 }
 
 /** One link: listens on its own port and forwards to one target. */
@@ -52,6 +56,8 @@
   readonly #connections = new Set<IProxiedConnection>();
   #mode = LinkMode.Pass;
   #delay = 0;
+  /** Bytes of an answer that are forwarded before its connection ends. */
+  #answerLength = 0;
   #pendingFault: IPendingFault | null = null;
   /** Where it listens; empty before. */
   #address = "";
@@ -100,6 +106,12 @@
     }
   }
 
+  /** Ends connections after so many bytes of an answer, as a target may. */
+  stopAnswersAt(bytes: number): void {
+    this.#answerLength = bytes;
+    this.setMode(LinkMode.StopAnswers);
+  }
+
   /** Injects a fault at the next request that contains a text. */
   failNext(text: string, fault: RequestFault): void {
     this.#pendingFault = { text, fault };
@@ -149,6 +161,7 @@
       isSilenced: false,
       held: null,
       losesAnswer: false,
+      answered: 0,
     };
     this.#connections.add(connection);
     client.on("data", (bytes) => this.#forwardToTarget(connection, bytes));
@@ -171,6 +184,7 @@
 
   #forwardToTarget(connection: IProxiedConnection, bytes: Buffer): void {
     this.#triggerFault(connection, bytes);
+    connection.answered = 0;
     if (connection.held !== null) {
       connection.held.push(bytes);
       return;
@@ -203,11 +217,25 @@
       reset(connection);
       return;
     }
-    if (!this.#isSilent(connection) && this.#mode !== LinkMode.DropAnswers) {
+    if (this.#mode === LinkMode.StopAnswers) {
+      this.#forwardStart(connection, bytes);
+    } else if (
+      !this.#isSilent(connection) &&
+      this.#mode !== LinkMode.DropAnswers
+    ) {
       this.#sendDelayed(() => connection.client.write(bytes));
     }
   }
 
+  #forwardStart(connection: IProxiedConnection, bytes: Buffer): void {
+    const left = Math.max(0, this.#answerLength - connection.answered);
+    connection.answered += bytes.length;
+    connection.client.write(bytes.subarray(0, left));
+    if (bytes.length >= left) {
+      connection.client.end();
+    }
+  }
+
   #isSilent(connection: IProxiedConnection): boolean {
     return connection.isSilenced || this.#mode === LinkMode.Silent;
   }
