Show what clients without limits do to a process

Callers saw processes end: clients that keep to no limits took all of their memory or descriptors. The tests have a small crowd before a real process, and check that it lives, stays within the memory and descriptors of its settings, and answers an ordinary caller while the crowd holds on.

The settings name both (limits.memory_mb, limits.max_descriptors), from the platform's fields; nothing is bounded by them yet.

Bounds are the stated limits: 350 MB and 4,200 descriptors of the platform's smallest machines, 160 MB of heap as the deploy file starts a process, bodies of 4 MiB. Where a small crowd takes less, the test lowers the limits instead: 48 or 64 MB of heap, 200 MB, 400 descriptors of which 200 are for files.

--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -1,6 +1,7 @@
 /** The daemon's settings: a YAML file, validated before anything starts. */
 import type { Result } from "ts-results-es";
 import { z } from "zod";
+import { limitsSchema } from "../adapters/limits_schema.ts";
 import { readTextFile } from "../adapters/text_file.ts";
 import { durationSchema } from "../common/plans/duration.ts";
 import { checkDocument } from "../common/plans/findings.ts";
@@ -150,6 +151,7 @@
   groups: groupsSchema.prefault({}),
   polling: pollingSchema.prefault({}),
   calls: callsSchema.prefault({}),
+  limits: limitsSchema.prefault({}),
   tls: tlsSchema.prefault({}),
   lists: listsSchema.prefault({}),
   objectives: objectivesSchema.prefault({}),
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of an entry process: a YAML file, validated at the start. */
 import type { Result } from "ts-results-es";
 import { z } from "zod";
+import { limitsSchema } from "../adapters/limits_schema.ts";
 import { readTextFile } from "../adapters/text_file.ts";
 import { checkDocument } from "../common/plans/findings.ts";
 import type { IFinding } from "../common/plans/types.ts";
@@ -30,6 +31,7 @@
       speed: positive,
     })
     .optional(),
+  limits: limitsSchema.prefault({}),
   store: z.strictObject({ address: addressSchema }),
   /** The region of each zone. */
   zones: z.record(z.string(), z.string()),
@@ -55,6 +57,9 @@
 /** Validated settings. */
 export type EntrySettings = z.infer<typeof settingsSchema>;
 
+/** Settings as they stand in a file: those with defaults may be left out. */
+export type EntrySettingsInput = z.input<typeof settingsSchema>;
+
 /** Validates settings; every finding has its place in the file. */
 export function checkEntrySettings(
   source: string,
--- a/test/support/deployment.ts
+++ b/test/support/deployment.ts
@@ -8,6 +8,8 @@
 import { FaultProxy } from "../../src/stand_ins/fault_proxy/fault_proxy.ts";
 import { registerInstance } from "../../src/stand_ins/shared/register.ts";
 import { ProcessHandle, waitFor } from "./process_handle.ts";
+import { optionsOf, settingsOf } from "./process_limits.ts";
+import type { IProcessLimits } from "./process_limits.ts";
 
 /** The processes to start in each zone, and their settings. */
 export interface IDeploymentPlan {
@@ -25,6 +27,8 @@
   readonly polling?: object;
   /** The settings' `lists`. */
   readonly lists?: object;
+  /** Of each daemon. */
+  readonly limits?: IProcessLimits;
   /** Additional top-level settings of one daemon, such as `tls`. */
   readonly settings?: (daemon: string) => object;
 }
@@ -164,10 +168,17 @@
       groups: { ...settings["groups"], spare_share: 0, ...this.#plan.groups },
       polling: { targets: "100ms", ...this.#plan.polling },
       lists: { ...this.#plan.lists },
+      ...settingsOf(this.#plan.limits ?? {}),
       ...this.#plan.settings?.(name),
     };
     writeFileSync(path, stringify(daemonSettings));
-    const handle = await this.#startProcess(name, "daemon/main.js", [path]);
+    const handle = await ProcessHandle.start(
+      name,
+      "daemon/main.js",
+      [path],
+      optionsOf(this.#plan.limits ?? {}),
+    );
+    this.#processes.set(name, handle);
     this.link(`peers>${name}`).setTarget(handle.listeningField("peers"));
     return handle;
   }
--- a/test/support/entry_deployment.ts
+++ b/test/support/entry_deployment.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { request } from "undici";
 import { stringify } from "yaml";
-import type { EntrySettings } from "../../src/entry/settings.ts";
+import type { EntrySettingsInput } from "../../src/entry/settings.ts";
 import { freeAddress } from "./free_address.ts";
 import { PlatformEngine } from "./platform_engine.ts";
 import { PlatformStore } from "./platform_store.ts";
@@ -83,7 +83,7 @@
     this.callers = await freeAddress();
     this.readiness = await freeAddress();
     const inner = await freeAddress();
-    const settings: EntrySettings = {
+    const settings: EntrySettingsInput = {
       instance: { name: "entry", zone: "north-a", address: "127.0.0.1" },
       listen: {
         callers: this.callers,
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -15,6 +15,8 @@
 import { PlatformPlainTarget } from "./platform_plain_target.ts";
 import { PlatformStore } from "./platform_store.ts";
 import { ProcessHandle, waitFor } from "./process_handle.ts";
+import { optionsOf, settingsOf } from "./process_limits.ts";
+import type { IProcessLimits } from "./process_limits.ts";
 
 const ENGINES = 8;
 const PLAIN_TARGETS = 3;
@@ -70,6 +72,8 @@
     (_, index) => new PlatformPlainTarget(`p-${index}`, "delivery"),
   );
   readonly processes: IFleetProcess[] = [];
+  /** Of each process that is started from now on; the platform's by default. */
+  limits: IProcessLimits = {};
   readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-fleet-"));
   #calls = 0;
   constructor(engines = ENGINES) {
@@ -246,7 +250,7 @@
       [file],
       {
         preload: new URL("redirect_links.mjs", import.meta.url).href,
-        environment: { LINKS: JSON.stringify(redirected) },
+        ...optionsOf(this.limits, { LINKS: JSON.stringify(redirected) }),
       },
     );
     return { handle, callers, inner, links, storeLink, storeAddress };
@@ -266,6 +270,7 @@
         readiness: await freeAddress(),
         inner_port: Number(process.inner.split(":")[1]),
       },
+      ...settingsOf(this.limits),
       store: { address: process.store },
       zones: { "north-a": "north" },
       heartbeat_ms: 1_200,
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -26,6 +26,8 @@
   readonly timedArrivals: IArrival[] = [];
   /** The part of its answers that has no end; null if all have one. */
   endless: EndlessPart | null = null;
+  /** What each answer says. */
+  answer = "done";
   /** Milliseconds that a request runs. */
   runTime = 0;
   /** Path of requests that crash it; null for none. */
@@ -74,7 +76,7 @@
         if (this.endless === EndlessPart.Body) {
           writeWithoutEnd(response);
         } else {
-          response.end("done");
+          response.end(this.answer);
         }
       }, this.runTime);
     });
--- a/test/support/process_handle.ts
+++ b/test/support/process_handle.ts
@@ -11,6 +11,11 @@
 /** Matches the log line that a program writes once it listens. */
 const STARTED = /event=(listening|started)\b/;
 
+/** Replaces the shell by the program that its arguments name. */
+function limitCommand(descriptors: number): string {
+  return `ulimit -n ${descriptors}; exec "$0" "$@"`;
+}
+
 /** Polls until a condition holds; the description goes into the error. */
 export async function waitFor(
   description: string,
@@ -52,16 +57,21 @@
       /** A module that is loaded before the program; none by default. */
       readonly preload?: string;
       readonly environment?: Readonly<Record<string, string>>;
+      /** File descriptors that it may open; those of this process by default. */
+      readonly descriptors?: number;
     } = {},
   ): Promise<ProcessHandle> {
-    const { preload, environment } = options;
+    const { preload, environment, descriptors } = options;
     const path = new URL(`../../dist/src/${program}`, import.meta.url);
     const loaded = preload === undefined ? [] : ["--import", preload];
-    const child = spawn(
-      process.execPath,
-      [...loaded, path.pathname, ...programArguments],
-      { env: { ...process.env, ...environment } },
-    );
+    const command = [process.execPath, ...loaded, path.pathname];
+    const [file = "", ...rest] =
+      descriptors === undefined
+        ? command
+        : ["/bin/sh", "-c", limitCommand(descriptors), ...command];
+    const child = spawn(file, [...rest, ...programArguments], {
+      env: { ...process.env, ...environment },
+    });
     const handle = new ProcessHandle(name, child);
     ProcessHandle.#started.add(handle);
     await waitFor(`${name} listens`, () => {
