Take requests that a caller sends ahead a few at a time

Callers saw: the process ended when some 40 to 120 clients sent requests ahead and read no answers, in an entry process and in a daemon. Many open heads of tiny headers, which never end, did the same.

Cause: the HTTP library makes requests of all that it reads at once, 64 kB or some 3,600 requests, each of 7 to 11 kB, and answers those without a host itself. Requests of one connection ran all at the same time. It reads a connection again and again in one turn, so that a few connections take the whole process's time. Nobody counted what incomplete heads take (50 kB for 16).

Change, entry and daemon: what a connection receives is passed to the parser in pieces (ConnectionInput) that hold no more requests than may be unanswered, two a connection; further ones wait in the connection, which is not read meanwhile. Pieces are read in turn, 10 ms a turn of the event loop (InputSchedule). What waits, and incomplete heads, are charged to RequestMemory; a connection without room there is closed. Requests without a host are answered 400 by the product, so that they are counted.

Result: the three tests of requests sent ahead and that of open heads, which failed before (heap full at 48, 64 and 160 MB), pass, one at a time. A caller that sends nothing ahead is read as before, so that its leave is seen while its call runs (a test shows it).

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -36,6 +36,7 @@
 import { callerRequestId, checkHeaders } from "./caller_headers.ts";
 import { answerBadRequest } from "./client_errors.ts";
 import { BodyFailure, BodyReceiver } from "./body_receiver.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import { sendAnswer, sendRefusal } from "./caller_answers.ts";
 
 /** Limits on a caller's request, in bytes and milliseconds. */
@@ -96,6 +97,7 @@
   readonly #parts: ICallerServerParts;
   readonly #server: Server | SecureServer;
   readonly #reloader: CertificateReloader | null = null;
+  readonly #connections: CallerConnections;
   #isStopping = false;
   #openResponses = 0;
   #onIdle: (() => void) | null = null;
@@ -107,6 +109,8 @@
       headersTimeout: HEADERS_TIMEOUT,
       requestTimeout: REQUEST_TIMEOUT,
       connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL,
+      // Such requests are answered here, so that they are counted.
+      requireHostHeader: false,
     };
     const serve = (incoming: IncomingMessage, response: ServerResponse) =>
       void this.#serve(incoming, response);
@@ -120,6 +124,13 @@
       this.#server = server;
     }
     this.#server.on("clientError", answerBadRequest);
+    this.#server.on("checkExpectation", serve);
+    this.#connections = new CallerConnections({
+      server: this.#server,
+      event: certificate === null ? "connection" : "secureConnection",
+      memory: parts.requests,
+      limits: parts.limits,
+    });
   }
 
   /** Listens on `host:port` and returns the bound address. */
@@ -159,6 +170,11 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    // What was parsed before its connection was closed has nobody to answer.
+    if (incoming.socket.destroyed) {
+      return;
+    }
+    this.#connections.recordRequest(incoming, response);
     this.#openResponses += 1;
     response.on("close", () => this.#onResponseClosed());
     const requestId =
@@ -264,6 +280,9 @@
       const detail = "the plan lists are not known here yet";
       return Err(notRun(Reason.PlanListsUnknown, detail, LISTS_RETRY_AFTER));
     }
+    if (incoming.headers.host === undefined) {
+      return Err(notRun(Reason.BadRequest, "expected a host header"));
+    }
     const account = plans.findByCredential(
       sha256Hex(readBearerToken(incoming)),
     );
