Divide the descriptors of a process, and bound what callers take of them

Callers saw: no connection was accepted any more, and no target could be reached, once clients held as many connections open as a process has descriptors. It took connections only: idle, within a head, or within a body.

Cause: nothing bounded the connections of callers, nor the calls that were open at once, of which each needs a connection to a target, nor those that other processes forward.

Change, entry and daemon: the sockets of the process are divided (45 % callers' connections, 35 % calls, 10 % forwarded calls, the rest for the store and other processes). A new connection takes the place of the oldest that has had no call, else of the one that has been idle longest; one with a call is kept, and the new one is closed if all have one. TLS handshakes count, and must end within 5 s. Too many calls are refused with 503 and Retry-After, too many forwarded ones with "full". A caller that reads nothing of its answers for the idle timeout (the daemon: 30 s) is disconnected.

--- a/bench/forwarding_bench.ts
+++ b/bench/forwarding_bench.ts
@@ -131,6 +131,7 @@
       clock: new SystemClock(),
       log: new RecordingLog(),
       lag: () => 0,
+      maximumCalls: 1_000,
     }),
     crashes: { handle: () => [] },
     barrier: inputBarrier(),
--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import type { IDescriptorLimits } from "../../common/calls/descriptor_limits.ts";
 import { ProcessLimit } from "../../common/calls/limit_recorder.ts";
 import type { LimitRecorder } from "../../common/calls/limit_recorder.ts";
 import type { RequestMemory } from "../../common/calls/request_memory.ts";
@@ -45,6 +46,9 @@
 const HEADERS_TIMEOUT = 5_000;
 const REQUEST_TIMEOUT = 15_000;
 
+/** How long a caller may read nothing of its answer, milliseconds. */
+const UNREAD_TIMEOUT = 30_000;
+
 /** Bytes that a request takes beside its headers and its body. */
 const REQUEST_OVERHEAD = 8_192;
 
@@ -88,6 +92,7 @@
   readonly burn: BurnRecorder;
   readonly requests: RequestMemory;
   readonly limits: LimitRecorder;
+  readonly maximum: IDescriptorLimits;
   /** Certificate files for TLS; null to listen without TLS. */
   readonly certificate: ICertificateFiles | null;
 }
@@ -98,6 +103,7 @@
   readonly #server: Server | SecureServer;
   readonly #reloader: CertificateReloader | null = null;
   readonly #connections: CallerConnections;
+  #openCalls = 0;
   #isStopping = false;
   #openResponses = 0;
   #onIdle: (() => void) | null = null;
@@ -118,7 +124,11 @@
     if (certificate === null) {
       this.#server = createServer(limits, serve);
     } else {
-      const secure = { ...limits, ...readCertificate(certificate) };
+      const secure = {
+        ...limits,
+        ...readCertificate(certificate),
+        handshakeTimeout: HEADERS_TIMEOUT,
+      };
       const server = createSecureServer(secure, serve);
       this.#reloader = new CertificateReloader(server, certificate, parts.log);
       this.#server = server;
@@ -128,8 +138,10 @@
     this.#connections = new CallerConnections({
       server: this.#server,
       event: certificate === null ? "connection" : "secureConnection",
+      maximum: parts.maximum.connections,
       memory: parts.requests,
       limits: parts.limits,
+      unreadTimeout: () => UNREAD_TIMEOUT,
     });
   }
 
@@ -308,6 +320,9 @@
     if (body.isErr()) {
       return Err(notRun(Reason.BadRequest, body.error));
     }
+    if (!this.#admitCall(incoming, response)) {
+      return Err(daemonFull());
+    }
     const { key } = headers.value;
     const arrivedAt = clock.now();
     return Ok({
@@ -364,6 +379,20 @@
         return null;
     }
   }
+
+  /** Returns false if too many calls are open. */
+  #admitCall(incoming: IncomingMessage, response: ServerResponse): boolean {
+    if (this.#openCalls >= this.#parts.maximum.calls) {
+      this.#parts.limits.record(ProcessLimit.OpenCalls);
+      return false;
+    }
+    this.#openCalls += 1;
+    response.once("close", () => {
+      this.#openCalls -= 1;
+    });
+    this.#connections.recordCall(incoming, response);
+    return true;
+  }
 }
 
 function daemonFull(): IRefusal {
--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -70,6 +70,7 @@
     clock: new SystemClock(),
     log: new RecordingLog(),
     lag: () => 0,
+    maximumCalls: 1_000,
   });
   readonly #server: Server;
   address = "";
--- a/src/common/calls/limit_recorder.ts
+++ b/src/common/calls/limit_recorder.ts
@@ -9,6 +9,12 @@
 export enum ProcessLimit {
   /** Requests were discarded or refused for the memory that they take. */
   RequestMemory = "request_memory",
+  /** Connections were closed to accept others. */
+  Connections = "connections",
+  /** A connection was closed because its caller read no answers. */
+  UnreadAnswers = "unread_answers",
+  /** A call was refused because too many are open. */
+  OpenCalls = "open_calls",
 }
 
 interface IOccurrences {
--- a/src/common/forwarding/forwarded_requests.ts
+++ b/src/common/forwarding/forwarded_requests.ts
@@ -40,6 +40,8 @@
   readonly log: ILog;
   /** Milliseconds by which this process is behind; see {@link EventLoopLag}. */
   readonly lag: () => number;
+  /** Calls that may be in flight at once. */
+  readonly maximumCalls: number;
 }
 
 /** The requests that other processes have forwarded to this one. */
@@ -80,8 +82,11 @@
     if (listed === null || listed.service !== call.service) {
       return ForwardRefusal.UnknownTarget;
     }
-    return this.#parts.reach.isOutOfReach(call.service)
-      ? ForwardRefusal.OutOfReach
+    if (this.#parts.reach.isOutOfReach(call.service)) {
+      return ForwardRefusal.OutOfReach;
+    }
+    return this.#inFlight >= this.#parts.maximumCalls
+      ? ForwardRefusal.Full
       : null;
   }
 
--- a/src/common/forwarding/types.ts
+++ b/src/common/forwarding/types.ts
@@ -59,7 +59,7 @@
   Stopping = "stopping",
   OutOfReach = "out_of_reach",
   UnknownTarget = "unknown_target",
-  /** The process has no memory left for the call. */
+  /** The process has no memory or descriptors left for the call. */
   Full = "full",
   /** The process could not be reached. */
   NotConnected = "not_connected",
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,6 +20,7 @@
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import { divideDescriptors } from "../common/calls/descriptor_limits.ts";
 import { LimitRecorder, ProcessLimit } from "../common/calls/limit_recorder.ts";
 import { RequestMemory } from "../common/calls/request_memory.ts";
 import { InputBarrier } from "../common/calls/input_barrier.ts";
@@ -405,12 +406,13 @@
   }
 
   #createCallerServer(): HttpCallerServer {
-    const { memory_mb } = this.#settings.limits;
+    const { memory_mb, max_descriptors } = this.#settings.limits;
     return new HttpCallerServer({
       requests: new RequestMemory(memory_mb, () =>
         this.#limits.record(ProcessLimit.RequestMemory),
       ),
       limits: this.#limits,
+      maximum: divideDescriptors(max_descriptors),
       dispatcher: this.#pipeline.dispatcher,
       plans: this.#planLists.plans,
       burn: this.#burn,
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -44,6 +44,7 @@
 import type { IForwardingMember } from "../common/forwarding/types.ts";
 import { TargetCooldowns } from "../common/target_cooldowns.ts";
 import { AnswerMemory } from "../common/calls/answer_memory.ts";
+import { divideDescriptors } from "../common/calls/descriptor_limits.ts";
 import { LimitRecorder, ProcessLimit } from "../common/calls/limit_recorder.ts";
 import { RequestMemory } from "../common/calls/request_memory.ts";
 import { CrashGossip } from "../common/quarantine/crash_gossip.ts";
@@ -162,10 +163,11 @@
     this.#limits = new LimitRecorder({
       ...{ clock: this.#clock, log, metrics: this.#metrics },
     });
-    const { memory_mb } = settings.limits;
+    const { memory_mb, max_descriptors } = settings.limits;
     this.#requests = new RequestMemory(memory_mb, () =>
       this.#limits.record(ProcessLimit.RequestMemory),
     );
+    const maximum = divideDescriptors(max_descriptors);
     this.#client = new TargetClient(this.#barrier, this.#memory);
     this.#store = new ObjectStoreClient(settings.store.address);
     this.#targets = new TargetRegistry({
@@ -245,6 +247,7 @@
       reach: this.#reach,
       ...{ clock, log },
       lag: () => this.#currentLag,
+      maximumCalls: maximum.forwardedCalls,
     });
     const memory = this.#memory;
     const shared = {
@@ -284,6 +287,7 @@
       memory,
       requests: this.#requests,
       limits: this.#limits,
+      maximum,
     });
     const handlers = new ForwardingHandlers({
       requests: this.#forwarded,
--- a/test/support/forwarding_soak.ts
+++ b/test/support/forwarding_soak.ts
@@ -93,6 +93,7 @@
       findTarget: (id) => TARGETS.find((target) => target.id === id) ?? null,
       ...{ reach, clock, log },
       lag: () => 0,
+      maximumCalls: 1_000,
     });
   }
 
