Discard unread answers to make room for those of other callers

Callers would see: long answers broken (502) while a crowd reads none of its own. The memory of all answers was full, and what was kept longest stayed.

Cause: whoever asked last gave way, whatever the others held. The daemon did not count answers at all once they were complete; unread ones had no bound in sum.

Change: an answer that a caller has not read may be discarded, the longest first, for one that is not longer; its connection is closed, which limit_reached (unread_answers) shows. The total follows the memory of the settings (18 %, 63 MB of 350; it was 64 MiB). The daemon counts its unread answers in the same way.

Evidence: a unit test fails without the change (an answer of 2 MB found no room). The process test with clients that read nothing passed before as well, since they end each other's answers: no proof of this change.

--- a/src/adapters/callers/caller_answers.ts
+++ b/src/adapters/callers/caller_answers.ts
@@ -4,6 +4,7 @@
   CallerAnswer,
   IStreamedAnswer,
 } from "../../common/services/types.ts";
+import type { AnswerMemory } from "../../common/calls/answer_memory.ts";
 import { Outcome, Reason } from "../../common/types.ts";
 import type { OmittedAnswer } from "../../common/runs/run_record.ts";
 import type { IRefusal } from "../../common/types.ts";
@@ -79,7 +80,10 @@
 export async function sendAnswer(
   response: ServerResponse,
   requestId: string,
-  answer: CallerAnswer,
+  {
+    answer,
+    memory,
+  }: { readonly answer: CallerAnswer; readonly memory: AnswerMemory },
 ): Promise<Outcome> {
   if (answer.kind === "stream") {
     return sendStream(response, requestId, answer.answer);
@@ -90,9 +94,16 @@
     answer: answer.answer.body,
     ...omittedFields(answer.answer.omitted),
   });
+  const length = Buffer.byteLength(body);
+  const unread = memory.createShare(() => response.destroy());
+  response.once("close", () => unread.dispose());
+  if (!unread.resize(length)) {
+    response.destroy();
+    return Outcome.Unknown;
+  }
   response.writeHead(STATUS_OK, {
     "content-type": "application/json",
-    "content-length": Buffer.byteLength(body),
+    "content-length": length,
   });
   response.end(body);
   return Outcome.Completed;
--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import type { AnswerMemory } from "../../common/calls/answer_memory.ts";
 import type { IDescriptorLimits } from "../../common/calls/descriptor_limits.ts";
 import { ProcessLimit } from "../../common/calls/limit_recorder.ts";
 import type { LimitRecorder } from "../../common/calls/limit_recorder.ts";
@@ -90,6 +91,7 @@
   readonly log: ILog;
   readonly metrics: IMetrics;
   readonly burn: BurnRecorder;
+  readonly answers: AnswerMemory;
   readonly requests: RequestMemory;
   readonly limits: LimitRecorder;
   readonly maximum: IDescriptorLimits;
@@ -250,7 +252,10 @@
     const answer = measurement?.observeAnswer(dispatched) ?? dispatched;
     const sent = answer.isErr()
       ? sendRefusal(response, requestId, answer.error)
-      : await sendAnswer(response, requestId, answer.value);
+      : await sendAnswer(response, requestId, {
+          answer: answer.value,
+          memory: this.#parts.answers,
+        });
     measurement?.finish(sent);
     this.#recordRequest(incoming, requestId, { sent, started });
   }
--- a/src/adapters/forwarding/forwarding_handlers.ts
+++ b/src/adapters/forwarding/forwarding_handlers.ts
@@ -187,7 +187,7 @@
 
   constructor(response: ServerResponse, memory: AnswerMemory) {
     this.#response = response;
-    this.#unread = memory.createShare();
+    this.#unread = memory.createShare(() => response.destroy());
     response.once("close", () => this.#unread.dispose());
   }
 
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -66,11 +66,15 @@
   readonly #barrier: IInputBarrier;
   readonly #connections: TargetConnections;
   readonly #wireIds = new WireIdGenerator();
-  readonly #memory = new AnswerMemory();
+  readonly #memory: AnswerMemory;
 
-  /** @param barrier - delays calls until the news on their callers is fresh */
-  constructor(barrier: IInputBarrier) {
+  /**
+   * @param barrier - delays calls until the news on their callers is fresh
+   * @param memory - what answers take
+   */
+  constructor(barrier: IInputBarrier, memory = new AnswerMemory()) {
     this.#barrier = barrier;
+    this.#memory = memory;
     this.#connections = new TargetConnections({
       connectTimeout: CONNECT_TIMEOUT,
       barrier,
--- a/src/common/calls/answer_memory.ts
+++ b/src/common/calls/answer_memory.ts
@@ -8,52 +8,138 @@
 /** Bytes of one answer; a longer one is broken. */
 export const LONGEST_ANSWER = 8_388_608;
 
-/** Bytes of all answers beyond the shares that are always granted. */
-const TOTAL = 67_108_864;
+/**
+ * Share of the process's memory that all answers may take, beyond the shares
+ * that are always granted.
+ */
+const SHARE_OF_MEMORY = 0.18;
+
+const BYTES_A_MEGABYTE = 1_048_576;
+
+/** Megabytes of the platform's smallest instances. */
+const SMALLEST_MEMORY = 350;
 
 /** Bytes that any answer may take, so that long ones do not displace it. */
 const SMALL_ANSWER = 16_384;
 
 /** The memory of all answers of one process. */
 export class AnswerMemory {
+  /** Bytes. */
+  readonly #total: number;
+  /** Those of answers that may be discarded. */
+  readonly #evictable = new Set<AnswerShare>();
+  readonly #onEvicted: () => void;
   #used = 0;
 
+  /**
+   * @param memory - megabytes that the process may take
+   * @param onEvicted - called with each answer that is discarded for others
+   */
+  constructor(
+    memory = SMALLEST_MEMORY,
+    onEvicted: () => void = () => undefined,
+  ) {
+    this.#total = memory * BYTES_A_MEGABYTE * SHARE_OF_MEMORY;
+    this.#onEvicted = onEvicted;
+  }
+
   /** Bytes that are kept at present. */
   get used(): number {
     return this.#used;
   }
 
-  createShare(): AnswerShare {
-    return new AnswerShare((bytes, kept) => {
-      const used = this.#used - kept + bytes;
-      const isGranted =
-        bytes <= Math.max(SMALL_ANSWER, kept) ||
-        (bytes <= LONGEST_ANSWER && used <= TOTAL);
-      if (isGranted) {
-        this.#used = used;
-      }
-      return isGranted;
+  /**
+   * @param evict - discards the answer, to make room for others that are not
+   *   larger; an answer without it is kept
+   */
+  createShare(evict: (() => void) | null = null): AnswerShare {
+    const share: AnswerShare = new AnswerShare({
+      evict: evict ?? (() => undefined),
+      request: (bytes) => {
+        const isGranted = this.#makeRoom(share, bytes);
+        if (isGranted) {
+          this.#used += bytes - share.kept;
+          this.#setEvictable(share, evict !== null && bytes > 0);
+        }
+        return isGranted;
+      },
     });
+    return share;
+  }
+
+  #setEvictable(share: AnswerShare, isEvictable: boolean): void {
+    if (isEvictable) {
+      this.#evictable.add(share);
+    } else {
+      this.#evictable.delete(share);
+    }
+  }
+
+  /** Returns false if an answer is too long, or there is no room for it. */
+  #makeRoom(share: AnswerShare, bytes: number): boolean {
+    if (bytes <= Math.max(SMALL_ANSWER, share.kept)) {
+      return true;
+    }
+    if (bytes > LONGEST_ANSWER) {
+      return false;
+    }
+    while (this.#used + bytes - share.kept > this.#total) {
+      const largest = this.#findLargest(share, bytes);
+      if (largest === null) {
+        return false;
+      }
+      largest.evict();
+      this.#onEvicted();
+    }
+    return true;
+  }
+
+  #findLargest(exempt: AnswerShare, minimum: number): AnswerShare | null {
+    let found: AnswerShare | null = null;
+    for (const share of this.#evictable) {
+      const isLarger = share.kept > (found?.kept ?? 0);
+      if (share !== exempt && share.kept >= minimum && isLarger) {
+        found = share;
+      }
+    }
+    return found;
   }
 }
 
 /** What one answer takes, until it is disposed of. */
 export class AnswerShare implements IDisposable {
-  readonly #request: (bytes: number, kept: number) => boolean;
+  readonly #parts: {
+    readonly evict: () => void;
+    readonly request: (bytes: number) => boolean;
+  };
   #kept = 0;
 
-  /** @param request - grants a number of bytes in place of those kept */
-  constructor(request: (bytes: number, kept: number) => boolean) {
-    this.#request = request;
+  constructor(parts: {
+    readonly evict: () => void;
+    /** Grants a number of bytes in place of those kept. */
+    readonly request: (bytes: number) => boolean;
+  }) {
+    this.#parts = parts;
+  }
+
+  /** Bytes. */
+  get kept(): number {
+    return this.#kept;
   }
 
   /** Returns false, and changes nothing, if the bytes are too many. */
   resize(bytes: number): boolean {
-    const isGranted = this.#request(bytes, this.#kept);
+    const isGranted = this.#parts.request(bytes);
     this.#kept = isGranted ? bytes : this.#kept;
     return isGranted;
   }
 
+  /** Discards the answer to make room for others. */
+  evict(): void {
+    this.dispose();
+    this.#parts.evict();
+  }
+
   dispose(): void {
     this.resize(0);
   }
--- a/src/common/calls/answer_memory_test.ts
+++ b/src/common/calls/answer_memory_test.ts
@@ -37,4 +37,22 @@
     }
     expect(memory.used).to.equal(0);
   });
+
+  // Guards against a crowd that reads no answers, so that no answer of an
+  // ordinary caller can be kept until it is complete.
+  it("discards the longest unread answers for others", () => {
+    const memory = new AnswerMemory();
+    const evicted: number[] = [];
+    for (let answer = 0; answer < 100; answer += 1) {
+      const unread = memory.createShare(() => evicted.push(answer));
+      unread.resize(LONGEST_ANSWER / 2);
+    }
+    const ordinary = new AnswerBuffer(memory);
+    for (let length = 0; length < LONGEST_ANSWER / 4; length += CHUNK.length) {
+      expect(ordinary.push(CHUNK)).to.equal(true);
+    }
+    expect(evicted[0]).to.equal(0);
+    expect(evicted.length).to.be.lessThan(100);
+    expect(memory.used).to.be.at.most(9 * LONGEST_ANSWER);
+  });
 });
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -20,6 +20,7 @@
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import { AnswerMemory } from "../common/calls/answer_memory.ts";
 import { divideDescriptors } from "../common/calls/descriptor_limits.ts";
 import { LimitRecorder, ProcessLimit } from "../common/calls/limit_recorder.ts";
 import { RequestMemory } from "../common/calls/request_memory.ts";
@@ -94,7 +95,8 @@
     clock: this.#clock,
   });
   readonly #limits: LimitRecorder;
-  readonly #httpTargets = new HttpTargets(this.#barrier);
+  readonly #answers: AnswerMemory;
+  readonly #httpTargets: HttpTargets;
   /** By address of the target. */
   readonly #cooldowns: TargetCooldowns;
   readonly #targets: ITargets;
@@ -128,6 +130,10 @@
     this.#limits = new LimitRecorder({
       ...{ clock: this.#clock, log, metrics: this.#metrics },
     });
+    this.#answers = new AnswerMemory(settings.limits.memory_mb, () =>
+      this.#limits.record(ProcessLimit.UnreadAnswers),
+    );
+    this.#httpTargets = new HttpTargets(this.#barrier, this.#answers);
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
     this.#hash = hash;
     this.#credentials = settings.tls.peers
@@ -408,6 +414,7 @@
   #createCallerServer(): HttpCallerServer {
     const { memory_mb, max_descriptors } = this.#settings.limits;
     return new HttpCallerServer({
+      answers: this.#answers,
       requests: new RequestMemory(memory_mb, () =>
         this.#limits.record(ProcessLimit.RequestMemory),
       ),
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -122,7 +122,7 @@
     clock: this.#clock,
   });
   readonly #limits: LimitRecorder;
-  readonly #memory = new AnswerMemory();
+  readonly #memory: AnswerMemory;
   readonly #requests: RequestMemory;
   readonly #client: TargetClient;
   readonly #configuration: ActiveConfiguration;
@@ -164,6 +164,9 @@
       ...{ clock: this.#clock, log, metrics: this.#metrics },
     });
     const { memory_mb, max_descriptors } = settings.limits;
+    this.#memory = new AnswerMemory(memory_mb, () =>
+      this.#limits.record(ProcessLimit.UnreadAnswers),
+    );
     this.#requests = new RequestMemory(memory_mb, () =>
       this.#limits.record(ProcessLimit.RequestMemory),
     );
