Refuse calls that no group can serve, and keep nothing for them

Callers saw: the process ended when 20 clients with a key sent requests for models that do not exist, each with another name.

Cause: a queue, estimates and a metric were kept for each name, and every check looked through all of them. A call waited a second for a group that cannot come. Token counts were taken as announced: one call with 1e300 tokens of output made all engines seem needed for its model.

Change: a call of a model that the configuration does not contain is refused at once (no_group), as is one whose prompt exceeds the memory of a group (hopeless), both with 503 and Retry-After, since a newer configuration may contain it.

--- a/src/common/calls/model_call_recorder.ts
+++ b/src/common/calls/model_call_recorder.ts
@@ -2,6 +2,8 @@
 import type { ILog, IMetrics } from "../services/services.ts";
 import type { MonotonicTime } from "../types.ts";
 import type { ModelRun } from "./model_run.ts";
+import { CallRefusalKind } from "./types.ts";
+import type { CallRefusalReason, ICall } from "./types.ts";
 
 /** Outcome of a call whose response was complete. */
 export const WHOLE = "whole";
@@ -9,6 +11,9 @@
 /** Parts of a prompt that a log line names. */
 const MAXIMUM_LOGGED_PARTS = 16;
 
+/** Characters of an unknown model's name that a log line contains. */
+const MAXIMUM_LOGGED_NAME = 64;
+
 /** How a call ended. */
 export interface IModelCallEnd {
   readonly outcome: string;
@@ -65,6 +70,19 @@
     }
   }
 
+  /** Logs a call that no group can serve; its model may not exist. */
+  recordUnserved({ id, route, model }: ICall, reason: CallRefusalReason): void {
+    const outcome = CallRefusalKind.NotRun;
+    this.#metrics.count("model_calls", { outcome });
+    this.#log.warn("model_call", {
+      request: id,
+      route: route.name,
+      model: (model ?? "").slice(0, MAXIMUM_LOGGED_NAME),
+      outcome,
+      reason,
+    });
+  }
+
   /** Logs a call that ends with the process, and what it was waiting for. */
   recordCut(
     { call, reply, openSends, times, sendCount }: ModelRun,
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -41,6 +41,9 @@
 /** Milliseconds over which these callers return. */
 const UNREACHABLE_SPREAD = 500;
 
+/** Retry-after of a call that no group can serve, milliseconds. */
+const UNSERVED_RETRY_AFTER = 1_000;
+
 /** Retry-after of a call that would crash an engine, milliseconds. */
 const QUARANTINE_RETRY_AFTER = 60_000;
 
@@ -130,6 +133,11 @@
 
   /** Accepts a call; returns the handler for its caller's disconnect. */
   submit(call: ICall, reply: ICallReply): () => void {
+    const reason = this.#findRefusal(call);
+    if (reason !== null) {
+      this.#refuseUnserved(call, reply, reason);
+      return () => undefined;
+    }
     const { memory } = this.#parts;
     const work = queueItemOf(call);
     const run = new ModelRun({ call, reply, work, memory }, this);
@@ -153,6 +161,33 @@
     return () => this.#handleDisconnect(run);
   }
 
+  /**
+   * Why no group can serve a call; null if one can. State is kept for each
+   * model, and callers may invent any number of them.
+   */
+  #findRefusal(call: ICall): CallRefusalReason | null {
+    const found = this.#models.engineOf(call);
+    if (found === null) {
+      return CallRefusalReason.NoGroup;
+    }
+    return call.tokens.prompt > found.engine.memoryTokens
+      ? CallRefusalReason.Hopeless
+      : null;
+  }
+
+  #refuseUnserved(
+    call: ICall,
+    reply: ICallReply,
+    reason: CallRefusalReason,
+  ): void {
+    this.#recorder.recordUnserved(call, reason);
+    reply.refuse({
+      kind: CallRefusalKind.NotRun,
+      reason,
+      retryAfter: UNSERVED_RETRY_AFTER,
+    });
+  }
+
   /**
    * From now on calls that have not run, and are not expected to end in time,
    * are refused: another process can serve them, while here they would be cut.
--- a/src/common/calls/model_calls_test.ts
+++ b/src/common/calls/model_calls_test.ts
@@ -341,4 +341,31 @@
     expect(reply.text).to.contain("id: 2");
     expect(reply.isEnded).to.equal(true);
   });
+
+  // Guards against state that is kept for each name that a caller invents, and
+  // is looked through in every check.
+  it("keeps nothing for models that do not exist", () => {
+    const harness = new Harness(["g1"]);
+    const before = harness.calls.demand.length;
+    for (let count = 0; count < 1_000; count += 1) {
+      const { reply } = harness.submit({ model: `invented-${count}` });
+      expect(reply.refusal).to.include({
+        kind: CallRefusalKind.NotRun,
+        reason: CallRefusalReason.NoGroup,
+      });
+    }
+    expect(harness.calls.demand).to.have.length(before);
+    expect(harness.sends).to.deep.equal([]);
+  });
+
+  // Guards against one caller whose announcement takes all engines for its
+  // model, and a prompt that is passed from group to group.
+  it("counts no more output than a group can generate", () => {
+    const harness = new Harness(["g1"]);
+    harness.submit({ tokens: { prompt: 100, output: 1e300 } });
+    const [demand] = harness.calls.demand;
+    expect(demand?.groups).to.be.lessThan(1_000);
+    const { reply } = harness.submit({ tokens: { prompt: 1e9, output: 1 } });
+    expect(reply.refusal?.reason).to.equal(CallRefusalReason.Hopeless);
+  });
 });
--- a/src/common/calls/model_states.ts
+++ b/src/common/calls/model_states.ts
@@ -84,7 +84,11 @@
     const found = this.engineOf(call);
     this.getOrCreate(call).objective = call.route.objective;
     if (found !== null) {
-      const arrival = { tokens: call.tokens, now };
+      // Callers may announce more output than any group could generate.
+      const { prompt, output } = call.tokens;
+      const longest = found.engine.memoryTokens;
+      const tokens = { prompt, output: Math.min(output, longest) };
+      const arrival = { tokens, now };
       this.getOrCreate(call).demand.recordCall(
         arrival,
         found.engine,
