Refuse bodies that are nested too deeply to be read

Callers saw: a daemon ended for one request within all limits, 0.8 MB of nested arrays, or for 32 of them out of memory; all its calls were lost.

Cause: parsing accepts any depth, encoding the call for its target does not: it exhausts the stack, outside of what handles a failed call.

Change: a body's text is measured before it is parsed (json_text.ts): deeper than 500 it is refused with 400, and its values are charged to RequestMemory, without what stands in strings. A call that cannot be encoded fails by itself.

The entry process does not parse bodies.

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -39,6 +39,7 @@
 import { answerBadRequest } from "./client_errors.ts";
 import { BodyFailure, BodyReceiver } from "./body_receiver.ts";
 import { CallerConnections } from "./caller_connections.ts";
+import { measureJson } from "./json_text.ts";
 import { sendAnswer, sendRefusal } from "./caller_answers.ts";
 
 /** Limits on a caller's request, in bytes and milliseconds. */
@@ -56,8 +57,8 @@
 /** Bytes of an empty object in an array of them. */
 const VALUE_SIZE = 64;
 
-/** Characters of which one stands before each value but the first. */
-const VALUE_STARTS: ReadonlySet<string> = new Set(["[", "{", ",", ":"]);
+/** Arrays and objects of a body within each other. */
+const MAXIMUM_DEPTH = 500;
 
 /** Retry delay while the daemon keeps too many requests, milliseconds. */
 const FULL_RETRY_AFTER = 1_000;
@@ -366,7 +367,12 @@
     if (body.isOk()) {
       share.complete();
       const text = Buffer.from(body.value).toString("utf8");
-      if (share.resize(share.bytes + valueSize(text))) {
+      const { values, depth } = measureJson(text);
+      if (depth > MAXIMUM_DEPTH) {
+        const detail = `the body is nested deeper than ${MAXIMUM_DEPTH}`;
+        return Err(notRun(Reason.BadRequest, detail));
+      }
+      if (share.resize(share.bytes + values * VALUE_SIZE)) {
         return Ok(text);
       }
       limits.record(ProcessLimit.RequestMemory);
@@ -410,15 +416,6 @@
   return REQUEST_OVERHEAD + length + url.length;
 }
 
-/** Bytes that the values of a JSON text take at most once it is parsed. */
-function valueSize(text: string): number {
-  let values = 1;
-  for (const character of text) {
-    values += VALUE_STARTS.has(character) ? 1 : 0;
-  }
-  return values * VALUE_SIZE;
-}
-
 function parseBody(text: string): Result<unknown, string> {
   try {
     return Ok(text === "" ? null : (JSON.parse(text) as unknown));
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -144,12 +144,15 @@
     }
     const { operation, body } = call;
     const requestId = this.#wireIds.next(call.requestId);
-    const content = JSON.stringify({ requestId, operation, body });
+    const content = encodeCall({ requestId, operation, body });
+    if (content.isErr()) {
+      return content;
+    }
     const timeout = Math.max(SHORTEST_TIMEOUT, call.timeout);
     const needsNewConnection = call.needsNewConnection;
     const { suspectAfter = timeout } = call;
     const sending = {
-      body: content,
+      body: content.value,
       ...{ timeout, suspectAfter, signal, needsNewConnection },
     };
     const answer = await this.#post(address, "/call", sending);
@@ -267,3 +270,17 @@
     return callFailureOf(call.attempted, error);
   }
 }
+
+/** A body that cannot be encoded fails its own call only. */
+function encodeCall(call: {
+  readonly requestId: string;
+  readonly operation: string;
+  readonly body: unknown;
+}): Result<string, ICallFailure> {
+  try {
+    return Ok(JSON.stringify(call));
+  } catch (error) {
+    const detail = `encode ${call.operation}: ${String(error)}`;
+    return Err({ kind: CallFailureKind.NotSent, detail });
+  }
+}
--- a/test/hostile_clients_daemon_test.ts
+++ b/test/hostile_clients_daemon_test.ts
@@ -196,6 +196,24 @@
     });
   });
 
+  // Guards against one request that ends the daemon: its body exhausts the
+  // stack of what reads it, and many of them the memory.
+  it("are refused when their bodies are nested deeply", async () => {
+    await using deployment = await startDaemon();
+    const depth = 400_000;
+    const body = Buffer.from("[".repeat(depth) + "]".repeat(depth));
+    const head = requestHead(POST_FEED, {
+      ...HEADERS,
+      "content-length": body.length,
+    });
+    const statuses = await play(deployment, {
+      clients: 32,
+      isAnswered: true,
+      pieces: () => [head, body],
+    });
+    expect([400, 503]).to.include.members([...statuses]);
+  });
+
   // Guards against connections that take all descriptors, so that no further
   // caller is accepted and no target can be reached.
   it("leave descriptors when they hold connections open", async () => {
