Let a fault of one request end no process

Cause: attempts of a daemon's call run beside each other (CallRace), and their faults were taken by nobody. The same holds for a request that an entry process receives from a caller or from another process.

Change: a fault of an attempt fails that attempt (it may have run).

Faults in timers and in callbacks of connections to targets still end a process; none is known.

--- a/bench/forwarding_bench.ts
+++ b/bench/forwarding_bench.ts
@@ -120,6 +120,7 @@
 ): Promise<number> {
   const handlers = new ForwardingHandlers({
     received: new RequestMemory(350),
+    log: new RecordingLog(),
     requests: new ForwardedRequests({
       sender: streamingSender(events),
       engines: {
--- a/src/adapters/forwarding/forwarding_handlers.ts
+++ b/src/adapters/forwarding/forwarding_handlers.ts
@@ -12,6 +12,7 @@
   IResponseReceiver,
 } from "../../common/calls/types.ts";
 import type { ForwardedRequests } from "../../common/forwarding/forwarded_requests.ts";
+import type { ILog } from "../../common/services/services.ts";
 import type { CrashGossip } from "../../common/quarantine/crash_gossip.ts";
 import { ForwardRefusal } from "../../common/forwarding/types.ts";
 import type { RequestMemory } from "../../common/calls/request_memory.ts";
@@ -45,6 +46,7 @@
   readonly #barrier: IInputBarrier;
   readonly #memory: AnswerMemory;
   readonly #received: RequestMemory;
+  readonly #log: ILog;
 
   constructor(parts: {
     readonly requests: ForwardedRequests;
@@ -53,12 +55,14 @@
     readonly memory: AnswerMemory;
     /** What the received requests take. */
     readonly received: RequestMemory;
+    readonly log: ILog;
   }) {
     this.#requests = parts.requests;
     this.#crashes = parts.crashes;
     this.#barrier = parts.barrier;
     this.#memory = parts.memory;
     this.#received = parts.received;
+    this.#log = parts.log;
   }
 
   /** Answers a request; returns false if its path is not one of these. */
@@ -67,10 +71,24 @@
     if (path === undefined || request.method !== "POST") {
       return false;
     }
-    void this.#answer(path, request, response);
+    void this.#serve(path, request, response);
     return true;
   }
 
+  /** A fault of one request closes its connection, and nothing beside it. */
+  async #serve(
+    path: ForwardPath,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    try {
+      await this.#answer(path, request, response);
+    } catch (error) {
+      this.#log.error("forwarding_fault", { path, detail: String(error) });
+      response.destroy();
+    }
+  }
+
   async #answer(
     path: ForwardPath,
     request: IncomingMessage,
--- a/src/adapters/forwarding/forwarding_test.ts
+++ b/src/adapters/forwarding/forwarding_test.ts
@@ -78,6 +78,7 @@
   constructor() {
     const handlers = new ForwardingHandlers({
       received: new RequestMemory(350),
+      log: new RecordingLog(),
       requests: this.requests,
       crashes: { handle: () => [] },
       barrier: inputBarrier(),
--- a/src/common/services/call_race.ts
+++ b/src/common/services/call_race.ts
@@ -3,6 +3,7 @@
  * may still answer, so it keeps the call while another one is asked; the first
  * answer is used and the other attempts are aborted.
  */
+import { Err } from "ts-results-es";
 import type { Result } from "ts-results-es";
 import { CallFailureKind } from "../types.ts";
 import type { ICallFailure } from "../types.ts";
@@ -41,13 +42,15 @@
 
   start(attempt: (signal: AbortSignal) => Promise<AttemptResult>): void {
     this.#pending += 1;
-    void attempt(this.#controller.signal).then((result) => {
-      this.#pending -= 1;
-      this.#hasUnknown ||=
-        result.isErr() && result.error.kind === CallFailureKind.Unknown;
-      this.#ended.push(result);
-      this.#wake();
-    });
+    void attempt(this.#controller.signal)
+      .catch(failureOf)
+      .then((result) => {
+        this.#pending -= 1;
+        this.#hasUnknown ||=
+          result.isErr() && result.error.kind === CallFailureKind.Unknown;
+        this.#ended.push(result);
+        this.#wake();
+      });
   }
 
   /**
@@ -78,3 +81,8 @@
     });
   }
 }
+
+/** A fault of one attempt fails its call, and nothing beside it. */
+function failureOf(error: unknown): AttemptResult {
+  return Err({ kind: CallFailureKind.Unknown, detail: String(error) });
+}
--- a/src/common/services/call_race_test.ts
+++ b/src/common/services/call_race_test.ts
@@ -86,4 +86,15 @@
     race[Symbol.dispose]();
     expect(over.signal?.aborted).to.equal(true);
   });
+
+  // Guards against a fault of one call that ends the process.
+  it("fail with a fault that nothing else takes", async () => {
+    using race = new CallRace(new ManualClock(), new AbortController().signal);
+    race.start(() => Promise.reject(new RangeError("too deep")));
+    const result = await race.next(TIMEOUT);
+    expect(result?.isErr() && result.error).to.include({
+      kind: CallFailureKind.Unknown,
+      detail: "RangeError: too deep",
+    });
+  });
 });
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -290,6 +290,7 @@
       memory,
       requests: this.#requests,
       limits: this.#limits,
+      log,
       maximum,
     });
     const handlers = new ForwardingHandlers({
@@ -298,6 +299,7 @@
       barrier,
       memory,
       received: this.#requests,
+      log,
     });
     this.#inner = new InnerServer({
       exchange: (report) => this.#coordinator.answerReport(report),
