--- a/src/adapters/callers/body_receiver.ts
+++ b/src/adapters/callers/body_receiver.ts
@@ -55,6 +55,11 @@
     incoming.on("error", this.#handleLeave).on("close", this.#handleLeave);
   }
 
+  /** Whether nothing more is awaited. */
+  get isFinished(): boolean {
+    return this.#isFinished;
+  }
+
   /** Gives the body up; does nothing once it is complete. */
   fail(failure: BodyFailure): void {
     if (!this.#isFinished) {
--- a/test/support/manual_clock.ts
+++ b/test/support/manual_clock.ts
@@ -21,6 +21,11 @@
     return this.#now;
   }
 
+  /** Number of timers that have not run. */
+  get pending(): number {
+    return this.#timers.size;
+  }
+
   after(delay: number, callback: () => void): IDisposable {
     return this.#add({ at: this.#now + delay, period: null, callback });
   }
