Give incomplete bodies up when a process stops

Callers saw: connections cut without an answer at the end of the grace time, since a stopping process waited for bodies that never end; a daemon took 20 s to stop.

Cause: a request counted as in flight from its head on, also when nothing of it could be run any more.

--- a/src/adapters/callers/body_receiver.ts
+++ b/src/adapters/callers/body_receiver.ts
@@ -13,6 +13,8 @@
   NoRoom = "no_room",
   /** It was not complete in time. */
   TimedOut = "timed_out",
+  /** The process stops. */
+  Stopping = "stopping",
   /** The sender has disconnected. */
   SenderLeft = "sender_left",
 }
--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -107,6 +107,8 @@
   readonly #reloader: CertificateReloader | null = null;
   readonly #connections: CallerConnections;
   #openCalls = 0;
+  /** Bodies that are not complete. */
+  readonly #receivers = new Set<BodyReceiver>();
   #isStopping = false;
   #openResponses = 0;
   #onIdle: (() => void) | null = null;
@@ -164,6 +166,9 @@
   async stop(): Promise<void> {
     this.#isStopping = true;
     this.#reloader?.dispose();
+    for (const receiver of this.#receivers) {
+      receiver.fail(BodyFailure.Stopping);
+    }
     if (this.#openResponses > 0) {
       await new Promise<void>((resolve) => {
         this.#onIdle = resolve;
@@ -291,8 +296,7 @@
   ): Promise<Result<ICallerRequest, IRefusal> | null> {
     const { plans, clock, services } = this.#parts;
     if (this.#isStopping) {
-      const detail = "this daemon is shutting down";
-      return Err(notRun(Reason.ShuttingDown, detail, SHUTDOWN_RETRY_AFTER));
+      return Err(shuttingDown());
     }
     if (!this.#parts.areListsReady()) {
       const detail = "the plan lists are not known here yet";
@@ -363,7 +367,9 @@
     }
     const limit = MAXIMUM_BODY_BYTES;
     receiver = new BodyReceiver(incoming, { limit, share });
+    this.#receivers.add(receiver);
     const body = await receiver.result;
+    this.#receivers.delete(receiver);
     if (body.isOk()) {
       share.complete();
       const text = Buffer.from(body.value).toString("utf8");
@@ -386,6 +392,8 @@
       case BodyFailure.NoRoom:
       case BodyFailure.TimedOut:
         return Err(daemonFull());
+      case BodyFailure.Stopping:
+        return Err(shuttingDown());
       case BodyFailure.SenderLeft:
         return null;
     }
@@ -406,6 +414,11 @@
   }
 }
 
+function shuttingDown(): IRefusal {
+  const detail = "this daemon is shutting down";
+  return notRun(Reason.ShuttingDown, detail, SHUTDOWN_RETRY_AFTER);
+}
+
 function daemonFull(): IRefusal {
   const detail = "this daemon keeps as many requests as it may";
   return notRun(Reason.DaemonFull, detail, FULL_RETRY_AFTER);
--- a/test/hostile_clients_daemon_test.ts
+++ b/test/hostile_clients_daemon_test.ts
@@ -235,6 +235,27 @@
     expect(countSockets(daemon)).to.be.at.most(bound);
     expect(REFUSALS).to.include.members([...clients.statuses]);
   });
+
+  // Guards against a stop that waits for bodies which never end.
+  it("do not hold up a stop when their bodies stay open", async () => {
+    await using deployment = await startDaemon();
+    const daemon = deployment.process(DAEMON);
+    using clients = new ClientCrowd({
+      address: daemon.listeningField("callers"),
+      clients: 60,
+      readsAnswers: true,
+      pieces: () =>
+        requestWith(
+          requestHead(POST_FEED, CHUNKED),
+          chunkedBody(BODY_LIMIT / 2, 4_096),
+        ),
+    });
+    await clients.settle();
+    daemon.signal("SIGTERM");
+    await daemon.waitForExit();
+    expect(daemon.output).to.include("event=stopped");
+    expect(REFUSALS).to.include.members([...clients.statuses]);
+  });
 });
 
 /** Chunks of one space each. */
--- a/test/hostile_clients_test.ts
+++ b/test/hostile_clients_test.ts
@@ -90,6 +90,8 @@
   readonly pieces: (client: number) => Iterable<Buffer>;
   /** False by default. */
   readonly readsAnswers?: boolean;
+  /** How often a client returns whose connection was closed. */
+  readonly returns?: number;
 }
 
 /** Has a crowd before a process, and an ordinary caller while it holds on. */
@@ -356,4 +358,45 @@
     expect(countSockets(handle)).to.be.at.most(DESCRIPTORS - FILE_DESCRIPTORS);
     expect(REFUSALS).to.include.members([...clients.statuses]);
   });
+
+  // Guards against a stop that waits for bodies which never end.
+  it("whose bodies stay open do not hold up a stop", async () => {
+    await using fleet = await startFleet();
+    const { handle, callers } = processAt(fleet);
+    using clients = new ClientCrowd({
+      address: callers,
+      clients: 60,
+      readsAnswers: true,
+      pieces: () =>
+        requestWith(
+          requestHead(POST_SAFE, { ...CHUNKED, "x-deadline-ms": PATIENCE }),
+          chunkedBody(BODY_LIMIT / 8, 4_096),
+        ),
+    });
+    await clients.settle();
+    handle.signal("SIGTERM");
+    await handle.waitForExit();
+    expect(handle.output).to.match(/event=stopped .*in_flight=0/);
+    expect(REFUSALS).to.include.members([...clients.statuses]);
+  });
+
+  // Guards against limits that hold for each kind of client alone.
+  it("of several kinds at once, which come back, leave room", async () => {
+    await using fleet = await startFleet();
+    const long = requestHead(POST_SAFE, CHUNKED);
+    const ahead = requestHead("GET / HTTP/1.1", { host: "a" });
+    const kinds: readonly (() => Iterable<Buffer>)[] = [
+      () => requestWith(long, chunkedBody(BODY_LIMIT - 1, 65_536)),
+      () => requestWith(long, chunkedBody(65_536, 1)),
+      () => requestWith(long, chunkedBody(ENDLESS, 65_536)),
+      () => repeated(ahead, 20_000),
+      () => [long.subarray(0, 60)],
+    ];
+    await play(fleet, {
+      clients: 150,
+      returns: 3,
+      readsAnswers: true,
+      pieces: (client) => kinds[client % kinds.length]?.() ?? [],
+    });
+  });
 });
--- a/test/support/client_crowd.ts
+++ b/test/support/client_crowd.ts
@@ -25,12 +25,15 @@
   /** What each client writes, in order. */
   readonly pieces: (client: number) => Iterable<Buffer>;
   readonly readsAnswers: boolean;
+  /** How often a client returns whose connection was closed; 0 by default. */
+  readonly returns?: number;
 }
 
 /** One connection. */
 class CrowdClient {
   readonly #socket: Socket;
-  readonly #closed: Promise<void>;
+  /** Resolves once the connection is closed. */
+  readonly closed: Promise<void>;
   #answer = "";
   #isClosed = false;
 
@@ -38,7 +41,7 @@
     const [host = "", port = ""] = address.split(":");
     this.#socket = connect(Number(port), host);
     this.#socket.on("error", () => this.#socket.destroy());
-    this.#closed = new Promise((resolve) => {
+    this.closed = new Promise((resolve) => {
       this.#socket.once("close", () => {
         this.#isClosed = true;
         resolve();
@@ -72,7 +75,7 @@
       if (!this.#socket.write(piece)) {
         // Fails once the connection is closed.
         const drained = once(this.#socket, "drain").catch(() => undefined);
-        await Promise.race([drained, this.#closed]);
+        await Promise.race([drained, this.closed]);
       }
     }
   }
@@ -90,14 +93,15 @@
 
 /** Clients that begin together and stay until the crowd is disposed of. */
 export class ClientCrowd implements Disposable {
-  readonly #clients: readonly CrowdClient[];
-
-  constructor({ address, clients, pieces, readsAnswers }: ICrowdPlan) {
-    this.#clients = Array.from({ length: clients }, (_, index) => {
-      const client = new CrowdClient(address, readsAnswers);
-      void client.send(pieces(index));
-      return client;
-    });
+  readonly #plan: ICrowdPlan;
+  readonly #clients: CrowdClient[] = [];
+  #isDisposed = false;
+
+  constructor(plan: ICrowdPlan) {
+    this.#plan = plan;
+    for (let client = 0; client < plan.clients; client += 1) {
+      void this.#run(client);
+    }
   }
 
   /** Statuses of the first answers that were read. */
@@ -122,8 +126,19 @@
   }
 
   [Symbol.dispose](): void {
+    this.#isDisposed = true;
     this.#clients.forEach((one) => one.close());
   }
+
+  async #run(index: number): Promise<void> {
+    const { address, pieces, readsAnswers, returns = 0 } = this.#plan;
+    for (let come = 0; come <= returns && !this.#isDisposed; come += 1) {
+      const client = new CrowdClient(address, readsAnswers);
+      this.#clients.push(client);
+      await client.send(pieces(index));
+      await client.closed;
+    }
+  }
 }
 
 /** The head of a request, without its last blank line if it is incomplete. */
