--- a/src/stand_ins/shared/json_server.ts
+++ b/src/stand_ins/shared/json_server.ts
@@ -2,7 +2,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { listenOn } from "../../adapters/listen.ts";
-import { readBody } from "../../adapters/callers/read_body.ts";
+import { readBody } from "./read_body.ts";
 
 /** Above the platform's limit, so that the object API checks that itself. */
 const MAXIMUM_BODY_BYTES = 4_000_000;
