Parse nothing more of a connection that is closed

Found by reading: what was held back of a closed connection could still be parsed until its close event, for work that nobody waits for. The test beside it passes without the change as well; it guards only.

--- a/src/adapters/callers/connection_input.ts
+++ b/src/adapters/callers/connection_input.ts
@@ -92,6 +92,7 @@
   get #canRead(): boolean {
     return (
       this.#held !== null &&
+      !this.#socket.destroyed &&
       this.#unanswered < MAXIMUM_UNANSWERED &&
       !this.#isPausedByServer
     );
--- a/src/adapters/callers/connection_input_test.ts
+++ b/src/adapters/callers/connection_input_test.ts
@@ -94,6 +94,20 @@
     );
   });
 
+  // Guards against work for requests whose connection is closed already.
+  it("parses nothing more once the connection is closed", async () => {
+    await using server = new HoldingServer();
+    const socket = await server.connect();
+    socket.on("error", () => socket.destroy());
+    socket.write(REQUEST.repeat(100));
+    await waitFor("requests wait", () => server.waiting.length === 2);
+    server.waiting.forEach((response) => response.destroy());
+    await waitFor("the connection is closed", () =>
+      Boolean(server.requests[0]?.socket.closed),
+    );
+    expect(server.requests).to.have.length(2);
+  });
+
   // Guards against bodies that are cut or changed where pieces begin.
   it("passes on a long body in tiny chunks", async () => {
     await using server = new HoldingServer();
