Receive the requests of both servers in one place

The entry process and the daemon charged, timed and gave up bodies each in code of its own; RequestBodies does it for both now. The daemon asks for a body (expect: 100-continue) once the request is admitted, as the entry does, answers one that is not complete in 15 s with its own refusal (504, not run), and logs at most 256 characters of a path.

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -37,7 +37,9 @@
 import type { ICertificateFiles } from "../tls/types.ts";
 import { callerRequestId, checkHeaders } from "./caller_headers.ts";
 import { answerBadRequest } from "./client_errors.ts";
-import { BodyFailure, BodyReceiver } from "./body_receiver.ts";
+import { BodyFailure } from "./body_receiver.ts";
+import { RequestBodies } from "./request_bodies.ts";
+import type { IReceivedBody } from "./request_bodies.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import { measureJson } from "./json_text.ts";
 import { sendAnswer, sendRefusal } from "./caller_answers.ts";
@@ -51,8 +53,8 @@
 /** How long a caller may read nothing of its answer, milliseconds. */
 const UNREAD_TIMEOUT = 30_000;
 
-/** Bytes that a request takes beside its headers and its body. */
-const REQUEST_OVERHEAD = 8_192;
+/** Characters of a path that a log line contains. */
+const LOGGED_LENGTH = 256;
 
 /** Bytes of an empty object in an array of them. */
 const VALUE_SIZE = 64;
@@ -107,8 +109,7 @@
   readonly #reloader: CertificateReloader | null = null;
   readonly #connections: CallerConnections;
   #openCalls = 0;
-  /** Bodies that are not complete. */
-  readonly #receivers = new Set<BodyReceiver>();
+  readonly #bodies: RequestBodies;
   #isStopping = false;
   #openResponses = 0;
   #onIdle: (() => void) | null = null;
@@ -139,7 +140,13 @@
       this.#server = server;
     }
     this.#server.on("clientError", answerBadRequest);
+    this.#server.on("checkContinue", serve);
     this.#server.on("checkExpectation", serve);
+    this.#bodies = new RequestBodies({
+      memory: parts.requests,
+      limits: parts.limits,
+      clock: parts.clock,
+    });
     this.#connections = new CallerConnections({
       server: this.#server,
       event: certificate === null ? "connection" : "secureConnection",
@@ -166,9 +173,7 @@
   async stop(): Promise<void> {
     this.#isStopping = true;
     this.#reloader?.dispose();
-    for (const receiver of this.#receivers) {
-      receiver.fail(BodyFailure.Stopping);
-    }
+    this.#bodies.failAll(BodyFailure.Stopping);
     if (this.#openResponses > 0) {
       await new Promise<void>((resolve) => {
         this.#onIdle = resolve;
@@ -276,7 +281,7 @@
     metrics.count("requests", { outcome: result.sent });
     log.info("request", {
       request: requestId,
-      path: incoming.url,
+      path: incoming.url?.slice(0, LOGGED_LENGTH),
       outcome: result.sent,
       milliseconds,
     });
@@ -355,43 +360,25 @@
     incoming: IncomingMessage,
     response: ServerResponse,
   ): Promise<Result<string, IRefusal> | null> {
-    const { limits, requests } = this.#parts;
-    let receiver: BodyReceiver | null = null;
-    const share = requests.createShare(() =>
-      receiver?.fail(BodyFailure.NoRoom),
-    );
-    response.once("close", () => share.dispose());
-    if (!share.resize(headSize(incoming))) {
-      limits.record(ProcessLimit.RequestMemory);
-      return Err(daemonFull());
-    }
     const limit = MAXIMUM_BODY_BYTES;
-    receiver = new BodyReceiver(incoming, { limit, share });
-    this.#receivers.add(receiver);
-    const body = await receiver.result;
-    this.#receivers.delete(receiver);
-    if (body.isOk()) {
-      share.complete();
-      const text = Buffer.from(body.value).toString("utf8");
-      const { values, depth } = measureJson(text);
-      if (depth > MAXIMUM_DEPTH) {
-        const detail = `the body is nested deeper than ${MAXIMUM_DEPTH}`;
-        return Err(notRun(Reason.BadRequest, detail));
-      }
-      if (share.resize(share.bytes + values * VALUE_SIZE)) {
-        return Ok(text);
-      }
-      limits.record(ProcessLimit.RequestMemory);
-      return Err(daemonFull());
+    const received = await this.#bodies.receive(
+      { request: incoming, response },
+      { limit, timeout: REQUEST_TIMEOUT },
+    );
+    if (received.isOk()) {
+      return this.#decodeText(received.value);
     }
-    switch (body.error) {
+    switch (received.error) {
       case BodyFailure.TooLong: {
         const detail = `the body is longer than ${limit} bytes`;
         return Err(notRun(Reason.BodyTooLarge, detail));
       }
       case BodyFailure.NoRoom:
-      case BodyFailure.TimedOut:
         return Err(daemonFull());
+      case BodyFailure.TimedOut: {
+        const detail = `the body was not complete after ${REQUEST_TIMEOUT} ms`;
+        return Err(notRun(Reason.DeadlinePassed, detail));
+      }
       case BodyFailure.Stopping:
         return Err(shuttingDown());
       case BodyFailure.SenderLeft:
@@ -399,6 +386,21 @@
     }
   }
 
+  /** Charges what the values of a body take before it is parsed. */
+  #decodeText({ body, share }: IReceivedBody): Result<string, IRefusal> {
+    const text = Buffer.from(body).toString("utf8");
+    const { values, depth } = measureJson(text);
+    if (depth > MAXIMUM_DEPTH) {
+      const detail = `the body is nested deeper than ${MAXIMUM_DEPTH}`;
+      return Err(notRun(Reason.BadRequest, detail));
+    }
+    if (share.resize(share.bytes + values * VALUE_SIZE)) {
+      return Ok(text);
+    }
+    this.#parts.limits.record(ProcessLimit.RequestMemory);
+    return Err(daemonFull());
+  }
+
   /** Returns false if too many calls are open. */
   #admitCall(incoming: IncomingMessage, response: ServerResponse): boolean {
     if (this.#openCalls >= this.#parts.maximum.calls) {
@@ -424,11 +426,6 @@
   return notRun(Reason.DaemonFull, detail, FULL_RETRY_AFTER);
 }
 
-function headSize({ rawHeaders, url = "" }: IncomingMessage): number {
-  const length = rawHeaders.reduce((sum, text) => sum + text.length, 0);
-  return REQUEST_OVERHEAD + length + url.length;
-}
-
 function parseBody(text: string): Result<unknown, string> {
   try {
     return Ok(text === "" ? null : (JSON.parse(text) as unknown));
--- a/test/hostile_clients_daemon_test.ts
+++ b/test/hostile_clients_daemon_test.ts
@@ -8,6 +8,7 @@
   plainBody,
   repeated,
   requestHead,
+  requestWith,
 } from "./support/client_crowd.ts";
 import { Deployment } from "./support/deployment.ts";
 import { countSockets } from "./support/descriptor_count.ts";
@@ -113,16 +114,6 @@
   return clients.statuses;
 }
 
-function* requestWith(
-  head: Buffer,
-  ...bodies: readonly Iterable<Buffer>[]
-): Iterable<Buffer> {
-  yield head;
-  for (const body of bodies) {
-    yield* body;
-  }
-}
-
 describe("clients that keep to no limits, before a daemon", () => {
   // Guards against bodies beyond the limit, which are announced or just sent.
   it("leave the memory bounded when bodies are too long", async () => {
--- a/test/hostile_clients_test.ts
+++ b/test/hostile_clients_test.ts
@@ -8,6 +8,7 @@
   plainBody,
   repeated,
   requestHead,
+  requestWith,
 } from "./support/client_crowd.ts";
 import { countSockets } from "./support/descriptor_count.ts";
 import { EntryFleet, Path } from "./support/entry_fleet.ts";
@@ -139,16 +140,6 @@
   return fleet;
 }
 
-function* requestWith(
-  head: Buffer,
-  ...bodies: readonly Iterable<Buffer>[]
-): Iterable<Buffer> {
-  yield head;
-  for (const body of bodies) {
-    yield* body;
-  }
-}
-
 describe("clients that keep to no limits", () => {
   // Guards against announced bodies beyond the limit that are kept.
   it("that announce bodies far too long leave the memory bounded", async () => {
--- a/test/support/client_crowd.ts
+++ b/test/support/client_crowd.ts
@@ -152,6 +152,17 @@
   return Buffer.from(`${[line, ...lines].join("\r\n")}\r\n\r\n`);
 }
 
+/** A head and what follows it. */
+export function* requestWith(
+  head: Buffer,
+  ...bodies: readonly Iterable<Buffer>[]
+): Iterable<Buffer> {
+  yield head;
+  for (const body of bodies) {
+    yield* body;
+  }
+}
+
 /** Bytes of one piece that is written at once. */
 const PIECE_LENGTH = 65_536;
 
