Charge a connection for heads only, not for bodies that were taken

Some hundred idle connections of ordinary callers could have seemed to fill the memory of requests, and would have been closed.

Cause: what follows the last head of a piece, and pieces that complete a body, counted as a head.

--- a/src/adapters/callers/connection_input.ts
+++ b/src/adapters/callers/connection_input.ts
@@ -132,13 +132,28 @@
     const piece = held.subarray(0, length);
     this.#held = length < held.length ? held.subarray(length) : null;
     const before = this.#requests;
+    const wasWithinBody = this.#isWithinBody;
     this.#parse(piece);
-    const isWithinBody = this.#last !== null && !this.#last.complete;
-    const hasNewHead = this.#requests !== before;
-    const rest = hasNewHead ? piece.length - lastHeadEnd(piece) : piece.length;
-    this.#headLength = isWithinBody
-      ? 0
-      : rest + (hasNewHead ? 0 : this.#headLength);
+    if (this.#requests !== before) {
+      this.#headLength = this.#restAfterLast(piece);
+    } else if (wasWithinBody) {
+      this.#headLength = 0;
+    } else {
+      this.#headLength += piece.length;
+    }
+  }
+
+  get #isWithinBody(): boolean {
+    return this.#last !== null && !this.#last.complete;
+  }
+
+  /** Bytes of the next head that follow the last request of a piece. */
+  #restAfterLast(piece: Buffer): number {
+    if (this.#last === null || this.#isWithinBody) {
+      return 0;
+    }
+    const body = Number(this.#last.headers["content-length"] ?? 0);
+    return Math.max(0, piece.length - lastHeadEnd(piece) - body);
   }
 
   /** Bytes with as many heads as requests may be unanswered. */
@@ -180,7 +195,7 @@
   return Math.min(...ends);
 }
 
-/** Where the last head may end; 0 if none does. */
+/** Where the last head or the last chunk may end; 0 if none does. */
 function lastHeadEnd(bytes: Buffer): number {
   const ends = HEAD_ENDS.map((text) => {
     const found = bytes.lastIndexOf(text);
--- a/src/adapters/callers/connection_input_test.ts
+++ b/src/adapters/callers/connection_input_test.ts
@@ -12,12 +12,23 @@
 
 const REQUEST = "GET /one HTTP/1.1\r\nhost: a\r\n\r\n";
 
+/** How a body is sent, its headers, and what follows the head. */
+const BODIES = [
+  ["with a length", "content-length: 9000", "x".repeat(9_000)],
+  [
+    "in chunks",
+    "transfer-encoding: chunked",
+    `2328\r\n${"x".repeat(9_000)}\r\n0\r\n\r\n`,
+  ],
+] as const;
+
 /** Answers requests only when told. */
 class HoldingServer implements AsyncDisposable {
   readonly requests: IncomingMessage[] = [];
   readonly waiting: ServerResponse[] = [];
-  /** Largest number of bytes that were kept unparsed. */
+  /** Largest number of bytes that were charged, and the last one. */
   size = 0;
+  lastSize = 0;
   readonly #server: Server;
   readonly #inputs = new WeakMap<Socket, ConnectionInput>();
   #address = "";
@@ -33,6 +44,7 @@
     this.#server.on("connection", (socket) => {
       const onSizeChanged = (bytes: number) => {
         this.size = Math.max(this.size, bytes);
+        this.lastSize = bytes;
       };
       const parts = { schedule, onSizeChanged };
       this.#inputs.set(socket, new ConnectionInput(socket, parts));
@@ -108,6 +120,30 @@
     expect(server.requests).to.have.length(2);
   });
 
+  // Guards against connections that are charged for bodies which were taken
+  // already, so that ordinary callers seem to fill the memory.
+  for (const [kind, headers, body] of BODIES) {
+    it(`charges nothing once a body ${kind} is complete`, async () => {
+      await using server = new HoldingServer();
+      const socket = await server.connect();
+      const head = `POST / HTTP/1.1\r\nhost: a\r\n${headers}\r\n\r\n`;
+      socket.write(head + body);
+      await server.answer(1);
+      socket.write(head);
+      await waitFor("the head is read", () => server.waiting.length === 1);
+      socket.write(body);
+      await waitFor("the body is read", () =>
+        Boolean(server.requests[1]?.complete),
+      );
+      await server.answer(1);
+      expect(server.lastSize).to.equal(0);
+      socket.write("GET /next");
+      await waitFor("a head is charged", () => server.lastSize > 0);
+      expect(server.lastSize).to.equal(9 * 8);
+      socket.destroy();
+    });
+  }
+
   // Guards against bodies that are cut or changed where pieces begin.
   it("passes on a long body in tiny chunks", async () => {
     await using server = new HoldingServer();
