Have the bodies of the stop's test outlast the stop

With the giving up of bodies taken out the test passed all the same: the route's 4 s ended the bodies before the stop did. It gives the route 60 s now, so that it fails without that (requests in flight at the end) and passes with it; it checks as before.

--- a/test/hostile_clients_test.ts
+++ b/test/hostile_clients_test.ts
@@ -352,7 +352,7 @@
 
   // Guards against a stop that waits for bodies which never end.
   it("whose bodies stay open do not hold up a stop", async () => {
-    await using fleet = await startFleet();
+    await using fleet = await startFleet(1, { plainTimeout: PATIENCE });
     const { handle, callers } = processAt(fleet);
     using clients = new ClientCrowd({
       address: callers,
