Log what a process near its memory keeps, and what arrived of each answer

The logs could not tell the hypotheses on answers without end apart: a process that runs out of memory wrote nothing about it, and a call that timed out did not say how much of its answer had arrived, in how many pieces.

`plain_call` has `answer_bytes` and `answer_pieces`. No decision depends on them.

--- a/src/common/calls/answer_memory.ts
+++ b/src/common/calls/answer_memory.ts
@@ -30,6 +30,7 @@
   readonly #evictable = new Set<AnswerShare>();
   readonly #onEvicted: () => void;
   #used = 0;
+  #pieces = 0;
 
   /**
    * @param memory - megabytes that the process may take
@@ -48,6 +49,16 @@
     return this.#used;
   }
 
+  /** Pieces in which answers are kept at present. */
+  get pieces(): number {
+    return this.#pieces;
+  }
+
+  /** Counts pieces that are kept from now on, or no longer if negative. */
+  addPieces(count: number): void {
+    this.#pieces += count;
+  }
+
   /**
    * @param evict - discards the answer, to make room for others that are not
    *   larger; an answer without it is kept
@@ -147,11 +158,13 @@
 
 /** A body that is kept until it is complete. */
 export class AnswerBuffer implements IDisposable {
+  readonly #memory: AnswerMemory;
   readonly #share: AnswerShare;
   #chunks: Uint8Array[] = [];
   #length = 0;
 
   constructor(memory: AnswerMemory) {
+    this.#memory = memory;
     this.#share = memory.createShare();
   }
 
@@ -171,10 +184,12 @@
     }
     this.#length += bytes.length;
     this.#chunks.push(bytes);
+    this.#memory.addPieces(1);
     return true;
   }
 
   dispose(): void {
+    this.#memory.addPieces(-this.#chunks.length);
     this.#chunks = [];
     this.#length = 0;
     this.#share.dispose();
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -11,7 +11,7 @@
 import type { InstanceId, MonotonicTime, ZoneName } from "../types.ts";
 import type { AnswerMemory } from "./answer_memory.ts";
 import { PlainSend } from "./plain_send.ts";
-import type { IPlainResponse } from "./plain_send.ts";
+import type { IPlainResponse, IReceivedAnswers } from "./plain_send.ts";
 import type { PlainTargetSelector } from "./plain_target_selector.ts";
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import { STOPPING_RETRY_AFTER } from "./stopping.ts";
@@ -106,6 +106,7 @@
   /** Number of targets that the call may have reached. */
   #sendCount = 0;
   readonly #openSends = new Set<PlainSend>();
+  readonly #received: IReceivedAnswers = { bytes: 0, pieces: 0 };
   #mayHaveRun = false;
   #isFinished = false;
   /** Targets that broke the call off. */
@@ -222,7 +223,8 @@
     this.#parts.targets.recordSend(target.id);
     const { id, address } = target;
     const { memory } = this.#parts;
-    const sent = { target: id, address, sentAt: now, memory };
+    const received = this.#received;
+    const sent = { target: id, address, sentAt: now, memory, received };
     const send: PlainSend = new PlainSend(sent, {
       ended: (answer) => this.#handleEnd(send, answer),
       silence: (detail) => this.#retryBeside(send, detail),
@@ -508,6 +510,8 @@
       took_ms: Math.round(took),
       read_lag_ms: Math.round(this.#lagWhenRead),
       targets: [...this.#triedTargets].join(","),
+      answer_bytes: this.#received.bytes,
+      answer_pieces: this.#received.pieces,
       stopping_ms: this.#stoppingFor(),
       ...fields,
     };
--- a/src/common/calls/plain_send.ts
+++ b/src/common/calls/plain_send.ts
@@ -15,6 +15,12 @@
   readonly detail: string;
 }
 
+/** What has arrived of the answers to one call. */
+export interface IReceivedAnswers {
+  bytes: number;
+  pieces: number;
+}
+
 /** Collects the response of one send. */
 export class PlainSend implements IResponseReceiver, IDisposable {
   readonly target: InstanceId;
@@ -26,6 +32,7 @@
   readonly #onEnded: (answer: IPlainResponse) => void;
   readonly #onSilence: (detail: string) => void;
   readonly #body: AnswerBuffer;
+  readonly #received: IReceivedAnswers;
   #head: IResponseHead | null = null;
 
   constructor(
@@ -34,6 +41,8 @@
       readonly address: string;
       readonly sentAt: MonotonicTime;
       readonly memory: AnswerMemory;
+      /** Counts what arrives. */
+      readonly received: IReceivedAnswers;
     },
     on: {
       readonly ended: (answer: IPlainResponse) => void;
@@ -45,6 +54,7 @@
     this.address = sent.address;
     this.sentAt = sent.sentAt;
     this.#body = new AnswerBuffer(sent.memory);
+    this.#received = sent.received;
     this.#onEnded = on.ended;
     this.#onSilence = on.silence;
   }
@@ -58,6 +68,8 @@
   }
 
   onData(bytes: Uint8Array): void {
+    this.#received.bytes += bytes.length;
+    this.#received.pieces += 1;
     if (this.#body.push(bytes)) {
       return;
     }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,6 +11,7 @@
 import { GrpcPeerServer } from "../adapters/peers/grpc_peer_server.ts";
 import { GrpcForwarder } from "../adapters/peers/grpc_forwarder.ts";
 import { GrpcPeers } from "../adapters/peers/grpc_peers.ts";
+import { MemoryMonitor } from "../adapters/memory_monitor.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
 import {
   MutualTlsPeerCredentials,
@@ -96,6 +97,8 @@
   });
   readonly #limits: LimitRecorder;
   readonly #answers: AnswerMemory;
+  readonly #requests: RequestMemory;
+  readonly #memoryMonitor: MemoryMonitor;
   readonly #httpTargets: HttpTargets;
   /** By address of the target. */
   readonly #cooldowns: TargetCooldowns;
@@ -133,6 +136,19 @@
     this.#answers = new AnswerMemory(settings.limits.memory_mb, () =>
       this.#limits.record(ProcessLimit.UnreadAnswers),
     );
+    this.#requests = new RequestMemory(settings.limits.memory_mb, () =>
+      this.#limits.record(ProcessLimit.RequestMemory),
+    );
+    this.#memoryMonitor = new MemoryMonitor({
+      clock: this.#clock,
+      log,
+      memory: settings.limits.memory_mb,
+      kept: () => ({
+        answers: this.#answers.used,
+        answerPieces: this.#answers.pieces,
+        requests: this.#requests.used,
+      }),
+    });
     this.#httpTargets = new HttpTargets(this.#barrier, this.#answers);
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
     this.#hash = hash;
@@ -251,6 +267,7 @@
     this.#sweeper.dispose();
     await this.#domains.close();
     this.#health.dispose();
+    this.#memoryMonitor.dispose();
     this.#quarantine.dispose();
     this.#targetDirectory.dispose();
     this.#digests.dispose();
@@ -297,6 +314,7 @@
     this.#peerService.start();
     this.#sweeper.start();
     this.#digests.start();
+    this.#memoryMonitor.start();
     this.#log.info("listening", { callers, peers, operations });
   }
 
@@ -412,12 +430,10 @@
   }
 
   #createCallerServer(): HttpCallerServer {
-    const { memory_mb, max_descriptors } = this.#settings.limits;
+    const { max_descriptors } = this.#settings.limits;
     return new HttpCallerServer({
       answers: this.#answers,
-      requests: new RequestMemory(memory_mb, () =>
-        this.#limits.record(ProcessLimit.RequestMemory),
-      ),
+      requests: this.#requests,
       limits: this.#limits,
       maximum: divideDescriptors(max_descriptors),
       dispatcher: this.#pipeline.dispatcher,
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -12,6 +12,7 @@
 import { ForwardingHandlers } from "../adapters/forwarding/forwarding_handlers.ts";
 import { HttpPeerLink } from "../adapters/forwarding/http_peer_link.ts";
 import { InnerServer } from "../adapters/exchange/inner_server.ts";
+import { MemoryMonitor } from "../adapters/memory_monitor.ts";
 import { BoundedLog } from "../adapters/log/bounded_log.ts";
 import { PrometheusMetrics } from "../adapters/metrics/prometheus_metrics.ts";
 import { SystemRandom } from "../adapters/random/system_random.ts";
@@ -124,6 +125,7 @@
   readonly #limits: LimitRecorder;
   readonly #memory: AnswerMemory;
   readonly #requests: RequestMemory;
+  readonly #memoryMonitor: MemoryMonitor;
   readonly #client: TargetClient;
   readonly #configuration: ActiveConfiguration;
   readonly #targets: TargetRegistry;
@@ -170,6 +172,16 @@
     this.#requests = new RequestMemory(memory_mb, () =>
       this.#limits.record(ProcessLimit.RequestMemory),
     );
+    this.#memoryMonitor = new MemoryMonitor({
+      clock: this.#clock,
+      log,
+      memory: memory_mb,
+      kept: () => ({
+        answers: this.#memory.used,
+        answerPieces: this.#memory.pieces,
+        requests: this.#requests.used,
+      }),
+    });
     const maximum = divideDescriptors(max_descriptors);
     this.#client = new TargetClient(this.#barrier, this.#memory);
     this.#store = new ObjectStoreClient(settings.store.address);
@@ -403,6 +415,8 @@
     this.#owned.add(this.#coordinator);
     this.#owned.add(this.#reach);
     this.#owned.add(this.#peers);
+    this.#memoryMonitor.start();
+    this.#owned.add(this.#memoryMonitor);
     this.#owned.add(this.#clock.every(CHECK_PERIOD, () => this.#check()));
     this.#owned.add(this.#clock.every(CLEANUP_PERIOD, () => this.#cleanUp()));
     this.#log.info("started", { callers: listen.callers, inner });
