Show answers in pieces that end a process, or stall it

Targets write pieces of a byte without end, in place of answers to 40 calls at once, on a process with the memory and the heap of the deploy file.

The fault proxy keeps what its other side does not read, so that these fleets reach their targets without it.

--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -76,6 +76,8 @@
   readonly processes: IFleetProcess[] = [];
   /** Of each process that is started from now on; the platform's by default. */
   limits: IProcessLimits = {};
+  /** Whether processes started from now on reach targets through links. */
+  hasLinks = true;
   /** How long the routes of plain calls keep a caller waiting, milliseconds. */
   plainTimeout = PLAIN_TIMEOUT;
   readonly #folder = mkdtempSync(join(tmpdir(), "cranberryledge-fleet-"));
@@ -235,7 +237,8 @@
   async #startProcess(index: number): Promise<IFleetProcess> {
     const links = new Map<string, FaultProxy>();
     const redirected: Record<string, string> = {};
-    for (const { id, address } of [...this.engines, ...this.plainTargets]) {
+    const targets = [...this.engines, ...this.plainTargets];
+    for (const { id, address } of this.hasLinks ? targets : []) {
       const link = new FaultProxy(address);
       redirected[address] = await link.listen("127.0.0.1:0");
       links.set(id, link);
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -5,6 +5,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { IArrival } from "./leaving_callers.ts";
+import { writePieces } from "./endless_pieces.ts";
+import type { IEndlessAnswer } from "./endless_pieces.ts";
 import { writeEventsWithoutEnd, writeWithoutEnd } from "./endless_writer.ts";
 import type { PlatformStore } from "./platform_store.ts";
 import { RetryAfterRule } from "./retry_after_rule.ts";
@@ -41,6 +43,13 @@
   Failure = "failure",
 }
 
+/** What an engine answers in pieces without end. */
+export interface IEnginePieces {
+  /** Path of the requests; null for calls. */
+  readonly path: string | null;
+  readonly answer: IEndlessAnswer;
+}
+
 /** Something that happened because of a part of a prompt. */
 export interface IPartEvent {
   /** Milliseconds. */
@@ -105,6 +114,8 @@
   losesAnswer: () => boolean = () => false;
   /** What it writes without end; null for nothing. */
   endless: EndlessAnswer | null = null;
+  /** What it writes in pieces in place of an answer; null for nothing. */
+  pieces: IEnginePieces | null = null;
   /** Whether it is down after a crash. */
   isDown = false;
   /** Its crashes, and the calls with such a part that arrived. */
@@ -265,7 +276,9 @@
     if (this.isLeaving) {
       response.setHeader("server-leaving", "1");
     }
-    if (request.url === `/${this.endless}`) {
+    if (this.pieces !== null && request.url === this.pieces.path) {
+      writePieces(request.socket, this.pieces.answer);
+    } else if (request.url === `/${this.endless}`) {
       writeWithoutEnd(response);
     } else if (request.url === "/report") {
       response.end(JSON.stringify(this.#report()));
@@ -394,6 +407,13 @@
 
   #answer(request: IncomingMessage, response: ServerResponse): void {
     const attempt = String(request.headers["x-attempt-id"]);
+    if (this.pieces?.path === null) {
+      writePieces(request.socket, this.pieces.answer, [
+        `x-attempt-id: ${attempt}`,
+        `x-response-stamp: ${this.id}`,
+      ]);
+      return;
+    }
     if (this.endless === EndlessAnswer.Failure) {
       response.writeHead(500, { "x-response-stamp": this.id });
       writeWithoutEnd(response);
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -1,9 +1,11 @@
 /** A target of a plain service that speaks the users' platform's protocol. */
 import { createServer } from "node:http";
-import type { Server } from "node:http";
+import type { Server, ServerResponse } from "node:http";
 import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
 import type { IArrival } from "./leaving_callers.ts";
+import { writePieces } from "./endless_pieces.ts";
+import type { IEndlessAnswer } from "./endless_pieces.ts";
 import { writeWithoutEnd } from "./endless_writer.ts";
 import type { PlatformStore } from "./platform_store.ts";
 
@@ -26,8 +28,12 @@
   readonly timedArrivals: IArrival[] = [];
   /** The part of its answers that has no end; null if all have one. */
   endless: EndlessPart | null = null;
+  /** What it writes in place of an answer; null for nothing. */
+  pieces: IEndlessAnswer | null = null;
   /** What each answer says. */
   answer = "done";
+  /** Bytes of each chunk in which it is written; null for a single one. */
+  pieceLength: number | null = null;
   /** Milliseconds that a request runs. */
   runTime = 0;
   /** Path of requests that crash it; null for none. */
@@ -68,6 +74,13 @@
         writeWithoutEnd(request.socket);
         return;
       }
+      if (this.pieces !== null && request.socket !== null) {
+        writePieces(request.socket, this.pieces, [
+          `x-attempt-id: ${id}`,
+          `x-response-stamp: ${this.id}`,
+        ]);
+        return;
+      }
       setTimeout(() => {
         response.writeHead(200, {
           "x-attempt-id": String(attempt),
@@ -76,12 +89,20 @@
         if (this.endless === EndlessPart.Body) {
           writeWithoutEnd(response);
         } else {
-          response.end(this.answer);
+          this.#writeAnswer(response);
         }
       }, this.runTime);
     });
   }
 
+  #writeAnswer(response: ServerResponse): void {
+    const length = this.pieceLength ?? this.answer.length;
+    for (let start = length; start < this.answer.length; start += length) {
+      response.write(this.answer.slice(start - length, start));
+    }
+    response.end(this.answer.slice(-length));
+  }
+
   /** Ends; it is back after a while under another id. */
   #crash(): void {
     this.crashes.push(performance.now());
