Keep answers in blocks, and charge what their pieces take

What callers saw: an entry process ended (heap limit), and with it the requests of all its callers, while one faulty target answered in chunks of a byte.

Cause: what is kept of an answer was bounded by its bytes, while each piece that was read stayed an object of its own, and held the buffer that it was read into. The same fault was fixed for requests, where it is one class: what a message costs is not its length.

Evidence: `plain_call` of such calls has as many pieces as bytes, and the process ends at its heap limit with few MB of answers.

Change: one class, BytePieces, keeps the pieces of requests and of answers: pieces that are short, or a small part of their buffer, are copied into blocks, and what blocks and buffers take is charged, not the content. The bound on the content of one answer stays as it was.

--- a/src/adapters/callers/body_receiver.ts
+++ b/src/adapters/callers/body_receiver.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage } from "node:http";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import { BytePieces } from "../../common/calls/byte_pieces.ts";
 import type { RequestShare } from "../../common/calls/request_memory.ts";
-import { BodyPieces } from "./body_pieces.ts";
 
 /** Why a body was not received. */
 export enum BodyFailure {
@@ -29,7 +29,10 @@
   /** The whole body, or why there is none. */
   readonly result: Promise<ReceivedBody>;
   readonly #incoming: IncomingMessage;
-  readonly #pieces: BodyPieces;
+  readonly #share: RequestShare;
+  /** Bytes that the request takes without its body. */
+  readonly #base: number;
+  readonly #pieces: BytePieces;
   readonly #limit: number;
   #resolve: (result: ReceivedBody) => void = () => undefined;
   #isFinished = false;
@@ -44,7 +47,9 @@
   ) {
     this.#incoming = incoming;
     this.#limit = limit;
-    this.#pieces = new BodyPieces(share);
+    this.#share = share;
+    this.#base = share.bytes;
+    this.#pieces = new BytePieces((bytes) => share.resize(share.bytes + bytes));
     this.result = new Promise((resolve) => {
       this.#resolve = resolve;
     });
@@ -78,7 +83,9 @@
   };
 
   readonly #handleEnd = () => {
-    this.#finish(Ok(this.#pieces.join()));
+    const body = this.#pieces.join();
+    this.#share.resize(this.#base + body.byteLength);
+    this.#finish(Ok(body));
   };
 
   readonly #handleLeave = () => {
--- a/src/common/calls/answer_memory.ts
+++ b/src/common/calls/answer_memory.ts
@@ -4,6 +4,7 @@
  * the process would end, and with it all calls that it serves.
  */
 import type { IDisposable } from "../disposable.ts";
+import { BytePieces } from "./byte_pieces.ts";
 
 /** Bytes of one answer; a longer one is broken. */
 export const LONGEST_ANSWER = 8_388_608;
@@ -19,8 +20,14 @@
 /** Megabytes of the platform's smallest instances. */
 const SMALLEST_MEMORY = 350;
 
-/** Bytes that any answer may take, so that long ones do not displace it. */
-const SMALL_ANSWER = 16_384;
+/**
+ * Bytes that any answer may take, so that long ones do not displace it: 16 KB of
+ * content, and what its pieces take beyond that.
+ */
+const SMALL_ANSWER = 20_480;
+
+/** Bytes that the longest answer may take, with those of its pieces. */
+const LONGEST_KEPT = LONGEST_ANSWER * 1.125;
 
 /** The memory of all answers of one process. */
 export class AnswerMemory {
@@ -91,7 +98,7 @@
     if (bytes <= Math.max(SMALL_ANSWER, share.kept)) {
       return true;
     }
-    if (bytes > LONGEST_ANSWER) {
+    if (bytes > LONGEST_KEPT) {
       return false;
     }
     while (this.#used + bytes - share.kept > this.#total) {
@@ -160,38 +167,46 @@
 export class AnswerBuffer implements IDisposable {
   readonly #memory: AnswerMemory;
   readonly #share: AnswerShare;
-  #chunks: Uint8Array[] = [];
-  #length = 0;
+  readonly #limit: number;
+  readonly #pieces: BytePieces;
 
-  constructor(memory: AnswerMemory) {
+  /** @param limit - bytes of the longest body */
+  constructor(memory: AnswerMemory, limit = LONGEST_ANSWER) {
     this.#memory = memory;
-    this.#share = memory.createShare();
+    this.#limit = limit;
+    const share = memory.createShare();
+    this.#share = share;
+    this.#pieces = new BytePieces((bytes) => share.resize(share.kept + bytes));
   }
 
   get chunks(): readonly Uint8Array[] {
-    return this.#chunks;
+    return this.#pieces.chunks;
   }
 
   /** Bytes. */
   get length(): number {
-    return this.#length;
+    return this.#pieces.length;
   }
 
   /** Returns false, and keeps nothing more, if the body is too long. */
   push(bytes: Uint8Array): boolean {
-    if (!this.#share.resize(this.#length + bytes.length)) {
+    if (this.length + bytes.length > this.#limit) {
       return false;
     }
-    this.#length += bytes.length;
-    this.#chunks.push(bytes);
-    this.#memory.addPieces(1);
-    return true;
+    const before = this.#pieces.count;
+    const isAdded = this.#pieces.add(bytes);
+    this.#memory.addPieces(this.#pieces.count - before);
+    return isAdded;
+  }
+
+  /** Returns the whole body. */
+  join(): Uint8Array {
+    return this.#pieces.join();
   }
 
   dispose(): void {
-    this.#memory.addPieces(-this.#chunks.length);
-    this.#chunks = [];
-    this.#length = 0;
+    this.#memory.addPieces(-this.#pieces.count);
+    this.#pieces.clear();
     this.#share.dispose();
   }
 }
