Look once at each byte of an event that arrives in pieces

What callers saw: an entry process answered nobody for as long as an engine went on writing one event in chunks of a byte; unrelated calls got no answer in 60 s.

Cause: EventSplitter joined and scanned the whole unfinished event with each piece. Its work grew with the square of the event's length, up to 1 MiB.

Change: the unfinished event is in a buffer that doubles, and the scan goes on where it stopped. What the buffer takes is charged to the memory of answers.

--- a/src/common/calls/event_splitter.ts
+++ b/src/common/calls/event_splitter.ts
@@ -14,6 +14,9 @@
 /** Longest event that is buffered, bytes; a longer one is a broken stream. */
 export const LONGEST_EVENT = 1_048_576;
 
+/** Bytes of the smallest buffer. */
+const SHORTEST_BUFFER = 256;
+
 /** A complete event with the blank line that ends it. */
 export interface ICompleteEvent {
   readonly bytes: Uint8Array;
@@ -23,67 +26,101 @@
 
 const EMPTY = new Uint8Array(0);
 
-/** Splits the data of one response. */
+/** Splits the data of one response; looks at each byte once. */
 export class EventSplitter {
   readonly #decoder = new TextDecoder();
-  #buffered: Uint8Array = EMPTY;
+  /** Begins with the part of an event that is not complete. */
+  #buffer: Uint8Array = EMPTY;
+  /** Bytes of that part; all of them have been looked at. */
+  #length = 0;
+  /** Whether nothing has followed that part's last line break. */
+  #isLineEmpty = true;
 
   /** Whether part of an event is buffered. */
   get hasPartialEvent(): boolean {
-    return this.#buffered.length > 0;
+    return this.#length > 0;
   }
 
-  /** Bytes of the part that is buffered. */
-  get bufferedLength(): number {
-    return this.#buffered.length;
+  /** Bytes that the buffer takes. */
+  get bufferLength(): number {
+    return this.#buffer.length;
   }
 
   get isTooLong(): boolean {
-    return this.#buffered.length > LONGEST_EVENT;
+    return this.#length > LONGEST_EVENT;
   }
 
   /** Adds data and returns the events that are now complete. */
   push(data: Uint8Array): readonly ICompleteEvent[] {
-    const bytes =
-      this.#buffered.length === 0 ? data : concatenate(this.#buffered, data);
+    const looked = this.#length;
+    const bytes = looked === 0 ? data : this.#append(data);
     const events: ICompleteEvent[] = [];
     let start = 0;
-    let end = endOfEvent(bytes, start);
+    let end = this.#findEnd(bytes, { start, from: looked });
     while (end !== null) {
       const event = bytes.subarray(start, end);
       events.push({ bytes: event, id: this.#idOf(event) });
       start = end;
-      end = endOfEvent(bytes, start);
+      end = this.#findEnd(bytes, { start, from: start });
+    }
+    if (looked === 0 || start > 0) {
+      this.#keep(bytes.subarray(start));
+    } else {
+      this.#length = bytes.length;
     }
-    this.#buffered = bytes.slice(start);
     return events;
   }
 
-  #idOf(event: Uint8Array): string | null {
-    const match = ID_LINE.exec(this.#decoder.decode(event));
-    return match?.[1]?.replace(/\r$/, "") ?? null;
+  /** Returns the buffered part with data behind it. */
+  #append(data: Uint8Array): Uint8Array {
+    const length = this.#length + data.length;
+    if (length > this.#buffer.length) {
+      const doubled = Math.max(length, this.#buffer.length * 2);
+      const grown = new Uint8Array(doubled);
+      grown.set(this.#buffer.subarray(0, this.#length));
+      this.#buffer = grown;
+    }
+    this.#buffer.set(data, this.#length);
+    return this.#buffer.subarray(0, length);
   }
-}
 
-/** The end of the event that begins at `start`; null while it is incomplete. */
-function endOfEvent(bytes: Uint8Array, start: number): number | null {
-  let isLineEmpty = true;
-  for (let index = start; index < bytes.length; index += 1) {
-    if (bytes[index] === NEWLINE) {
-      if (isLineEmpty && index > start) {
-        return index + 1;
+  /** Copies the part that is left; the events before it stay as they are. */
+  #keep(part: Uint8Array): void {
+    this.#length = part.length;
+    this.#buffer =
+      part.length === 0
+        ? EMPTY
+        : new Uint8Array(Math.max(part.length, SHORTEST_BUFFER));
+    this.#buffer.set(part);
+  }
+
+  /**
+   * The end of an event; null while it is incomplete.
+   *
+   * @param place.start - where the event begins
+   * @param place.from - what comes before has been looked at
+   */
+  #findEnd(
+    bytes: Uint8Array,
+    { start, from }: { readonly start: number; readonly from: number },
+  ): number | null {
+    let isLineEmpty = from > start ? this.#isLineEmpty : true;
+    for (let index = from; index < bytes.length; index += 1) {
+      if (bytes[index] === NEWLINE) {
+        if (isLineEmpty && index > start) {
+          return index + 1;
+        }
+        isLineEmpty = true;
+      } else if (bytes[index] !== CARRIAGE_RETURN) {
+        isLineEmpty = false;
       }
-      isLineEmpty = true;
-    } else if (bytes[index] !== CARRIAGE_RETURN) {
-      isLineEmpty = false;
     }
+    this.#isLineEmpty = isLineEmpty;
+    return null;
   }
-  return null;
-}
 
-function concatenate(one: Uint8Array, other: Uint8Array): Uint8Array {
-  const joined = new Uint8Array(one.length + other.length);
-  joined.set(one);
-  joined.set(other, one.length);
-  return joined;
+  #idOf(event: Uint8Array): string | null {
+    const match = ID_LINE.exec(this.#decoder.decode(event));
+    return match?.[1]?.replace(/\r$/, "") ?? null;
+  }
 }
--- a/src/common/calls/event_splitter_test.ts
+++ b/src/common/calls/event_splitter_test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { EventSplitter } from "./event_splitter.ts";
+import { EventSplitter, LONGEST_EVENT } from "./event_splitter.ts";
 
 const encoder = new TextEncoder();
 const decoder = new TextDecoder();
@@ -49,6 +49,28 @@
     expect(hasPartialEvent).to.equal(true);
   });
 
+  // Guards against work that grows with the square of an event's length: the
+  // process would stand still for minutes.
+  it("looks once at each byte of an event in pieces of a byte", () => {
+    const splitter = new EventSplitter();
+    const piece = encoder.encode("x");
+    for (let length = 0; length < LONGEST_EVENT; length += 1) {
+      splitter.push(piece);
+    }
+    expect(splitter.isTooLong).to.equal(false);
+    expect(splitter.push(encoder.encode("\n\n"))).to.have.length(1);
+  });
+
+  // Guards against an event that changes after it was passed on, while the
+  // next one arrives.
+  it("leaves complete events as they are", () => {
+    const splitter = new EventSplitter();
+    splitter.push(encoder.encode("id: 1\nda"));
+    const [event] = splitter.push(encoder.encode("ta: a\n\nid"));
+    splitter.push(encoder.encode(": 2\ndata: b\n\n"));
+    expect(decoder.decode(event?.bytes)).to.equal("id: 1\ndata: a\n\n");
+  });
+
   it("passes on an event without an id", () => {
     const { events } = split(": comment\n\n", []);
     expect(events).to.deep.equal([{ id: null, text: ": comment\n\n" }]);
--- a/src/common/calls/model_send.ts
+++ b/src/common/calls/model_send.ts
@@ -192,7 +192,7 @@
 
   /** Whether there is memory for the part of an event that has arrived. */
   #keepsEvent(): boolean {
-    return this.#eventShare.resize(this.#splitter.bufferedLength);
+    return this.#eventShare.resize(this.#splitter.bufferLength);
   }
 
   /** A target that has rejected the call has not run it, whatever follows. */
