Bound the work, the framing and the heads of answers at their connections

What callers saw: processes that ended at their heap limit, or answered nobody for seconds, while targets wrote pieces of a byte: as reports, as events for callers that do not read, or as provisional heads without end.

Cause: the HTTP client parses whatever has arrived at once and tells only of what belongs to an answer. Nothing paused a target that wrote faster than the process worked, nothing counted bytes that belong to no answer, and the texts of the store, of other processes and of reports had no bound in sum.

Change: all clients are created by HttpClients. AnswerInput gives the parser pieces of 8 KB within 10 ms of a turn (InputSchedule, as for callers; inputs that have taken least time come first), closes a connection with over 24 KB beside its content (16 bytes of framing a byte of content are free), and charges heads that are not complete. A head has at most 1,000 fields. Texts that the process asks for itself have a memory of their own, beside that of answers to calls, and bounds nearer to what is sound (8 MiB, reports 64 KiB). `answers_cut` counts, and `answer_cut` names the bound and the source.

Long sound answers, in chunks of a byte or a few bytes at a time, arrive (http_clients_test).

--- a/src/adapters/bounded_body.ts
+++ b/src/adapters/bounded_body.ts
@@ -1,46 +1,44 @@
 /** Reads bodies of answers up to a length: what another side writes may not end. */
-import type { AnswerShare } from "../common/calls/answer_memory.ts";
-
-/** The answer is longer than any valid one; the other side may have acted. */
-export class AnswerTooLongError extends Error {
-  readonly code = "ANSWER_TOO_LONG";
-
-  /** @param limit - bytes */
-  constructor(limit: number) {
-    super(`the answer exceeds ${limit} bytes`);
-  }
-}
+import {
+  AnswerBound,
+  AnswerBoundError,
+} from "../common/calls/answer_bounds.ts";
+import { AnswerBuffer } from "../common/calls/answer_memory.ts";
+import type { AnswerMemory } from "../common/calls/answer_memory.ts";
 
 /** How much of a body is read. */
 export interface IBodyLimit {
   /** Bytes. */
   readonly limit: number;
-  /** What the body takes of the memory of all answers; none if it is small. */
-  readonly share?: AnswerShare;
+  /** The memory of all such answers. */
+  readonly memory: AnswerMemory;
+  /** Called when the body is too long, or there is no room for it. */
+  readonly onExceeded: (bound: AnswerBound) => void;
 }
 
 /**
  * Reads a whole body; its connection is closed if it is too long.
  *
- * @throws {AnswerTooLongError} if it is too long
+ * @throws {AnswerBoundError} if it is too long
  */
 export async function readText(
   body: AsyncIterable<Uint8Array>,
-  { limit, share }: IBodyLimit,
+  { limit, memory, onExceeded }: IBodyLimit,
 ): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let length = 0;
+  const buffer = new AnswerBuffer(memory, limit);
   try {
     for await (const chunk of body) {
-      length += chunk.byteLength;
-      if (length > limit || share?.resize(length) === false) {
-        throw new AnswerTooLongError(limit);
+      if (!buffer.push(chunk)) {
+        const isTooLong = buffer.length + chunk.length > limit;
+        const bound = isTooLong ? AnswerBound.Length : AnswerBound.Memory;
+        onExceeded(bound);
+        throw new AnswerBoundError(bound);
       }
-      chunks.push(chunk);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    const { buffer: bytes, byteOffset, byteLength } = buffer.join();
+    return Buffer.from(bytes, byteOffset, byteLength).toString("utf8");
   } finally {
-    share?.dispose();
+    buffer.dispose();
   }
 }
 
--- a/src/adapters/callers/caller_connections.ts
+++ b/src/adapters/callers/caller_connections.ts
@@ -10,7 +10,7 @@
 import type { LimitRecorder } from "../../common/calls/limit_recorder.ts";
 import type { RequestMemory } from "../../common/calls/request_memory.ts";
 import { ConnectionInput } from "./connection_input.ts";
-import { InputSchedule } from "./input_schedule.ts";
+import { InputSchedule } from "../input_schedule.ts";
 
 /** Milliseconds between two looks for answers that are not read. */
 const UNREAD_CHECK_PERIOD = 1_000;
--- a/src/adapters/callers/connection_input.ts
+++ b/src/adapters/callers/connection_input.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { IScheduledInput, InputSchedule } from "./input_schedule.ts";
+import type { IScheduledInput, InputSchedule } from "../input_schedule.ts";
 
 /** Unanswered requests of a connection; further ones wait in it. */
 const MAXIMUM_UNANSWERED = 2;
--- a/src/adapters/callers/connection_input_test.ts
+++ b/src/adapters/callers/connection_input_test.ts
@@ -8,7 +8,7 @@
 import { waitFor } from "../../../test/support/process_handle.ts";
 import { splitAddress, listenOn } from "../listen.ts";
 import { ConnectionInput } from "./connection_input.ts";
-import { InputSchedule } from "./input_schedule.ts";
+import { InputSchedule } from "../input_schedule.ts";
 
 const REQUEST = "GET /one HTTP/1.1\r\nhost: a\r\n\r\n";
 
--- a/src/adapters/exchange/holder_link.ts
+++ b/src/adapters/exchange/holder_link.ts
@@ -1,7 +1,8 @@
 /** The HTTP client for exchanges with the lease holder. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { Agent, request } from "undici";
+import { request } from "undici";
+import type { Agent } from "undici";
 import type {
   ExchangeAnswer,
   IHolderLink,
@@ -9,7 +10,7 @@
 } from "../../common/replicas/exchange.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure } from "../../common/types.ts";
-import { readText } from "../bounded_body.ts";
+import { HttpClients } from "../http/http_clients.ts";
 import { callFailureOf } from "../http_failure.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { EXCHANGE_PATH } from "./inner_server.ts";
@@ -17,14 +18,23 @@
 /** Milliseconds. */
 const CONNECT_TIMEOUT = 500;
 /** Bytes; the whole table of the target size takes some millions. */
-const LONGEST_REPLY = 33_554_432;
+const LONGEST_REPLY = 8_388_608;
 
 const STATUS_OK = 200;
 const STATUS_NOT_HOLDER = 409;
 
 /** Sends process reports to the process that holds the lease. */
 export class HolderLink implements IHolderLink {
-  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT } });
+  readonly #clients: HttpClients;
+  readonly #agent: Agent;
+
+  /** @param clients - create the connections */
+  constructor(clients = new HttpClients()) {
+    this.#clients = clients;
+    this.#agent = clients.createAgent({
+      connect: { timeout: CONNECT_TIMEOUT },
+    });
+  }
 
   async exchange(
     address: string,
@@ -41,10 +51,9 @@
           body: JSON.stringify(report),
           signal,
         });
-        return {
-          status: answer.statusCode,
-          text: await readText(answer.body, { limit: LONGEST_REPLY }),
-        };
+        const limits = { limit: LONGEST_REPLY, source: address };
+        const text = await this.#clients.readText(answer.body, limits);
+        return { status: answer.statusCode, text };
       });
       if (status !== STATUS_OK && status !== STATUS_NOT_HOLDER) {
         const detail = `${attempted}: answered ${status}`;
--- a/src/adapters/forwarding/http_peer_link.ts
+++ b/src/adapters/forwarding/http_peer_link.ts
@@ -1,8 +1,8 @@
 /** The HTTP client for requests that are forwarded to other processes. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { Agent, Client, request } from "undici";
-import type { buildConnector, Dispatcher } from "undici";
+import { request } from "undici";
+import type { Agent, buildConnector, Dispatcher } from "undici";
 import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import { SendFailure } from "../../common/calls/types.ts";
 import type { ISendHandle } from "../../common/calls/types.ts";
@@ -25,8 +25,8 @@
 } from "../../common/replicas/types.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ServiceName } from "../../common/types.ts";
-import { readText } from "../bounded_body.ts";
 import { barrierConnector } from "../barrier_connector.ts";
+import { HttpClients } from "../http/http_clients.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { timedConnector } from "../timed_connector.ts";
 import {
@@ -57,17 +57,23 @@
 /** Forwards requests over HTTP. */
 export class HttpPeerLink implements IPeerLink, ICrashNewsLink {
   readonly #connect: buildConnector.connector;
+  readonly #clients: HttpClients;
   readonly #agent: Agent;
 
-  /** @param barrier - delays the use of connections that calls wait for */
-  constructor(barrier: IInputBarrier) {
+  /**
+   * @param barrier - delays the use of connections that calls wait for
+   * @param clients - create the connections
+   */
+  constructor(barrier: IInputBarrier, clients = new HttpClients()) {
+    this.#clients = clients;
     const connectTo = timedConnector({
       timeout: CONNECT_TIMEOUT,
       allowHalfOpen: false,
     });
     this.#connect = barrierConnector(connectTo, barrier);
     const connect = this.#connect;
-    this.#agent = new Agent({ ...NO_TIMEOUTS, connect, pipelining: 1 });
+    const options = { ...NO_TIMEOUTS, connect, pipelining: 1 };
+    this.#agent = clients.createAgent(options);
   }
 
   send(
@@ -79,8 +85,9 @@
     const { body, ...message } = call.message;
     const origin = `http://${address}`;
     const handler = new ForwardHandler(receiver);
+    const options = { ...NO_TIMEOUTS, connect: this.#connect };
     const client = rest.needsNewConnection
-      ? new Client(origin, { ...NO_TIMEOUTS, connect: this.#connect })
+      ? this.#clients.createClient(origin, options)
       : null;
     handler.onDone = () => void client?.destroy();
     (client ?? this.#agent).dispatch(
@@ -175,7 +182,8 @@
           body: JSON.stringify(content),
           signal,
         });
-        const text = await readText(body, { limit: LONGEST_EXCHANGE });
+        const limits = { limit: LONGEST_EXCHANGE, source: address };
+        const text = await this.#clients.readText(body, limits);
         // Both ends run the same build, so the answer is not validated.
         return statusCode === STATUS_OK
           ? Ok(JSON.parse(text) as unknown)
--- /dev/null
+++ b/src/adapters/http/answer_guards.ts
@@ -0,0 +1,135 @@
+/**
+ * Handlers that tell a connection's input what of it belongs to an answer. The
+ * HTTP client has two kinds of handlers: `request` brings one with callbacks,
+ * other callers one with a controller.
+ */
+import type { Dispatcher } from "undici";
+import {
+  AnswerBound,
+  AnswerBoundError,
+} from "../../common/calls/answer_bounds.ts";
+import type { AnswerInput } from "./answer_input.ts";
+
+type Handler = Dispatcher.DispatchHandler;
+type Callbacks = Required<
+  Pick<Handler, "onConnect" | "onHeaders" | "onData" | "onComplete" | "onError">
+>;
+
+const STATUS_OK = 200;
+
+/** Fields of a head; each takes far more memory than its bytes. */
+const MAXIMUM_FIELDS = 1_000;
+
+/** Where a guard reports what the parser has found. */
+export interface IAnswerGuardParts {
+  /** The input of the connection; null before it is connected. */
+  readonly input: () => AnswerInput | null;
+  /** Called when a head has too many fields. */
+  readonly onExceeded: (bound: AnswerBound) => void;
+}
+
+/** Returns a handler that passes everything on to the given one. */
+export function guardAnswer(
+  handler: Handler,
+  parts: IAnswerGuardParts,
+): Handler {
+  return handler.onRequestStart === undefined
+    ? new CallbackGuard(handler as Callbacks, parts)
+    : new ControllerGuard(handler, parts);
+}
+
+class ControllerGuard implements Handler {
+  readonly #handler: Handler;
+  readonly #parts: IAnswerGuardParts;
+
+  constructor(handler: Handler, parts: IAnswerGuardParts) {
+    this.#handler = handler;
+    this.#parts = parts;
+  }
+
+  onRequestStart(...call: Parameters<Required<Handler>["onRequestStart"]>) {
+    this.#handler.onRequestStart?.(...call);
+  }
+
+  onResponseStart(...call: Parameters<Required<Handler>["onResponseStart"]>) {
+    const [, status, headers] = call;
+    recordHead(status, countFields(headers), this.#parts);
+    this.#handler.onResponseStart?.(...call);
+  }
+
+  onResponseData(...call: Parameters<Required<Handler>["onResponseData"]>) {
+    const [, chunk] = call;
+    this.#parts.input()?.recordContent(chunk.length);
+    this.#handler.onResponseData?.(...call);
+  }
+
+  onResponseEnd(...call: Parameters<Required<Handler>["onResponseEnd"]>) {
+    this.#parts.input()?.recordEnd();
+    this.#handler.onResponseEnd?.(...call);
+  }
+
+  onResponseError(...call: Parameters<Required<Handler>["onResponseError"]>) {
+    this.#handler.onResponseError?.(...call);
+  }
+}
+
+class CallbackGuard implements Callbacks {
+  readonly #handler: Callbacks;
+  readonly #parts: IAnswerGuardParts;
+
+  constructor(handler: Callbacks, parts: IAnswerGuardParts) {
+    this.#handler = handler;
+    this.#parts = parts;
+  }
+
+  onConnect(...call: Parameters<Callbacks["onConnect"]>) {
+    this.#handler.onConnect(...call);
+  }
+
+  onHeaders(...call: Parameters<Callbacks["onHeaders"]>): boolean {
+    const [status, names] = call;
+    recordHead(status, names.length / 2, this.#parts);
+    return this.#handler.onHeaders(...call);
+  }
+
+  onData(...call: Parameters<Callbacks["onData"]>): boolean {
+    const [chunk] = call;
+    this.#parts.input()?.recordContent(chunk.length);
+    return this.#handler.onData(...call);
+  }
+
+  onComplete(...call: Parameters<Callbacks["onComplete"]>) {
+    this.#parts.input()?.recordEnd();
+    this.#handler.onComplete(...call);
+  }
+
+  onError(...call: Parameters<Callbacks["onError"]>) {
+    this.#handler.onError(...call);
+  }
+}
+
+/** @throws {AnswerBoundError} if the head has too many fields */
+function recordHead(
+  status: number,
+  fields: number,
+  { input, onExceeded }: IAnswerGuardParts,
+): void {
+  if (fields > MAXIMUM_FIELDS) {
+    onExceeded(AnswerBound.Fields);
+    throw new AnswerBoundError(AnswerBound.Fields);
+  }
+  // The final head is still to come after a provisional one.
+  if (status >= STATUS_OK) {
+    input()?.recordHead();
+  }
+}
+
+function countFields(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): number {
+  let count = 0;
+  for (const value of Object.values(headers)) {
+    count += Array.isArray(value) ? value.length : 1;
+  }
+  return count;
+}
--- /dev/null
+++ b/src/adapters/http/answer_input.ts
@@ -0,0 +1,141 @@
+/**
+ * What a connection to a target, the store or another process receives. The HTTP
+ * client parses all that has arrived at once and reports only what belongs to an
+ * answer; whoever writes without end, in small pieces or beside any answer,
+ * would take the whole time of the process, and memory without a bound.
+ */
+import type { Socket } from "node:net";
+import {
+  AnswerBound,
+  AnswerBoundError,
+} from "../../common/calls/answer_bounds.ts";
+import type {
+  AnswerMemory,
+  AnswerShare,
+} from "../../common/calls/answer_memory.ts";
+import type { IScheduledInput, InputSchedule } from "../input_schedule.ts";
+
+/** Bytes that the parser gets at once. */
+const PIECE_LENGTH = 8_192;
+
+/** Bytes of an answer that are not content, beyond its share of these. */
+const LONGEST_FRAMING = 24_576;
+
+/** Bytes of framing that each byte of content may have, as in short chunks. */
+const FRAMING_FACTOR = 16;
+
+/** Bytes of memory that each byte of an incomplete head takes. */
+const HEAD_FACTOR = 64;
+
+/** Where a connection's input is accounted for. */
+export interface IAnswerInputParts {
+  readonly schedule: InputSchedule;
+  readonly memory: AnswerMemory;
+  /** Called when the connection is closed for a bound. */
+  readonly onExceeded: (bound: AnswerBound) => void;
+}
+
+/** The input of one connection, which carries one answer at a time. */
+export class AnswerInput implements IScheduledInput {
+  readonly #socket: Socket;
+  readonly #parts: IAnswerInputParts;
+  readonly #read: (size?: number) => Buffer | null;
+  /** What the head takes that is not complete. */
+  readonly #headShare: AnswerShare;
+  /** Whether the schedule has called for the next piece. */
+  #isCalled = false;
+  /** When the parser got its last piece; null once that is parsed. */
+  #pieceAt: number | null = null;
+  /** Bytes received that are neither content nor allowed beside it. */
+  #excess = 0;
+  #isHeadOpen = true;
+
+  constructor(socket: Socket, parts: IAnswerInputParts) {
+    this.#socket = socket;
+    this.#parts = parts;
+    this.#headShare = parts.memory.createShare(() =>
+      this.#fail(AnswerBound.Memory),
+    );
+    this.#read = socket.read.bind(socket) as (size?: number) => Buffer | null;
+    socket.read = (size?: number) =>
+      size === 0 ? this.#read(size) : this.#readNext();
+    socket.once("close", () => this.#close());
+  }
+
+  /** The head of an answer is complete. */
+  recordHead(): void {
+    this.#isHeadOpen = false;
+    this.#headShare.dispose();
+  }
+
+  /** @param length - bytes of content that have been parsed */
+  recordContent(length: number): void {
+    this.#excess -= length * (1 + FRAMING_FACTOR);
+    this.#excess = Math.max(0, this.#excess);
+  }
+
+  /** An answer is complete; what follows belongs to the next one. */
+  recordEnd(): void {
+    this.#excess = 0;
+    this.#isHeadOpen = true;
+  }
+
+  /** Has the parser read; it may read one piece. */
+  readPiece(): boolean {
+    this.#isCalled = true;
+    this.#socket.emit("readable");
+    const hasRead = !this.#isCalled;
+    this.#isCalled = false;
+    return hasRead && this.#socket.readableLength > 0;
+  }
+
+  /** Null if nothing has arrived, or until the schedule calls for it. */
+  #readNext(): Buffer | null {
+    this.#endPiece();
+    const { readableLength, destroyed } = this.#socket;
+    if (readableLength === 0 || destroyed) {
+      return this.#read();
+    }
+    if (!this.#isCalled && !this.#parts.schedule.tryRead(this)) {
+      return null;
+    }
+    this.#isCalled = false;
+    const piece = this.#read(Math.min(readableLength, PIECE_LENGTH));
+    if (piece !== null) {
+      this.#excess += piece.length;
+      this.#pieceAt = performance.now();
+      queueMicrotask(() => this.#endPiece());
+    }
+    return piece;
+  }
+
+  /** The parser has parsed its last piece. */
+  #endPiece(): void {
+    if (this.#pieceAt === null) {
+      return;
+    }
+    this.#parts.schedule.recordTime(this, performance.now() - this.#pieceAt);
+    this.#pieceAt = null;
+    if (this.#excess > LONGEST_FRAMING) {
+      this.#fail(AnswerBound.Framing);
+    } else if (
+      this.#isHeadOpen &&
+      !this.#headShare.resize(this.#excess * HEAD_FACTOR)
+    ) {
+      this.#fail(AnswerBound.Memory);
+    }
+  }
+
+  #fail(bound: AnswerBound): void {
+    if (!this.#socket.destroyed) {
+      this.#parts.onExceeded(bound);
+      this.#socket.destroy(new AnswerBoundError(bound));
+    }
+  }
+
+  #close(): void {
+    this.#pieceAt = null;
+    this.#parts.schedule.delete(this);
+    this.#headShare.dispose();
+  }
+}
--- /dev/null
+++ b/src/adapters/http/http_clients.ts
@@ -0,0 +1,154 @@
+/** HTTP clients whose answers share the memory and the time of the process. */
+import { Agent, buildConnector, Client, Pool } from "undici";
+import type { Dispatcher } from "undici";
+import { NO_BOUND_RECORDER } from "../../common/calls/answer_bounds.ts";
+import type {
+  AnswerBound,
+  IAnswerBoundRecorder,
+} from "../../common/calls/answer_bounds.ts";
+import { AnswerMemory } from "../../common/calls/answer_memory.ts";
+import { readText } from "../bounded_body.ts";
+import { InputSchedule } from "../input_schedule.ts";
+import { guardAnswer } from "./answer_guards.ts";
+import { AnswerInput } from "./answer_input.ts";
+
+/** What the answers to one process share. */
+export interface IHttpClientParts {
+  /** What answers to calls take, and heads that are not complete. */
+  readonly memory?: AnswerMemory;
+  /** What other answers take: a flood of those to calls leaves room for them. */
+  readonly controlMemory?: AnswerMemory;
+  readonly recorder?: IAnswerBoundRecorder;
+}
+
+/** Creates the clients of one process, and reads their answers. */
+export class HttpClients {
+  readonly memory: AnswerMemory;
+  readonly #controlMemory: AnswerMemory;
+  readonly #recorder: IAnswerBoundRecorder;
+  readonly #schedule = new InputSchedule();
+
+  constructor({
+    memory = new AnswerMemory(),
+    controlMemory = new AnswerMemory(),
+    recorder = NO_BOUND_RECORDER,
+  }: IHttpClientParts = {}) {
+    this.memory = memory;
+    this.#controlMemory = controlMemory;
+    this.#recorder = recorder;
+  }
+
+  /**
+   * Reads a whole body; its connection is closed if it is too long.
+   *
+   * @param limits.limit - bytes
+   * @param limits.source - address that answered
+   * @param limits.isCall - whether it answers a call
+   * @throws {AnswerBoundError} if it is too long
+   */
+  readText(
+    body: AsyncIterable<Uint8Array>,
+    limits: {
+      readonly limit: number;
+      readonly source: string;
+      readonly isCall?: boolean;
+    },
+  ): Promise<string> {
+    const { limit, source, isCall = false } = limits;
+    const memory = isCall ? this.memory : this.#controlMemory;
+    return readText(body, {
+      limit,
+      memory,
+      onExceeded: (bound) => this.#recorder.record(bound, source),
+    });
+  }
+
+  /** A client with one connection at a time. */
+  createClient(origin: string | URL, options: Client.Options): Client {
+    return new GuardedClient(origin, options, this.#parts);
+  }
+
+  /** The clients of one origin. */
+  createPool(origin: string | URL, options: Pool.Options): Pool {
+    return new Pool(origin, {
+      ...options,
+      factory: (url, clientOptions) =>
+        this.createClient(url, clientOptions as Client.Options),
+    });
+  }
+
+  /** Clients of any origin. */
+  createAgent(options: Agent.Options): Agent {
+    return new Agent({
+      ...options,
+      factory: (url, poolOptions) =>
+        this.createPool(url, poolOptions as Pool.Options),
+    });
+  }
+
+  get #parts(): IClientParts {
+    const { memory } = this;
+    const schedule = this.#schedule;
+    return { schedule, memory, recorder: this.#recorder };
+  }
+}
+
+interface IClientParts {
+  readonly schedule: InputSchedule;
+  readonly memory: AnswerMemory;
+  readonly recorder: IAnswerBoundRecorder;
+}
+
+/** The connection of a client; there is one at a time. */
+interface ICurrentConnection {
+  input: AnswerInput | null;
+}
+
+class GuardedClient extends Client {
+  readonly #recordBound: (bound: AnswerBound) => void;
+  readonly #connection: ICurrentConnection;
+
+  constructor(
+    origin: string | URL,
+    options: Client.Options,
+    { schedule, memory, recorder }: IClientParts,
+  ) {
+    const { host } = new URL(origin);
+    const onExceeded = (bound: AnswerBound) => recorder.record(bound, host);
+    const connection: ICurrentConnection = { input: null };
+    const connect = connectorOf(options);
+    super(origin, {
+      ...options,
+      connect: (target, callback) => {
+        connect(target, (...[error, socket]) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          const parts = { schedule, memory, onExceeded };
+          connection.input = new AnswerInput(socket, parts);
+          callback(null, socket);
+        });
+      },
+    });
+    this.#connection = connection;
+    this.#recordBound = onExceeded;
+  }
+
+  override dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    const guarded = guardAnswer(handler, {
+      input: () => this.#connection.input,
+      onExceeded: this.#recordBound,
+    });
+    return super.dispatch(options, guarded);
+  }
+}
+
+function connectorOf({ connect }: Client.Options): buildConnector.connector {
+  return typeof connect === "function"
+    ? connect
+    : buildConnector({ ...connect });
+}
--- a/src/adapters/metrics/help_texts.ts
+++ b/src/adapters/metrics/help_texts.ts
@@ -1,6 +1,7 @@
 /** Help texts of the metrics, by name without the prefix. */
 export const HELP_TEXTS: Readonly<Record<string, string>> = {
   alarm: "1 while the alarm is raised",
+  answers_cut: "answers that exceeded a bound",
   engine_crashes: "engines that broke answers off and run no more",
   quarantined_prompt_parts: "prompt parts whose calls are refused",
   engine_reports_missed: "reports that an engine left unanswered",
--- a/src/adapters/platform/http_platform.ts
+++ b/src/adapters/platform/http_platform.ts
@@ -2,8 +2,8 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Err, None, Ok, Some } from "ts-results-es";
 import type { Option, Result } from "ts-results-es";
-import { Agent, request } from "undici";
-import type { Dispatcher } from "undici";
+import { request } from "undici";
+import type { Agent, Dispatcher } from "undici";
 import { WriteFailureKind } from "../../common/services/services.ts";
 import type {
   IConditionalWrite,
@@ -14,7 +14,7 @@
 } from "../../common/services/services.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, IInstance } from "../../common/types.ts";
-import { readText } from "../bounded_body.ts";
+import { HttpClients } from "../http/http_clients.ts";
 import { callFailureOf } from "../http_failure.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { InstanceListCache } from "./instance_list_cache.ts";
@@ -35,7 +35,7 @@
 const WATCH_GRACE = 3_000;
 
 /** Bytes; the list of all instances takes some millions. */
-const LONGEST_ANSWER = 33_554_432;
+const LONGEST_ANSWER = 8_388_608;
 
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
@@ -47,11 +47,19 @@
 export class HttpPlatform implements IPlatform {
   readonly #origin: string;
   readonly #instanceList = new InstanceListCache();
-  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT } });
-
-  /** @param origin - such as `http://10.0.0.1:8080` */
-  constructor(origin: string) {
+  readonly #clients: HttpClients;
+  readonly #agent: Agent;
+
+  /**
+   * @param origin - such as `http://10.0.0.1:8080`
+   * @param clients - create the connections
+   */
+  constructor(origin: string, clients = new HttpClients()) {
     this.#origin = origin;
+    this.#clients = clients;
+    this.#agent = clients.createAgent({
+      connect: { timeout: CONNECT_TIMEOUT },
+    });
   }
 
   async read(
@@ -163,7 +171,8 @@
           bodyTimeout: timeout,
           signal: AbortSignal.any([signal, limitSignal]),
         });
-        const text = await readText(answer.body, { limit: LONGEST_ANSWER });
+        const limits = { limit: LONGEST_ANSWER, source: this.#origin };
+        const text = await this.#clients.readText(answer.body, limits);
         const body: unknown = text === "" ? null : JSON.parse(text);
         return Ok({
           status: answer.statusCode,
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -14,14 +14,12 @@
   IServiceCall,
   ITargets,
 } from "../../common/services/services.ts";
-import {
-  AnswerMemory,
-  LONGEST_ANSWER,
-} from "../../common/calls/answer_memory.ts";
+import { LONGEST_ANSWER } from "../../common/calls/answer_memory.ts";
 import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
-import { readBeginning, readText } from "../bounded_body.ts";
+import { readBeginning } from "../bounded_body.ts";
+import { HttpClients } from "../http/http_clients.ts";
 import { callFailureOf, isResponseTimeout } from "../http_failure.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
@@ -37,7 +35,7 @@
 const SHORTEST_TIMEOUT = 1;
 
 /** Bytes of a report, which takes some hundred. */
-const LONGEST_REPORT = 262_144;
+const LONGEST_REPORT = 65_536;
 
 /** Characters of a failure's body that its detail quotes. */
 const LONGEST_DETAIL = 1_024;
@@ -66,16 +64,17 @@
   readonly #barrier: IInputBarrier;
   readonly #connections: TargetConnections;
   readonly #wireIds = new WireIdGenerator();
-  readonly #memory: AnswerMemory;
+  readonly #clients: HttpClients;
 
   /**
    * @param barrier - delays calls until the news on their callers is fresh
-   * @param memory - what answers take
+   * @param clients - create the connections
    */
-  constructor(barrier: IInputBarrier, memory = new AnswerMemory()) {
+  constructor(barrier: IInputBarrier, clients = new HttpClients()) {
     this.#barrier = barrier;
-    this.#memory = memory;
+    this.#clients = clients;
     this.#connections = new TargetConnections({
+      clients,
       connectTimeout: CONNECT_TIMEOUT,
       barrier,
       now: () => performance.now(),
@@ -96,9 +95,8 @@
           bodyTimeout: timeout,
           signal,
         });
-        const share = this.#memory.createShare();
-        const limit = LONGEST_REPORT;
-        const text = await readText(answer.body, { limit, share });
+        const limits = { limit: LONGEST_REPORT, source: address };
+        const text = await this.#clients.readText(answer.body, limits);
         return JSON.parse(text) as ITargetReport;
       });
       this.#connections.recordAnswer(address);
@@ -238,9 +236,11 @@
         signal,
       });
       if (answer.statusCode === STATUS_OK) {
-        const share = this.#memory.createShare();
-        const limit = LONGEST_ANSWER;
-        const text = await readText(answer.body, { limit, share });
+        const text = await this.#clients.readText(answer.body, {
+          limit: LONGEST_ANSWER,
+          source: address,
+          isCall: true,
+        });
         return Ok(JSON.parse(text) as unknown);
       }
       const text = await readBeginning(answer.body, LONGEST_DETAIL);
--- a/src/adapters/targets/target_connections.ts
+++ b/src/adapters/targets/target_connections.ts
@@ -5,10 +5,11 @@
  * immediately. A timeout therefore retires the whole pool, so that the next
  * call opens a new connection. Pools are also retired by age.
  */
-import { buildConnector, Client, Pool } from "undici";
-import type { Dispatcher } from "undici";
+import { buildConnector } from "undici";
+import type { Dispatcher, Pool } from "undici";
 import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import { barrierConnector } from "../barrier_connector.ts";
+import type { HttpClients } from "../http/http_clients.ts";
 
 /** Age from which a pool accepts no more calls, milliseconds. */
 const MAXIMUM_POOL_AGE = 60_000;
@@ -43,6 +44,7 @@
 
 /** Provides connections that are neither old nor known to be silent. */
 export class TargetConnections {
+  readonly #clients: HttpClients;
   readonly #connect: buildConnector.connector;
   readonly #now: () => number;
   readonly #pools = new Map<string, IOpenPool>();
@@ -52,15 +54,18 @@
   readonly #silentPools = new Map<string, Set<AbortController>>();
 
   /**
+   * @param parts.clients - create the connections
    * @param parts.connectTimeout - milliseconds
    * @param parts.barrier - delays the use of new connections
    * @param parts.now - monotonic milliseconds
    */
   constructor(parts: {
+    readonly clients: HttpClients;
     readonly connectTimeout: number;
     readonly barrier: IInputBarrier;
     readonly now: () => number;
   }) {
+    this.#clients = parts.clients;
     const connect = buildConnector({ timeout: parts.connectTimeout });
     this.#connect = barrierConnector(connect, parts.barrier);
     this.#now = parts.now;
@@ -81,7 +86,7 @@
     if (current !== undefined) {
       void this.#retire(current.pool);
     }
-    const pool = new Pool(`http://${address}`, {
+    const pool = this.#clients.createPool(`http://${address}`, {
       connect: this.#connect,
       keepAliveTimeout: KEEP_ALIVE_TIMEOUT,
       keepAliveMaxTimeout: KEEP_ALIVE_TIMEOUT,
@@ -98,7 +103,7 @@
 
   /** Creates a connection for a single call, to be destroyed afterwards. */
   createSingleUse(address: string): Dispatcher {
-    return new Client(`http://${address}`, {
+    return this.#clients.createClient(`http://${address}`, {
       connect: this.#connect,
     });
   }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,6 +11,7 @@
 import { GrpcPeerServer } from "../adapters/peers/grpc_peer_server.ts";
 import { GrpcForwarder } from "../adapters/peers/grpc_forwarder.ts";
 import { GrpcPeers } from "../adapters/peers/grpc_peers.ts";
+import { HttpClients } from "../adapters/http/http_clients.ts";
 import { MemoryMonitor } from "../adapters/memory_monitor.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
 import {
@@ -21,6 +22,7 @@
 import { SystemRandom } from "../adapters/random/system_random.ts";
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
+import { AnswerBoundRecorder } from "../common/calls/answer_bounds.ts";
 import { AnswerMemory } from "../common/calls/answer_memory.ts";
 import { divideDescriptors } from "../common/calls/descriptor_limits.ts";
 import { LimitRecorder, ProcessLimit } from "../common/calls/limit_recorder.ts";
@@ -74,6 +76,12 @@
  */
 const POLL_PAUSE_SHARE = 0.2;
 
+/**
+ * Memory of answers of the platform and to reports, as a share of that of
+ * answers to calls.
+ */
+const SHARE_OF_CONTROL_ANSWERS = 0.3;
+
 /** The addresses on which a daemon listens. */
 export interface IDaemonAddresses {
   readonly callers: string;
@@ -99,6 +107,7 @@
   readonly #answers: AnswerMemory;
   readonly #requests: RequestMemory;
   readonly #memoryMonitor: MemoryMonitor;
+  readonly #clients: HttpClients;
   readonly #httpTargets: HttpTargets;
   /** By address of the target. */
   readonly #cooldowns: TargetCooldowns;
@@ -149,7 +158,16 @@
         requests: this.#requests.used,
       }),
     });
-    this.#httpTargets = new HttpTargets(this.#barrier, this.#answers);
+    this.#clients = new HttpClients({
+      memory: this.#answers,
+      controlMemory: new AnswerMemory(
+        settings.limits.memory_mb * SHARE_OF_CONTROL_ANSWERS,
+      ),
+      recorder: new AnswerBoundRecorder({
+        ...{ clock: this.#clock, log, metrics: this.#metrics },
+      }),
+    });
+    this.#httpTargets = new HttpTargets(this.#barrier, this.#clients);
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
     this.#hash = hash;
     this.#credentials = settings.tls.peers
@@ -159,6 +177,7 @@
     this.#liveDaemons = new LiveDaemons(this.#id, hash);
     this.#httpPlatform = new HttpPlatform(
       `http://${settings.platform.address}`,
+      this.#clients,
     );
     this.#platform = new MeteredPlatform(this.#httpPlatform, this.#metrics);
     this.#cooldowns = new TargetCooldowns({ clock: this.#clock, log });
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -8,6 +8,7 @@
 import { decodeTarget } from "../../platform/target_decoder.ts";
 import { SystemEventLoop } from "../adapters/event_loop/system_event_loop.ts";
 import { SystemClock } from "../adapters/clock/system_clock.ts";
+import { HttpClients } from "../adapters/http/http_clients.ts";
 import { HolderLink } from "../adapters/exchange/holder_link.ts";
 import { ForwardingHandlers } from "../adapters/forwarding/forwarding_handlers.ts";
 import { HttpPeerLink } from "../adapters/forwarding/http_peer_link.ts";
@@ -44,6 +45,7 @@
 import { TargetReach } from "../common/forwarding/target_reach.ts";
 import type { IForwardingMember } from "../common/forwarding/types.ts";
 import { TargetCooldowns } from "../common/target_cooldowns.ts";
+import { AnswerBoundRecorder } from "../common/calls/answer_bounds.ts";
 import { AnswerMemory } from "../common/calls/answer_memory.ts";
 import { divideDescriptors } from "../common/calls/descriptor_limits.ts";
 import { LimitRecorder, ProcessLimit } from "../common/calls/limit_recorder.ts";
@@ -105,6 +107,12 @@
 /** Delays of the event loop that are logged, milliseconds. */
 const LOGGED_DELAY = 250;
 
+/**
+ * Memory of answers of the store and of other processes, and to reports and
+ * orders, as a share of that of answers to calls.
+ */
+const SHARE_OF_CONTROL_ANSWERS = 0.3;
+
 /** Retry-after while the targets are not known yet, milliseconds. */
 const STARTING_RETRY_AFTER = 500;
 
@@ -124,6 +132,7 @@
   });
   readonly #limits: LimitRecorder;
   readonly #memory: AnswerMemory;
+  readonly #clients: HttpClients;
   readonly #requests: RequestMemory;
   readonly #memoryMonitor: MemoryMonitor;
   readonly #client: TargetClient;
@@ -144,7 +153,7 @@
   readonly #ingress: IngressServer;
   readonly #readiness = new ReadinessServer(() => this.isReady);
   readonly #inner: InnerServer;
-  readonly #peerLink = new HttpPeerLink(this.#barrier);
+  readonly #peerLink: HttpPeerLink;
   readonly #peers: ForwardingPeers;
   readonly #paths: ForwardingSender;
   readonly #forwarded: ForwardedRequests;
@@ -183,8 +192,16 @@
       }),
     });
     const maximum = divideDescriptors(max_descriptors);
-    this.#client = new TargetClient(this.#barrier, this.#memory);
-    this.#store = new ObjectStoreClient(settings.store.address);
+    this.#clients = new HttpClients({
+      memory: this.#memory,
+      controlMemory: new AnswerMemory(memory_mb * SHARE_OF_CONTROL_ANSWERS),
+      recorder: new AnswerBoundRecorder({
+        ...{ clock: this.#clock, log, metrics: this.#metrics },
+      }),
+    });
+    this.#client = new TargetClient(this.#barrier, this.#clients);
+    this.#peerLink = new HttpPeerLink(this.#barrier, this.#clients);
+    this.#store = new ObjectStoreClient(settings.store.address, this.#clients);
     this.#targets = new TargetRegistry({
       decode: decodeTarget,
       expiryTime: HEARTBEATS_UNTIL_EXPIRY * settings.heartbeat_ms,
@@ -527,7 +544,7 @@
       {
         store: this.#store,
         engines: this.#createEngineClient(),
-        link: new HolderLink(),
+        link: new HolderLink(this.#clients),
         clock: this.#clock,
         random: this.#random,
         log: this.#log,
