Name the target and the bound of answers that calls cut

Answers to calls that exceed their length, their event or the memory of all answers ended as broken without a line that says so; only bounds met at the connection were counted. `answers_cut` and `answer_cut` cover both now. A process test reads both kinds from the log; the recorder writes a line a second for each bound at most.

--- a/src/common/calls/answer_memory.ts
+++ b/src/common/calls/answer_memory.ts
@@ -4,6 +4,7 @@
  * the process would end, and with it all calls that it serves.
  */
 import type { IDisposable } from "../disposable.ts";
+import { AnswerBound } from "./answer_bounds.ts";
 import { BytePieces } from "./byte_pieces.ts";
 
 /** Bytes of one answer; a longer one is broken. */
@@ -169,6 +170,7 @@
   readonly #share: AnswerShare;
   readonly #limit: number;
   readonly #pieces: BytePieces;
+  #exceeded = AnswerBound.Length;
 
   /** @param limit - bytes of the longest body */
   constructor(memory: AnswerMemory, limit = LONGEST_ANSWER) {
@@ -188,11 +190,18 @@
     return this.#pieces.length;
   }
 
+  /** What the body exceeds, once {@link push} has returned false. */
+  get exceeded(): AnswerBound {
+    return this.#exceeded;
+  }
+
   /** Returns false, and keeps nothing more, if the body is too long. */
   push(bytes: Uint8Array): boolean {
     if (this.length + bytes.length > this.#limit) {
+      this.#exceeded = AnswerBound.Length;
       return false;
     }
+    this.#exceeded = AnswerBound.Memory;
     const before = this.#pieces.count;
     const isAdded = this.#pieces.add(bytes);
     this.#memory.addPieces(this.#pieces.count - before);
--- a/src/common/calls/model_calls.ts
+++ b/src/common/calls/model_calls.ts
@@ -1,6 +1,7 @@
 /** Sends model calls to replica groups and retries failed ones elsewhere. */
 import type { IClock, ILog, IMetrics, IRandom } from "../services/services.ts";
 import type { MonotonicTime, ZoneName } from "../types.ts";
+import type { IAnswerBoundRecorder } from "./answer_bounds.ts";
 import type { AnswerMemory } from "./answer_memory.ts";
 import { gapDuringPrefill, longestGap } from "./engine_timing.ts";
 import { chooseGroup } from "./group_choice.ts";
@@ -78,6 +79,7 @@
   >;
   readonly paths: ITargetPaths;
   readonly memory: AnswerMemory;
+  readonly bounds: IAnswerBoundRecorder;
   readonly quarantine: ICallQuarantine;
   readonly service: (name: string) => IServiceEntry | null;
   readonly clock: IClock;
@@ -138,9 +140,9 @@
       this.#refuseUnserved(call, reply, reason);
       return () => undefined;
     }
-    const { memory } = this.#parts;
+    const { memory, bounds } = this.#parts;
     const work = queueItemOf(call);
-    const run = new ModelRun({ call, reply, work, memory }, this);
+    const run = new ModelRun({ call, reply, work, memory, bounds }, this);
     run.times.lagWhenRead = this.#parts.lag();
     this.#unfinished.add(run);
     const { clock } = this.#parts;
--- a/src/common/calls/model_run.ts
+++ b/src/common/calls/model_run.ts
@@ -9,6 +9,7 @@
 import type { IWorkItem } from "../decisions/work_item.ts";
 import type { IDisposable } from "../disposable.ts";
 import type { MonotonicTime } from "../types.ts";
+import type { IAnswerBoundRecorder } from "./answer_bounds.ts";
 import type { AnswerMemory } from "./answer_memory.ts";
 import type { ICompleteEvent } from "./event_splitter.ts";
 import { ModelSend, SendOutcome } from "./model_send.ts";
@@ -78,6 +79,7 @@
   queueItem: IWorkItem;
   readonly #owner: IModelRunOwner;
   readonly #memory: AnswerMemory;
+  readonly #bounds: IAnswerBoundRecorder;
   /** Ends the call at its deadline. */
   deadlineTimer: IDisposable | null = null;
   isFinished = false;
@@ -111,6 +113,7 @@
       readonly reply: ICallReply;
       readonly work: IWorkItem;
       readonly memory: AnswerMemory;
+      readonly bounds: IAnswerBoundRecorder;
     },
     owner: IModelRunOwner,
   ) {
@@ -118,6 +121,7 @@
     this.reply = parts.reply;
     this.queueItem = parts.work;
     this.#memory = parts.memory;
+    this.#bounds = parts.bounds;
     this.#owner = owner;
     this.#lastEventId = parts.call.lastEventId;
   }
@@ -192,7 +196,8 @@
     open: (receiver: IResponseReceiver) => ISendHandle,
   ): void {
     const { call } = this;
-    const send = new ModelSend({ ...start, call, memory: this.#memory }, this);
+    const kept = { memory: this.#memory, bounds: this.#bounds };
+    const send = new ModelSend({ ...start, call, ...kept }, this);
     this.#openSends.add(send);
     this.#sendCount += 1;
     this.times.firstSentAt ??= start.sentAt;
--- a/src/common/calls/model_send.ts
+++ b/src/common/calls/model_send.ts
@@ -1,5 +1,7 @@
 /** One send of a model call, and the response as far as it has arrived. */
 import type { MonotonicTime } from "../types.ts";
+import { AnswerBound } from "./answer_bounds.ts";
+import type { IAnswerBoundRecorder } from "./answer_bounds.ts";
 import { AnswerBuffer } from "./answer_memory.ts";
 import type { AnswerMemory, AnswerShare } from "./answer_memory.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -82,6 +84,7 @@
   readonly stream: IWatchedStream;
   readonly sentAt: MonotonicTime;
   readonly memory: AnswerMemory;
+  readonly bounds: IAnswerBoundRecorder;
 }
 
 /** A send to the head of one group; receives its response. */
@@ -102,6 +105,7 @@
   readonly #body: AnswerBuffer;
   /** What the part of an event takes that is not complete. */
   readonly #eventShare: AnswerShare;
+  readonly #bounds: IAnswerBoundRecorder;
   #handle: ISendHandle | null = null;
   #head: IResponseHead | null = null;
 
@@ -113,6 +117,7 @@
     this.#owner = owner;
     this.#body = new AnswerBuffer(parts.memory);
     this.#eventShare = parts.memory.createShare();
+    this.#bounds = parts.bounds;
   }
 
   get head(): IResponseHead | null {
@@ -146,8 +151,10 @@
     const events = this.#splitter.push(bytes);
     if (events.length > 0) {
       this.#owner.onEvents(this, events);
-    } else if (this.#splitter.isTooLong || !this.#keepsEvent()) {
-      this.#fail(SendOutcome.Broken, "event exceeds the size limit");
+    } else if (this.#splitter.isTooLong) {
+      this.#failAtEvent(AnswerBound.Event);
+    } else if (!this.#keepsEvent()) {
+      this.#failAtEvent(AnswerBound.Memory);
     }
   }
 
@@ -195,8 +202,14 @@
     return this.#eventShare.resize(this.#splitter.bufferLength);
   }
 
+  #failAtEvent(bound: AnswerBound): void {
+    this.#bounds.record(bound, this.group.head.address);
+    this.#fail(SendOutcome.Broken, "event exceeds the size limit");
+  }
+
   /** A target that has rejected the call has not run it, whatever follows. */
   #endTooLong(): void {
+    this.#bounds.record(this.#body.exceeded, this.group.head.address);
     const isNotRun = this.#head?.isNotRun === true;
     const outcome = isNotRun ? SendOutcome.NotRun : SendOutcome.Broken;
     this.#fail(outcome, "answer exceeds the size limit");
--- a/src/common/calls/plain_calls_test.ts
+++ b/src/common/calls/plain_calls_test.ts
@@ -18,6 +18,7 @@
 import { ObservingSender } from "./observing_sender.ts";
 import { PlainCalls } from "./plain_calls.ts";
 import { PlainTargetSelector } from "./plain_target_selector.ts";
+import { NO_BOUND_RECORDER } from "./answer_bounds.ts";
 import { AnswerMemory } from "./answer_memory.ts";
 import { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import { TargetRateLimits } from "./target_rate_limits.ts";
@@ -101,6 +102,7 @@
     const cooldowns = new TargetCooldowns({ clock: this.clock, log });
     this.calls = new PlainCalls({
       memory: new AnswerMemory(),
+      bounds: NO_BOUND_RECORDER,
       targets: new PlainTargetSelector(),
       readyTargets: (service) => this.targets.ready(service),
       limits,
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -9,6 +9,7 @@
 import type { ITargetPaths } from "../forwarding/types.ts";
 import type { TargetCooldowns } from "../target_cooldowns.ts";
 import type { InstanceId, MonotonicTime, ZoneName } from "../types.ts";
+import type { IAnswerBoundRecorder } from "./answer_bounds.ts";
 import type { AnswerMemory } from "./answer_memory.ts";
 import { PlainSend } from "./plain_send.ts";
 import type { IPlainResponse, IReceivedAnswers } from "./plain_send.ts";
@@ -73,6 +74,7 @@
   readonly sender: ICallSender;
   readonly paths: ITargetPaths;
   readonly memory: AnswerMemory;
+  readonly bounds: IAnswerBoundRecorder;
   readonly quarantine: ICallQuarantine;
   readonly retries: ServiceRetryAllowances;
   readonly limits: Pick<TargetRateLimits, "maySend">;
@@ -222,9 +224,10 @@
     this.#lastSentAt = now;
     this.#parts.targets.recordSend(target.id);
     const { id, address } = target;
-    const { memory } = this.#parts;
+    const { memory, bounds } = this.#parts;
     const received = this.#received;
-    const sent = { target: id, address, sentAt: now, memory, received };
+    const kept = { memory, bounds, received };
+    const sent = { target: id, address, sentAt: now, ...kept };
     const send: PlainSend = new PlainSend(sent, {
       ended: (answer) => this.#handleEnd(send, answer),
       silence: (detail) => this.#retryBeside(send, detail),
--- a/src/common/calls/plain_send.ts
+++ b/src/common/calls/plain_send.ts
@@ -1,6 +1,7 @@
 /** Collects the response to one send of a plain call. */
 import type { IDisposable } from "../disposable.ts";
 import type { InstanceId, MonotonicTime } from "../types.ts";
+import type { IAnswerBoundRecorder } from "./answer_bounds.ts";
 import { AnswerBuffer } from "./answer_memory.ts";
 import type { AnswerMemory } from "./answer_memory.ts";
 import { SendFailure } from "./types.ts";
@@ -33,6 +34,7 @@
   readonly #onSilence: (detail: string) => void;
   readonly #body: AnswerBuffer;
   readonly #received: IReceivedAnswers;
+  readonly #bounds: IAnswerBoundRecorder;
   #head: IResponseHead | null = null;
 
   constructor(
@@ -41,6 +43,7 @@
       readonly address: string;
       readonly sentAt: MonotonicTime;
       readonly memory: AnswerMemory;
+      readonly bounds: IAnswerBoundRecorder;
       /** Counts what arrives. */
       readonly received: IReceivedAnswers;
     },
@@ -55,6 +58,7 @@
     this.sentAt = sent.sentAt;
     this.#body = new AnswerBuffer(sent.memory);
     this.#received = sent.received;
+    this.#bounds = sent.bounds;
     this.#onEnded = on.ended;
     this.#onSilence = on.silence;
   }
@@ -74,6 +78,7 @@
       return;
     }
     this.handle?.abort();
+    this.#bounds.record(this.#body.exceeded, this.address);
     if (this.#head?.isNotRun === true) {
       // The target has not run the call, whatever follows its head.
       this.onEnd();
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -132,6 +132,7 @@
   });
   readonly #limits: LimitRecorder;
   readonly #memory: AnswerMemory;
+  readonly #bounds: AnswerBoundRecorder;
   readonly #clients: HttpClients;
   readonly #requests: RequestMemory;
   readonly #memoryMonitor: MemoryMonitor;
@@ -192,12 +193,13 @@
       }),
     });
     const maximum = divideDescriptors(max_descriptors);
+    this.#bounds = new AnswerBoundRecorder({
+      ...{ clock: this.#clock, log, metrics: this.#metrics },
+    });
     this.#clients = new HttpClients({
       memory: this.#memory,
       controlMemory: new AnswerMemory(memory_mb * SHARE_OF_CONTROL_ANSWERS),
-      recorder: new AnswerBoundRecorder({
-        ...{ clock: this.#clock, log, metrics: this.#metrics },
-      }),
+      recorder: this.#bounds,
     });
     this.#client = new TargetClient(this.#barrier, this.#clients);
     this.#peerLink = new HttpPeerLink(this.#barrier, this.#clients);
@@ -284,6 +286,7 @@
     const memory = this.#memory;
     const shared = {
       memory,
+      bounds: this.#bounds,
       sender: new ObservingSender({ ...observed, sender: this.#paths }),
       paths: this.#paths,
       quarantine: this.#quarantine,
--- a/test/answers_in_pieces_test.ts
+++ b/test/answers_in_pieces_test.ts
@@ -168,6 +168,27 @@
     expect(sampler.peak).to.be.at.most(MEMORY);
   });
 
+  // Guards against answers that are cut without a line that says which target
+  // wrote them.
+  it("are logged with their target and the bound that they met", async () => {
+    await using fleet = await startFleet();
+    fleet.plainTargets.forEach((one) => (one.pieces = ENDLESS_PIECES.chunks));
+    const answer = { path: null, answer: ENDLESS_PIECES["provisional heads"] };
+    fleet.engines.forEach((one) => (one.pieces = answer));
+    const { handle } = firstOf(fleet);
+    await waitFor("both bounds are logged", async () => {
+      await Promise.all([
+        statusOf(fleet, Path.Unsafe),
+        statusOf(fleet, Path.Stream),
+      ]);
+      return ["length", "framing"].every((bound) =>
+        new RegExp(
+          `event=answer_cut .*bound=${bound} source=127\\.0\\.0\\.1:`,
+        ).test(handle.output),
+      );
+    });
+  });
+
   // Guards against a bound on pieces that sound answers meet.
   it("are told from a long sound answer in pieces", async () => {
     await using fleet = await startFleet();
--- a/test/support/calling_fleet.ts
+++ b/test/support/calling_fleet.ts
@@ -1,4 +1,5 @@
 /** Processes of one deployment that take calls and share its groups. */
+import { NO_BOUND_RECORDER } from "../../src/common/calls/answer_bounds.ts";
 import { AnswerMemory } from "../../src/common/calls/answer_memory.ts";
 import { ObservingSender } from "../../src/common/calls/observing_sender.ts";
 import {
@@ -66,6 +67,7 @@
     const cooldowns = new TargetCooldowns({ clock, log: this.log });
     this.calls = new ModelCalls({
       memory: new AnswerMemory(),
+      bounds: NO_BOUND_RECORDER,
       groups: this.groups,
       sender: new ObservingSender({
         sender: heads.senderOf(address),
--- a/test/support/model_calls_harness.ts
+++ b/test/support/model_calls_harness.ts
@@ -1,4 +1,5 @@
 /** Runs one process's model calls against targets that a test controls. */
+import { NO_BOUND_RECORDER } from "../../src/common/calls/answer_bounds.ts";
 import { AnswerMemory } from "../../src/common/calls/answer_memory.ts";
 import {
   CHECK_PERIOD,
@@ -98,6 +99,7 @@
     this.cooldowns = new TargetCooldowns({ clock: this.clock, log: this.log });
     this.calls = new ModelCalls({
       memory: new AnswerMemory(),
+      bounds: NO_BOUND_RECORDER,
       groups: this.groups,
       sender: {
         send: (target, call, options) => {
