Expect of calls while stopping what open calls show

What callers saw: late in the grace time a call that may not be repeated was passed on to targets that had become slow, and was answered 502 at the end of the process, after it had run for seconds.

Cause: the time that a call is expected to take came from complete responses alone. Targets that became slow looked as fast as before until their first answers.

Change: ResponseTimes owns the response times of each service.

--- a/src/common/calls/plain_calls.ts
+++ b/src/common/calls/plain_calls.ts
@@ -3,9 +3,9 @@
  * that a call with a broken response can be retried where that is safe.
  */
 import { SoundRequests } from "../quarantine/sound_requests.ts";
-import { HighEndEstimator } from "./high_end_estimator.ts";
 import { PlainRun } from "./plain_run.ts";
 import type { IPlainCallParts } from "./plain_run.ts";
+import { ResponseTimes } from "./response_times.ts";
 import { ServingPeriod } from "./stopping.ts";
 import type { IStopTimes } from "./stopping.ts";
 import type { ICall, ICallReply } from "./types.ts";
@@ -16,11 +16,11 @@
   readonly #servingPeriod = new ServingPeriod();
   readonly #unfinished = new Set<PlainRun>();
   readonly #soundRequests = new SoundRequests();
-  /** By service, milliseconds from a send to the complete response. */
-  readonly #responseTimes = new Map<string, HighEndEstimator>();
+  readonly #responseTimes: ResponseTimes;
 
-  constructor(parts: IPlainCallParts) {
+  constructor(parts: IPlainCallParts, responseTimes = new ResponseTimes()) {
     this.#parts = parts;
+    this.#responseTimes = responseTimes;
   }
 
   /** Accepts a call; returns the handler for its caller's disconnect. */
@@ -30,7 +30,7 @@
       parts: this.#parts,
       isAdmitted: () => this.#isAdmitted(call),
       soundRequests: this.#soundRequests,
-      onResponse: (time) => this.#recordResponse(call, time),
+      responseTimes: this.#responseTimes,
       stoppingFor: () => this.#stoppingFor,
       onFinished: () => this.#unfinished.delete(run),
     });
@@ -66,15 +66,13 @@
 
   /** Whether a call that is sent now is served by a stopping process. */
   #isAdmitted(call: ICall): boolean {
-    const time = this.#responseTimes.get(call.service)?.estimate;
+    if (!this.#servingPeriod.hasEnd) {
+      return true;
+    }
     const now = this.#parts.clock.now();
-    const end = now + (time ?? call.route.objective);
+    const unseen = call.route.objective;
+    const times = this.#responseTimes;
+    const end = now + times.expectedTime(call.service, { now, unseen });
     return this.#servingPeriod.admits(call, { now, end });
   }
-
-  #recordResponse({ service }: ICall, time: number): void {
-    const times = this.#responseTimes.get(service) ?? new HighEndEstimator();
-    times.addSample(time);
-    this.#responseTimes.set(service, times);
-  }
 }
--- a/src/common/calls/plain_run.ts
+++ b/src/common/calls/plain_run.ts
@@ -13,6 +13,7 @@
 import { PlainSend } from "./plain_send.ts";
 import type { IPlainResponse, IReceivedAnswers } from "./plain_send.ts";
 import type { PlainTargetSelector } from "./plain_target_selector.ts";
+import type { OpenSend, ResponseTimes } from "./response_times.ts";
 import type { ServiceRetryAllowances } from "./service_retry_allowances.ts";
 import { STOPPING_RETRY_AFTER } from "./stopping.ts";
 import type { TargetRateLimits } from "./target_rate_limits.ts";
@@ -96,7 +97,7 @@
   readonly #parts: IPlainCallParts;
   readonly #isAdmitted: () => boolean;
   readonly #soundRequests: SoundRequests;
-  readonly #onResponse: (time: number) => void;
+  readonly #responseTimes: ResponseTimes;
   readonly #stoppingFor: () => number | null;
   readonly #onFinished: () => void;
   readonly #triedTargets = new Set<InstanceId>();
@@ -105,7 +106,8 @@
   #lastSentAt: MonotonicTime | null = null;
   /** Number of targets that the call may have reached. */
   #sendCount = 0;
-  readonly #openSends = new Set<PlainSend>();
+  /** Those without an end, and their response times so far. */
+  readonly #openSends = new Map<PlainSend, OpenSend>();
   readonly #received: IReceivedAnswers = { bytes: 0, pieces: 0 };
   #mayHaveRun = false;
   #isFinished = false;
@@ -120,8 +122,7 @@
       /** Whether a stopping process still serves it if it is sent now. */
       readonly isAdmitted: () => boolean;
       readonly soundRequests: SoundRequests;
-      /** Receives the milliseconds that a complete response took. */
-      readonly onResponse: (time: number) => void;
+      readonly responseTimes: ResponseTimes;
       /** Milliseconds since the process received the signal; null before. */
       readonly stoppingFor: () => number | null;
       readonly onFinished: () => void;
@@ -132,7 +133,7 @@
     this.#parts = rest.parts;
     this.#isAdmitted = rest.isAdmitted;
     this.#soundRequests = rest.soundRequests;
-    this.#onResponse = rest.onResponse;
+    this.#responseTimes = rest.responseTimes;
     this.#stoppingFor = rest.stoppingFor;
     this.#onFinished = rest.onFinished;
     this.#lagWhenRead = rest.parts.lag();
@@ -165,7 +166,9 @@
     log.warn("call_cut", {
       request: this.#call.id,
       route: this.#call.route.name,
-      targets: [...this.#openSends].map(({ target }) => target).join(","),
+      targets: [...this.#openSends.keys()]
+        .map(({ target }) => target)
+        .join(","),
       sends: this.#sendCount,
       took_ms: Math.round(now - this.#call.arrivedAt),
       silent_ms: sentAt === null ? null : Math.round(now - sentAt),
@@ -229,7 +232,7 @@
       ended: (answer) => this.#handleEnd(send, answer),
       silence: (detail) => this.#retryBeside(send, detail),
     });
-    this.#openSends.add(send);
+    this.#openSends.set(send, this.#responseTimes.startSend(service, now));
     send.handle = this.#parts.sender.send(target, this.#call, {
       timeLeft: this.#call.deadline - now,
       lastEventId: this.#call.lastEventId,
@@ -312,9 +315,11 @@
   }
 
   #handleEnd(send: PlainSend, answer: IPlainResponse): void {
-    if (!this.#openSends.delete(send)) {
+    const openSend = this.#openSends.get(send);
+    if (openSend === undefined) {
       return;
     }
+    this.#openSends.delete(send);
     const { targets, clock } = this.#parts;
     targets.recordEnd(send.target);
     const { head, failure } = answer;
@@ -326,12 +331,13 @@
       failure === null && head !== null && head.status < STATUS_SERVER_ERROR;
     if (isGood && !isNotRun) {
       targets.recordSuccess(send.target, head.load, clock.now());
-      this.#onResponse(clock.now() - send.sentAt);
+      openSend.complete(clock.now());
     } else if (failure === SendFailure.NotSent) {
       targets.recordNoResponse(send.target, clock.now());
     } else if (failure === null || !NO_FAULT.has(failure)) {
       targets.recordFailure(send.target, clock.now());
     }
+    openSend.dispose();
     if (isGood && !isNotRun) {
       if (this.#call.fingerprint !== null) {
         this.#soundRequests.record(this.#call.fingerprint, clock.now());
@@ -412,8 +418,9 @@
   }
 
   #abortSends(): void {
-    for (const send of this.#openSends) {
+    for (const [send, openSend] of this.#openSends) {
       this.#openSends.delete(send);
+      openSend.dispose();
       this.#mayHaveRun = true;
       send.handle?.abort();
       send.dispose();
@@ -425,7 +432,7 @@
     if (this.#isFinished) {
       return;
     }
-    for (const { target } of this.#openSends) {
+    for (const { target } of this.#openSends.keys()) {
       this.#recordSilence(target);
     }
     this.#abortSends();
--- a/src/common/calls/stopping.ts
+++ b/src/common/calls/stopping.ts
@@ -1,12 +1,18 @@
 /** What calls meet while their process stops. */
 import type { MonotonicTime } from "../types.ts";
-import type { ICall } from "./types.ts";
+import type { IRoute } from "./types.ts";
 
 /** Retry-after while stopping, milliseconds: another process can serve. */
 export const STOPPING_RETRY_AFTER = 50;
 
 const NEVER = Number.POSITIVE_INFINITY;
 
+/** What decides whether a call is served by a stopping process. */
+export interface IEndingCall {
+  readonly route: Pick<IRoute, "isResumable">;
+  readonly deadline: MonotonicTime;
+}
+
 /** The times of a stop. */
 export interface IStopTimes {
   /** When the process received the signal. */
@@ -44,7 +50,7 @@
    * @param times.end - latest time at which it is expected to end
    */
   admits(
-    call: ICall,
+    call: IEndingCall,
     { now, end }: { readonly now: MonotonicTime; readonly end: MonotonicTime },
   ): boolean {
     const { removedAt, end: servingEnd } = this.#times;
--- /dev/null
+++ b/test/late_in_grace_test.ts
@@ -0,0 +1,67 @@
+/** Calls that come late in the grace time and run for longer than is left. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "chai";
+import { EntryFleet, Path } from "./support/entry_fleet.ts";
+import { waitFor } from "./support/process_handle.ts";
+
+/** Milliseconds; no call ends meanwhile. */
+const NO_END = 30_000;
+
+/** Milliseconds after SIGTERM at which the calls come. */
+const LATE = 2_500;
+
+/** Milliseconds for which targets have been slow before SIGTERM. */
+const SLOW_BEFORE = 3_000;
+
+/** Milliseconds; more than the grace time. */
+const PLAIN_TIMEOUT = 20_000;
+
+/** Calls by which the length of the others is known. */
+const KNOWN_CALLS = 12;
+
+const LATE_CALLS = 6;
+
+async function startFleet(processes: number): Promise<EntryFleet> {
+  const fleet = new EntryFleet();
+  fleet.plainTimeout = PLAIN_TIMEOUT;
+  await fleet.start(processes);
+  return fleet;
+}
+
+/** Stops a process; its late calls must be refused, and must not run. */
+async function expectLateRefused(
+  fleet: EntryFleet,
+  { stopped, asked }: { readonly stopped: number; readonly asked: number },
+): Promise<void> {
+  const handle = fleet.processes[stopped]?.handle;
+  handle?.signal("SIGTERM");
+  await sleep(LATE);
+  const ids = Array.from({ length: LATE_CALLS }, (_, index) => `late-${index}`);
+  const answers = await Promise.all(
+    ids.map((id) => fleet.sendCall(asked, Path.Unsafe, { id })),
+  );
+  await handle?.waitForExit();
+  const runs = fleet.plainTargets.flatMap((target) => target.runs);
+  expect({
+    statuses: answers.map(({ status }) => status),
+    runs: runs.filter((id) => ids.includes(id)),
+  }).to.deep.equal({ statuses: ids.map(() => 503), runs: [] });
+}
+
+describe("calls that may not be repeated, late in the grace time", () => {
+  // Guards against a call that runs and ends without an answer of its target, as
+  // its targets are slower than ever: no slow call has ended, and tells how long.
+  it("are refused while calls before them last longer than ever", async () => {
+    await using fleet = await startFleet(1);
+    fleet.plainTargets.forEach((target) => (target.runTime = NO_END));
+    const held = fleet.statusesOf(0, Path.Unsafe, KNOWN_CALLS);
+    await waitFor("the targets have them", () => {
+      const runs = fleet.plainTargets.flatMap((target) => target.runs);
+      return runs.length >= KNOWN_CALLS;
+    });
+    await sleep(SLOW_BEFORE);
+    await expectLateRefused(fleet, { stopped: 0, asked: 0 });
+    // They are answered at their deadline, which is in time.
+    expect(await held).to.deep.equal(Array(KNOWN_CALLS).fill(504));
+  });
+});
