Take forwarded calls while stopping only if they can end

What callers saw: a call that may not be repeated, forwarded to a process in the last seconds of its stop, ran and was answered 502 by the process that had forwarded it when the other one ended.

Cause: a stopping process took forwarded calls for 3 s whatever their length, though it refused its own ones that could not end in time.

Change: a forwarded call is admitted as one of its own, by the response times of its service, which are shared, or by its deadline if none is known. A refused call is offered to the next process.

--- a/src/common/forwarding/forwarded_requests.ts
+++ b/src/common/forwarding/forwarded_requests.ts
@@ -5,6 +5,9 @@
  */
 import { Err } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import { ResponseTimes } from "../calls/response_times.ts";
+import { ServingPeriod } from "../calls/stopping.ts";
+import type { IStopTimes } from "../calls/stopping.ts";
 import { ListedState, SendFailure } from "../calls/types.ts";
 import type {
   ICallSender,
@@ -42,6 +45,8 @@
   readonly lag: () => number;
   /** Calls that may be in flight at once. */
   readonly maximumCalls: number;
+  /** Shared with the calls of this process; its own by default. */
+  readonly responseTimes?: ResponseTimes;
 }
 
 /** The requests that other processes have forwarded to this one. */
@@ -50,9 +55,12 @@
   #inFlight = 0;
   /** From when on no calls are taken. */
   #stopsAt: MonotonicTime = Number.POSITIVE_INFINITY;
+  readonly #servingPeriod = new ServingPeriod();
+  readonly #responseTimes: ResponseTimes;
 
   constructor(parts: IForwardedRequestParts) {
     this.#parts = parts;
+    this.#responseTimes = parts.responseTimes ?? new ResponseTimes();
   }
 
   /** Number of calls that were taken and have not ended. */
@@ -68,13 +76,19 @@
   /**
    * Takes no more calls from a time on; those taken before are finished. Until
    * then this may be the only process that reaches the targets.
+   *
+   * @param times - of the process: calls that would be cut are not taken
    */
-  stopAt(time: MonotonicTime): void {
+  stopAt(time: MonotonicTime, times: IStopTimes | null = null): void {
     this.#stopsAt = time;
+    if (times !== null) {
+      this.#servingPeriod.stopAt(times);
+    }
   }
 
   /** Why a call is not taken; null if it can be. */
-  refusalOf({ target, call }: IForwardedSend): ForwardRefusal | null {
+  refusalOf(send: IForwardedSend): ForwardRefusal | null {
+    const { target, call } = send;
     const listed = this.#parts.findTarget(target);
     if (this.#parts.clock.now() >= this.#stopsAt) {
       return ForwardRefusal.Stopping;
@@ -85,11 +99,35 @@
     if (this.#parts.reach.isOutOfReach(call.service)) {
       return ForwardRefusal.OutOfReach;
     }
+    if (!this.#isAdmitted(send, listed)) {
+      return ForwardRefusal.Stopping;
+    }
     return this.#inFlight >= this.#parts.maximumCalls
       ? ForwardRefusal.Full
       : null;
   }
 
+  /**
+   * Whether a stopping process takes a call. How long a call may run is known
+   * from those of its service, or else by its deadline; the streams of engines
+   * are resumed through another process.
+   */
+  #isAdmitted(
+    { call, timeLeft }: IForwardedSend,
+    { engine }: IListedTarget,
+  ): boolean {
+    if (!this.#servingPeriod.hasEnd) {
+      return true;
+    }
+    const { service } = call;
+    const now = this.#parts.clock.now();
+    const seen = { now, unseen: timeLeft };
+    const end = now + this.#responseTimes.expectedTime(service, seen);
+    const deadline = now + timeLeft;
+    const route = { isResumable: engine !== null };
+    return this.#servingPeriod.admits({ route, deadline }, { now, end });
+  }
+
   /** Sends a call that {@link refusalOf} does not refuse. */
   send(forwarded: IForwardedSend, receiver: IResponseReceiver): ISendHandle {
     const { target: id, call, ...options } = forwarded;
@@ -99,11 +137,22 @@
       receiver.onFailure(SendFailure.Withheld, detail);
       return { abort: () => undefined };
     }
-    const end = this.#recordStart(forwarded);
+    const openSend = this.#responseTimes.startSend(
+      call.service,
+      this.#parts.clock.now(),
+    );
+    const recordEnd = this.#recordStart(forwarded);
+    const end = (outcome: string) => {
+      openSend.dispose();
+      recordEnd(outcome);
+    };
     const target = { id, address: listed.address };
     const handle = this.#parts.sender.send(target, call, {
       ...options,
-      receiver: new EndObservingReceiver(receiver, end),
+      receiver: new EndObservingReceiver(receiver, {
+        response: () => openSend.complete(this.#parts.clock.now()),
+        ended: end,
+      }),
     });
     return {
       abort: () => {
@@ -160,17 +209,25 @@
   }
 }
 
+interface IForwardedEnd {
+  /** The target has run the call, and its response is complete. */
+  readonly response: () => void;
+  readonly ended: (outcome: string) => void;
+}
+
 /** Passes a response on and reports its end. */
 class EndObservingReceiver implements IResponseReceiver {
   readonly #receiver: IResponseReceiver;
-  readonly #onEnded: (outcome: string) => void;
+  readonly #on: IForwardedEnd;
+  #hasRun = false;
 
-  constructor(receiver: IResponseReceiver, onEnded: (outcome: string) => void) {
+  constructor(receiver: IResponseReceiver, on: IForwardedEnd) {
     this.#receiver = receiver;
-    this.#onEnded = onEnded;
+    this.#on = on;
   }
 
   onHead(head: IResponseHead): void {
+    this.#hasRun = !head.isNotRun;
     this.#receiver.onHead(head);
   }
 
@@ -179,12 +236,15 @@
   }
 
   onEnd(): void {
-    this.#onEnded("ended");
+    if (this.#hasRun) {
+      this.#on.response();
+    }
+    this.#on.ended("ended");
     this.#receiver.onEnd();
   }
 
   onFailure(failure: SendFailure, detail: string): void {
-    this.#onEnded(failure);
+    this.#on.ended(failure);
     this.#receiver.onFailure(failure, detail);
   }
 }
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -26,6 +26,7 @@
 import type { IFollowerParts } from "../common/calls/object_follower.ts";
 import { PlainCalls } from "../common/calls/plain_calls.ts";
 import { PlainTargetSelector } from "../common/calls/plain_target_selector.ts";
+import { ResponseTimes } from "../common/calls/response_times.ts";
 import { ServiceRetryAllowances } from "../common/calls/service_retry_allowances.ts";
 import { ServingGroups } from "../common/calls/serving_groups.ts";
 import { StoreAvailability } from "../common/calls/store_availability.ts";
@@ -272,6 +273,7 @@
       clock: this.#clock,
       log,
     };
+    const responseTimes = new ResponseTimes();
     this.#forwarded = new ForwardedRequests({
       sender: new ObservingSender({ ...observed, sender: direct }),
       engines: this.#engines,
@@ -280,6 +282,7 @@
       ...{ clock, log },
       lag: () => this.#currentLag,
       maximumCalls: maximum.forwardedCalls,
+      responseTimes,
     });
     const memory = this.#memory;
     const shared = {
@@ -304,11 +307,12 @@
       processes: () => this.#coordinator.processCount,
       onGroupsSuspected: () => this.#coordinator.handleGroupsSuspected(),
     });
-    this.#plain = new PlainCalls({
+    const plainParts = {
       ...shared,
       targets: this.#plainTargets,
-      readyTargets: (service) => this.#targets.ready(service),
-    });
+      readyTargets: (service: ServiceName) => this.#targets.ready(service),
+    };
+    this.#plain = new PlainCalls(plainParts, responseTimes);
     this.#coordinator = this.#createCoordinator();
     this.#ingress = new IngressServer({
       handler: { handle: (call, reply) => this.#submit(call, reply) },
@@ -371,11 +375,11 @@
     const stoppedAt = this.#clock.now();
     this.#log.info("stopping", { in_flight: this.#ingress.inFlight });
     this.#ingress.startDraining();
-    this.#forwarded.stopAt(stoppedAt + BALANCER_REMOVAL_TIME);
     const grace = this.#settings.bounds.grace_s * MILLISECONDS_A_SECOND;
     const end = stoppedAt + grace - GRACE_MARGIN;
     const removedAt = stoppedAt + USUAL_REMOVAL_TIME;
     const times = { startedAt: stoppedAt, removedAt, end };
+    this.#forwarded.stopAt(stoppedAt + BALANCER_REMOVAL_TIME, times);
     this.#models.stopAt(times);
     this.#plain.stopAt(times);
     await this.#coordinator.releaseLease();
--- a/test/late_in_grace_test.ts
+++ b/test/late_in_grace_test.ts
@@ -1,9 +1,13 @@
 /** Calls that come late in the grace time and run for longer than is left. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
+import { LinkMode } from "../src/stand_ins/fault_proxy/fault_proxy.ts";
 import { EntryFleet, Path } from "./support/entry_fleet.ts";
 import { waitFor } from "./support/process_handle.ts";
 
+/** Milliseconds; calls of this length cannot end if they come late. */
+const LONG_RUN = 5_500;
+
 /** Milliseconds; no call ends meanwhile. */
 const NO_END = 30_000;
 
@@ -49,8 +53,22 @@
 }
 
 describe("calls that may not be repeated, late in the grace time", () => {
-  // Guards against a call that runs and ends without an answer of its target, as
-  // its targets are slower than ever: no slow call has ended, and tells how long.
+  // Guards against a call that runs and ends without an answer of its target,
+  // since a process that forwards it takes it for its last seconds only.
+  it("are not forwarded by a process that cannot finish them", async () => {
+    await using fleet = await startFleet(3);
+    for (const index of [0, 1]) {
+      fleet.setLinks(index, LinkMode.Refuse);
+      await fleet.waitUntilLost(index);
+    }
+    fleet.plainTargets.forEach((target) => (target.runTime = LONG_RUN));
+    const statuses = await fleet.statusesOf(1, Path.Unsafe, KNOWN_CALLS);
+    expect(statuses).to.deep.equal(statuses.map(() => 200));
+    await expectLateRefused(fleet, { stopped: 2, asked: 1 });
+  });
+
+  // Guards against the same at the process that took the call, whose targets are
+  // slower than ever: none of the slow calls has ended, and tells how long.
   it("are refused while calls before them last longer than ever", async () => {
     await using fleet = await startFleet(1);
     fleet.plainTargets.forEach((target) => (target.runTime = NO_END));
