Check the form and the length of what another process answers

What callers saw: nothing so far; found by raw peers. A process that got a line or an answer of another form left the call without any answer, passed on a head that throws when it is written to the caller, or ended: the news of crashes are used in a promise that nobody awaits, so that `{}` is an unhandled rejection.

Cause: JSON of other processes was used as if it had the expected form. The first line of a response was joined and searched anew with each piece, and a refusal (any status but 200) that contains a line end was kept without a bound.

Change: decoders for everything that a peer answers; a line that is not valid loses the path, an exchange that is not valid counts as none. The line and refusals are kept in an AnswerBuffer, at most 256 KB as before; each byte is searched once. A response that says `whole` without a line has lost its path. JSON of exchanges has at most 65,536 values and a depth of 32; bounds are recorded for the process's address. Headers have to be such as may be written.

--- a/src/adapters/forwarding/forwarding_protocol.ts
+++ b/src/adapters/forwarding/forwarding_protocol.ts
@@ -4,16 +4,28 @@
  * line of JSON with the target's head, the target's bytes as they arrive, and a
  * trailer that says how it ended. A response without the trailer is incomplete.
  */
+import { validateHeaderName, validateHeaderValue } from "node:http";
+import { Err, Ok } from "ts-results-es";
+import type { Result } from "ts-results-es";
 import { z } from "zod";
-import type { IResponseHead, SendFailure } from "../../common/calls/types.ts";
+import { GroupMemberState, SendFailure } from "../../common/calls/types.ts";
+import type { IResponseHead } from "../../common/calls/types.ts";
 import type {
   ForwardRefusal,
   IForwardedExchange,
   IForwardedSend,
 } from "../../common/forwarding/types.ts";
-import type { ICrashNews } from "../../common/quarantine/types.ts";
-import { OrderKind } from "../../common/replicas/types.ts";
-import type { EngineOrder } from "../../common/replicas/types.ts";
+import type {
+  ICrashNews,
+  IRequestCrash,
+} from "../../common/quarantine/types.ts";
+import { OrderKind, OrderOutcome } from "../../common/replicas/types.ts";
+import type {
+  EngineOrder,
+  IEngineReport,
+} from "../../common/replicas/types.ts";
+import { CallFailureKind } from "../../common/types.ts";
+import type { ICallFailure, ServiceName } from "../../common/types.ts";
 
 /** Paths on the inner port. */
 export enum ForwardPath {
@@ -38,6 +50,10 @@
 /** Ends the line of JSON; does not occur within it. */
 export const LINE_END = 0x0a;
 
+/** The first and the last status of a response that is final. */
+const LOWEST_STATUS = 200;
+const HIGHEST_STATUS = 999;
+
 const sendSchema = z.object({
   target: z.string(),
   call: z.object({
@@ -57,16 +73,18 @@
 
 const exchangeSchema = z.object({ engine: z.string(), timeout: z.number() });
 
+const crashesSchema = z.array(
+  z.object({
+    service: z.string(),
+    fingerprint: z.string(),
+    target: z.string(),
+    startedAt: z.number(),
+    age: z.number(),
+  }),
+);
+
 const crashNewsSchema = z.object({
-  crashes: z.array(
-    z.object({
-      service: z.string(),
-      fingerprint: z.string(),
-      target: z.string(),
-      startedAt: z.number(),
-      age: z.number(),
-    }),
-  ),
+  crashes: crashesSchema,
   wantsAll: z.boolean(),
 });
 
@@ -74,6 +92,59 @@
   order: z.looseObject({ kind: z.enum(OrderKind) }),
 });
 
+/** What a target did not report is absent in the answers of older builds. */
+const headSchema = z.object({
+  status: z.number().int().min(LOWEST_STATUS).max(HIGHEST_STATUS),
+  headers: z.array(z.string()).refine(areHeaders),
+  isNotRun: z.boolean(),
+  isForOtherRequest: z.boolean(),
+  load: z
+    .object({ running: z.number(), waiting: z.number(), slots: z.number() })
+    .nullable()
+    .default(null),
+  rateLimit: z.number().nullable().default(null),
+  retryAfter: z.number().nullable().default(null),
+  isLeaving: z.boolean().default(false),
+});
+
+const responseSchema = z.union([
+  z.object({ head: headSchema }),
+  z.object({ failure: z.enum(SendFailure), detail: z.string() }),
+]);
+
+const reportSchema = z.object({
+  startedAt: z.number(),
+  queued: z.number(),
+  running: z.number(),
+  pace: z.number(),
+  engine: z.object({
+    staged: z.array(z.string()),
+    model: z.string().nullable(),
+    membership: z
+      .object({
+        group: z.string(),
+        epoch: z.number(),
+        rank: z.number(),
+        state: z.enum(GroupMemberState),
+      })
+      .nullable(),
+    domain: z.string(),
+  }),
+  orderCount: z.number(),
+  isLeaving: z.boolean().default(false),
+});
+
+const fetchedReportSchema = z.union([
+  z.object({ report: reportSchema }),
+  z.object({ kind: z.enum(CallFailureKind), detail: z.string() }),
+]);
+
+const outcomeSchema = z.object({ outcome: z.enum(OrderOutcome) });
+
+const statusSchema = z.object({ outOfReach: z.array(z.string()) });
+
+const knownCrashesSchema = z.object({ crashes: crashesSchema });
+
 /** The first line of its response. */
 export type ResponseLine =
   | { readonly head: IResponseHead }
@@ -123,6 +194,66 @@
   return order as (IForwardedExchange & { order: EngineOrder }) | null;
 }
 
+/** Decodes the first line of a response; null if it is not valid. */
+export function decodeResponseLine(line: Uint8Array): ResponseLine | null {
+  const { buffer, byteOffset, byteLength } = line;
+  return decode(responseSchema, Buffer.from(buffer, byteOffset, byteLength));
+}
+
+/** Decodes what came of a report; null if it is not valid. */
+export function decodeFetchedReport(
+  value: unknown,
+): Result<IEngineReport, ICallFailure> | null {
+  const found = valueOf(fetchedReportSchema, value);
+  if (found === null) {
+    return null;
+  }
+  return "report" in found ? Ok(found.report) : Err(found);
+}
+
+/** Decodes what came of an order; null if it is not valid. */
+export function decodeOutcome(value: unknown): OrderOutcome | null {
+  return valueOf(outcomeSchema, value)?.outcome ?? null;
+}
+
+/** Decodes the services that a process does not reach; null if not valid. */
+export function decodeOutOfReach(
+  value: unknown,
+): readonly ServiceName[] | null {
+  return valueOf(statusSchema, value)?.outOfReach ?? null;
+}
+
+/** Decodes the crashes that a process knows; null if they are not valid. */
+export function decodeKnownCrashes(
+  value: unknown,
+): readonly IRequestCrash[] | null {
+  return valueOf(knownCrashesSchema, value)?.crashes ?? null;
+}
+
+/** Whether names and values alternate and can be written to a caller. */
+function areHeaders(headers: readonly string[]): boolean {
+  if (headers.length % 2 !== 0) {
+    return false;
+  }
+  try {
+    for (let index = 0; index < headers.length; index += 2) {
+      const name = headers[index] ?? "";
+      validateHeaderName(name);
+      validateHeaderValue(name, headers[index + 1] ?? "");
+    }
+    return true;
+  } catch {
+    // The response is reported as not valid.
+    return false;
+  }
+}
+
+/** The value if it fits a schema, and null if not. */
+function valueOf<T>(schema: z.ZodType<T>, value: unknown): T | null {
+  const checked = schema.safeParse(value);
+  return checked.success ? checked.data : null;
+}
+
 function decode<T>(schema: z.ZodType<T>, content: Buffer): T | null {
   try {
     return schema.parse(JSON.parse(content.toString("utf8")));
--- a/src/adapters/forwarding/http_peer_link.ts
+++ b/src/adapters/forwarding/http_peer_link.ts
@@ -3,6 +3,11 @@
 import type { Result } from "ts-results-es";
 import { request } from "undici";
 import type { Agent, buildConnector, Dispatcher } from "undici";
+import {
+  AnswerBound,
+  AnswerBoundError,
+} from "../../common/calls/answer_bounds.ts";
+import { AnswerBuffer } from "../../common/calls/answer_memory.ts";
 import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import { SendFailure } from "../../common/calls/types.ts";
 import type { ISendHandle } from "../../common/calls/types.ts";
@@ -26,10 +31,16 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ServiceName } from "../../common/types.ts";
 import { barrierConnector } from "../barrier_connector.ts";
+import { measureJson } from "../callers/json_text.ts";
 import { HttpClients } from "../http/http_clients.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { timedConnector } from "../timed_connector.ts";
 import {
+  decodeFetchedReport,
+  decodeKnownCrashes,
+  decodeOutcome,
+  decodeOutOfReach,
+  decodeResponseLine,
   encodeLine,
   END_TRAILER,
   ForwardPath,
@@ -37,7 +48,7 @@
   STATUS_OK,
   WHOLE,
 } from "./forwarding_protocol.ts";
-import type { INotTaken, ResponseLine } from "./forwarding_protocol.ts";
+import type { INotTaken } from "./forwarding_protocol.ts";
 
 /** Milliseconds; a round trip between zones takes about 12. */
 const CONNECT_TIMEOUT = 250;
@@ -48,7 +59,14 @@
 /** Bytes of an answer that is no forwarded response. */
 const LONGEST_EXCHANGE = 4_194_304;
 
-/** Bytes of the first line of a response; a head takes some kilobytes. */
+/** JSON values of such an answer, and their depth; most are of crashes. */
+const MOST_VALUES = 65_536;
+const MOST_DEPTH = 32;
+
+/**
+ * Bytes of the first line of a response, or of a refusal; a head takes some
+ * kilobytes.
+ */
 const LONGEST_LINE = 262_144;
 
 /** The path has its own, shorter time limits. */
@@ -84,7 +102,11 @@
     const { id, service, account } = call;
     const { body, ...message } = call.message;
     const origin = `http://${address}`;
-    const handler = new ForwardHandler(receiver);
+    const { memory, recorder } = this.#clients;
+    const handler = new ForwardHandler(receiver, {
+      pending: new AnswerBuffer(memory, LONGEST_LINE),
+      onExceeded: (bound) => recorder.record(bound, address),
+    });
     const options = { ...NO_TIMEOUTS, connect: this.#connect };
     const client = rest.needsNewConnection
       ? this.#clients.createClient(origin, options)
@@ -119,8 +141,9 @@
       const detail = `${attempted}: ${answer.error}`;
       return Err({ kind: CallFailureKind.NoPath, detail });
     }
-    const found = answer.value as { report: IEngineReport } | ICallFailure;
-    return "report" in found ? Ok(found.report) : Err(found);
+    const detail = `${attempted}: not a valid answer`;
+    const invalid = Err({ kind: CallFailureKind.NoPath, detail });
+    return decodeFetchedReport(answer.value) ?? invalid;
   }
 
   async sendOrder(
@@ -131,9 +154,8 @@
       content: exchange,
       limit: exchange.timeout + EXCHANGE_MARGIN,
     });
-    return answer.isOk()
-      ? (answer.value as { outcome: OrderOutcome }).outcome
-      : OrderOutcome.Unknown;
+    const outcome = answer.isOk() ? decodeOutcome(answer.value) : null;
+    return outcome ?? OrderOutcome.Unknown;
   }
 
   async ping(
@@ -144,9 +166,7 @@
       content: {},
       limit: timeout,
     });
-    return answer.isOk()
-      ? (answer.value as { outOfReach: readonly ServiceName[] }).outOfReach
-      : null;
+    return answer.isOk() ? decodeOutOfReach(answer.value) : null;
   }
 
   async tellCrashes(
@@ -158,9 +178,7 @@
       content: news,
       limit: timeout,
     });
-    return answer.isOk()
-      ? (answer.value as { crashes: readonly IRequestCrash[] }).crashes
-      : null;
+    return answer.isOk() ? decodeKnownCrashes(answer.value) : null;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -184,31 +202,50 @@
         });
         const limits = { limit: LONGEST_EXCHANGE, source: address };
         const text = await this.#clients.readText(body, limits);
-        // Both ends run the same build, so the answer is not validated.
         return statusCode === STATUS_OK
-          ? Ok(JSON.parse(text) as unknown)
+          ? Ok(this.#parse(text, address))
           : Err(`answered ${statusCode}`);
       });
     } catch (error) {
       return Err(String(error));
     }
   }
+
+  /** @throws {AnswerBoundError} if the answer has too many values */
+  #parse(text: string, source: string): unknown {
+    const { values, depth } = measureJson(text);
+    if (values > MOST_VALUES || depth > MOST_DEPTH) {
+      this.#clients.recorder.record(AnswerBound.Values, source);
+      throw new AnswerBoundError(AnswerBound.Values);
+    }
+    return JSON.parse(text);
+  }
 }
 
 /** Receives the response to one forwarded call. */
 class ForwardHandler implements Dispatcher.DispatchHandler, ISendHandle {
   readonly #receiver: IForwardReceiver;
+  /** The first line until it is complete, or a refusal. */
+  readonly #pending: AnswerBuffer;
+  readonly #onExceeded: (bound: AnswerBound) => void;
   #controller: Dispatcher.DispatchController | null = null;
   #status = 0;
-  /** Bytes before the end of the first line. */
-  #pending: Uint8Array = new Uint8Array();
   #hasLine = false;
   #isFinished = false;
   /** Called once when the response has ended, failed or been aborted. */
   onDone: () => void = () => undefined;
 
-  constructor(receiver: IForwardReceiver) {
+  constructor(
+    receiver: IForwardReceiver,
+    parts: {
+      readonly pending: AnswerBuffer;
+      /** Called when there is no room for the line. */
+      readonly onExceeded: (bound: AnswerBound) => void;
+    },
+  ) {
     this.#receiver = receiver;
+    this.#pending = parts.pending;
+    this.#onExceeded = parts.onExceeded;
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -236,18 +273,16 @@
       this.#receiver.onData(chunk);
       return;
     }
-    this.#pending = Buffer.concat([this.#pending, chunk]);
-    const end = this.#pending.indexOf(LINE_END);
-    if (end < 0 && this.#pending.byteLength > LONGEST_LINE) {
-      this.#failTooLong();
+    const isOk = this.#status === STATUS_OK;
+    const end = isOk ? chunk.indexOf(LINE_END) : -1;
+    if (!this.#keep(end < 0 ? chunk : chunk.subarray(0, end)) || end < 0) {
+      return;
     }
-    if (end >= 0 && this.#status === STATUS_OK) {
-      this.#hasLine = true;
-      this.#handleLine(this.#pending.subarray(0, end));
-      const rest = this.#pending.subarray(end + 1);
-      if (rest.byteLength > 0 && !this.#isFinished) {
-        this.#receiver.onData(rest);
-      }
+    this.#hasLine = true;
+    this.#handleLine(this.#pending.join());
+    const rest = chunk.subarray(end + 1);
+    if (rest.byteLength > 0 && !this.#isFinished) {
+      this.#receiver.onData(rest);
     }
   }
 
@@ -263,9 +298,9 @@
     if (!this.#finish()) {
       return;
     }
-    if (end === WHOLE) {
+    if (end === WHOLE && this.#hasLine) {
       this.#receiver.onEnd();
-    } else if (end === "") {
+    } else if (end === "" || end === WHOLE) {
       this.#receiver.onFailure(SendFailure.PathLost, "response without an end");
     } else {
       this.#receiver.onFailure(SendFailure.Broken, end);
@@ -289,10 +324,23 @@
     }
   }
 
+  /** Returns false if there is no room. */
+  #keep(bytes: Uint8Array): boolean {
+    const isKept = this.#pending.push(bytes);
+    if (!isKept) {
+      const isTooLong = this.#pending.length + bytes.length > LONGEST_LINE;
+      this.#onExceeded(isTooLong ? AnswerBound.Length : AnswerBound.Memory);
+      this.#failInvalid("first line exceeds the size limit");
+    }
+    return isKept;
+  }
+
   #handleLine(bytes: Uint8Array): void {
-    const text = Buffer.from(bytes).toString("utf8");
-    const line = JSON.parse(text) as ResponseLine;
-    if ("head" in line) {
+    const line = decodeResponseLine(bytes);
+    this.#pending.dispose();
+    if (line === null) {
+      this.#failInvalid("first line is not valid");
+    } else if ("head" in line) {
       this.#receiver.onHead(line.head);
     } else if (this.#finish()) {
       this.#receiver.onFailure(line.failure, line.detail);
@@ -300,7 +348,7 @@
   }
 
   #handleNotTaken(): void {
-    const text = Buffer.from(this.#pending).toString("utf8");
+    const text = Buffer.from(this.#pending.join()).toString("utf8");
     const refusal = readRefusal(text);
     if (this.#finish()) {
       this.#receiver.onRefused(refusal, `status ${this.#status}`);
@@ -308,9 +356,9 @@
   }
 
   /** The bytes are of another program; the peer may have sent the call. */
-  #failTooLong(): void {
+  #failInvalid(detail: string): void {
     if (this.#finish()) {
-      this.#controller?.abort(new Error("first line exceeds the size limit"));
+      this.#controller?.abort(new Error(detail));
       this.#receiver.onFailure(SendFailure.PathLost, "no valid response");
     }
   }
@@ -327,6 +375,7 @@
       return false;
     }
     this.#isFinished = true;
+    this.#pending.dispose();
     // Deferred, because undici's current call still uses the connection.
     queueMicrotask(this.onDone);
     return true;
--- a/src/adapters/http/http_clients.ts
+++ b/src/adapters/http/http_clients.ts
@@ -25,7 +25,7 @@
 export class HttpClients {
   readonly memory: AnswerMemory;
   readonly #controlMemory: AnswerMemory;
-  readonly #recorder: IAnswerBoundRecorder;
+  readonly recorder: IAnswerBoundRecorder;
   readonly #schedule = new InputSchedule();
 
   constructor({
@@ -35,7 +35,7 @@
   }: IHttpClientParts = {}) {
     this.memory = memory;
     this.#controlMemory = controlMemory;
-    this.#recorder = recorder;
+    this.recorder = recorder;
   }
 
   /**
@@ -59,7 +59,7 @@
     return readText(body, {
       limit,
       memory,
-      onExceeded: (bound) => this.#recorder.record(bound, source),
+      onExceeded: (bound) => this.recorder.record(bound, source),
     });
   }
 
@@ -89,7 +89,7 @@
   get #parts(): IClientParts {
     const { memory } = this;
     const schedule = this.#schedule;
-    return { schedule, memory, recorder: this.#recorder };
+    return { schedule, memory, recorder: this.recorder };
   }
 }
 
