Fill open blocks before long pieces are kept as they were read

Cause: a long piece that fills its buffer closed the open block, which was charged for its whole length however little it held.

Change: while a block has room, pieces are copied into it; they are kept as read only when there is none.

--- a/src/common/calls/byte_pieces.ts
+++ b/src/common/calls/byte_pieces.ts
@@ -49,7 +49,9 @@
   add(piece: Uint8Array): boolean {
     const isLong = piece.length >= LONG_PIECE || this.#length === 0;
     const isWhole = piece.length >= piece.buffer.byteLength * SHARE_OF_BUFFER;
-    const isAdded = isLong && isWhole ? this.#keep(piece) : this.#copy(piece);
+    // A block that is closed early takes its length all the same.
+    const isKept = isLong && isWhole && !this.#hasRoom;
+    const isAdded = isKept ? this.#keep(piece) : this.#copy(piece);
     this.#length += isAdded ? piece.length : 0;
     return isAdded;
   }
@@ -83,6 +85,11 @@
     this.#length = 0;
   }
 
+  /** Whether there is a block that is not full. */
+  get #hasRoom(): boolean {
+    return this.#block !== null && this.#filled < this.#block.length;
+  }
+
   #keep(piece: Uint8Array): boolean {
     if (!this.#grow(piece.buffer.byteLength + OVERHEAD)) {
       return false;
@@ -110,7 +117,7 @@
 
   /** A block with room for at least a byte; null if none may be added. */
   #openBlock(rest: number): Uint8Array | null {
-    if (this.#block !== null && this.#filled < this.#block.length) {
+    if (this.#hasRoom) {
       return this.#block;
     }
     this.#closeBlock();
--- a/src/common/calls/byte_pieces_test.ts
+++ b/src/common/calls/byte_pieces_test.ts
@@ -58,6 +58,35 @@
     expect(taken).to.be.at.most(600_000);
   });
 
+  // Guards against sound messages that are refused for what their pieces take.
+  it("takes little more than its bytes, however it was cut", () => {
+    const lengths = fc.array(fc.integer({ min: 1, max: 70_000 }), {
+      minLength: 1,
+      maxLength: 60,
+    });
+    const property = fc.property(lengths, fc.nat(), (parts, extra) => {
+      const pieces = parts.map((length, index) => {
+        const isPart = (extra >> (index % 16)) % 2 === 1;
+        const buffer = new Uint8Array(length + (isPart ? 9_000 : 0));
+        return buffer.subarray(0, length);
+      });
+      const { kept, taken } = keep(pieces);
+      expect(taken).to.be.at.most(kept.length * 1.2 + 17_000);
+    });
+    fc.assert(property, { seed: 20261206 });
+  });
+
+  it("takes little more than its bytes in segments of any length", () => {
+    for (const length of [1_460, 4_097, 8_191, 8_192, 9_000, 65_536]) {
+      const pieces = Array.from(
+        { length: Math.floor(8_388_608 / length) },
+        (_, index) => new Uint8Array(index % 2 === 0 ? length : length / 3),
+      );
+      const { kept, taken } = keep(pieces);
+      expect(taken, `${length}`).to.be.at.most(kept.length * 1.1 + 17_000);
+    }
+  });
+
   it("takes little more than its bytes for a short message", () => {
     const { taken } = keep([new Uint8Array(BUFFER_LENGTH).subarray(0, 800)]);
     expect(taken).to.be.at.most(1_500);
