Charge a stream for the event that is not complete, and no longer

Cause: what the unfinished event takes was charged only with pieces that completed no event. After one long event the stream kept the memory of it until its end, so that few streams filled the memory of all answers (found by the review, 1 MB charged for a stream that kept nothing).

Change: the share follows the buffer with each piece.

--- a/src/common/calls/model_send.ts
+++ b/src/common/calls/model_send.ts
@@ -149,12 +149,12 @@
       return;
     }
     const events = this.#splitter.push(bytes);
-    if (events.length > 0) {
-      this.#owner.onEvents(this, events);
-    } else if (this.#splitter.isTooLong) {
+    if (this.#splitter.isTooLong) {
       this.#failAtEvent(AnswerBound.Event);
     } else if (!this.#keepsEvent()) {
       this.#failAtEvent(AnswerBound.Memory);
+    } else if (events.length > 0) {
+      this.#owner.onEvents(this, events);
     }
   }
 
