Alternate inputs that wait on with those that begin to wait

What callers saw: nothing yet, found by the review of the bound on work.

Cause: whoever had taken least time came first, and began at zero with each short answer; what had arrived waited for a turn while its connection was reset. Time was counted twice, and each input got a piece a turn at most.

Change: inputs are read for a millisecond each, in turn, those that begin to wait alternating with those that wait on, until the turn's time is spent. An answer that has taken under 2 ms is read at once, within a further 10 ms of the turn.

--- a/src/adapters/http/answer_guards.ts
+++ b/src/adapters/http/answer_guards.ts
@@ -48,6 +48,7 @@
   }
 
   onRequestStart(...call: Parameters<Required<Handler>["onRequestStart"]>) {
+    this.#parts.input()?.recordStart();
     this.#handler.onRequestStart?.(...call);
   }
 
@@ -83,6 +84,7 @@
   }
 
   onConnect(...call: Parameters<Callbacks["onConnect"]>) {
+    this.#parts.input()?.recordStart();
     this.#handler.onConnect(...call);
   }
 
--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -27,6 +27,9 @@
 /** Bytes of memory that each byte of an incomplete head takes. */
 const HEAD_FACTOR = 64;
 
+/** Time that an answer takes while it counts as short, milliseconds. */
+const SHORT_TIME = 2;
+
 /** Where a connection's input is accounted for. */
 export interface IAnswerInputParts {
   readonly schedule: InputSchedule;
@@ -49,6 +52,8 @@
   /** Bytes received that are neither content nor allowed beside it. */
   #excess = 0;
   #isHeadOpen = true;
+  /** Milliseconds that the current answer has taken. */
+  #taken = 0;
 
   constructor(socket: Socket, parts: IAnswerInputParts) {
     this.#socket = socket;
@@ -62,6 +67,11 @@
     socket.once("close", () => this.#close());
   }
 
+  /** A request is written, whose answer comes next. */
+  recordStart(): void {
+    this.#taken = 0;
+  }
+
   /** The head of an answer is complete. */
   recordHead(): void {
     this.#isHeadOpen = false;
@@ -96,7 +106,7 @@
     if (readableLength === 0 || destroyed) {
       return this.#read();
     }
-    if (!this.#isCalled && !this.#parts.schedule.tryRead(this)) {
+    if (!this.#isCalled && !this.#mayRead) {
       return null;
     }
     this.#isCalled = false;
@@ -109,12 +119,19 @@
     return piece;
   }
 
+  /** Whether the parser may have the next piece now. */
+  get #mayRead(): boolean {
+    return this.#parts.schedule.tryRead(this, this.#taken < SHORT_TIME);
+  }
+
   /** The parser has parsed its last piece. */
   #endPiece(): void {
     if (this.#pieceAt === null) {
       return;
     }
-    this.#parts.schedule.recordTime(this, performance.now() - this.#pieceAt);
+    const time = performance.now() - this.#pieceAt;
+    this.#parts.schedule.recordTime(this, time);
+    this.#taken += time;
     this.#pieceAt = null;
     if (this.#excess > LONGEST_FRAMING) {
       this.#fail(AnswerBound.Framing);
--- /dev/null
+++ b/src/adapters/http/answer_input_test.ts
@@ -0,0 +1,51 @@
+import { PassThrough } from "node:stream";
+import type { Socket } from "node:net";
+import { expect } from "chai";
+import { AnswerMemory } from "../../common/calls/answer_memory.ts";
+import { InputSchedule } from "../input_schedule.ts";
+import { AnswerInput } from "./answer_input.ts";
+
+/** Milliseconds; more than reading may take in a turn of the event loop. */
+const WHOLE_TURN = 1_000;
+
+/** A connection to which a test writes, whose input has no time left. */
+class Harness {
+  readonly socket = new PassThrough() as unknown as Socket;
+  readonly input: AnswerInput;
+
+  constructor() {
+    const schedule = new InputSchedule();
+    this.input = new AnswerInput(this.socket, {
+      schedule,
+      memory: new AnswerMemory(),
+      onExceeded: () => undefined,
+    });
+    const other = { readPiece: () => false };
+    schedule.tryRead(other);
+    schedule.recordTime(other, WHOLE_TURN);
+  }
+
+  /** Writes bytes and returns what the parser gets at once. */
+  read(text: string): string | null {
+    this.socket.write(text);
+    const piece = this.socket.read() as Buffer | null;
+    return piece?.toString() ?? null;
+  }
+}
+
+describe("AnswerInput", () => {
+  it("puts an answer off when the turn has no time left", async () => {
+    const { socket, input } = new Harness();
+    input.recordStart();
+    socket.write("answer");
+    expect(socket.read()).to.equal(null);
+    const pieces: string[] = [];
+    socket.on("readable", () => {
+      const piece = socket.read() as Buffer | null;
+      pieces.push(...(piece === null ? [] : [piece.toString()]));
+    });
+    await new Promise((resolve) => setImmediate(resolve));
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(pieces).to.deep.equal(["answer"]);
+  });
+});
--- a/src/adapters/http/http_clients_test.ts
+++ b/src/adapters/http/http_clients_test.ts
@@ -11,7 +11,10 @@
 import type { IEndlessAnswer } from "../../../test/support/endless_pieces.ts";
 import { waitFor } from "../../../test/support/process_handle.ts";
 import { AnswerBound } from "../../common/calls/answer_bounds.ts";
-import { AnswerMemory } from "../../common/calls/answer_memory.ts";
+import {
+  AnswerMemory,
+  LONGEST_ANSWER,
+} from "../../common/calls/answer_memory.ts";
 import { HttpClients } from "./http_clients.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
@@ -22,6 +25,9 @@
 /** Bytes; more than any answer, and what is on its way, may take. */
 const MOST_BYTES = 16_777_216;
 
+/** Connections of a flood. */
+const FLOODS = 10;
+
 /** Fields of a head that is not complete. */
 const FIELDS = 4_000;
 
@@ -71,6 +77,17 @@
   return { bounds, text, sent };
 }
 
+function answerOf(content: string): string {
+  const length = content.length;
+  return `HTTP/1.1 200 OK\r\ncontent-length: ${length}\r\n\r\n${content}`;
+}
+
+/** The longest answer in chunks of a length. */
+function chunksOf(length: number): string {
+  const chunk = `${length.toString(16)}\r\n${"x".repeat(length)}\r\n`;
+  return `${HEAD}${chunk.repeat(LONGEST_ANSWER / length)}0\r\n\r\n`;
+}
+
 /** Writes a text a few bytes at a time. */
 function writeSlowly(socket: Socket, text: string, length: number): void {
   const [part, rest] = [text.slice(0, length), text.slice(length)];
@@ -80,6 +97,48 @@
   }
 }
 
+/** Connections whose answers in pieces go on while others are read. */
+class Flood implements AsyncDisposable {
+  readonly #target: RawTarget;
+  readonly #agent: TestAgent;
+  readonly #clients: HttpClients;
+  readonly #open = new Set<Socket>();
+
+  constructor(clients: HttpClients) {
+    const open = this.#open;
+    this.#target = new RawTarget((_, socket) => {
+      if (!open.has(socket)) {
+        open.add(socket);
+        writePieces(socket, ENDLESS_PIECES.chunks);
+      }
+    });
+    this.#clients = clients;
+    this.#agent = new TestAgent(clients);
+  }
+
+  get #isRead(): boolean {
+    const open = [...this.#open];
+    return open.length === FLOODS && open.every((one) => one.bytesWritten > 0);
+  }
+
+  async start(): Promise<void> {
+    const source = await this.#target.listen();
+    for (let connection = 0; connection < FLOODS; connection += 1) {
+      void request(`http://${source}/`, this.#agent)
+        .then(({ body }) =>
+          this.#clients.readText(body, { limit: LONGEST_ANSWER, source }),
+        )
+        .catch(() => null);
+    }
+    await waitFor("answers in pieces arrive", () => this.#isRead);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#agent[Symbol.asyncDispose]();
+    await this.#target[Symbol.asyncDispose]();
+  }
+}
+
 describe("HttpClients", () => {
   // Guards against bytes beside any answer that are read for as long as their
   // sender likes.
@@ -161,6 +220,28 @@
     expect(bounds).to.deep.equal([]);
   });
 
+  // Guards against sound answers that are cut, or starved, beside others.
+  for (const [name, chunk] of [
+    ["with a length", null],
+    ["in chunks", 64],
+  ] as const) {
+    it(`reads the longest answer beside a flood: ${name}`, async () => {
+      const clients = new HttpClients();
+      await using flood = new Flood(clients);
+      await flood.start();
+      await using target = new RawTarget((_, socket) => {
+        const content = "x".repeat(LONGEST_ANSWER);
+        socket.write(chunk === null ? answerOf(content) : chunksOf(chunk));
+      });
+      const source = await target.listen();
+      await using agent = new TestAgent(clients);
+      const { body } = await request(`http://${source}/`, agent);
+      const limit = LONGEST_ANSWER;
+      const text = await clients.readText(body, { limit, source });
+      expect(text.length).to.equal(LONGEST_ANSWER);
+    });
+  }
+
   it("reads many answers on one connection", async () => {
     await using target = new RawTarget((_, socket) =>
       socket.write(`${HEAD}1\r\nx\r\n0\r\n\r\n`),
--- a/src/adapters/input_schedule.ts
+++ b/src/adapters/input_schedule.ts
@@ -7,6 +7,12 @@
 /** Time of a turn of the event loop that goes into reading, milliseconds. */
 const TURN_TIME = 10;
 
+/** Time of a turn beyond that which is left for short inputs, milliseconds. */
+const SHORT_INPUT_TIME = 10;
+
+/** Time that an input may take at once while others wait, milliseconds. */
+const QUANTUM = 1;
+
 /** Input that is read piece by piece. */
 export interface IScheduledInput {
   /** Reads the next piece; returns whether another one can be read at once. */
@@ -14,13 +20,16 @@
 }
 
 /**
- * Reads inputs in turn, a piece of each at a time. In each turn those that have
- * taken least time come first, so that a short input is not behind long ones.
+ * Reads inputs in turn, some pieces of each at a time. Those that begin to wait
+ * alternate with those that wait on, so that neither holds up the other.
  */
 export class InputSchedule {
+  /** Inputs that have begun to wait. */
+  readonly #beginning = new Set<IScheduledInput>();
+  /** Inputs that have been read since, the longest unread first. */
   readonly #waiting = new Set<IScheduledInput>();
-  /** Milliseconds that went into inputs which have not been read to their end. */
-  readonly #taken = new Map<IScheduledInput, number>();
+  /** The input whose pieces are being read. */
+  #current: IScheduledInput | null = null;
   /** Milliseconds of this turn that went into reading. */
   #spent = 0;
   #hasTurnEnd = false;
@@ -35,39 +44,54 @@
   /**
    * Whether an input may read a piece now, by itself; it is read in a later turn
    * if not. It reports the time with {@link recordTime}.
+   *
+   * @param isShort - whether it has taken little time so far
    */
-  tryRead(input: IScheduledInput): boolean {
+  tryRead(input: IScheduledInput, isShort = false): boolean {
     this.#scheduleTurnEnd();
-    if (this.#waiting.size > 0 || this.#spent >= TURN_TIME) {
-      this.#waiting.add(input);
+    if (input === this.#current) {
       return false;
     }
-    return true;
+    const mayRead = isShort
+      ? this.#spent < TURN_TIME + SHORT_INPUT_TIME
+      : this.#spent < TURN_TIME && this.#isEmpty;
+    if (!mayRead && !this.#waiting.has(input)) {
+      this.#beginning.add(input);
+    }
+    return mayRead;
   }
 
   /** @param time - milliseconds that an input has taken by itself */
   recordTime(input: IScheduledInput, time: number): void {
-    this.#spent += time;
-    if (this.#waiting.has(input)) {
-      this.#taken.set(input, (this.#taken.get(input) ?? 0) + time);
-    }
+    // The time of the current input is measured as a whole.
+    this.#spent += input === this.#current ? 0 : time;
   }
 
   delete(input: IScheduledInput): void {
+    this.#beginning.delete(input);
     this.#waiting.delete(input);
-    this.#taken.delete(input);
   }
 
+  get #isEmpty(): boolean {
+    return this.#beginning.size === 0 && this.#waiting.size === 0;
+  }
+
+  /** Reads pieces of an input until it has no more or has taken enough. */
   #read(input: IScheduledInput): void {
     const startedAt = performance.now();
-    const hasMore = input.readPiece();
-    const time = performance.now() - startedAt;
+    const outer = this.#current;
+    this.#current = input;
+    let hasMore = true;
+    let time = 0;
+    while (hasMore && time < QUANTUM) {
+      hasMore = input.readPiece();
+      time = performance.now() - startedAt;
+    }
+    this.#current = outer;
     this.#spent += time;
     if (hasMore) {
+      this.#beginning.delete(input);
       this.#waiting.add(input);
-      this.#taken.set(input, (this.#taken.get(input) ?? 0) + time);
-    } else {
-      this.delete(input);
     }
   }
 
@@ -81,18 +105,17 @@
   #startTurn(): void {
     this.#hasTurnEnd = false;
     this.#spent = 0;
-    const taken = (input: IScheduledInput) => this.#taken.get(input) ?? 0;
-    const waiting = [...this.#waiting];
-    for (const input of waiting.sort((a, b) => taken(a) - taken(b))) {
-      if (this.#spent >= TURN_TIME) {
-        break;
-      }
-      // It may have been closed while another one was read.
-      if (this.#waiting.delete(input)) {
+    let preferred = this.#beginning;
+    while (this.#spent < TURN_TIME && !this.#isEmpty) {
+      const [input] = preferred;
+      if (input !== undefined) {
+        preferred.delete(input);
         this.#read(input);
       }
+      preferred =
+        preferred === this.#beginning ? this.#waiting : this.#beginning;
     }
-    if (this.#waiting.size > 0) {
+    if (!this.#isEmpty) {
       this.#scheduleTurnEnd();
     }
   }
