Put nothing off that arrives while no answer is awaited

Cause: the HTTP client reads an idle connection before it writes a request, so that what a target sent unasked closes the connection. With the process's time for reading spent, that read was put off, the request was written, and the old bytes were parsed as its answer.

Change: a read is put off only between the start of a request and the end of its answer. The unit test with a schedule that has no time left failed before (null in place of the bytes). The test beside a flood passed before as well.

--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -52,6 +52,8 @@
   /** Bytes received that are neither content nor allowed beside it. */
   #excess = 0;
   #isHeadOpen = true;
+  /** Whether an answer is awaited; what arrives otherwise belongs to none. */
+  #isAwaited = false;
   /** Milliseconds that the current answer has taken. */
   #taken = 0;
 
@@ -69,6 +71,7 @@
 
   /** A request is written, whose answer comes next. */
   recordStart(): void {
+    this.#isAwaited = true;
     this.#taken = 0;
   }
 
@@ -88,6 +91,7 @@
   recordEnd(): void {
     this.#excess = 0;
     this.#isHeadOpen = true;
+    this.#isAwaited = false;
   }
 
   /** Has the parser read; it may read one piece. */
@@ -119,9 +123,13 @@
     return piece;
   }
 
-  /** Whether the parser may have the next piece now. */
+  /**
+   * Whether the parser may have the next piece now. What arrived before a request
+   * must be parsed before it is written, or it would be taken for its answer.
+   */
   get #mayRead(): boolean {
-    return this.#parts.schedule.tryRead(this, this.#taken < SHORT_TIME);
+    const isShort = this.#taken < SHORT_TIME;
+    return !this.#isAwaited || this.#parts.schedule.tryRead(this, isShort);
   }
 
   /** The parser has parsed its last piece. */
--- a/src/adapters/http/answer_input_test.ts
+++ b/src/adapters/http/answer_input_test.ts
@@ -48,4 +48,15 @@
     await new Promise((resolve) => setImmediate(resolve));
     expect(pieces).to.deep.equal(["answer"]);
   });
+
+  // Guards against bytes that came before a request and are parsed after it, as
+  // its answer.
+  it("puts nothing off while no answer is awaited", () => {
+    const harness = new Harness();
+    expect(harness.read("before")).to.equal("before");
+    harness.input.recordStart();
+    harness.input.recordHead();
+    harness.input.recordEnd();
+    expect(harness.read("after")).to.equal("after");
+  });
 });
--- a/src/adapters/http/http_clients_test.ts
+++ b/src/adapters/http/http_clients_test.ts
@@ -1,5 +1,6 @@
 /** Answers that meet the bounds of a connection, and sound ones that do not. */
 import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "chai";
 import { request } from "undici";
 import type { Agent } from "undici";
@@ -220,6 +221,32 @@
     expect(bounds).to.deep.equal([]);
   });
 
+  // Guards against an answer that was written before the request, and is taken
+  // for the answer to it because reading was put off.
+  it("takes nothing that came before a request for its answer", async () => {
+    const clients = new HttpClients();
+    await using flood = new Flood(clients);
+    await flood.start();
+    const answered = new Set<Socket>();
+    await using target = new RawTarget((_, socket) => {
+      socket.write(answerOf("sound"));
+      if (!answered.has(socket)) {
+        answered.add(socket);
+        setTimeout(() => socket.write(answerOf("stale")), 1);
+      }
+    });
+    const origin = `http://${await target.listen()}`;
+    await using agent = new TestAgent(clients, { connections: 1 });
+    for (let answer = 0; answer < 60; answer += 1) {
+      const text = await request(origin, agent)
+        .then(({ body }) => body.text())
+        .catch(() => null);
+      // A connection with a stale answer is closed, and its request may fail.
+      expect(text).to.be.oneOf(["sound", null]);
+      await sleep(answer % 5);
+    }
+  });
+
   // Guards against sound answers that are cut, or starved, beside others.
   for (const [name, chunk] of [
     ["with a length", null],
