Hold the end of a connection while its parser is paused

Cause: an assertion of the HTTP client. It parses no end while the content that it has passed on waits to be read, and the assertion fails in a listener, where nothing handles it. For answers without a length it also takes a reset for their end, so that a cut answer looked whole to all but the calls of the entry process, which check this themselves.

Change: AnswerInput holds the end back until the parser goes on, and reports a reset under a code of its own, which the client handles as a broken answer.

Evidence: both tests failed before: an uncaught AssertionError, and a cut answer that was read as whole.

--- a/src/adapters/http/answer_guards.ts
+++ b/src/adapters/http/answer_guards.ts
@@ -89,15 +89,20 @@
   }
 
   onHeaders(...call: Parameters<Callbacks["onHeaders"]>): boolean {
-    const [status, names] = call;
+    const [status, names, resume, text] = call;
     recordHead(status, names.length / 2, this.#parts);
-    return this.#handler.onHeaders(...call);
+    const resumeInput = () => {
+      this.#parts.input()?.recordResume();
+      resume();
+    };
+    const goesOn = this.#handler.onHeaders(status, names, resumeInput, text);
+    return this.#recordPause(goesOn);
   }
 
   onData(...call: Parameters<Callbacks["onData"]>): boolean {
     const [chunk] = call;
     this.#parts.input()?.recordContent(chunk.length);
-    return this.#handler.onData(...call);
+    return this.#recordPause(this.#handler.onData(...call));
   }
 
   onComplete(...call: Parameters<Callbacks["onComplete"]>) {
@@ -108,6 +113,15 @@
   onError(...call: Parameters<Callbacks["onError"]>) {
     this.#handler.onError(...call);
   }
+
+  /** The parser pauses unless its handler goes on. */
+  #recordPause(goesOn: boolean): boolean {
+    // Provisional heads return nothing.
+    if ((goesOn as boolean | undefined) === false) {
+      this.#parts.input()?.recordPause();
+    }
+    return goesOn;
+  }
 }
 
 /** @throws {AnswerBoundError} if the head has too many fields */
--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -30,6 +30,8 @@
 /** Time that an answer takes while it counts as short, milliseconds. */
 const SHORT_TIME = 2;
 
+const RESET_CODE = "ECONNRESET";
+
 /** Where a connection's input is accounted for. */
 export interface IAnswerInputParts {
   readonly schedule: InputSchedule;
@@ -56,6 +58,8 @@
   #isAwaited = false;
   /** Milliseconds that the current answer has taken. */
   #taken = 0;
+  /** Whether the parser waits until the content that it has passed on is read. */
+  #isPaused = false;
 
   constructor(socket: Socket, parts: IAnswerInputParts) {
     this.#socket = socket;
@@ -65,7 +69,10 @@
     );
     this.#read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     socket.read = (size?: number) =>
-      size === 0 ? this.#read(size) : this.#readNext();
+      size === 0 ? this.#prepareRead() : this.#readNext();
+    const destroy = socket.destroy.bind(socket);
+    socket.destroy = (error?: Error) =>
+      destroy(error === undefined ? undefined : brokenOffBy(error));
     socket.once("close", () => this.#close());
   }
 
@@ -94,6 +101,14 @@
     this.#isAwaited = false;
   }
 
+  recordPause(): void {
+    this.#isPaused = true;
+  }
+
+  recordResume(): void {
+    this.#isPaused = false;
+  }
+
   /** Has the parser read; it may read one piece. */
   readPiece(): boolean {
     this.#isCalled = true;
@@ -103,6 +118,15 @@
     return hasRead && this.#socket.readableLength > 0;
   }
 
+  /**
+   * Has the socket receive more, or report its end. The parser cannot handle the
+   * end while it is paused.
+   */
+  #prepareRead(): Buffer | null {
+    const isHeld = this.#isPaused && this.#socket.readableLength === 0;
+    return isHeld ? null : this.#read(0);
+  }
+
   /** Null if nothing has arrived, or until the schedule calls for it. */
   #readNext(): Buffer | null {
     this.#endPiece();
@@ -164,3 +188,21 @@
     this.#headShare.dispose();
   }
 }
+
+/**
+ * The parser takes a reset for the end of an answer without a length, and cannot
+ * handle it while it is paused; it handles other errors as a broken answer.
+ */
+function brokenOffBy(error: Error): Error {
+  const isReset = "code" in error && error.code === RESET_CODE;
+  return isReset ? new ConnectionResetError(error) : error;
+}
+
+/** The other side has reset the connection. */
+class ConnectionResetError extends Error {
+  readonly code = "CONNECTION_RESET";
+
+  constructor(cause: Error) {
+    super("the connection was reset", { cause });
+  }
+}
--- a/src/adapters/http/answer_input_test.ts
+++ b/src/adapters/http/answer_input_test.ts
@@ -59,4 +59,13 @@
     harness.input.recordEnd();
     expect(harness.read("after")).to.equal("after");
   });
+
+  // Guards against an error that the parser takes for the end of an answer.
+  it("reports a reset as an error of its own", async () => {
+    const { socket } = new Harness();
+    const reported = new Promise((resolve) => socket.on("error", resolve));
+    const error = Object.assign(new Error("read"), { code: "ECONNRESET" });
+    socket.destroy(error);
+    expect(await reported).to.include({ code: "CONNECTION_RESET" });
+  });
 });
--- a/src/adapters/http/http_clients_test.ts
+++ b/src/adapters/http/http_clients_test.ts
@@ -269,6 +269,37 @@
     });
   }
 
+  // Guards against an end that the parser meets while it is paused: its failed
+  // assertion would end the process.
+  it("holds the end of an answer until its content is read", async () => {
+    for (let length = 64_000; length < 75_000; length += 480) {
+      await using target = new RawTarget((_, socket) =>
+        socket.end(`HTTP/1.1 200 OK\r\n\r\n${"x".repeat(length)}`),
+      );
+      const clients = new HttpClients();
+      await using agent = new TestAgent(clients);
+      const { body } = await request(`http://${await target.listen()}`, agent);
+      await sleep(5);
+      expect((await body.text()).length).to.equal(length);
+    }
+  });
+
+  it("reports a reset while the content is not read", async () => {
+    for (let length = 64_000; length < 100_000; length += 4_800) {
+      await using target = new RawTarget((_, socket) => {
+        socket.write(`HTTP/1.1 200 OK\r\n\r\n${"x".repeat(length)}`);
+        setTimeout(() => socket.resetAndDestroy(), 5);
+      });
+      const clients = new HttpClients();
+      await using agent = new TestAgent(clients);
+      const { body } = await request(`http://${await target.listen()}`, agent);
+      body.on("error", () => undefined);
+      await sleep(20);
+      const text = await body.text().catch(() => null);
+      expect(text).to.equal(null);
+    }
+  });
+
   it("reads many answers on one connection", async () => {
     await using target = new RawTarget((_, socket) =>
       socket.write(`${HEAD}1\r\nx\r\n0\r\n\r\n`),
