Log each source of cut answers, and the HTTP client's own bound

Heads of the store and of other processes were charged to the memory of answers to calls, so that a flood of those could close a sound connection to the store; they are charged with the other answers to the process.

--- a/src/adapters/http/answer_guards.ts
+++ b/src/adapters/http/answer_guards.ts
@@ -3,6 +3,7 @@
  * HTTP client has two kinds of handlers: `request` brings one with callbacks,
  * other callers one with a controller.
  */
+import { errors } from "undici";
 import type { Dispatcher } from "undici";
 import {
   AnswerBound,
@@ -70,6 +71,8 @@
   }
 
   onResponseError(...call: Parameters<Required<Handler>["onResponseError"]>) {
+    const [, error] = call;
+    recordError(error, this.#parts);
     this.#handler.onResponseError?.(...call);
   }
 }
@@ -111,6 +114,8 @@
   }
 
   onError(...call: Parameters<Callbacks["onError"]>) {
+    const [error] = call;
+    recordError(error, this.#parts);
     this.#handler.onError(...call);
   }
 
@@ -140,6 +145,13 @@
   }
 }
 
+/** The HTTP client has a bound of its own on names and values of heads. */
+function recordError(error: Error, { onExceeded }: IAnswerGuardParts): void {
+  if (error instanceof errors.HeadersOverflowError) {
+    onExceeded(AnswerBound.Framing);
+  }
+}
+
 function countFields(
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): number {
--- a/src/adapters/http/http_clients.ts
+++ b/src/adapters/http/http_clients.ts
@@ -70,19 +70,16 @@
 
   /** The clients of one origin. */
   createPool(origin: string | URL, options: Pool.Options): Pool {
-    return new Pool(origin, {
-      ...options,
-      factory: (url, clientOptions) =>
-        this.createClient(url, clientOptions as Client.Options),
-    });
+    return createPool(origin, options, this.#parts);
   }
 
-  /** Clients of any origin. */
+  /** Clients of any origin; they are charged with other control answers. */
   createAgent(options: Agent.Options): Agent {
+    const parts = { ...this.#parts, memory: this.#controlMemory };
     return new Agent({
       ...options,
       factory: (url, poolOptions) =>
-        this.createPool(url, poolOptions as Pool.Options),
+        createPool(url, poolOptions as Pool.Options, parts),
     });
   }
 
@@ -93,6 +90,18 @@
   }
 }
 
+function createPool(
+  origin: string | URL,
+  options: Pool.Options,
+  parts: IClientParts,
+): Pool {
+  return new Pool(origin, {
+    ...options,
+    factory: (url, clientOptions) =>
+      new GuardedClient(url, clientOptions as Client.Options, parts),
+  });
+}
+
 interface IClientParts {
   readonly schedule: InputSchedule;
   readonly memory: AnswerMemory;
--- a/src/common/calls/answer_bounds.ts
+++ b/src/common/calls/answer_bounds.ts
@@ -1,13 +1,15 @@
 /**
  * Bounds on what others answer, and what operators learn of those that are met.
- * Answers within their protocol meet none of them.
  */
 import type { IClock, ILog, IMetrics } from "../services/services.ts";
 import type { MonotonicTime } from "../types.ts";
 
-/** Shortest time between two lines on the same bound, milliseconds. */
+/** Shortest time between two lines on a bound and a source, milliseconds. */
 const LINE_PERIOD = 1_000;
 
+/** Bounds and sources that are counted apart; beyond it counts begin anew. */
+const MAXIMUM_COUNTS = 1_000;
+
 /** What an answer exceeded. */
 export enum AnswerBound {
   /** Bytes of its content. */
@@ -51,12 +53,12 @@
   loggedAt: MonotonicTime;
 }
 
-/** Counts the bounds that are met, and logs each at most once a second. */
+/** Counts the bounds that are met, and logs each source once a second at most. */
 export class AnswerBoundRecorder implements IAnswerBoundRecorder {
   readonly #clock: IClock;
   readonly #log: ILog;
   readonly #metrics: IMetrics;
-  readonly #occurrences = new Map<AnswerBound, IOccurrences>();
+  readonly #occurrences = new Map<string, IOccurrences>();
 
   constructor(parts: {
     readonly clock: IClock;
@@ -70,12 +72,8 @@
 
   record(bound: AnswerBound, source: string): void {
     const now = this.#clock.now();
-    const seen = this.#occurrences.get(bound) ?? {
-      count: 0,
-      loggedAt: Number.NEGATIVE_INFINITY,
-    };
+    const seen = this.#occurrencesOf(`${bound} ${source}`);
     seen.count += 1;
-    this.#occurrences.set(bound, seen);
     this.#metrics.count("answers_cut", { bound });
     if (now - seen.loggedAt >= LINE_PERIOD) {
       this.#log.warn("answer_cut", { bound, source, count: seen.count });
@@ -83,4 +81,17 @@
       seen.loggedAt = now;
     }
   }
+
+  #occurrencesOf(key: string): IOccurrences {
+    const seen = this.#occurrences.get(key);
+    if (seen !== undefined) {
+      return seen;
+    }
+    if (this.#occurrences.size >= MAXIMUM_COUNTS) {
+      this.#occurrences.clear();
+    }
+    const first = { count: 0, loggedAt: Number.NEGATIVE_INFINITY };
+    this.#occurrences.set(key, first);
+    return first;
+  }
 }
