Pause what a link reads while its other end does not

What was seen: a test in which a target writes without end to a process that does not read, through a link, grows without a bound itself.

Cause: the fault proxy wrote on whatever it read, and kept what its reader did not take.

Change: PacedWriter, one for each direction, pauses the reading side while more than 1 MB waits, with the bytes that are delayed, and resumes it once they are written or their reader is gone. What a link's modes drop, hold or cut is as before.

All bytes arrive in their order.

--- a/src/stand_ins/fault_proxy/fault_proxy.ts
+++ b/src/stand_ins/fault_proxy/fault_proxy.ts
@@ -2,6 +2,7 @@
 import { connect, createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { listenOn, splitAddress } from "../../adapters/listen.ts";
+import { PacedWriter } from "./paced_writer.ts";
 
 /** What a link does with connections and their bytes. */
 export enum LinkMode {
@@ -41,6 +42,8 @@
 interface IProxiedConnection {
   readonly client: Socket;
   readonly target: Socket;
+  readonly toClient: PacedWriter;
+  readonly toTarget: PacedWriter;
   isSilenced: boolean;
   /** Bytes held back; null while the connection is not held. */
   held: Buffer[] | null;
@@ -131,7 +134,7 @@
   releaseHeld(options: { readonly losesAnswer?: boolean } = {}): void {
     for (const connection of this.#connections) {
       if (connection.held !== null) {
-        connection.held.forEach((bytes) => connection.target.write(bytes));
+        connection.held.forEach((bytes) => connection.toTarget.write(bytes));
         connection.held = null;
         connection.losesAnswer = options.losesAnswer ?? false;
       }
@@ -158,6 +161,8 @@
     const connection: IProxiedConnection = {
       client,
       target,
+      toClient: new PacedWriter(target, client),
+      toTarget: new PacedWriter(client, target),
       isSilenced: false,
       held: null,
       losesAnswer: false,
@@ -190,7 +195,7 @@
       return;
     }
     if (!this.#isSilent(connection) && this.#mode !== LinkMode.DropRequests) {
-      this.#sendDelayed(() => connection.target.write(bytes));
+      connection.toTarget.write(bytes, this.#delay);
     }
   }
 
@@ -223,14 +228,14 @@
       !this.#isSilent(connection) &&
       this.#mode !== LinkMode.DropAnswers
     ) {
-      this.#sendDelayed(() => connection.client.write(bytes));
+      connection.toClient.write(bytes, this.#delay);
     }
   }
 
   #forwardStart(connection: IProxiedConnection, bytes: Buffer): void {
     const left = Math.max(0, this.#answerLength - connection.answered);
     connection.answered += bytes.length;
-    connection.client.write(bytes.subarray(0, left));
+    connection.toClient.write(bytes.subarray(0, left));
     if (bytes.length >= left) {
       connection.client.end();
     }
@@ -240,14 +245,6 @@
     return connection.isSilenced || this.#mode === LinkMode.Silent;
   }
 
-  #sendDelayed(send: () => void): void {
-    if (this.#delay === 0) {
-      send();
-    } else {
-      setTimeout(send, this.#delay);
-    }
-  }
-
   #handleClose(connection: IProxiedConnection): void {
     if (connection.held !== null) {
       return;
