--- a/test/passed_on_answers_test.ts
+++ b/test/passed_on_answers_test.ts
@@ -25,6 +25,10 @@
 /** Milliseconds for which events are not read. */
 const UNREAD_TIME = 4_000;
 
+/** Bytes of a sound answer, and of each of its pieces. */
+const SOUND_LENGTH = 1_048_576;
+const SOUND_PIECE = 16;
+
 /** Statuses of calls that a target did not answer. */
 const FAILURES = [502, 503, 504];
 
@@ -157,4 +161,20 @@
       expect(statuses).to.deep.equal([200, 200]);
     });
   });
+
+  // Guards against a bound that a long sound answer meets on its second path.
+  it("are told from a long sound answer in pieces", async () => {
+    await using fleet = await startFleet();
+    const answer = "0123456789abcdef".repeat(SOUND_LENGTH / 16);
+    fleet.plainTargets.forEach((one) => {
+      one.answer = answer;
+      one.pieceLength = SOUND_PIECE;
+    });
+    const answers = await Promise.all(
+      [NEAR, FAR].map((process) => fleet.sendCall(process, Path.Unsafe)),
+    );
+    expect(answers.map(({ status }) => status)).to.deep.equal([200, 200]);
+    const areWhole = answers.every(({ text }) => text === answer);
+    expect(areWhole, "both are whole").to.equal(true);
+  });
 });
