Bound the values of the store's answers before they are parsed

What callers saw: an entry process that ended at its heap limit, or stood still for half a second at a time, so that their calls were broken off or late.

Cause: an answer of the store was bounded by its bytes alone. A text of 8 MB within that bound holds millions of values, which take far more memory and time once they are parsed.

--- a/src/adapters/callers/http_caller_server.ts
+++ b/src/adapters/callers/http_caller_server.ts
@@ -41,7 +41,7 @@
 import { RequestBodies } from "./request_bodies.ts";
 import type { IReceivedBody } from "./request_bodies.ts";
 import { CallerConnections } from "./caller_connections.ts";
-import { measureJson } from "./json_text.ts";
+import { measureJson } from "../json_text.ts";
 import { sendAnswer, sendRefusal } from "./caller_answers.ts";
 
 /** Limits on a caller's request, in bytes and milliseconds. */
--- a/src/adapters/http/http_clients.ts
+++ b/src/adapters/http/http_clients.ts
@@ -1,14 +1,16 @@
 /** HTTP clients whose answers share the memory and the time of the process. */
 import { Agent, buildConnector, Client, Pool } from "undici";
 import type { Dispatcher } from "undici";
-import { NO_BOUND_RECORDER } from "../../common/calls/answer_bounds.ts";
-import type {
+import {
   AnswerBound,
-  IAnswerBoundRecorder,
+  AnswerBoundError,
+  NO_BOUND_RECORDER,
 } from "../../common/calls/answer_bounds.ts";
+import type { IAnswerBoundRecorder } from "../../common/calls/answer_bounds.ts";
 import { AnswerMemory } from "../../common/calls/answer_memory.ts";
 import { readText } from "../bounded_body.ts";
 import { InputSchedule } from "../input_schedule.ts";
+import type { JsonBudget } from "../json_text.ts";
 import { guardAnswer } from "./answer_guards.ts";
 import { AnswerInput } from "./answer_input.ts";
 
@@ -63,6 +65,27 @@
     });
   }
 
+  /**
+   * Reads and parses a whole body; null for an empty one.
+   *
+   * @param limits.budget - reduced by what the body takes
+   * @param limits.source - address that answered
+   * @throws {AnswerBoundError} if it has more bytes or values than remain
+   * @throws {SyntaxError} if it is not JSON
+   */
+  async readJson(
+    body: AsyncIterable<Uint8Array>,
+    limits: { readonly budget: JsonBudget; readonly source: string },
+  ): Promise<unknown> {
+    const { budget, source } = limits;
+    const text = await this.readText(body, { limit: budget.bytes, source });
+    if (!budget.take(text)) {
+      this.#recorder.record(AnswerBound.Values, source);
+      throw new AnswerBoundError(AnswerBound.Values);
+    }
+    return text === "" ? null : (JSON.parse(text) as unknown);
+  }
+
   /** A client with one connection at a time. */
   createClient(origin: string | URL, options: Client.Options): Client {
     return new GuardedClient(origin, options, this.#parts);
--- a/src/adapters/callers/json_text.ts
+++ b/src/adapters/json_text.ts
@@ -9,6 +9,38 @@
 const CLOSING = new Set([..."]}"].map((text) => text.charCodeAt(0)));
 const SEPARATORS = new Set([...",:"].map((text) => text.charCodeAt(0)));
 
+/** Bounds on a text, or on several that belong together. */
+export interface IJsonBounds {
+  /** Bytes. */
+  readonly bytes: number;
+  /** As {@link measureJson} counts them. */
+  readonly values: number;
+}
+
+/** What remains of the bounds on texts that belong together. */
+export class JsonBudget {
+  #bytes: number;
+  #values: number;
+
+  constructor({ bytes, values }: IJsonBounds) {
+    this.#bytes = bytes;
+    this.#values = values;
+  }
+
+  /** Bytes of the next text. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Returns false for a text with more values than remain. */
+  take(text: string): boolean {
+    const { values } = measureJson(text);
+    this.#bytes -= Buffer.byteLength(text);
+    this.#values -= values;
+    return this.#values >= 0;
+  }
+}
+
 /** What parsing a text would produce, if it is valid. */
 export interface IJsonMeasure {
   /** Values at most. */
