Bound the values of answers to a daemon before they are parsed

What callers saw: a plain service answered with 8 MB of empty lists, or of lists within each other; the daemon ended, and the requests of all others with it.

Cause: the length of an answer was bounded, and what its text is parsed into was not. A list takes many times the memory of its two bytes, and writing deeply nested ones again exhausts the stack.

Evidence: test/parsed_answers_daemon_test.ts on, heap of 160 MB, 40 calls at once: "the daemon has ended" for both kinds.

Change: JsonAnswers measures a text before it is parsed, for targets and for the platform. Beyond 524,288 values, or a depth of 500, the call fails as unknown, and answer_cut names the bound "values" and the address.

--- a/src/adapters/platform/http_platform.ts
+++ b/src/adapters/platform/http_platform.ts
@@ -14,8 +14,8 @@
 } from "../../common/services/services.ts";
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, IInstance } from "../../common/types.ts";
-import { HttpClients } from "../http/http_clients.ts";
 import { callFailureOf } from "../http_failure.ts";
+import { JsonAnswers } from "../json_answers.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { InstanceListCache } from "./instance_list_cache.ts";
 import type { ITaggedAnswer } from "./instance_list_cache.ts";
@@ -47,17 +47,17 @@
 export class HttpPlatform implements IPlatform {
   readonly #origin: string;
   readonly #instanceList = new InstanceListCache();
-  readonly #clients: HttpClients;
+  readonly #answers: JsonAnswers;
   readonly #agent: Agent;
 
   /**
    * @param origin - such as `http://10.0.0.1:8080`
-   * @param clients - create the connections
+   * @param answers - create the connections, and read what arrives
    */
-  constructor(origin: string, clients = new HttpClients()) {
+  constructor(origin: string, answers = new JsonAnswers()) {
     this.#origin = origin;
-    this.#clients = clients;
-    this.#agent = clients.createAgent({
+    this.#answers = answers;
+    this.#agent = answers.clients.createAgent({
       connect: { timeout: CONNECT_TIMEOUT },
     });
   }
@@ -171,9 +171,12 @@
           bodyTimeout: timeout,
           signal: AbortSignal.any([signal, limitSignal]),
         });
-        const limits = { limit: LONGEST_ANSWER, source: this.#origin };
-        const text = await this.#clients.readText(answer.body, limits);
-        const body: unknown = text === "" ? null : JSON.parse(text);
+        const limits = {
+          limit: LONGEST_ANSWER,
+          source: this.#origin,
+          mayBeEmpty: true,
+        };
+        const body = await this.#answers.read(answer.body, limits);
         return Ok({
           status: answer.statusCode,
           body,
--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -19,8 +19,8 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
 import { readBeginning } from "../bounded_body.ts";
-import { HttpClients } from "../http/http_clients.ts";
 import { callFailureOf, isResponseTimeout } from "../http_failure.ts";
+import { JsonAnswers } from "../json_answers.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
 import { LinkedAbortController } from "./linked_abort_controller.ts";
@@ -64,17 +64,17 @@
   readonly #barrier: IInputBarrier;
   readonly #connections: TargetConnections;
   readonly #wireIds = new WireIdGenerator();
-  readonly #clients: HttpClients;
+  readonly #answers: JsonAnswers;
 
   /**
    * @param barrier - delays calls until the news on their callers is fresh
-   * @param clients - create the connections
+   * @param answers - create the connections, and read what arrives
    */
-  constructor(barrier: IInputBarrier, clients = new HttpClients()) {
+  constructor(barrier: IInputBarrier, answers = new JsonAnswers()) {
     this.#barrier = barrier;
-    this.#clients = clients;
+    this.#answers = answers;
     this.#connections = new TargetConnections({
-      clients,
+      clients: answers.clients,
       connectTimeout: CONNECT_TIMEOUT,
       barrier,
       now: () => performance.now(),
@@ -96,8 +96,8 @@
           signal,
         });
         const limits = { limit: LONGEST_REPORT, source: address };
-        const text = await this.#clients.readText(answer.body, limits);
-        return JSON.parse(text) as ITargetReport;
+        const read = await this.#answers.read(answer.body, limits);
+        return read as ITargetReport;
       });
       this.#connections.recordAnswer(address);
       return Ok(report);
@@ -236,12 +236,12 @@
         signal,
       });
       if (answer.statusCode === STATUS_OK) {
-        const text = await this.#clients.readText(answer.body, {
+        const read = await this.#answers.read(answer.body, {
           limit: LONGEST_ANSWER,
           source: address,
           isCall: true,
         });
-        return Ok(JSON.parse(text) as unknown);
+        return Ok(read);
       }
       const text = await readBeginning(answer.body, LONGEST_DETAIL);
       return Err(failureOfStatus(attempted, answer, text));
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,6 +12,7 @@
 import { GrpcForwarder } from "../adapters/peers/grpc_forwarder.ts";
 import { GrpcPeers } from "../adapters/peers/grpc_peers.ts";
 import { HttpClients } from "../adapters/http/http_clients.ts";
+import { JsonAnswers } from "../adapters/json_answers.ts";
 import { MemoryMonitor } from "../adapters/memory_monitor.ts";
 import { HttpPlatform } from "../adapters/platform/http_platform.ts";
 import {
@@ -107,7 +108,6 @@
   readonly #answers: AnswerMemory;
   readonly #requests: RequestMemory;
   readonly #memoryMonitor: MemoryMonitor;
-  readonly #clients: HttpClients;
   readonly #httpTargets: HttpTargets;
   /** By address of the target. */
   readonly #cooldowns: TargetCooldowns;
@@ -158,16 +158,18 @@
         requests: this.#requests.used,
       }),
     });
-    this.#clients = new HttpClients({
+    const recorder = new AnswerBoundRecorder({
+      ...{ clock: this.#clock, log, metrics: this.#metrics },
+    });
+    const clients = new HttpClients({
       memory: this.#answers,
       controlMemory: new AnswerMemory(
         settings.limits.memory_mb * SHARE_OF_CONTROL_ANSWERS,
       ),
-      recorder: new AnswerBoundRecorder({
-        ...{ clock: this.#clock, log, metrics: this.#metrics },
-      }),
+      recorder,
     });
-    this.#httpTargets = new HttpTargets(this.#barrier, this.#clients);
+    const jsonAnswers = new JsonAnswers({ clients, recorder });
+    this.#httpTargets = new HttpTargets(this.#barrier, jsonAnswers);
     this.#id = `${settings.daemon.name}/${this.#random.identifier()}`;
     this.#hash = hash;
     this.#credentials = settings.tls.peers
@@ -177,7 +179,7 @@
     this.#liveDaemons = new LiveDaemons(this.#id, hash);
     this.#httpPlatform = new HttpPlatform(
       `http://${settings.platform.address}`,
-      this.#clients,
+      jsonAnswers,
     );
     this.#platform = new MeteredPlatform(this.#httpPlatform, this.#metrics);
     this.#cooldowns = new TargetCooldowns({ clock: this.#clock, log });
