--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -188,11 +188,12 @@
         yield Err(failureOfStatus(attempted, answer, text));
         return;
       }
-      const reader = new EngineStreamReader(sent);
-      const decoder = new TextDecoder();
+      using reader = new EngineStreamReader(sent, {
+        memory: this.#answers.clients.memory,
+        onExceeded: (bound) => this.#answers.recordExceeded(bound, address),
+      });
       for await (const chunk of answer.body) {
-        const text = decoder.decode(chunk as Buffer, { stream: true });
-        const batch = reader.feed(text);
+        const batch = reader.feed(chunk as Buffer);
         if (batch.isErr() || batch.value.length > 0) {
           yield batch;
         }
--- a/test/parsed_answers_daemon_test.ts
+++ b/test/parsed_answers_daemon_test.ts
@@ -1,6 +1,7 @@
 /** Answers to a daemon that are complete, and cost far more than their bytes. */
 import { expect } from "chai";
 import {
+  CALLS,
   expectServed,
   FaultyDeployment,
   Operation,
@@ -13,6 +14,8 @@
 /** Status of a call that may have run. */
 const TARGET_LOST = 502;
 
+const ENGINE_PATHS = { faulty: Operation.Text, sound: Operation.Repeatable };
+
 /** Values that take far more memory, or stack, than their text. */
 const VALUES: Readonly<Record<string, string>> = {
   lists: `[[]${",[]".repeat(LONG / 3)}]`,
@@ -28,6 +31,29 @@
   };
 }
 
+/** Answers with a stream whose events never end. */
+function streamOf(eventAt: (call: object, index: number) => string) {
+  return ((response, body) => {
+    const call = JSON.parse(body) as object;
+    response.writeHead(200, { "content-type": "text/event-stream" });
+    let index = 0;
+    const fill = () => {
+      let isOpen = !response.destroyed;
+      while (isOpen) {
+        isOpen = response.write(eventAt(call, index));
+        index += 1;
+      }
+    };
+    response.on("drain", fill);
+    fill();
+  }) satisfies FaultyAnswer;
+}
+
+function tokenOf(call: object, sequence: number, text: string): string {
+  const data = JSON.stringify({ ...call, prompt: "", sequence, text });
+  return `data: ${data}\n\n`;
+}
+
 describe("answers that cost more than their bytes, before a daemon", () => {
   // Guards against a daemon whose heap, or stack, the values of an answer fill.
   for (const [name, values] of Object.entries(VALUES)) {
@@ -45,4 +71,18 @@
       expect(await faulty.statusOf(Operation.Repeatable)).to.equal(200);
     });
   }
+
+  // Guards against tokens without end, which a buffered answer collects.
+  it("of engines leave others served: tokens without end", async () => {
+    await using faulty = await FaultyDeployment.start();
+    const text = "x".repeat(100);
+    const fault = streamOf((call, index) => tokenOf(call, index, text));
+    faulty.failEngines("/generate", fault);
+    const outcome = await faulty.play(ENGINE_PATHS);
+    expectServed(outcome);
+    const failed = outcome.statuses.filter((status) => status === TARGET_LOST);
+    expect(failed, outcome.statuses.join()).to.have.length(CALLS);
+    const lines = faulty.linesOf("answer_cut").join("\n");
+    expect(lines).to.include("bound=length source=127.0.0.1:");
+  });
 });
