Check the form of targets' reports to a daemon

What callers saw: one target whose report was "null" ended the daemon, and with it all requests that it served.

Cause: a report was used as it was parsed; reading a field of null threw outside any call.

Evidence: test/parsed_answers_daemon_test.ts on: "TypeError: Cannot read properties of null (reading 'instance')", and the daemon had ended.

Change: a report of another form is a failed one, like one that is not answered.

--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -24,7 +24,11 @@
 import { withTimeLimit } from "../time_limit.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
 import { LinkedAbortController } from "./linked_abort_controller.ts";
-import { checkServiceAnswer, failureOfStatus } from "./target_answers.ts";
+import {
+  checkServiceAnswer,
+  failureOfStatus,
+  readReport,
+} from "./target_answers.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { WireIdGenerator } from "./wire_id.ts";
 
@@ -96,8 +100,7 @@
           signal,
         });
         const limits = { limit: LONGEST_REPORT, source: address };
-        const read = await this.#answers.read(answer.body, limits);
-        return read as ITargetReport;
+        return readReport(await this.#answers.read(answer.body, limits));
       });
       this.#connections.recordAnswer(address);
       return Ok(report);
--- a/src/adapters/targets/target_answers.ts
+++ b/src/adapters/targets/target_answers.ts
@@ -2,8 +2,9 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
-import { CallFailureKind } from "../../common/types.ts";
-import type { ICallFailure } from "../../common/types.ts";
+import { z } from "zod";
+import { CallFailureKind, TargetState } from "../../common/types.ts";
+import type { ICallFailure, ITargetReport } from "../../common/types.ts";
 import { decodeRetryAfter } from "../retry_after.ts";
 
 const STATUS_UNAVAILABLE = 503;
@@ -13,6 +14,38 @@
   400, 404, 409, 413, 429, 503,
 ]);
 
+const reportSchema = z.object({
+  instance: z.string(),
+  incarnation: z.string(),
+  state: z.enum(TargetState),
+  membership: z
+    .object({
+      group: z.string(),
+      generation: z.number(),
+      epoch: z.number(),
+      rank: z.number(),
+    })
+    .nullable(),
+  model: z.string(),
+  running: z.number(),
+  queued: z.number(),
+  tokens: z.number(),
+  lag: z.number(),
+});
+
+/**
+ * Reads a target's report.
+ *
+ * @throws {Error} if it is of another form
+ */
+export function readReport(value: unknown): ITargetReport {
+  const checked = reportSchema.safeParse(value);
+  if (!checked.success) {
+    throw new Error("the report is of another form");
+  }
+  return checked.data;
+}
+
 /** Rejects an answer to another request, which must not reach this caller. */
 export function checkServiceAnswer(
   value: unknown,
--- a/test/parsed_answers_daemon_test.ts
+++ b/test/parsed_answers_daemon_test.ts
@@ -7,6 +7,7 @@
   Operation,
 } from "./support/faulty_deployment.ts";
 import type { FaultyAnswer } from "./support/faulty_target.ts";
+import { waitFor } from "./support/process_handle.ts";
 
 /** Bytes, just below those of the longest answer. */
 const LONG = 8_000_000;
@@ -16,6 +17,9 @@
 
 const ENGINE_PATHS = { faulty: Operation.Text, sound: Operation.Repeatable };
 
+/** Polls of the targets within which a report is read. */
+const REPORTS = 40;
+
 /** Values that take far more memory, or stack, than their text. */
 const VALUES: Readonly<Record<string, string>> = {
   lists: `[[]${",[]".repeat(LONG / 3)}]`,
@@ -85,4 +89,33 @@
     const lines = faulty.linesOf("answer_cut").join("\n");
     expect(lines).to.include("bound=length source=127.0.0.1:");
   });
+
+  // Guards against reports that end the daemon: each of its polls would fail
+  // outside any call.
+  for (const report of [
+    "null",
+    "7",
+    "[]",
+    '{"instance":"INSTANCE"}',
+    '{"instance":"INSTANCE","state":7,"membership":7,"running":"x"}',
+  ]) {
+    it(`in reports leave others served: ${report}`, async () => {
+      await using faulty = await FaultyDeployment.start();
+      faulty.engines.forEach(({ faults }, index) => {
+        const instance = `engine-vn-north-a-${index}`;
+        const text = report.replace("INSTANCE", instance);
+        faults.set("/report", (response) => response.end(text));
+      });
+      const isPolled = () =>
+        faulty.daemon.hasExited ||
+        faulty.engines.every(({ faultyRequests }) => faultyRequests >= REPORTS);
+      await waitFor("the reports are read", isPolled);
+      expect(faulty.daemon.hasExited, "the daemon has ended").to.equal(false);
+      expect(await faulty.statusOf(Operation.Repeatable)).to.equal(200);
+      faulty.engines.forEach(({ faults }) => faults.clear());
+      await waitFor("the engines serve again", async () => {
+        return (await faulty.statusOf(Operation.Stream)) === 200;
+      });
+    });
+  }
 });
