--- a/src/adapters/targets/http_targets.ts
+++ b/src/adapters/targets/http_targets.ts
@@ -19,12 +19,16 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ITargetReport } from "../../common/types.ts";
 import { readBeginning } from "../bounded_body.ts";
-import { HttpClients } from "../http/http_clients.ts";
 import { callFailureOf, isResponseTimeout } from "../http_failure.ts";
+import { JsonAnswers } from "../json_answers.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { EngineStreamReader } from "./engine_stream_reader.ts";
 import { LinkedAbortController } from "./linked_abort_controller.ts";
-import { checkServiceAnswer, failureOfStatus } from "./target_answers.ts";
+import {
+  checkServiceAnswer,
+  failureOfStatus,
+  readReport,
+} from "./target_answers.ts";
 import { TargetConnections } from "./target_connections.ts";
 import { WireIdGenerator } from "./wire_id.ts";
 
@@ -64,17 +68,17 @@
   readonly #barrier: IInputBarrier;
   readonly #connections: TargetConnections;
   readonly #wireIds = new WireIdGenerator();
-  readonly #clients: HttpClients;
+  readonly #answers: JsonAnswers;
 
   /**
    * @param barrier - delays calls until the news on their callers is fresh
-   * @param clients - create the connections
+   * @param answers - create the connections, and read what arrives
    */
-  constructor(barrier: IInputBarrier, clients = new HttpClients()) {
+  constructor(barrier: IInputBarrier, answers = new JsonAnswers()) {
     this.#barrier = barrier;
-    this.#clients = clients;
+    this.#answers = answers;
     this.#connections = new TargetConnections({
-      clients,
+      clients: answers.clients,
       connectTimeout: CONNECT_TIMEOUT,
       barrier,
       now: () => performance.now(),
@@ -96,8 +100,7 @@
           signal,
         });
         const limits = { limit: LONGEST_REPORT, source: address };
-        const text = await this.#clients.readText(answer.body, limits);
-        return JSON.parse(text) as ITargetReport;
+        return readReport(await this.#answers.read(answer.body, limits));
       });
       this.#connections.recordAnswer(address);
       return Ok(report);
@@ -188,11 +191,12 @@
         yield Err(failureOfStatus(attempted, answer, text));
         return;
       }
-      const reader = new EngineStreamReader(sent);
-      const decoder = new TextDecoder();
+      using reader = new EngineStreamReader(sent, {
+        memory: this.#answers.clients.memory,
+        onExceeded: (bound) => this.#answers.recordExceeded(bound, address),
+      });
       for await (const chunk of answer.body) {
-        const text = decoder.decode(chunk as Buffer, { stream: true });
-        const batch = reader.feed(text);
+        const batch = reader.feed(chunk as Buffer);
         if (batch.isErr() || batch.value.length > 0) {
           yield batch;
         }
@@ -236,12 +240,12 @@
         signal,
       });
       if (answer.statusCode === STATUS_OK) {
-        const text = await this.#clients.readText(answer.body, {
+        const read = await this.#answers.read(answer.body, {
           limit: LONGEST_ANSWER,
           source: address,
           isCall: true,
         });
-        return Ok(JSON.parse(text) as unknown);
+        return Ok(read);
       }
       const text = await readBeginning(answer.body, LONGEST_DETAIL);
       return Err(failureOfStatus(attempted, answer, text));
