--- a/src/adapters/forwarding/http_peer_link.ts
+++ b/src/adapters/forwarding/http_peer_link.ts
@@ -31,7 +31,7 @@
 import { CallFailureKind } from "../../common/types.ts";
 import type { ICallFailure, ServiceName } from "../../common/types.ts";
 import { barrierConnector } from "../barrier_connector.ts";
-import { measureJson } from "../callers/json_text.ts";
+import { measureJson } from "../json_text.ts";
 import { HttpClients } from "../http/http_clients.ts";
 import { withTimeLimit } from "../time_limit.ts";
 import { timedConnector } from "../timed_connector.ts";
--- a/src/adapters/http/http_clients.ts
+++ b/src/adapters/http/http_clients.ts
@@ -80,7 +80,7 @@
     const { budget, source } = limits;
     const text = await this.readText(body, { limit: budget.bytes, source });
     if (!budget.take(text)) {
-      this.#recorder.record(AnswerBound.Values, source);
+      this.recorder.record(AnswerBound.Values, source);
       throw new AnswerBoundError(AnswerBound.Values);
     }
     return text === "" ? null : (JSON.parse(text) as unknown);
--- a/src/adapters/json_answers.ts
+++ b/src/adapters/json_answers.ts
@@ -9,8 +9,8 @@
   NO_BOUND_RECORDER,
 } from "../common/calls/answer_bounds.ts";
 import type { IAnswerBoundRecorder } from "../common/calls/answer_bounds.ts";
-import { measureJson } from "./callers/json_text.ts";
-import type { IJsonMeasure } from "./callers/json_text.ts";
+import { measureJson } from "./json_text.ts";
+import type { IJsonMeasure } from "./json_text.ts";
 import { HttpClients } from "./http/http_clients.ts";
 
 /** Values of an answer; one in sixteen bytes of the longest. */
