--- a/src/adapters/http/http_clients_test.ts
+++ b/src/adapters/http/http_clients_test.ts
@@ -124,14 +124,20 @@
 
   async start(): Promise<void> {
     const source = await this.#target.listen();
+    const failures: string[] = [];
     for (let connection = 0; connection < FLOODS; connection += 1) {
       void request(`http://${source}/`, this.#agent)
         .then(({ body }) =>
           this.#clients.readText(body, { limit: LONGEST_ANSWER, source }),
         )
-        .catch(() => null);
+        .catch((error: unknown) => failures.push(String(error)));
     }
-    await waitFor("answers in pieces arrive", () => this.#isRead);
+    await waitFor("answers in pieces arrive", () => this.#isRead).catch(
+      (error: unknown) => {
+        const seen = `${this.#open.size} connections, ${failures.join()}`;
+        throw new Error(`${String(error)}: ${seen}`);
+      },
+    );
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
