Check the lease holder's replies, and bound their values

What callers saw: an entry process that ended while another process answered at the lease holder's address; their calls were broken off.

Cause: HolderLink parsed what came and used it unchecked. A reply of another form threw in the exchange ("Cannot read properties of null (reading 'isHolder')", "Cannot destructure property 'process' of 'answer.value.other'"), which nothing catches: the process ends. A reply of 8 MB may hold millions of values.

Change: decodeExchangeAnswer checks each part of a reply and keeps unknown fields; a reply in another form is a failed exchange. Replies have at most 8 MB and 1,048,576 values.

--- a/src/adapters/exchange/holder_link.ts
+++ b/src/adapters/exchange/holder_link.ts
@@ -12,13 +12,18 @@
 import type { ICallFailure } from "../../common/types.ts";
 import { HttpClients } from "../http/http_clients.ts";
 import { callFailureOf } from "../http_failure.ts";
+import { JsonBudget } from "../json_text.ts";
 import { withTimeLimit } from "../time_limit.ts";
+import { decodeExchangeAnswer } from "./holder_reply_schema.ts";
 import { EXCHANGE_PATH } from "./inner_server.ts";
 
 /** Milliseconds. */
 const CONNECT_TIMEOUT = 500;
-/** Bytes; the whole table of the target size takes some millions. */
-const LONGEST_REPLY = 8_388_608;
+/**
+ * The whole table of the target size, with all targets, takes some millions of
+ * bytes, and few hundred thousand values.
+ */
+const REPLY_BOUNDS = { bytes: 8_388_608, values: 1_048_576 };
 
 const STATUS_OK = 200;
 const STATUS_NOT_HOLDER = 409;
@@ -43,7 +48,7 @@
   ): Promise<Result<ExchangeAnswer, ICallFailure>> {
     const attempted = `exchange with ${address}`;
     try {
-      const { status, text } = await withTimeLimit(timeout, async (signal) => {
+      const { status, body } = await withTimeLimit(timeout, async (signal) => {
         const answer = await request(`http://${address}${EXCHANGE_PATH}`, {
           method: "POST",
           dispatcher: this.#agent,
@@ -51,17 +56,20 @@
           body: JSON.stringify(report),
           signal,
         });
-        const limits = { limit: LONGEST_REPLY, source: address };
-        const text = await this.#clients.readText(answer.body, limits);
-        return { status: answer.statusCode, text };
+        const budget = new JsonBudget(REPLY_BOUNDS);
+        const limits = { budget, source: address };
+        const body = await this.#clients.readJson(answer.body, limits);
+        return { status: answer.statusCode, body };
       });
       if (status !== STATUS_OK && status !== STATUS_NOT_HOLDER) {
         const detail = `${attempted}: answered ${status}`;
         return Err({ kind: CallFailureKind.Refused, detail });
       }
-      // Both ends run the same build, so the reply is not validated. The server
-      // validates reports, since other programs can reach the inner port.
-      return Ok(JSON.parse(text) as ExchangeAnswer);
+      const decoded = decodeExchangeAnswer(body);
+      const detail = `${attempted}: answered in another form`;
+      return decoded === null
+        ? Err({ kind: CallFailureKind.Refused, detail })
+        : Ok(decoded);
     } catch (error) {
       return Err(callFailureOf(attempted, error));
     }
