Keep a stopping process until forwarded answers are written

What callers saw: a call that may not be repeated, forwarded to a process that stopped, was answered 502 although its target had answered it whole.

Cause: a forwarded call counted as ended once its target had answered. The process ended while the other one, which was slow, had not read the answer; what the system had not taken yet was lost with it.

Evidence: test/late_in_grace_test.ts, an answer of 8 MB to a process that is frozen from 1.0 to 4.5 s after the signal: 502 before this change.

Change: a forwarded call counts as in flight until its response is written, as calls of callers do; the end of the grace time bounds it as before.

--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -1,4 +1,5 @@
 /** Wires one entry process and owns its start and stop. */
+import type { ServerResponse } from "node:http";
 import { IngressServer } from "../../platform/ingress_server.ts";
 import { ReadinessServer } from "../../platform/readiness_server.ts";
 import { decodeConfiguration } from "../../platform/configuration_decoder.ts";
@@ -11,6 +12,7 @@
 import { HttpClients } from "../adapters/http/http_clients.ts";
 import { HolderLink } from "../adapters/exchange/holder_link.ts";
 import { ForwardingHandlers } from "../adapters/forwarding/forwarding_handlers.ts";
+import { ForwardPath } from "../adapters/forwarding/forwarding_protocol.ts";
 import { HttpPeerLink } from "../adapters/forwarding/http_peer_link.ts";
 import { InnerServer } from "../adapters/exchange/inner_server.ts";
 import { MemoryMonitor } from "../adapters/memory_monitor.ts";
@@ -162,6 +164,8 @@
   readonly #crashingRequests = new CrashingRequests();
   readonly #crashGossip: CrashGossip;
   readonly #lag = new EventLoopLag(CHECK_PERIOD);
+  /** Forwarded calls whose responses are not written yet. */
+  #openForwards = 0;
   #hasCalls = false;
   #isStopping = false;
   /** Resolves once the process has stopped; null before it begins to. */
@@ -337,7 +341,13 @@
     this.#inner = new InnerServer({
       exchange: (report) => this.#coordinator.answerReport(report),
       metrics: () => this.#metrics.expose(),
-      forward: (request, response) => handlers.handle(request, response),
+      forward: (request, response) => {
+        const isTaken = handlers.handle(request, response);
+        if (isTaken && request.url === ForwardPath.Send) {
+          this.#countForward(response);
+        }
+        return isTaken;
+      },
     });
   }
 
@@ -405,9 +415,17 @@
     await this.#log[Symbol.asyncDispose]();
   }
 
-  /** Calls of callers, and those taken for other processes. */
+  /** Calls of callers, and those that other processes have forwarded. */
   get #inFlight(): number {
-    return this.#ingress.inFlight + this.#forwarded.inFlight;
+    return this.#ingress.inFlight + this.#openForwards;
+  }
+
+  /** Counts a forwarded call until the other process has its response. */
+  #countForward(response: ServerResponse): void {
+    this.#openForwards += 1;
+    response.once("close", () => {
+      this.#openForwards -= 1;
+    });
   }
 
   /** What was seen of a service proves nothing once its path is lost. */
--- a/test/late_in_grace_test.ts
+++ b/test/late_in_grace_test.ts
@@ -25,6 +25,16 @@
 
 const LATE_CALLS = 6;
 
+/** Bytes of an answer that the system does not buffer whole. */
+const LONG_ANSWER = 8_000_000;
+
+/** Milliseconds that its call runs. */
+const LONG_ANSWER_RUN = 1_800;
+
+/** Milliseconds after SIGTERM between which its reader is frozen. */
+const FROZEN_FROM = 1_000;
+const FROZEN_UNTIL = 4_500;
+
 async function startFleet(processes: number): Promise<EntryFleet> {
   const fleet = new EntryFleet();
   fleet.plainTimeout = PLAIN_TIMEOUT;
@@ -83,3 +93,30 @@
     expect(await held).to.deep.equal(Array(KNOWN_CALLS).fill(504));
   });
 });
+
+describe("forwarded calls that end in the grace time", () => {
+  // Guards against an answer that is cut, since the process that forwards it ends
+  // once it has the answer, and not when the other process has read it.
+  it("are answered whole to a process that reads late", async () => {
+    await using fleet = await startFleet(2);
+    fleet.setLinks(0, LinkMode.Refuse);
+    await fleet.waitUntilLost(0);
+    for (const target of fleet.plainTargets) {
+      target.answer = "x".repeat(LONG_ANSWER);
+      target.runTime = LONG_ANSWER_RUN;
+    }
+    const [reader, stopped] = fleet.processes;
+    stopped?.handle.signal("SIGTERM");
+    const answer = fleet.sendCall(0, Path.Unsafe, { id: "long" });
+    await sleep(FROZEN_FROM);
+    reader?.handle.signal("SIGSTOP");
+    await sleep(FROZEN_UNTIL - FROZEN_FROM);
+    reader?.handle.signal("SIGCONT");
+    const { status, text } = await answer;
+    expect({ status, length: text.length }).to.deep.equal({
+      status: 200,
+      length: LONG_ANSWER,
+    });
+    await stopped?.handle.waitForExit();
+  });
+});
