Take a forwarded call of a plain target while stopping only if it can end

Cause: every listed target has an engine state, so that the calls of plain targets passed for streams that another process resumes, and were taken for 2.5 s after the signal whatever their length. Found by reading the change that brought it.

Change: a target in a group serves streams; all others are judged by the expected end. The new unit test failed before (taken, with 9 s left of 6).

--- a/src/common/forwarding/forwarded_requests.ts
+++ b/src/common/forwarding/forwarded_requests.ts
@@ -124,7 +124,7 @@
     const seen = { now, unseen: timeLeft };
     const end = now + this.#responseTimes.expectedTime(service, seen);
     const deadline = now + timeLeft;
-    const route = { isResumable: engine !== null };
+    const route = { isResumable: engine.membership !== null };
     return this.#servingPeriod.admits({ route, deadline }, { now, end });
   }
 
