Bound what peers answer to forwarded requests, and what is collected of it

What callers saw: a daemon of another zone that answered a forwarded request with tokens without end ended the daemon that had forwarded it, and with it all requests that it served.

Cause: a buffered answer collects all tokens, outside the memory of answers; what a peer sent had no bound but the deadline, and its sequence was trusted. gRPC bounds each message (4 MiB) and what is on its way, not a stream.

Evidence: test/faulty_peers_daemon_test.ts before this change, heap of 160 MB, 40 calls at once: the daemon ran out of heap with short and with long tokens.

Change: collected tokens count towards the memory of answers. A forwarded answer that is longer than the longest answer, or whose tokens do not follow each other, fails as unknown; answer_cut names the bound and the peer.

--- a/src/adapters/peers/grpc_forwarder.ts
+++ b/src/adapters/peers/grpc_forwarder.ts
@@ -1,6 +1,12 @@
 /** Forwards requests to daemons of other zones over gRPC. */
 import { Err, Ok } from "ts-results-es";
 import type { ClientReadableStream } from "@grpc/grpc-js";
+import {
+  AnswerBound,
+  AnswerBoundError,
+} from "../../common/calls/answer_bounds.ts";
+import type { IAnswerBoundRecorder } from "../../common/calls/answer_bounds.ts";
+import { LONGEST_ANSWER } from "../../common/calls/answer_memory.ts";
 import type { IInputBarrier } from "../../common/calls/input_barrier.ts";
 import type {
   IForwardedRequest,
@@ -19,6 +25,14 @@
 /** Retry delay after losing a peer, milliseconds. */
 const LOST_RETRY_AFTER = 2_000;
 
+/**
+ * Bytes that a reply, and each of its tokens, counts for beyond its text. The
+ * longest sound answer, of 32,768 tokens in a reply each, stays far below the
+ * bound on an answer.
+ */
+const REPLY_SIZE = 64;
+const TOKEN_SIZE = 16;
+
 /** Keepalives detect a connection that goes silent during a stream. */
 const CHANNEL_OPTIONS = {
   "grpc.use_local_subchannel_pool": 1,
@@ -37,11 +51,19 @@
   readonly #clients = new Map<string, ForwardClient>();
   readonly #credentials: IPeerCredentials;
   readonly #barrier: IInputBarrier;
+  readonly #recorder: IAnswerBoundRecorder;
 
-  /** @param barrier - delays requests until the news on callers is fresh */
-  constructor(credentials: IPeerCredentials, barrier: IInputBarrier) {
+  /** @param parts.barrier - delays requests until the news on callers is fresh */
+  constructor(
+    credentials: IPeerCredentials,
+    parts: {
+      readonly barrier: IInputBarrier;
+      readonly recorder: IAnswerBoundRecorder;
+    },
+  ) {
     this.#credentials = credentials;
-    this.#barrier = barrier;
+    this.#barrier = parts.barrier;
+    this.#recorder = parts.recorder;
   }
 
   async *generate(
@@ -61,8 +83,11 @@
     const cancel = () => stream.cancel();
     signal.addEventListener("abort", cancel, { once: true });
     try {
-      yield* readStream(stream);
+      yield* readStream(stream, request.resumeFrom);
     } catch (error) {
+      if (error instanceof AnswerBoundError) {
+        this.#recorder.record(error.bound, address);
+      }
       this.#drop(address, client);
       const detail = `peer ${address}: ${String(error)}`;
       yield Err(outcomeUnknown(Reason.TargetLost, detail, LOST_RETRY_AFTER));
@@ -96,15 +121,34 @@
   }
 }
 
+/**
+ * @param resumeFrom - sequence number of the first token
+ * @throws {AnswerBoundError} if the answer has no end
+ * @throws {Error} if a token is not the next one
+ */
 async function* readStream(
   stream: ClientReadableStream<ForwardReply__Output>,
+  resumeFrom: number,
 ): AsyncIterable<TokenBatch> {
+  let next = resumeFrom;
+  let bytes = 0;
   for await (const item of stream) {
     const reply = item as ForwardReply__Output;
     if (reply.refusal !== null) {
       yield Err(readRefusal(reply.refusal));
       return;
     }
+    bytes += REPLY_SIZE;
+    for (const { sequence, text } of reply.tokens) {
+      if (sequence !== next) {
+        throw new Error(`token ${sequence} where ${next} was due`);
+      }
+      next += 1;
+      bytes += text.length + TOKEN_SIZE;
+    }
+    if (bytes > LONGEST_ANSWER) {
+      throw new AnswerBoundError(AnswerBound.Length);
+    }
     yield Ok(reply.tokens);
   }
 }
--- a/src/common/services/call_dispatcher.ts
+++ b/src/common/services/call_dispatcher.ts
@@ -1,6 +1,9 @@
 /** Admits callers' requests and passes each to the runner that executes it. */
 import { Err, Ok } from "ts-results-es";
 import type { Result } from "ts-results-es";
+import { AnswerBound } from "../calls/answer_bounds.ts";
+import type { IAnswerBoundRecorder } from "../calls/answer_bounds.ts";
+import type { AnswerMemory } from "../calls/answer_memory.ts";
 import { AnswerKind, Reason, ServiceKind } from "../types.ts";
 import type { IRefusal } from "../types.ts";
 import type { AdmissionService, IAdmission } from "./admission_service.ts";
@@ -10,7 +13,7 @@
 import type { PlainServiceRunner } from "./plain_service_runner.ts";
 import type { IClock, IMetrics } from "./services.ts";
 import type { SpillingEngineRunner } from "./spilling_engine_runner.ts";
-import type { CallerAnswer, ICallerRequest } from "./types.ts";
+import type { CallerAnswer, IBufferedAnswer, ICallerRequest } from "./types.ts";
 
 /** Entry point for checked requests: checks the plan, admits and executes. */
 export class CallDispatcher {
@@ -19,6 +22,8 @@
   readonly #services: PlainServiceRunner;
   readonly #clock: IClock;
   readonly #metrics: IMetrics;
+  readonly #answers: AnswerMemory;
+  readonly #recorder: IAnswerBoundRecorder;
   #inFlight = 0;
 
   constructor(parts: {
@@ -27,12 +32,16 @@
     readonly services: PlainServiceRunner;
     readonly clock: IClock;
     readonly metrics: IMetrics;
+    readonly answers: AnswerMemory;
+    readonly recorder: IAnswerBoundRecorder;
   }) {
     this.#admission = parts.admission;
     this.#engines = parts.engines;
     this.#services = parts.services;
     this.#clock = parts.clock;
     this.#metrics = parts.metrics;
+    this.#answers = parts.answers;
+    this.#recorder = parts.recorder;
   }
 
   /** Requests admitted or waiting whose final answer is still outstanding. */
@@ -72,7 +81,7 @@
     let tokens: number | null = null;
     try {
       const answer = isEngine
-        ? await collectAnswer(this.#engines.stream(request))
+        ? await this.#collect(request)
         : await this.#services.run(request);
       if (answer.isOk()) {
         tokens = isEngine ? tokensOf(answer.value.body) : 1;
@@ -83,6 +92,16 @@
     }
   }
 
+  #collect(
+    request: ICallerRequest,
+  ): Promise<Result<IBufferedAnswer, IRefusal>> {
+    const { name } = request.service;
+    return collectAnswer(this.#engines.stream(request), {
+      memory: this.#answers,
+      onExceeded: () => this.#recorder.record(AnswerBound.Memory, name),
+    });
+  }
+
   /** Releases the admission when the consumer ends or abandons the stream. */
   async *#stream(
     request: ICallerRequest,
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -106,6 +106,7 @@
   });
   readonly #limits: LimitRecorder;
   readonly #answers: AnswerMemory;
+  readonly #recorder: AnswerBoundRecorder;
   readonly #requests: RequestMemory;
   readonly #memoryMonitor: MemoryMonitor;
   readonly #httpTargets: HttpTargets;
@@ -161,6 +162,7 @@
     const recorder = new AnswerBoundRecorder({
       ...{ clock: this.#clock, log, metrics: this.#metrics },
     });
+    this.#recorder = recorder;
     const clients = new HttpClients({
       memory: this.#answers,
       controlMemory: new AnswerMemory(
@@ -205,7 +207,10 @@
     );
     this.#health = this.#createHealth();
     this.#sweeper = this.#createSweeper();
-    this.#forwarder = new GrpcForwarder(this.#credentials, this.#barrier);
+    this.#forwarder = new GrpcForwarder(this.#credentials, {
+      barrier: this.#barrier,
+      recorder,
+    });
     this.#quarantine = this.#createQuarantine();
     this.#pipeline = this.#createPipeline();
     this.#callerServer = this.#createCallerServer();
@@ -422,6 +427,8 @@
       random: this.#random,
       log: this.#log,
       metrics: this.#metrics,
+      answers: this.#answers,
+      recorder: this.#recorder,
     });
   }
 
--- a/src/daemon/request_pipeline.ts
+++ b/src/daemon/request_pipeline.ts
@@ -1,6 +1,8 @@
 /** Connects the stages of a request: admission, runners and other zones. */
 import { sha256Hex } from "../adapters/callers/http_caller_server.ts";
 import type { GrpcForwarder } from "../adapters/peers/grpc_forwarder.ts";
+import type { IAnswerBoundRecorder } from "../common/calls/answer_bounds.ts";
+import type { AnswerMemory } from "../common/calls/answer_memory.ts";
 import { chooseSpillTargets } from "../common/decisions/spill.ts";
 import type { IZoneSummary } from "../common/membership/zone_directory.ts";
 import type { EffectivePlans } from "../common/plans/effective_plans.ts";
@@ -42,6 +44,8 @@
   readonly random: IRandom;
   readonly log: ILog;
   readonly metrics: IMetrics;
+  readonly answers: AnswerMemory;
+  readonly recorder: IAnswerBoundRecorder;
 }
 
 /** Processes a validated request up to its answer. */
@@ -56,7 +60,7 @@
   constructor(settings: Settings, parts: IRequestPipelineParts) {
     this.#settings = settings;
     this.#parts = parts;
-    const { plans, clock, metrics } = parts;
+    const { answers, plans, clock, metrics, recorder } = parts;
     this.#retries = this.#createRetries();
     const admission = this.#createAdmission();
     const engines = this.#createEngines();
@@ -71,6 +75,8 @@
       services: this.#plainServices,
       clock,
       metrics,
+      answers,
+      recorder,
     });
   }
 
