--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -67,6 +67,8 @@
     this.#headShare = parts.memory.createShare(() =>
       this.#fail(AnswerBound.Memory),
     );
+    // The HTTP client reads a socket until it is empty, and can be held up only
+    // within the content of an answer; so its reads are answered here.
     this.#read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     socket.read = (size?: number) =>
       size === 0 ? this.#prepareRead() : this.#readNext();
@@ -101,6 +103,7 @@
     this.#isAwaited = false;
   }
 
+  /** The parser waits until what it has passed on is read. */
   recordPause(): void {
     this.#isPaused = true;
   }
