--- /dev/null
+++ b/review/support-2/engine.ts
@@ -0,0 +1,356 @@
+/** A model runner that follows the users' pages, and may hand out extra answers. */
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { performance } from "node:perf_hooks";
+import type { PlatformStore } from "../../test/support/platform_store.ts";
+
+/** Milliseconds between two heartbeats in the store. */
+const HEARTBEAT = 1_200;
+
+/** What a runner has answered. */
+export enum Answered {
+  Report = "report",
+  Order = "order",
+  /** An order to open that has begun. */
+  Opening = "opening",
+  Shed = "shed",
+  Misdirected = "misdirected",
+  Stream = "stream",
+}
+
+/** What is known of one engine's model and times; milliseconds. */
+export interface IEngineOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  readonly domain: string;
+  readonly slots: number;
+  readonly queue: number;
+  readonly loadTime: number;
+  readonly warmTime: number;
+  readonly openTime: number;
+  readonly events: number;
+  readonly eventPeriod: number;
+}
+
+interface IMembership {
+  readonly name: string;
+  readonly epoch: number;
+  readonly rank: number;
+  readonly members: readonly string[];
+  state: string;
+}
+
+/** A call that began to run. */
+export interface IRun {
+  readonly at: number;
+  readonly engine: string;
+  readonly attempt: string;
+  readonly headers: IncomingMessage["headers"];
+}
+
+/** One runner of a service whose models need several of them. */
+export class Engine {
+  readonly options: IEngineOptions;
+  address = "";
+  readonly runs: IRun[] = [];
+  /** Number of answers by kind, and of extra ones. */
+  readonly answers: Record<string, number> = {};
+  extraAnswers = 0;
+  /** Whether an answer of a kind is followed by a second copy of it. */
+  repeats: (kind: Answered) => boolean = () => false;
+  readonly #log: (text: string) => void;
+  readonly #server: Server;
+  readonly #born = Date.now();
+  #store: PlatformStore | null = null;
+  #timer: NodeJS.Timeout | null = null;
+  #membership: IMembership | null = null;
+  #model: string | null = null;
+  #staged: string | null = null;
+  #orders = 0;
+  #active = 0;
+  readonly #queued: (() => void)[] = [];
+  /** Second copies that come before the next answer on their connection. */
+  readonly #extra = new WeakMap<Socket, Buffer>();
+
+  constructor(options: IEngineOptions, log: (text: string) => void) {
+    this.options = options;
+    this.#log = log;
+    this.#server = createServer({ keepAliveTimeout: 20_000 });
+    this.#server.on("request", (request, response) => {
+      void this.#handle(request, response);
+    });
+  }
+
+  async listen(store: PlatformStore): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#server.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = this.#server.address() as { readonly port: number };
+    this.address = `127.0.0.1:${port}`;
+    this.#store = store;
+    this.#list();
+    this.#timer = setInterval(() => this.#list(), HEARTBEAT);
+  }
+
+  close(): void {
+    if (this.#timer !== null) {
+      clearInterval(this.#timer);
+    }
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  /** Number of answers so far. */
+  get answered(): number {
+    return Object.values(this.answers).reduce((sum, one) => sum + one, 0);
+  }
+
+  get isOpen(): boolean {
+    return this.#membership?.rank === 0 && this.#membership.state === "open";
+  }
+
+  #report(): object {
+    const { name, epoch, rank, state } = this.#membership ?? {};
+    return {
+      stage: "mixed",
+      born: this.#born,
+      domain: this.options.domain,
+      staged: this.#staged === null ? [] : [this.#staged],
+      models: this.#model === null ? [] : [{ name: this.#model, version: 1 }],
+      group: this.#membership === null ? null : { name, epoch, rank, state },
+      busy: false,
+      seqNo: this.#orders,
+      queued: this.#queued.length,
+      active: this.#active,
+      kvUsed: 0,
+      kvTotal: 1_000_000,
+      handles: 0,
+      pace: 1,
+    };
+  }
+
+  #list(): void {
+    this.#store?.put("servers", this.options.id, {
+      ...this.#report(),
+      service: this.options.service,
+      address: this.address,
+      zone: this.options.zone,
+      version: "v1",
+      slots: this.options.slots,
+      state: "ready",
+      coldLeftMs: 0,
+      seqNo: Math.floor(performance.now()),
+    });
+  }
+
+  async #handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    this.#writeExtra(request.socket);
+    const pieces: Buffer[] = [];
+    for await (const piece of request as AsyncIterable<Buffer>) {
+      pieces.push(piece);
+    }
+    const expected = request.headers["x-expect-instance"];
+    if (expected !== undefined && expected !== this.options.id) {
+      this.#answer(response, Answered.Misdirected, {
+        status: 421,
+        headers: { "x-instance-id": this.options.id },
+      });
+    } else if (request.url === "/report") {
+      this.#answer(response, Answered.Report, {
+        status: 200,
+        headers: { "content-type": "application/json" },
+        body: JSON.stringify(this.#report()),
+      });
+    } else if (request.url === "/order") {
+      const order = JSON.parse(Buffer.concat(pieces).toString()) as object;
+      const status = this.#apply(order as Record<string, unknown>);
+      this.#log(`${this.options.id} order ${JSON.stringify(order)} ${status}`);
+      const isOpening = "op" in order && order.op === "open" && status === 202;
+      const kind = isOpening ? Answered.Opening : Answered.Order;
+      this.#answer(response, kind, { status, headers: {} });
+    } else {
+      this.#call(request, response);
+    }
+  }
+
+  /** An extra answer comes late, where the next one is expected. */
+  #writeExtra(socket: Socket): void {
+    const bytes = this.#extra.get(socket);
+    if (bytes !== undefined) {
+      this.#extra.delete(socket);
+      this.extraAnswers += 1;
+      this.#log(`${this.options.id} extra ${firstLine(bytes)}`);
+      socket.write(bytes);
+    }
+  }
+
+  #answer(
+    response: ServerResponse,
+    kind: Answered,
+    answer: {
+      readonly status: number;
+      readonly headers: Readonly<Record<string, string>>;
+      readonly body?: string;
+    },
+  ): void {
+    const { status, headers, body = "" } = answer;
+    const length = { "content-length": String(Buffer.byteLength(body)) };
+    const all = { ...headers, ...length };
+    this.answers[kind] = (this.answers[kind] ?? 0) + 1;
+    const { socket } = response;
+    if (socket !== null && this.repeats(kind)) {
+      const lines = Object.entries(all).map((pair) => pair.join(": "));
+      const head = `HTTP/1.1 ${status} Again\r\n${lines.join("\r\n")}`;
+      this.#extra.set(socket, Buffer.from(`${head}\r\n\r\n${body}`));
+    }
+    response.writeHead(status, all).end(body);
+  }
+
+  #apply(order: Record<string, unknown>): number {
+    const { op, expect, group, epoch } = order;
+    if (expect !== undefined && expect !== this.#orders) {
+      return 409;
+    }
+    if (op === "join") {
+      return this.#join(order);
+    }
+    if (op === "stage") {
+      return this.#stage(String(order["model"]));
+    }
+    const one = this.#membership;
+    if (one === null || one.name !== group || one.epoch !== epoch) {
+      return op === "leave" ? 200 : 409;
+    }
+    if (op === "leave") {
+      this.#membership = null;
+    } else if (op === "open") {
+      if (one.state === "open") {
+        return 200;
+      }
+      if (one.state !== "ready" || one.rank !== 0) {
+        return 409;
+      }
+      setTimeout(() => {
+        one.state = "open";
+        this.#list();
+      }, this.options.openTime);
+    } else if (op === "close") {
+      one.state = "ready";
+    } else {
+      return 400;
+    }
+    return this.#begun();
+  }
+
+  #join(order: Record<string, unknown>): number {
+    const members = order["members"] as readonly string[];
+    const name = String(order["group"]);
+    const epoch = Number(order["epoch"]);
+    const model = String(order["model"]);
+    const known = this.#membership;
+    if (known?.name === name && known.epoch === epoch) {
+      return known.members.join() === members.join() ? 200 : 412;
+    }
+    const rank = members.indexOf(this.options.id);
+    const joined = { name, epoch, rank, members, state: "joining" };
+    this.#membership = joined;
+    const time =
+      this.#model === model
+        ? 200
+        : this.#staged === model
+          ? this.options.warmTime
+          : this.options.loadTime;
+    setTimeout(() => {
+      joined.state = "ready";
+      this.#staged = model;
+      this.#list();
+    }, time);
+    this.#model = model;
+    return this.#begun();
+  }
+
+  #stage(model: string): number {
+    if (this.#staged === model) {
+      return 200;
+    }
+    setTimeout(() => {
+      this.#staged = model;
+      this.#list();
+    }, this.options.loadTime);
+    return this.#begun();
+  }
+
+  #begun(): number {
+    this.#orders += 1;
+    this.#list();
+    return 202;
+  }
+
+  #call(request: IncomingMessage, response: ServerResponse): void {
+    const { slots, queue } = this.options;
+    const attempt = String(request.headers["x-attempt-id"]);
+    this.#log(`${this.options.id} arrival ${attempt}`);
+    if (this.#membership !== null && this.#membership.rank > 0) {
+      this.#answer(response, Answered.Misdirected, {
+        status: 421,
+        headers: { "x-instance-id": this.options.id },
+      });
+    } else if (
+      !this.isOpen ||
+      (this.#active >= slots && this.#queued.length >= queue)
+    ) {
+      this.#log(`${this.options.id} shed ${attempt}`);
+      this.#answer(response, Answered.Shed, {
+        status: 503,
+        headers: { "x-not-executed": "1" },
+      });
+    } else if (this.#active >= slots) {
+      this.#queued.push(() => this.#run(request, response));
+    } else {
+      this.#run(request, response);
+    }
+  }
+
+  #run(request: IncomingMessage, response: ServerResponse): void {
+    const attempt = String(request.headers["x-attempt-id"]);
+    const { id: engine, events, eventPeriod } = this.options;
+    if (response.destroyed) {
+      this.#queued.shift()?.();
+      return;
+    }
+    const { headers } = request;
+    this.runs.push({ at: performance.now(), engine, attempt, headers });
+    this.#log(`${engine} run ${attempt}`);
+    this.answers[Answered.Stream] = (this.answers[Answered.Stream] ?? 0) + 1;
+    this.#active += 1;
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "x-attempt-id": attempt,
+      "x-response-stamp": `${engine}.${this.runs.length}`,
+    });
+    let last = Number(headers["last-event-id"] ?? 0);
+    const timer = setInterval(() => {
+      last += 1;
+      response.write(`id: ${last}\ndata: piece ${last}\n\n`);
+      if (last >= events) {
+        clearInterval(timer);
+        response.end();
+      }
+    }, eventPeriod);
+    response.once("close", () => {
+      clearInterval(timer);
+      this.#active -= 1;
+      this.#log(`${engine} end ${attempt} at ${last}`);
+      this.#queued.shift()?.();
+    });
+  }
+}
+
+function firstLine(bytes: Buffer): string {
+  return bytes.toString().split("\r\n")[0] ?? "";
+}
