--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -29,7 +29,13 @@
   const { store } = deployment;
   store.put("config", "main", {
     version: 1,
-    routes: [route("briefs", "stream", { service: "summarizer", resumable: true, gapTargetMs: 300 })],
+    routes: [
+      route("briefs", "stream", {
+        service: "summarizer",
+        resumable: true,
+        gapTargetMs: 300,
+      }),
+    ],
     services: services(SLOTS),
     limits: LIMITS,
     tenants: [{ name: "desk", apiKeys: [KEY] }],
@@ -103,9 +109,13 @@
   isOver = true;
   await Promise.all(callers);
   for (const { options, answers, extraAnswers } of engines) {
-    record.add(`${options.id} answers ${JSON.stringify(answers)} extra ${extraAnswers}`);
+    record.add(
+      `${options.id} answers ${JSON.stringify(answers)} extra ${extraAnswers}`,
+    );
   }
-  record.add(`calls ${calls} served ${served} wrong ${wrong.length} repeated ${repeated}`);
+  record.add(
+    `calls ${calls} served ${served} wrong ${wrong.length} repeated ${repeated}`,
+  );
   engines.forEach((engine) => engine.close());
   if (served < 100) {
     return Exit.NotRun;
@@ -114,7 +124,12 @@
 }
 
 /** What is wrong with an answer that a caller takes for a success. */
-function faultOf({ status, headers, text, isComplete }: IAnswer): string | null {
+function faultOf({
+  status,
+  headers,
+  text,
+  isComplete,
+}: IAnswer): string | null {
   if (status < 200 || status >= 300) {
     return null;
   }
@@ -122,7 +137,9 @@
     return `success without a stamp: ${status}`;
   }
   const last = /id: (\d+)\n[^\n]*\n\n$/.exec(text)?.[1];
-  return isComplete && Number(last) !== EVENTS ? `complete after ${last}` : null;
+  return isComplete && Number(last) !== EVENTS
+    ? `complete after ${last}`
+    : null;
 }
 
 void runCase(process.argv[2] ?? ".", play);
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -107,7 +107,9 @@
     const given = JSON.stringify(answers);
     record.add(`${options.id} answers ${given} extra ${extraAnswers}`);
   }
-  record.add(`calls ${statuses.size} twice ${twice.length} refused ${refused.length}`);
+  record.add(
+    `calls ${statuses.size} twice ${twice.length} refused ${refused.length}`,
+  );
   engines.forEach((engine) => engine.close());
   if (runs.size < 100) {
     return Exit.NotRun;
--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -1,14 +1,20 @@
 /** Entry processes as the deploy file starts them, and what a case records. */
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { appendFileSync, mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import {
+  appendFileSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
 import { request as httpRequest } from "node:http";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
-import { PlatformStore } from "../../test/support/platform_store.ts";
+import { Store } from "./store.ts";
 
 /** The command of the deploy file. */
 const COMMAND = [
@@ -57,6 +63,7 @@
 
 /** One entry process. */
 export interface IEntry {
+  readonly name: string;
   readonly child: ChildProcess;
   readonly callers: string;
   readonly readiness: string;
@@ -64,7 +71,7 @@
 
 /** A store and entry processes before it. */
 export class Deployment {
-  readonly store = new PlatformStore();
+  readonly store = new Store();
   readonly entries: IEntry[] = [];
   readonly #folder = mkdtempSync(join(tmpdir(), "review-2-"));
 
@@ -92,6 +99,28 @@
     };
     const file = join(this.#folder, `${name}.yaml`);
     writeFileSync(file, JSON.stringify(settings));
+    const child = this.#spawn(name, file);
+    const entry = { name, child, callers, readiness };
+    this.entries.push(entry);
+    return entry;
+  }
+
+  /** Kills a process and starts it again, as the platform does. */
+  async restart(entry: IEntry): Promise<IEntry> {
+    entry.child.kill("SIGKILL");
+    await new Promise((resolve) => entry.child.once("exit", resolve));
+    const file = join(this.#folder, `${entry.name}.yaml`);
+    const text = readFileSync(file, "utf8");
+    writeFileSync(
+      file,
+      text.replace('"first_start":true', '"first_start":false'),
+    );
+    const started = { ...entry, child: this.#spawn(entry.name, file) };
+    this.entries.push(started);
+    return started;
+  }
+
+  #spawn(name: string, file: string): ChildProcess {
     const child = spawn(process.execPath, COMMAND, {
       env: {
         PATH: process.env["PATH"],
@@ -106,16 +135,14 @@
         process.stdout.write(text);
       }
     });
-    const entry = { child, callers, readiness };
-    this.entries.push(entry);
-    return entry;
+    return child;
   }
 
   async stop(): Promise<void> {
     for (const { child } of this.entries) {
       child.kill("SIGKILL");
     }
-    await this.store[Symbol.asyncDispose]();
+    this.store.close();
     rmSync(this.#folder, { recursive: true, force: true });
   }
 }
--- a/review/support-2/engine.ts
+++ b/review/support-2/engine.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { performance } from "node:perf_hooks";
-import type { PlatformStore } from "../../test/support/platform_store.ts";
+import type { Store } from "./store.ts";
 
 /** Milliseconds between two heartbeats in the store. */
 const HEARTBEAT = 1_200;
@@ -63,7 +63,7 @@
   readonly #log: (text: string) => void;
   readonly #server: Server;
   readonly #born = Date.now();
-  #store: PlatformStore | null = null;
+  #store: Store | null = null;
   #timer: NodeJS.Timeout | null = null;
   #membership: IMembership | null = null;
   #model: string | null = null;
@@ -83,7 +83,7 @@
     });
   }
 
-  async listen(store: PlatformStore): Promise<void> {
+  async listen(store: Store): Promise<void> {
     await new Promise<void>((resolve) => {
       this.#server.listen(0, "127.0.0.1", resolve);
     });
