--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -1,7 +1,8 @@
 /**
- * A runner is full and sheds calls. It hands out a second copy of some of these
- * answers, late, where the next answer is expected, and runs the next call all
- * the same. That call may run once at most.
+ * A runner is full and sheds a call, and hands out a second copy of that answer,
+ * late, where the next one is expected. The call comes to it again on the same
+ * connection, and runs. The process reads the copy, which names that call, and
+ * sends it once more. The call may run once at most.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { Answered, Engine } from "../support-2/engine.ts";
@@ -17,20 +18,29 @@
   services,
   until,
 } from "../support-2/deployment.ts";
-import type { Deployment, Record } from "../support-2/deployment.ts";
+import type { Deployment, IEntry, Record } from "../support-2/deployment.ts";
 
 const SLOTS = 4;
 const QUEUE = 2;
-const EVENTS = 10;
-const MACHINES = 6;
-const WAVES = 12;
-const CALLERS = 60;
-/** Heads that hand out second answers: two of six runners. */
-const FAULTY = 2;
-/** Share of their answers that they repeat. */
+const EVENT_PERIOD = 60;
+/** Machines whose callers come at the same moment, and their calls. */
+const CROWDED_MACHINES = 5;
+const CALLS_EACH = 2;
+/** Tokens of the calls of the last machine, whose engine writes 5 an event. */
+const LONG_OUTPUT = 150;
+const SHORT_OUTPUT = 25;
+/** Milliseconds between its two calls and those of the others. */
+const LATER = 100;
+const ROUNDS = 28;
+/** Milliseconds between the starts of two rounds. */
+const ROUND_TIME = 2_500;
+/** Share of its answers that the runner repeats. */
 const LARGEST_SHARE = 0.03;
-/** Milliseconds between two waves. */
-const PAUSE = 300;
+
+/** Names of attempts. */
+const LONG = "long";
+const CROWD = "crowd";
+const LATE = "late";
 
 async function play(deployment: Deployment, record: Record): Promise<Exit> {
   const { store } = deployment;
@@ -42,59 +52,65 @@
     limits: LIMITS,
     tenants: [{ name: "desk", apiKeys: [KEY] }],
   });
-  const engines = Array.from({ length: 6 }, (_, index) => {
+  const engines = [0, 1].map((index) => {
     const id = `i-${index}`;
     return new Engine(
       {
         ...{ id, service: "summarizer", zone: "north-a", domain: "d-0" },
-        ...{ slots: SLOTS, queue: QUEUE, events: EVENTS, eventPeriod: 30 },
+        ...{ slots: SLOTS, queue: QUEUE },
+        eventPeriod: EVENT_PERIOD,
         ...{ loadTime: 2_000, warmTime: 500, openTime: 300 },
       },
       record.add,
     );
   });
   await Promise.all(engines.map((engine) => engine.listen(store)));
-  const entries = await Promise.all(
-    Array.from({ length: MACHINES }, (_, index) =>
-      deployment.startEntry(`front-a-${index + 1}`),
-    ),
-  );
-  for (const entry of entries) {
+  // The first process takes the lease, and asks runners for reports.
+  const entries: IEntry[] = [];
+  for (let index = 0; index <= CROWDED_MACHINES; index += 1) {
+    const entry = await deployment.startEntry(`front-a-${index + 1}`);
+    entries.push(entry);
     await until("the process is ready", () => isReady(entry));
   }
-  const heads = () => engines.filter(({ isOpen }) => isOpen);
-  await until("two groups serve", () => heads().length >= 2);
-  await sleep(1_000);
+  await until("a group serves", () => engines.some(({ isOpen }) => isOpen));
+  await sleep(2_000);
   const statuses = new Map<string, number>();
-  const call = async (address: string) => {
-    const id = `attempt-${statuses.size + 1}`;
+  const call = async ({ callers }: IEntry, name: string, tokens: number) => {
+    const id = `${name}-${statuses.size + 1}`;
     statuses.set(id, 0);
-    const answer = await send(address, "/briefs/1", {
+    const answer = await send(callers, "/briefs/1", {
       id,
-      headers: { "x-model": "m0", "x-token-counts": "100,50" },
+      headers: { "x-model": "m0", "x-token-counts": `100,${tokens}` },
       body: "text",
     });
     statuses.set(id, answer.status);
     record.add(`answer ${id} ${answer.status} ${answer.text.length} bytes`);
   };
-  for (const engine of heads().slice(0, FAULTY)) {
+  for (const engine of engines) {
     let repeated = 0;
-    engine.repeats = (kind) => {
+    engine.repeats = (kind, attempt) => {
       const share = (repeated + 1) / engine.answered;
-      if (!HAS_TROUBLE || kind !== Answered.Shed || share > LARGEST_SHARE) {
+      const isChosen =
+        kind === Answered.Shed && attempt?.startsWith(LATE) === true;
+      const isFree = share <= LARGEST_SHARE && Math.random() < 0.5;
+      if (!HAS_TROUBLE || !isChosen || !isFree) {
         return false;
       }
       repeated += 1;
       return true;
     };
   }
-  // Callers come in waves, so that the runners are full at the start of each.
-  for (let wave = 0; wave < WAVES; wave += 1) {
-    const calls = Array.from({ length: CALLERS }, (_, index) =>
-      call(entries[index % entries.length]?.callers ?? ""),
-    );
-    await Promise.all(calls);
-    await sleep(PAUSE);
+  const [last] = entries.slice(-1);
+  for (let round = 0; round < ROUNDS && last !== undefined; round += 1) {
+    const long = call(last, LONG, LONG_OUTPUT);
+    await sleep(LATER);
+    const crowd = entries
+      .slice(0, CROWDED_MACHINES)
+      .flatMap((entry) => Array<IEntry>(CALLS_EACH).fill(entry))
+      .map((entry, index) => call(entry, CROWD, 15 + 5 * (index % 3)));
+    await sleep(LATER);
+    const late = call(last, LATE, SHORT_OUTPUT);
+    await Promise.all([long, ...crowd, late, sleep(ROUND_TIME)]);
   }
   const runs = new Map<string, string[]>();
   for (const { attempt, engine } of engines.flatMap((one) => one.runs)) {
@@ -108,15 +124,15 @@
     ([id, status]) => status === 503 && runs.has(id),
   );
   refused.forEach(([id]) => record.add(`REFUSED ${id} answered 503, and ran`));
-  for (const { options, answers, extraAnswers } of engines) {
+  for (const { options: own, answers, extraAnswers } of engines) {
     const given = JSON.stringify(answers);
-    record.add(`${options.id} answers ${given} extra ${extraAnswers}`);
+    record.add(`${own.id} answers ${given} extra ${extraAnswers}`);
   }
   record.add(
     `calls ${statuses.size} twice ${twice.length} refused ${refused.length}`,
   );
   engines.forEach((engine) => engine.close());
-  if (runs.size < 100) {
+  if (runs.size < ROUNDS) {
     return Exit.NotRun;
   }
   return twice.length + refused.length > 0 ? Exit.Broken : Exit.Held;
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -53,7 +53,6 @@
         loadTime: 2_000,
         warmTime: 500,
         openTime: 300,
-        events: EVENTS,
         eventPeriod: 40,
       },
       record.add,
--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -1,5 +1,5 @@
 /**
- * Another writer leaves three entries in the list of runners whose fields have
+ * Another writer leaves two entries in the list of runners whose fields have
  * another type. Processes cannot read the list from then on, and go on sending
  * to a runner that drains.
  */
@@ -20,9 +20,9 @@
 } from "../support-2/deployment.ts";
 import type { Deployment, Record } from "../support-2/deployment.ts";
 
-const FOREIGN_ENTRIES = 3;
-/** Values of a field; the entry is shorter than the store's longest value. */
-const FOREIGN_VALUES = 400_000;
+const FOREIGN_ENTRIES = 2;
+/** Empty lists in a field; the entry is shorter than the longest value. */
+const FOREIGN_VALUES = 280_000;
 const LONGEST_VALUE = 1_048_576;
 
 /** The installation's bound, milliseconds. */
@@ -53,7 +53,7 @@
   }
   await sleep(4_000);
   if (HAS_TROUBLE) {
-    const address = new Array<number>(FOREIGN_VALUES).fill(0);
+    const address = Array.from({ length: FOREIGN_VALUES }, () => []);
     const foreign = { service: "delivery", state: "ready", address };
     const { length } = JSON.stringify(foreign);
     for (let index = 0; index < FOREIGN_ENTRIES; index += 1) {
--- a/review/support-2/engine.ts
+++ b/review/support-2/engine.ts
@@ -8,6 +8,9 @@
 /** Milliseconds between two heartbeats in the store. */
 const HEARTBEAT = 1_200;
 
+/** Tokens that one event holds. */
+const TOKENS_AN_EVENT = 5;
+
 /** What a runner has answered. */
 export enum Answered {
   Report = "report",
@@ -30,7 +33,6 @@
   readonly loadTime: number;
   readonly warmTime: number;
   readonly openTime: number;
-  readonly events: number;
   readonly eventPeriod: number;
 }
 
@@ -59,7 +61,7 @@
   readonly answers: Record<string, number> = {};
   extraAnswers = 0;
   /** Whether an answer of a kind is followed by a second copy of it. */
-  repeats: (kind: Answered) => boolean = () => false;
+  repeats: (kind: Answered, attempt: string | null) => boolean = () => false;
   readonly #log: (text: string) => void;
   readonly #server: Server;
   readonly #born = Date.now();
@@ -196,14 +198,15 @@
       readonly status: number;
       readonly headers: Readonly<Record<string, string>>;
       readonly body?: string;
+      readonly attempt?: string;
     },
   ): void {
-    const { status, headers, body = "" } = answer;
+    const { status, headers, body = "", attempt = null } = answer;
     const length = { "content-length": String(Buffer.byteLength(body)) };
     const all = { ...headers, ...length };
     this.answers[kind] = (this.answers[kind] ?? 0) + 1;
     const { socket } = response;
-    if (socket !== null && this.repeats(kind)) {
+    if (socket !== null && this.repeats(kind, attempt)) {
       const lines = Object.entries(all).map((pair) => pair.join(": "));
       const head = `HTTP/1.1 ${status} Again\r\n${lines.join("\r\n")}`;
       this.#extra.set(socket, Buffer.from(`${head}\r\n\r\n${body}`));
@@ -307,7 +310,8 @@
       this.#log(`${this.options.id} shed ${attempt}`);
       this.#answer(response, Answered.Shed, {
         status: 503,
-        headers: { "x-not-executed": "1" },
+        headers: { "x-not-executed": "1", "x-attempt-id": attempt },
+        attempt,
       });
     } else if (this.#active >= slots) {
       this.#queued.push(() => this.#run(request, response));
@@ -318,7 +322,9 @@
 
   #run(request: IncomingMessage, response: ServerResponse): void {
     const attempt = String(request.headers["x-attempt-id"]);
-    const { id: engine, events, eventPeriod } = this.options;
+    const { id: engine, eventPeriod } = this.options;
+    const [, output] = String(request.headers["x-token-counts"]).split(",");
+    const events = Math.ceil(Number(output) / TOKENS_AN_EVENT);
     if (response.destroyed) {
       this.#queued.shift()?.();
       return;
