--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case; exits with 1 if the rule was broken, 0 if it held, else with 2.
+cd "$(dirname "$0")/../.." || exit 2
+exec node target/review-2/case-8.mjs review/8
--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -29,6 +29,10 @@
   NotRun = 2,
 }
 
+/** Ports of the processes, below those of outgoing connections. */
+const PORTS = [14_000, 30_000] as const;
+const takenPorts = new Set<number>();
+
 export const HOST = "news.example";
 export const KEY = "key-of-desk";
 
@@ -167,8 +171,8 @@
 }
 
 /** Services of a configuration: an engine service and a plain one. */
-export function services(slots: number): readonly object[] {
-  const model = { name: "m0", size: 2, share: 1, pace: 1 };
+export function services(slots: number, size = 2): readonly object[] {
+  const model = { name: "m0", size, share: 1, pace: 1 };
   return [
     {
       name: "summarizer",
@@ -292,12 +296,21 @@
   process.exit(exit);
 }
 
-function freePort(): Promise<number> {
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const { port } = server.address() as { readonly port: number };
-      server.close(() => resolve(port));
+/** A port that nothing uses, and that no outgoing connection gets. */
+async function freePort(): Promise<number> {
+  for (;;) {
+    const [lowest, highest] = PORTS;
+    const port = lowest + Math.floor(Math.random() * (highest - lowest));
+    const isFree = await new Promise<boolean>((resolve) => {
+      const server = createServer();
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => {
+        server.close(() => resolve(true));
+      });
     });
-  });
+    if (isFree && !takenPorts.has(port)) {
+      takenPorts.add(port);
+      return port;
+    }
+  }
 }
--- a/review/support-2/engine.ts
+++ b/review/support-2/engine.ts
@@ -62,8 +62,15 @@
   extraAnswers = 0;
   /** Whether an answer of a kind is followed by a second copy of it. */
   repeats: (kind: Answered, attempt: string | null) => boolean = () => false;
+  /** Called with its group before and after each join that it takes. */
+  onJoin: (before: string | null, after: string) => void = () => undefined;
+  /** Milliseconds after which an unanswered order is carried out; else null. */
+  lateness: (op: string) => number | null = () => null;
   readonly #log: (text: string) => void;
   readonly #server: Server;
+  #state = "ready";
+  /** When it was ordered to close, milliseconds; null while it is open. */
+  #closingSince: number | null = null;
   readonly #born = Date.now();
   #store: Store | null = null;
   #timer: NodeJS.Timeout | null = null;
@@ -109,6 +116,33 @@
     return Object.values(this.answers).reduce((sum, one) => sum + one, 0);
   }
 
+  /** Name of its group; null without one. */
+  get group(): string | null {
+    return this.#membership?.name ?? null;
+  }
+
+  get rank(): number | null {
+    return this.#membership?.rank ?? null;
+  }
+
+  /** Whether it is the head of a group that takes or still runs requests. */
+  get isOpenOrClosing(): boolean {
+    const { rank, state } = this.#membership ?? {};
+    return rank === 0 && (state === "open" || state === "closing");
+  }
+
+  /** Milliseconds for which it has been closing; 0 if it is not. */
+  get closingTime(): number {
+    const since = this.#closingSince;
+    return since === null ? 0 : performance.now() - since;
+  }
+
+  /** Reports that it leaves, and goes on. */
+  drain(): void {
+    this.#state = "draining";
+    this.#list();
+  }
+
   get isOpen(): boolean {
     return this.#membership?.rank === 0 && this.#membership.state === "open";
   }
@@ -141,7 +175,7 @@
       zone: this.options.zone,
       version: "v1",
       slots: this.options.slots,
-      state: "ready",
+      state: this.#state,
       coldLeftMs: 0,
       seqNo: Math.floor(performance.now()),
     });
@@ -169,10 +203,17 @@
         body: JSON.stringify(this.#report()),
       });
     } else if (request.url === "/order") {
-      const order = JSON.parse(Buffer.concat(pieces).toString()) as object;
-      const status = this.#apply(order as Record<string, unknown>);
+      const text = Buffer.concat(pieces).toString();
+      const order = JSON.parse(text) as Record<string, unknown>;
+      const delay = this.lateness(String(order["op"]));
+      if (delay !== null) {
+        this.#log(`${this.options.id} order ${text} late by ${delay} ms`);
+        setTimeout(() => this.#apply(order), delay);
+        return;
+      }
+      const status = this.#apply(order);
       this.#log(`${this.options.id} order ${JSON.stringify(order)} ${status}`);
-      const isOpening = "op" in order && order.op === "open" && status === 202;
+      const isOpening = order["op"] === "open" && status === 202;
       const kind = isOpening ? Answered.Opening : Answered.Order;
       this.#answer(response, kind, { status, headers: {} });
     } else {
@@ -243,7 +284,11 @@
         this.#list();
       }, this.options.openTime);
     } else if (op === "close") {
-      one.state = "ready";
+      if (one.state !== "open") {
+        return 200;
+      }
+      one.state = this.#active > 0 ? "closing" : "ready";
+      this.#closingSince = performance.now();
     } else {
       return 400;
     }
@@ -261,7 +306,9 @@
     }
     const rank = members.indexOf(this.options.id);
     const joined = { name, epoch, rank, members, state: "joining" };
+    this.onJoin(known?.name ?? null, name);
     this.#membership = joined;
+    this.#closingSince = null;
     const time =
       this.#model === model
         ? 200
@@ -353,6 +400,10 @@
       this.#active -= 1;
       this.#log(`${engine} end ${attempt} at ${last}`);
       this.#queued.shift()?.();
+      const membership = this.#membership;
+      if (this.#active === 0 && membership?.state === "closing") {
+        membership.state = "ready";
+      }
     });
   }
 }
