review: a group that is counted whole with one runner under two ids (PARTIAL), as case 4

A runner that has started again under another id at its address is listed under both for a while, and its reports count for both.

--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -1,11 +1,10 @@
 /**
- * A runner is full and sheds a call, and hands out a second copy of that answer,
- * late, where the next one is expected. The call comes to it again on the same
- * connection, and runs. The process reads the copy, which names that call, and
- * sends it once more. The call may run once at most.
+ * A runner is cut off from the store, crashes and starts again under another id
+ * at its address. When the cut ends, a heartbeat of its former life still lands,
+ * and both ids are listed. The process forms a group of the two.
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { Answered, Engine } from "../support-2/engine.ts";
+import { Engine } from "../support-2/engine.ts";
 import {
   Exit,
   HAS_TROUBLE,
@@ -18,124 +17,126 @@
   services,
   until,
 } from "../support-2/deployment.ts";
-import type { Deployment, IEntry, Record } from "../support-2/deployment.ts";
+import type { Deployment, Record } from "../support-2/deployment.ts";
 
+const SIZE = 4;
+/** Milliseconds, as on the site. */
+const REPORT_LAG = 200;
 const SLOTS = 4;
-const QUEUE = 2;
-const EVENT_PERIOD = 60;
-/** Machines whose callers come at the same moment, and their calls. */
-const CROWDED_MACHINES = 5;
-const CALLS_EACH = 2;
-/** Tokens of the calls of the last machine, whose engine writes 5 an event. */
-const LONG_OUTPUT = 150;
-const SHORT_OUTPUT = 25;
-/** Milliseconds between its two calls and those of the others. */
-const LATER = 100;
-const ROUNDS = 28;
-/** Milliseconds between the starts of two rounds. */
-const ROUND_TIME = 2_500;
-/** Share of its answers that the runner repeats. */
-const LARGEST_SHARE = 0.03;
-
-/** Names of attempts. */
-const LONG = "long";
-const CROWD = "crowd";
-const LATE = "late";
+const CALLERS = 20;
+/** Tokens of a call; an event holds five. */
+const OUTPUT = 50;
+const EVENT_PERIOD = 40;
+/** Milliseconds: three heartbeats, and the cut from the store. */
+const EXPIRY = 3_600;
+const CUT = 10_000;
+/** Milliseconds after the cut at which the late heartbeat lands. */
+const LATENESS = 3_000;
+const ROUNDS = 4;
 
 async function play(deployment: Deployment, record: Record): Promise<Exit> {
   const { store } = deployment;
   const options = { service: "summarizer", gapTargetMs: 300 };
   store.put("config", "main", {
     version: 1,
-    routes: [route("briefs", "stream", { ...options, resumable: false })],
-    services: services(SLOTS),
+    routes: [route("briefs", "stream", { ...options, resumable: true })],
+    services: services(SLOTS, SIZE, REPORT_LAG),
     limits: LIMITS,
     tenants: [{ name: "desk", apiKeys: [KEY] }],
   });
-  const engines = [0, 1].map((index) => {
-    const id = `i-${index}`;
-    return new Engine(
+  const ready = new Set<string>();
+  let broken = 0;
+  const create = (id: string) => {
+    const engine = new Engine(
       {
         ...{ id, service: "summarizer", zone: "north-a", domain: "d-0" },
-        ...{ slots: SLOTS, queue: QUEUE },
-        eventPeriod: EVENT_PERIOD,
+        ...{ slots: SLOTS, queue: 24, eventPeriod: EVENT_PERIOD },
         ...{ loadTime: 2_000, warmTime: 500, openTime: 300 },
       },
       record.add,
     );
-  });
-  await Promise.all(engines.map((engine) => engine.listen(store)));
-  // The first process takes the lease, and asks runners for reports.
-  const entries: IEntry[] = [];
-  for (let index = 0; index <= CROWDED_MACHINES; index += 1) {
-    const entry = await deployment.startEntry(`front-a-${index + 1}`);
-    entries.push(entry);
-    await until("the process is ready", () => isReady(entry));
-  }
-  await until("a group serves", () => engines.some(({ isOpen }) => isOpen));
-  await sleep(2_000);
-  const statuses = new Map<string, number>();
-  const call = async ({ callers }: IEntry, name: string, tokens: number) => {
-    const id = `${name}-${statuses.size + 1}`;
-    statuses.set(id, 0);
-    const answer = await send(callers, "/briefs/1", {
-      id,
-      headers: { "x-model": "m0", "x-token-counts": `100,${tokens}` },
-      body: "text",
-    });
-    statuses.set(id, answer.status);
-    record.add(`answer ${id} ${answer.status} ${answer.text.length} bytes`);
-  };
-  for (const engine of engines) {
-    let repeated = 0;
-    engine.repeats = (kind, attempt) => {
-      const share = (repeated + 1) / engine.answered;
-      const isChosen =
-        kind === Answered.Shed && attempt?.startsWith(LATE) === true;
-      const isFree = share <= LARGEST_SHARE && Math.random() < 0.5;
-      if (!HAS_TROUBLE || !isChosen || !isFree) {
-        return false;
+    engine.onReady = (group, epoch) => ready.add(`${id} ${group} ${epoch}`);
+    engine.onRun = (group, epoch, members) => {
+      const absent = members.filter(
+        (member) => !ready.has(`${member} ${group} ${epoch}`),
+      );
+      if (absent.length > 0) {
+        broken += 1;
+        record.add(
+          `PARTIAL ${group} of ${members.join()} runs a call, and ${absent.join()} was never ready in it`,
+        );
       }
-      repeated += 1;
-      return true;
     };
-  }
-  const [last] = entries.slice(-1);
-  for (let round = 0; round < ROUNDS && last !== undefined; round += 1) {
-    const long = call(last, LONG, LONG_OUTPUT);
-    await sleep(LATER);
-    const crowd = entries
-      .slice(0, CROWDED_MACHINES)
-      .flatMap((entry) => Array<IEntry>(CALLS_EACH).fill(entry))
-      .map((entry, index) => call(entry, CROWD, 15 + 5 * (index % 3)));
-    await sleep(LATER);
-    const late = call(last, LATE, SHORT_OUTPUT);
-    await Promise.all([long, ...crowd, late, sleep(ROUND_TIME)]);
-  }
-  const runs = new Map<string, string[]>();
-  for (const { attempt, engine } of engines.flatMap((one) => one.runs)) {
-    runs.set(attempt, [...(runs.get(attempt) ?? []), engine]);
-  }
-  const twice = [...runs].filter(([, where]) => where.length > 1);
-  for (const [attempt, where] of twice) {
-    record.add(`TWICE ${attempt} ran at ${where.join(" and ")}`);
-  }
-  const refused = [...statuses].filter(
-    ([id, status]) => status === 503 && runs.has(id),
+    return engine;
+  };
+  const engines = Array.from({ length: 2 * SIZE - 1 }, (_, index) =>
+    create(`i-${index}`),
   );
-  refused.forEach(([id]) => record.add(`REFUSED ${id} answered 503, and ran`));
-  for (const { options: own, answers, extraAnswers } of engines) {
-    const given = JSON.stringify(answers);
-    record.add(`${own.id} answers ${given} extra ${extraAnswers}`);
+  await Promise.all(engines.map((engine) => engine.listen(store)));
+  const entry = await deployment.startEntry("front-a-1");
+  await until("the process is ready", () => isReady(entry));
+  await until("a group serves", () => engines.some(({ isOpen }) => isOpen));
+  let isOver = false;
+  let calls = 0;
+  const caller = async () => {
+    while (!isOver) {
+      calls += 1;
+      const id = `attempt-${calls}`;
+      const answer = await send(entry.callers, "/briefs/1", {
+        id,
+        headers: { "x-model": "m0", "x-token-counts": `100,${OUTPUT}` },
+        body: "text",
+      });
+      record.add(`answer ${id} ${answer.status} ${answer.text.length} bytes`);
+      await sleep(200);
+    }
+  };
+  const callers = Array.from({ length: CALLERS }, () => caller());
+  await sleep(6_000);
+  for (let round = 0; round < ROUNDS && broken === 0; round += 1) {
+    // The last spare runner, so that another one is the head.
+    const spares = engines.filter(
+      ({ group }) => group === null || group.startsWith("warm-"),
+    );
+    const [spare] = spares.slice(-1);
+    if (spare === undefined) {
+      break;
+    }
+    if (!HAS_TROUBLE) {
+      await sleep(CUT);
+      continue;
+    }
+    const { entry: heartbeat, address } = spare;
+    const { id } = spare.options;
+    const next = create(`i-9${round}`);
+    record.add(`${id} is cut off from the store, and crashes`);
+    spare.close();
+    await sleep(300);
+    await next.open(Number(address.split(":")[1]));
+    record.add(`it starts again at ${address} as ${next.options.id}`);
+    await sleep(EXPIRY);
+    store.remove("servers", id);
+    await sleep(CUT - EXPIRY);
+    next.register(store);
+    record.add("the cut ends");
+    engines.splice(engines.indexOf(spare), 1, next);
+    await sleep(LATENESS);
+    store.put("servers", id, heartbeat);
+    record.add(`a late heartbeat of ${id} lands`);
+    await sleep(EXPIRY);
+    store.remove("servers", id);
+    record.add(`the entry of ${id} expires`);
+    await sleep(2_000);
   }
-  record.add(
-    `calls ${statuses.size} twice ${twice.length} refused ${refused.length}`,
-  );
+  isOver = true;
+  await Promise.all(callers);
+  const runs = engines.flatMap((engine) => engine.runs).length;
+  record.add(`calls ${calls} runs ${runs} broken ${broken}`);
   engines.forEach((engine) => engine.close());
-  if (runs.size < ROUNDS) {
+  if (runs === 0) {
     return Exit.NotRun;
   }
-  return twice.length + refused.length > 0 ? Exit.Broken : Exit.Held;
+  return broken > 0 ? Exit.Broken : Exit.Held;
 }
 
 void runCase(process.argv[2] ?? ".", play);
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,7 +1,8 @@
 /**
- * Runners are added while callers call. The head of their group hands out a
- * second copy of its answer to an order, late, where the next answer is
- * expected. Nothing in it names a request, and a caller gets it.
+ * A runner is full and sheds a call, and hands out a second copy of that answer,
+ * late, where the next one is expected. The call comes to it again on the same
+ * connection, and runs. The process reads the copy, which names that call, and
+ * sends it once more. The call may run once at most.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { Answered, Engine } from "../support-2/engine.ts";
@@ -9,136 +10,132 @@
   Exit,
   HAS_TROUBLE,
   isReady,
-  LIMITS,
   KEY,
+  LIMITS,
   route,
   runCase,
   send,
   services,
   until,
 } from "../support-2/deployment.ts";
-import type { Deployment, IAnswer, Record } from "../support-2/deployment.ts";
+import type { Deployment, IEntry, Record } from "../support-2/deployment.ts";
 
-const SLOTS = 12;
-const EVENTS = 10;
-const CALLERS = 24;
-/** Milliseconds of traffic after runners were added. */
-const TRAFFIC_TIME = 10_000;
+const SLOTS = 4;
+const QUEUE = 2;
+const EVENT_PERIOD = 60;
+/** Machines whose callers come at the same moment, and their calls. */
+const CROWDED_MACHINES = 5;
+const CALLS_EACH = 2;
+/** Tokens of the calls of the last machine, whose engine writes 5 an event. */
+const LONG_OUTPUT = 150;
+const SHORT_OUTPUT = 25;
+/** Milliseconds between its two calls and those of the others. */
+const LATER = 100;
+const ROUNDS = 28;
+/** Milliseconds between the starts of two rounds. */
+const ROUND_TIME = 2_500;
+/** Share of its answers that the runner repeats. */
+const LARGEST_SHARE = 0.03;
+
+/** Names of attempts. */
+const LONG = "long";
+const CROWD = "crowd";
+const LATE = "late";
 
 async function play(deployment: Deployment, record: Record): Promise<Exit> {
   const { store } = deployment;
+  const options = { service: "summarizer", gapTargetMs: 300 };
   store.put("config", "main", {
     version: 1,
-    routes: [
-      route("briefs", "stream", {
-        service: "summarizer",
-        resumable: true,
-        gapTargetMs: 300,
-      }),
-    ],
+    routes: [route("briefs", "stream", { ...options, resumable: false })],
     services: services(SLOTS),
     limits: LIMITS,
     tenants: [{ name: "desk", apiKeys: [KEY] }],
   });
-  const engines: Engine[] = [];
-  const add = async (domain: string) => {
-    const engine = new Engine(
+  const engines = [0, 1].map((index) => {
+    const id = `i-${index}`;
+    return new Engine(
       {
-        id: `i-${engines.length}`,
-        service: "summarizer",
-        zone: "north-a",
-        domain,
-        slots: SLOTS,
-        queue: 24,
-        loadTime: 2_000,
-        warmTime: 500,
-        openTime: 300,
-        eventPeriod: 40,
+        ...{ id, service: "summarizer", zone: "north-a", domain: "d-0" },
+        ...{ slots: SLOTS, queue: QUEUE },
+        eventPeriod: EVENT_PERIOD,
+        ...{ loadTime: 2_000, warmTime: 500, openTime: 300 },
       },
       record.add,
     );
-    engines.push(engine);
-    await engine.listen(store);
-    return engine;
-  };
-  for (let index = 0; index < 4; index += 1) {
-    await add("d-0");
+  });
+  await Promise.all(engines.map((engine) => engine.listen(store)));
+  // The first process takes the lease, and asks runners for reports.
+  const entries: IEntry[] = [];
+  for (let index = 0; index <= CROWDED_MACHINES; index += 1) {
+    const entry = await deployment.startEntry(`front-a-${index + 1}`);
+    entries.push(entry);
+    await until("the process is ready", () => isReady(entry));
   }
-  const entry = await deployment.startEntry("front-a-1");
-  await until("the process is ready", () => isReady(entry));
   await until("a group serves", () => engines.some(({ isOpen }) => isOpen));
-  await sleep(1_000);
-  const wrong: string[] = [];
-  let isOver = false;
-  let calls = 0;
-  let served = 0;
-  const caller = async () => {
-    while (!isOver) {
-      calls += 1;
-      const id = `attempt-${calls}`;
-      const answer = await send(entry.callers, "/briefs/1", {
-        id,
-        headers: { "x-model": "m0", "x-token-counts": "100,50" },
-        body: "text",
-      });
-      served += answer.status === 200 && answer.isComplete ? 1 : 0;
-      const fault = faultOf(answer);
-      record.add(`answer ${id} ${answer.status} ${answer.text.length} bytes`);
-      if (fault !== null) {
-        record.add(`WRONG ${id} ${fault} ${JSON.stringify(answer.headers)}`);
-        wrong.push(id);
-      }
-      await sleep(20);
-    }
+  await sleep(2_000);
+  const statuses = new Map<string, number>();
+  const call = async ({ callers }: IEntry, name: string, tokens: number) => {
+    const id = `${name}-${statuses.size + 1}`;
+    statuses.set(id, 0);
+    const answer = await send(callers, "/briefs/1", {
+      id,
+      headers: { "x-model": "m0", "x-token-counts": `100,${tokens}` },
+      body: "text",
+    });
+    statuses.set(id, answer.status);
+    record.add(`answer ${id} ${answer.status} ${answer.text.length} bytes`);
   };
-  const callers = Array.from({ length: CALLERS }, () => caller());
-  await sleep(1_000);
-  const added = [await add("d-1"), await add("d-1")];
-  let repeated = 0;
-  for (const engine of added) {
-    engine.repeats = (kind) => {
-      if (!HAS_TROUBLE || kind !== Answered.Opening) {
+  for (const engine of engines) {
+    let repeated = 0;
+    engine.repeats = (kind, attempt) => {
+      const share = (repeated + 1) / engine.answered;
+      const isChosen =
+        kind === Answered.Shed && attempt?.startsWith(LATE) === true;
+      const isFree = share <= LARGEST_SHARE && Math.random() < 0.5;
+      if (!HAS_TROUBLE || !isChosen || !isFree) {
         return false;
       }
       repeated += 1;
       return true;
     };
   }
-  await sleep(TRAFFIC_TIME);
-  isOver = true;
-  await Promise.all(callers);
-  for (const { options, answers, extraAnswers } of engines) {
-    record.add(
-      `${options.id} answers ${JSON.stringify(answers)} extra ${extraAnswers}`,
-    );
+  const [last] = entries.slice(-1);
+  for (let round = 0; round < ROUNDS && last !== undefined; round += 1) {
+    const long = call(last, LONG, LONG_OUTPUT);
+    await sleep(LATER);
+    const crowd = entries
+      .slice(0, CROWDED_MACHINES)
+      .flatMap((entry) => Array<IEntry>(CALLS_EACH).fill(entry))
+      .map((entry, index) => call(entry, CROWD, 15 + 5 * (index % 3)));
+    await sleep(LATER);
+    const late = call(last, LATE, SHORT_OUTPUT);
+    await Promise.all([long, ...crowd, late, sleep(ROUND_TIME)]);
+  }
+  const runs = new Map<string, string[]>();
+  for (const { attempt, engine } of engines.flatMap((one) => one.runs)) {
+    runs.set(attempt, [...(runs.get(attempt) ?? []), engine]);
+  }
+  const twice = [...runs].filter(([, where]) => where.length > 1);
+  for (const [attempt, where] of twice) {
+    record.add(`TWICE ${attempt} ran at ${where.join(" and ")}`);
+  }
+  const refused = [...statuses].filter(
+    ([id, status]) => status === 503 && runs.has(id),
+  );
+  refused.forEach(([id]) => record.add(`REFUSED ${id} answered 503, and ran`));
+  for (const { options: own, answers, extraAnswers } of engines) {
+    const given = JSON.stringify(answers);
+    record.add(`${own.id} answers ${given} extra ${extraAnswers}`);
   }
   record.add(
-    `calls ${calls} served ${served} wrong ${wrong.length} repeated ${repeated}`,
+    `calls ${statuses.size} twice ${twice.length} refused ${refused.length}`,
   );
   engines.forEach((engine) => engine.close());
-  if (served < 100) {
+  if (runs.size < ROUNDS) {
     return Exit.NotRun;
   }
-  return wrong.length > 0 ? Exit.Broken : Exit.Held;
-}
-
-/** What is wrong with an answer that a caller takes for a success. */
-function faultOf({
-  status,
-  headers,
-  text,
-  isComplete,
-}: IAnswer): string | null {
-  if (status < 200 || status >= 300) {
-    return null;
-  }
-  if (headers["x-response-stamp"] === undefined) {
-    return `success without a stamp: ${status}`;
-  }
-  const last = /id: (\d+)\n[^\n]*\n\n$/.exec(text)?.[1];
-  return isComplete && Number(last) !== EVENTS
-    ? `complete after ${last}`
-    : null;
+  return twice.length + refused.length > 0 ? Exit.Broken : Exit.Held;
 }
 
 void runCase(process.argv[2] ?? ".", play);
--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -1,8 +1,7 @@
 /**
- * A member of a group drains. The head closes and, while it still runs
- * requests, is ordered to leave. The order is carried out late, and what the
- * process reads in its place is the second copy of a report. It takes the head
- * for gone, and joins the other members to a new group.
+ * Runners are added while callers call. The head of their group hands out a
+ * second copy of its answer to an order, late, where the next answer is
+ * expected. Nothing in it names a request, and a caller gets it.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { Answered, Engine } from "../support-2/engine.ts";
@@ -10,133 +9,136 @@
   Exit,
   HAS_TROUBLE,
   isReady,
-  KEY,
   LIMITS,
+  KEY,
   route,
   runCase,
   send,
   services,
   until,
 } from "../support-2/deployment.ts";
-import type { Deployment, Record } from "../support-2/deployment.ts";
+import type { Deployment, IAnswer, Record } from "../support-2/deployment.ts";
 
-const SIZE = 4;
-const DOMAINS = 6;
-const ENGINES_A_DOMAIN = 6;
 const SLOTS = 12;
-const EVENT_PERIOD = 120;
-/** Tokens of a call; an event holds five, so that it runs for 7 s. */
-const OUTPUT = 300;
+const EVENTS = 10;
 const CALLERS = 24;
-/** Milliseconds between the first calls of the callers. */
-const STAGGER = 300;
-/** Milliseconds by which an order is carried out late. */
-const LATENESS = 6_000;
-/** Milliseconds for which a head closes before it repeats a report. */
-const CLOSING_TIME = 2_380;
-/** Share of its answers that a runner repeats. */
-const LARGEST_SHARE = 0.03;
-/** Milliseconds between two members that drain. */
-const ROUND_TIME = 9_000;
+/** Milliseconds of traffic after runners were added. */
+const TRAFFIC_TIME = 10_000;
 
 async function play(deployment: Deployment, record: Record): Promise<Exit> {
   const { store } = deployment;
-  const options = { service: "summarizer", gapTargetMs: 300 };
   store.put("config", "main", {
     version: 1,
-    routes: [route("briefs", "stream", { ...options, resumable: true })],
-    services: services(SLOTS, SIZE),
+    routes: [
+      route("briefs", "stream", {
+        service: "summarizer",
+        resumable: true,
+        gapTargetMs: 300,
+      }),
+    ],
+    services: services(SLOTS),
     limits: LIMITS,
     tenants: [{ name: "desk", apiKeys: [KEY] }],
   });
-  const engines = Array.from(
-    { length: DOMAINS * ENGINES_A_DOMAIN },
-    (_, index) =>
-      new Engine(
-        {
-          id: `i-${index}`,
-          service: "summarizer",
-          zone: "north-a",
-          domain: `d-${Math.floor(index / ENGINES_A_DOMAIN)}`,
-          ...{ slots: SLOTS, queue: 24, eventPeriod: EVENT_PERIOD },
-          ...{ loadTime: 2_000, warmTime: 500, openTime: 300 },
-        },
-        record.add,
-      ),
-  );
-  let broken = 0;
-  for (const engine of engines) {
-    const { id } = engine.options;
-    engine.onJoin = (before, after) => {
-      const head = engines.find(
-        (one) => one.isOpenOrClosing && one.group === before,
-      );
-      if (before !== null && before !== after && head !== undefined) {
-        broken += 1;
-        const { options: own } = head;
-        record.add(
-          `TWO ${id} of ${before} is joined to ${after}, its head ${own.id} is open or closing`,
-        );
-      }
-    };
-    let repeated = 0;
-    engine.repeats = (kind) => {
-      const isChosen =
-        kind === Answered.Report && engine.closingTime > CLOSING_TIME;
-      const share = (repeated + 1) / engine.answered;
-      if (!HAS_TROUBLE || !isChosen || share > LARGEST_SHARE) {
-        return false;
-      }
-      repeated += 1;
-      return true;
-    };
-    let leaves = 0;
-    engine.lateness = (op) => {
-      leaves += op === "leave" ? 1 : 0;
-      const isLate = HAS_TROUBLE && op === "leave" && leaves === 1;
-      return isLate && engine.isOpenOrClosing ? LATENESS : null;
-    };
+  const engines: Engine[] = [];
+  const add = async (domain: string) => {
+    const engine = new Engine(
+      {
+        id: `i-${engines.length}`,
+        service: "summarizer",
+        zone: "north-a",
+        domain,
+        slots: SLOTS,
+        queue: 24,
+        loadTime: 2_000,
+        warmTime: 500,
+        openTime: 300,
+        eventPeriod: 40,
+      },
+      record.add,
+    );
+    engines.push(engine);
+    await engine.listen(store);
+    return engine;
+  };
+  for (let index = 0; index < 4; index += 1) {
+    await add("d-0");
   }
-  await Promise.all(engines.map((engine) => engine.listen(store)));
   const entry = await deployment.startEntry("front-a-1");
   await until("the process is ready", () => isReady(entry));
-  const heads = () => engines.filter(({ isOpen }) => isOpen);
-  await until("all groups serve", () => heads().length === DOMAINS);
+  await until("a group serves", () => engines.some(({ isOpen }) => isOpen));
+  await sleep(1_000);
+  const wrong: string[] = [];
   let isOver = false;
   let calls = 0;
-  const caller = async (index: number) => {
-    await sleep(index * STAGGER);
+  let served = 0;
+  const caller = async () => {
     while (!isOver) {
       calls += 1;
       const id = `attempt-${calls}`;
       const answer = await send(entry.callers, "/briefs/1", {
         id,
-        headers: { "x-model": "m0", "x-token-counts": `100,${OUTPUT}` },
+        headers: { "x-model": "m0", "x-token-counts": "100,50" },
         body: "text",
       });
+      served += answer.status === 200 && answer.isComplete ? 1 : 0;
+      const fault = faultOf(answer);
       record.add(`answer ${id} ${answer.status} ${answer.text.length} bytes`);
+      if (fault !== null) {
+        record.add(`WRONG ${id} ${fault} ${JSON.stringify(answer.headers)}`);
+        wrong.push(id);
+      }
       await sleep(20);
     }
   };
-  const callers = Array.from({ length: CALLERS }, (_, index) => caller(index));
-  await sleep(CALLERS * STAGGER);
-  for (const head of heads()) {
-    const member = engines.find(
-      ({ group, rank }) => group === head.group && (rank ?? 0) > 0,
-    );
-    record.add(`${member?.options.id} of ${head.group} drains`);
-    member?.drain();
-    await sleep(ROUND_TIME);
+  const callers = Array.from({ length: CALLERS }, () => caller());
+  await sleep(1_000);
+  const added = [await add("d-1"), await add("d-1")];
+  let repeated = 0;
+  for (const engine of added) {
+    engine.repeats = (kind) => {
+      if (!HAS_TROUBLE || kind !== Answered.Opening) {
+        return false;
+      }
+      repeated += 1;
+      return true;
+    };
   }
+  await sleep(TRAFFIC_TIME);
   isOver = true;
   await Promise.all(callers);
-  for (const { options: own, answers, extraAnswers } of engines) {
-    const given = JSON.stringify(answers);
-    record.add(`${own.id} answers ${given} extra ${extraAnswers}`);
+  for (const { options, answers, extraAnswers } of engines) {
+    record.add(
+      `${options.id} answers ${JSON.stringify(answers)} extra ${extraAnswers}`,
+    );
   }
-  record.add(`calls ${calls} broken ${broken}`);
+  record.add(
+    `calls ${calls} served ${served} wrong ${wrong.length} repeated ${repeated}`,
+  );
   engines.forEach((engine) => engine.close());
-  return broken > 0 ? Exit.Broken : Exit.Held;
+  if (served < 100) {
+    return Exit.NotRun;
+  }
+  return wrong.length > 0 ? Exit.Broken : Exit.Held;
+}
+
+/** What is wrong with an answer that a caller takes for a success. */
+function faultOf({
+  status,
+  headers,
+  text,
+  isComplete,
+}: IAnswer): string | null {
+  if (status < 200 || status >= 300) {
+    return null;
+  }
+  if (headers["x-response-stamp"] === undefined) {
+    return `success without a stamp: ${status}`;
+  }
+  const last = /id: (\d+)\n[^\n]*\n\n$/.exec(text)?.[1];
+  return isComplete && Number(last) !== EVENTS
+    ? `complete after ${last}`
+    : null;
 }
 
 void runCase(process.argv[2] ?? ".", play);
--- a/review/8/case.ts
+++ b/review/8/case.ts
@@ -1,7 +1,9 @@
 /**
- * A key is taken away from a client that calls a public route. The process
- * knows the key no longer, and passes it on to the runner.
+ * Another writer leaves two entries in the list of runners whose fields have
+ * another type. Processes cannot read the list from then on, and go on sending
+ * to a runner that drains.
  */
+import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { PlainRunner } from "../support-2/plain.ts";
 import {
@@ -18,53 +20,82 @@
 } from "../support-2/deployment.ts";
 import type { Deployment, Record } from "../support-2/deployment.ts";
 
-const CLIENT_KEY = "key-of-a-reader";
-const CALLS = 60;
+const FOREIGN_ENTRIES = 2;
+/** Empty lists in a field; the entry is shorter than the longest value. */
+const FOREIGN_VALUES = 280_000;
+const LONGEST_VALUE = 1_048_576;
+
+/** The installation's bound, milliseconds. */
+const DRAIN_TIME = 2_000;
+/** How long requests are sent after the runner began to drain, milliseconds. */
+const TRAFFIC_TIME = 8_000;
+const PERIOD = 40;
 
 async function play(deployment: Deployment, record: Record): Promise<Exit> {
   const { store } = deployment;
-  const configure = (version: number, apiKeys: readonly string[]) => {
-    store.put("config", "main", {
-      version,
-      routes: [route("notices", "safe", { service: "delivery", public: true })],
-      services: services(12),
-      limits: LIMITS,
-      tenants: [{ name: "desk", apiKeys }],
-    });
-    record.add(`config ${version} acknowledged, keys ${apiKeys.join(" ")}`);
-  };
-  configure(1, [KEY, CLIENT_KEY]);
+  store.put("config", "main", {
+    version: 1,
+    routes: [route("feed", "safe", { service: "delivery" })],
+    services: services(12),
+    limits: LIMITS,
+    tenants: [{ name: "desk", apiKeys: [KEY] }],
+  });
   const runners = [0, 1, 2].map(
     (index) => new PlainRunner(`p-${index}`, "delivery", record.add),
   );
   await Promise.all(runners.map((runner) => runner.listen(store)));
-  const entry = await deployment.startEntry("front-a-1");
-  await until("the process is ready", () => isReady(entry));
-  for (let call = 1; call <= CALLS; call += 1) {
-    if (call === CALLS / 2 && HAS_TROUBLE) {
-      configure(2, [KEY]);
+  const entries = [
+    await deployment.startEntry("front-a-1"),
+    await deployment.startEntry("front-a-2"),
+  ];
+  for (const entry of entries) {
+    await until("the process is ready", () => isReady(entry));
+  }
+  await sleep(4_000);
+  if (HAS_TROUBLE) {
+    const address = Array.from({ length: FOREIGN_VALUES }, () => []);
+    const foreign = { service: "delivery", state: "ready", address };
+    const { length } = JSON.stringify(foreign);
+    for (let index = 0; index < FOREIGN_ENTRIES; index += 1) {
+      store.put("servers", `x-${index}`, foreign);
+      record.add(`another writer puts servers/x-${index}, ${length} bytes`);
+    }
+    if (length > LONGEST_VALUE) {
+      return Exit.NotRun;
     }
-    const id = `attempt-${call}`;
-    const { status } = await send(entry.callers, "/notices/1", {
-      id,
-      method: "GET",
-      headers: { authorization: `Bearer ${CLIENT_KEY}` },
-    });
-    record.add(`answer ${id} ${status}`);
-    await sleep(50);
   }
-  const runs = runners.flatMap((runner) => runner.runs);
-  const leaked = runs.filter(({ headers }) => "authorization" in headers);
-  for (const { attempt, runner, headers } of leaked) {
-    const { authorization } = headers;
-    record.add(`KEY ${attempt} at ${runner}: authorization ${authorization}`);
+  await sleep(4_000);
+  const [leaving] = runners;
+  leaving?.drain();
+  const acknowledgedAt = performance.now();
+  record.add(`the store has accepted that ${leaving?.id} is draining`);
+  let calls = 0;
+  while (performance.now() - acknowledgedAt < TRAFFIC_TIME) {
+    for (const { name, callers } of entries) {
+      calls += 1;
+      const id = `attempt-${calls}`;
+      const options = { id, method: "GET" };
+      void send(callers, "/feed/1", options).then(({ status }) => {
+        record.add(`answer ${id} of ${name} ${status}`);
+      });
+    }
+    await sleep(PERIOD);
+  }
+  await sleep(500);
+  const late = (leaving?.runs ?? []).filter(
+    ({ at }) => at - acknowledgedAt > DRAIN_TIME,
+  );
+  for (const { attempt, at } of late) {
+    const after = Math.round(at - acknowledgedAt);
+    record.add(`DRAIN ${attempt} reached ${leaving?.id} after ${after} ms`);
   }
-  record.add(`runs ${runs.length} with a key ${leaked.length}`);
+  record.add(`calls ${calls} late ${late.length}`);
   runners.forEach((runner) => runner.close());
-  if (runs.length < CALLS / 2) {
+  const runs = runners.flatMap((runner) => runner.runs).length;
+  if (runs < calls / 2) {
     return Exit.NotRun;
   }
-  return leaked.length > 0 ? Exit.Broken : Exit.Held;
+  return late.length > 0 ? Exit.Broken : Exit.Held;
 }
 
 void runCase(process.argv[2] ?? ".", play);
--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -171,7 +171,11 @@
 }
 
 /** Services of a configuration: an engine service and a plain one. */
-export function services(slots: number, size = 2): readonly object[] {
+export function services(
+  slots: number,
+  size = 2,
+  reportLag = 0,
+): readonly object[] {
   const model = { name: "m0", size, share: 1, pace: 1 };
   return [
     {
@@ -187,7 +191,7 @@
         per_seq_ms: 0.1,
         read_per_s: 45_900,
         chunk: 2_048,
-        report_lag_ms: 0,
+        report_lag_ms: reportLag,
         loadsPerS: 5,
         loads_at_once: 7,
         formMs: 300,
--- a/review/support-2/engine.ts
+++ b/review/support-2/engine.ts
@@ -62,6 +62,11 @@
   extraAnswers = 0;
   /** Whether an answer of a kind is followed by a second copy of it. */
   repeats: (kind: Answered, attempt: string | null) => boolean = () => false;
+  /** Called when it is ready in a group. */
+  onReady: (group: string, epoch: number) => void = () => undefined;
+  /** Called with the members of its group when it begins to run a call. */
+  onRun: (group: string, epoch: number, members: readonly string[]) => void =
+    () => undefined;
   /** Called with its group before and after each join that it takes. */
   onJoin: (before: string | null, after: string) => void = () => undefined;
   /** Milliseconds after which an unanswered order is carried out; else null. */
@@ -92,12 +97,23 @@
     });
   }
 
-  async listen(store: Store): Promise<void> {
+  /** @param port - where it listens; any free one by default */
+  async listen(store: Store, port = 0): Promise<void> {
+    await this.open(port);
+    this.register(store);
+  }
+
+  /** Listens; the store does not know of it yet. */
+  async open(atPort: number): Promise<void> {
     await new Promise<void>((resolve) => {
-      this.#server.listen(0, "127.0.0.1", resolve);
+      this.#server.listen(atPort, "127.0.0.1", resolve);
     });
     const { port } = this.#server.address() as { readonly port: number };
     this.address = `127.0.0.1:${port}`;
+  }
+
+  /** Writes heartbeats from now on. */
+  register(store: Store): void {
     this.#store = store;
     this.#list();
     this.#timer = setInterval(() => this.#list(), HEARTBEAT);
@@ -167,8 +183,9 @@
     };
   }
 
-  #list(): void {
-    this.#store?.put("servers", this.options.id, {
+  /** Its entry in the store. */
+  get entry(): object {
+    return {
       ...this.#report(),
       service: this.options.service,
       address: this.address,
@@ -178,7 +195,11 @@
       state: this.#state,
       coldLeftMs: 0,
       seqNo: Math.floor(performance.now()),
-    });
+    };
+  }
+
+  #list(): void {
+    this.#store?.put("servers", this.options.id, this.entry);
   }
 
   async #handle(
@@ -191,7 +212,9 @@
       pieces.push(piece);
     }
     const expected = request.headers["x-expect-instance"];
-    if (expected !== undefined && expected !== this.options.id) {
+    // A report is answered by whoever is at the address.
+    const isOther = expected !== undefined && expected !== this.options.id;
+    if (isOther && request.url !== "/report") {
       this.#answer(response, Answered.Misdirected, {
         status: 421,
         headers: { "x-instance-id": this.options.id },
@@ -317,6 +340,7 @@
           : this.options.loadTime;
     setTimeout(() => {
       joined.state = "ready";
+      this.onReady(name, epoch);
       this.#staged = model;
       this.#list();
     }, time);
@@ -379,6 +403,10 @@
     const { headers } = request;
     this.runs.push({ at: performance.now(), engine, attempt, headers });
     this.#log(`${engine} run ${attempt}`);
+    const one = this.#membership;
+    if (one !== null) {
+      this.onRun(one.name, one.epoch, one.members);
+    }
     this.answers[Answered.Stream] = (this.answers[Answered.Stream] ?? 0) + 1;
     this.#active += 1;
     response.writeHead(200, {
