--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -30,6 +30,8 @@
 /** Milliseconds: three heartbeats, and the cut from the store. */
 const EXPIRY = 3_600;
 const CUT = 10_000;
+/** Milliseconds until the crashed runner starts again. */
+const RESTART = 300;
 /** Milliseconds after the cut at which the late heartbeat lands. */
 const LATENESS = 3_000;
 const ROUNDS = 4;
@@ -111,12 +113,12 @@
     const next = create(`i-9${round}`);
     record.add(`${id} is cut off from the store, and crashes`);
     spare.close();
-    await sleep(300);
+    await sleep(RESTART);
     await next.open(Number(address.split(":")[1]));
     record.add(`it starts again at ${address} as ${next.options.id}`);
     await sleep(EXPIRY);
     store.remove("servers", id);
-    await sleep(CUT - EXPIRY);
+    await sleep(CUT - EXPIRY - RESTART);
     next.register(store);
     record.add("the cut ends");
     engines.splice(engines.indexOf(spare), 1, next);
--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -6,9 +6,9 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { Answered, Engine } from "../support-2/engine.ts";
+import { Garble } from "../support-2/garble.ts";
 import {
   Exit,
-  HAS_TROUBLE,
   isReady,
   KEY,
   LIMITS,
@@ -31,11 +31,11 @@
 const SHORT_OUTPUT = 25;
 /** Milliseconds between its two calls and those of the others. */
 const LATER = 100;
-const ROUNDS = 28;
+const ROUNDS = 34;
 /** Milliseconds between the starts of two rounds. */
 const ROUND_TIME = 2_500;
-/** Share of its answers that the runner repeats. */
-const LARGEST_SHARE = 0.03;
+/** Rounds from one beginning of the disruption to the next. */
+const ROUNDS_BETWEEN = 3;
 
 /** Names of attempts. */
 const LONG = "long";
@@ -86,22 +86,20 @@
     statuses.set(id, answer.status);
     record.add(`answer ${id} ${answer.status} ${answer.text.length} bytes`);
   };
-  for (const engine of engines) {
-    let repeated = 0;
-    engine.repeats = (kind, attempt) => {
-      const share = (repeated + 1) / engine.answered;
-      const isChosen =
-        kind === Answered.Shed && attempt?.startsWith(LATE) === true;
-      const isFree = share <= LARGEST_SHARE && Math.random() < 0.5;
-      if (!HAS_TROUBLE || !isChosen || !isFree) {
-        return false;
-      }
-      repeated += 1;
-      return true;
+  const [head] = engines.filter(({ isOpen }) => isOpen);
+  const garble = new Garble();
+  if (head !== undefined) {
+    head.repeats = (kind, attempt) => {
+      const isLate = kind === Answered.Shed && attempt?.startsWith(LATE);
+      return garble.repeats(isLate === true && Math.random() < 0.5);
     };
   }
   const [last] = entries.slice(-1);
   for (let round = 0; round < ROUNDS && last !== undefined; round += 1) {
+    // It lasts for two rounds, and pauses for one.
+    if (round % ROUNDS_BETWEEN === 0) {
+      garble.begin();
+    }
     const long = call(last, LONG, LONG_OUTPUT);
     await sleep(LATER);
     const crowd = entries
@@ -128,6 +126,7 @@
     const given = JSON.stringify(answers);
     record.add(`${own.id} answers ${given} extra ${extraAnswers}`);
   }
+  record.add(garble.dose);
   record.add(
     `calls ${statuses.size} twice ${twice.length} refused ${refused.length}`,
   );
--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -5,9 +5,9 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { Answered, Engine } from "../support-2/engine.ts";
+import { Garble } from "../support-2/garble.ts";
 import {
   Exit,
-  HAS_TROUBLE,
   isReady,
   LIMITS,
   KEY,
@@ -94,15 +94,12 @@
   const callers = Array.from({ length: CALLERS }, () => caller());
   await sleep(1_000);
   const added = [await add("d-1"), await add("d-1")];
-  let repeated = 0;
-  for (const engine of added) {
-    engine.repeats = (kind) => {
-      if (!HAS_TROUBLE || kind !== Answered.Opening) {
-        return false;
-      }
-      repeated += 1;
-      return true;
-    };
+  const garble = new Garble();
+  garble.begin();
+  const [old] = engines.filter(({ isOpen }) => isOpen);
+  for (const engine of [...added, ...(old === undefined ? [] : [old])]) {
+    engine.repeats = (kind) =>
+      garble.repeats(kind === Answered.Opening && engine !== old);
   }
   await sleep(TRAFFIC_TIME);
   isOver = true;
@@ -113,7 +110,7 @@
     );
   }
   record.add(
-    `calls ${calls} served ${served} wrong ${wrong.length} repeated ${repeated}`,
+    `calls ${calls} served ${served} wrong ${wrong.length} ${garble.dose}`,
   );
   engines.forEach((engine) => engine.close());
   if (served < 100) {
--- a/review/support-2/engine.ts
+++ b/review/support-2/engine.ts
@@ -408,6 +408,8 @@
       this.onRun(one.name, one.epoch, one.members);
     }
     this.answers[Answered.Stream] = (this.answers[Answered.Stream] ?? 0) + 1;
+    // Counted only: a stream is not repeated.
+    this.repeats(Answered.Stream, attempt);
     this.#active += 1;
     response.writeHead(200, {
       "content-type": "text/event-stream",
