Tell answers broken off by a reset from whole ones

What callers saw: a target answered a long upload with a 200 without a length, wrote a part of its body and reset the connection while the upload was being written. The caller got the part as a whole answer; a stream ended as complete after one of its events.

Cause: undici takes the end of a connection for the end of an answer without a length. A reset that follows a close, or comes with it, is not reported by Node, which stops reading at the close. The only check, at calls to targets, wrote an empty line at the end of the answer and asked at once whether that had failed: behind the rest of an upload it is queued and cannot fail, and a reset that comes a moment later was not waited for. Reports, orders, the store, other processes and the daemon had no check.

Ruled out: that only long uploads are affected (10 bytes are as well), and only calls.

Change: AnswerInput, which every HTTP client has, holds the end of a connection from the parser while the current answer has no length. ConnectionEnd waits until the request is written, 1 s at most, and 50 ms more without writing; then a failed write shows a reset.

Why it works: the end is reported only after the time in which a reset follows, and a request that could not be written was not read. Nothing is written before, since a connection closed in both directions answers that by a reset.

Remains: a target that closes its side, and resets the connection later than 50 ms or never, where the rest of the request fits in the systems' buffers.

--- a/src/adapters/forwarding/http_peer_link.ts
+++ b/src/adapters/forwarding/http_peer_link.ts
@@ -84,10 +84,7 @@
    */
   constructor(barrier: IInputBarrier, clients = new HttpClients()) {
     this.#clients = clients;
-    const connectTo = timedConnector({
-      timeout: CONNECT_TIMEOUT,
-      allowHalfOpen: false,
-    });
+    const connectTo = timedConnector(CONNECT_TIMEOUT);
     this.#connect = barrierConnector(connectTo, barrier);
     const connect = this.#connect;
     const options = { ...NO_TIMEOUTS, connect, pipelining: 1 };
--- a/src/adapters/http/answer_guards.ts
+++ b/src/adapters/http/answer_guards.ts
@@ -16,6 +16,9 @@
   Pick<Handler, "onConnect" | "onHeaders" | "onData" | "onComplete" | "onError">
 >;
 
+const LENGTH_NAME = "content-length";
+const CODING_NAME = "transfer-encoding";
+
 const STATUS_OK = 200;
 const STATUS_REDIRECT = 300;
 
@@ -60,7 +63,13 @@
   onResponseStart(...call: Parameters<Required<Handler>["onResponseStart"]>) {
     const [, status, headers] = call;
     this.#status = status;
-    recordHead(status, countFields(headers), this.#parts);
+    const hasLength =
+      headers[LENGTH_NAME] !== undefined || isChunked(headers[CODING_NAME]);
+    recordHead(
+      status,
+      { fields: countFields(headers), hasLength },
+      this.#parts,
+    );
     this.#handler.onResponseStart?.(...call);
   }
 
@@ -100,7 +109,8 @@
   onHeaders(...call: Parameters<Callbacks["onHeaders"]>): boolean {
     const [status, names, resume, text] = call;
     this.#status = status;
-    recordHead(status, names.length / 2, this.#parts);
+    const head = { fields: names.length / 2, hasLength: hasRawLength(names) };
+    recordHead(status, head, this.#parts);
     const resumeInput = () => {
       this.#parts.input()?.recordResume();
       resume();
@@ -139,7 +149,7 @@
 /** @throws {AnswerBoundError} if the head has too many fields */
 function recordHead(
   status: number,
-  fields: number,
+  { fields, hasLength }: { fields: number; hasLength: boolean },
   { input, onExceeded }: IAnswerGuardParts,
 ): void {
   if (fields > MAXIMUM_FIELDS) {
@@ -148,7 +158,7 @@
   }
   // The final head is still to come after a provisional one.
   if (status >= STATUS_OK) {
-    input()?.recordHead();
+    input()?.recordHead(hasLength);
   }
 }
 
@@ -183,3 +193,36 @@
   }
   return count;
 }
+
+/**
+ * Whether an answer tells where it ends.
+ *
+ * @param fields - of its head, names and values in turn
+ */
+function hasRawLength(fields: readonly Buffer[]): boolean {
+  let codings: string | undefined;
+  for (let index = 0; index < fields.length; index += 2) {
+    const name = fields[index];
+    if (isNamed(name, LENGTH_NAME)) {
+      return true;
+    }
+    if (isNamed(name, CODING_NAME)) {
+      codings = fields[index + 1]?.toString("latin1");
+    }
+  }
+  return isChunked(codings);
+}
+
+function isNamed(name: Buffer | undefined, expected: string): boolean {
+  return (
+    name?.length === expected.length &&
+    name.toString("latin1").toLowerCase() === expected
+  );
+}
+
+/** Chunks tell where an answer ends only if no other coding follows. */
+function isChunked(codings: string | string[] | undefined): boolean {
+  const lines = Array.isArray(codings) ? codings.at(-1) : codings;
+  const last = lines?.split(",").at(-1)?.trim();
+  return last?.toLowerCase() === "chunked";
+}
--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -14,6 +14,7 @@
   AnswerShare,
 } from "../../common/calls/answer_memory.ts";
 import type { IScheduledInput, InputSchedule } from "../input_schedule.ts";
+import { ConnectionEnd } from "./connection_end.ts";
 
 /** Bytes that the parser gets at once. */
 const PIECE_LENGTH = 8_192;
@@ -60,6 +61,12 @@
   #taken = 0;
   /** Whether the parser waits until the content that it has passed on is read. */
   #isPaused = false;
+  /** Whether the current answer has no length, and ends with the connection. */
+  #endsWithConnection = false;
+  /** Whether the other side has closed its direction. */
+  #hasEnded = false;
+  /** The end of the connection, while it is held from the parser. */
+  #heldEnd: ConnectionEnd | null = null;
   /** Whether a bound was exceeded; what has arrived is not parsed any more. */
   #hasFailed = false;
 
@@ -74,6 +81,11 @@
     this.#read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     socket.read = (size?: number) =>
       size === 0 ? this.#prepareRead() : this.#readNext();
+    const push = socket.push.bind(socket);
+    socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
+      this.#hasEnded ||= chunk === null;
+      return push(chunk, encoding);
+    };
     const destroy = socket.destroy.bind(socket);
     socket.destroy = (error?: Error) =>
       destroy(error === undefined ? undefined : brokenOffBy(error));
@@ -86,9 +98,14 @@
     this.#taken = 0;
   }
 
-  /** The head of an answer is complete. */
-  recordHead(): void {
+  /**
+   * The head of an answer is complete.
+   *
+   * @param hasLength - whether the answer tells where it ends
+   */
+  recordHead(hasLength: boolean): void {
     this.#isHeadOpen = false;
+    this.#endsWithConnection = !hasLength;
     this.#headShare.dispose();
   }
 
@@ -102,6 +119,7 @@
   recordEnd(): void {
     this.#excess = 0;
     this.#isHeadOpen = true;
+    this.#endsWithConnection = false;
     this.#isAwaited = false;
   }
 
@@ -136,10 +154,23 @@
    * end while it is paused.
    */
   #prepareRead(): Buffer | null {
-    const isHeld = this.#isPaused && this.#socket.readableLength === 0;
+    const isEmpty = this.#socket.readableLength === 0;
+    const isHeld = isEmpty && (this.#isPaused || this.#holdsEnd());
     return isHeld ? null : this.#read(0);
   }
 
+  /** Whether the connection's end, which is next, is yet to be confirmed. */
+  #holdsEnd(): boolean {
+    if (!this.#hasEnded || !this.#endsWithConnection) {
+      return false;
+    }
+    this.#heldEnd ??= new ConnectionEnd(this.#socket, () => {
+      this.#endsWithConnection = false;
+      this.#read(0);
+    });
+    return true;
+  }
+
   /** Null if nothing has arrived, or until the schedule calls for it. */
   #readNext(): Buffer | null {
     this.#endPiece();
@@ -148,7 +179,7 @@
     }
     const { readableLength, destroyed } = this.#socket;
     if (readableLength === 0 || destroyed) {
-      return this.#read();
+      return !destroyed && this.#holdsEnd() ? null : this.#read();
     }
     if (!this.#isCalled && !this.#mayRead) {
       return null;
@@ -202,6 +233,7 @@
   #close(): void {
     this.#pieceAt = null;
     this.#parts.schedule.delete(this);
+    this.#heldEnd?.dispose();
     this.#headShare.dispose();
   }
 }
--- a/src/adapters/http/answer_input_test.ts
+++ b/src/adapters/http/answer_input_test.ts
@@ -58,7 +58,7 @@
     const harness = new Harness();
     expect(harness.read("before")).to.equal("before");
     harness.input.recordStart();
-    harness.input.recordHead();
+    harness.input.recordHead(true);
     harness.input.recordEnd();
     expect(harness.read("after")).to.equal("after");
   });
--- a/src/adapters/timed_connector.ts
+++ b/src/adapters/timed_connector.ts
@@ -3,20 +3,13 @@
 import { buildConnector } from "undici";
 import { afterDelay } from "./event_loop/poll_timer.ts";
 
-/** How connections are made. */
-export interface IConnectionOptions {
-  /** Milliseconds. */
-  readonly timeout: number;
-  /** Whether to keep a connection open that its other end has closed. */
-  readonly allowHalfOpen: boolean;
-}
-
-/** A connector for undici, whose own timeout is up to half a second late. */
-export function timedConnector({
-  timeout,
-  allowHalfOpen,
-}: IConnectionOptions): buildConnector.connector {
-  const connect = buildConnector({ timeout: 0, allowHalfOpen });
+/**
+ * A connector for undici, whose own timeout is up to half a second late.
+ *
+ * @param timeout - milliseconds
+ */
+export function timedConnector(timeout: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: 0 });
   // The typings omit that the connector returns the socket.
   const connectWithSocket = connect as (
     ...call: Parameters<typeof connect>
--- /dev/null
+++ b/test/broken_answers_daemon_test.ts
@@ -0,0 +1,69 @@
+/** Answers without a length that targets break off, before a daemon. */
+import { expect } from "chai";
+import {
+  BREAKS,
+  closeWhileReading,
+  HEADS_WITHOUT_LENGTH,
+} from "./support/broken_answers.ts";
+import { FaultyDeployment, Operation } from "./support/faulty_deployment.ts";
+import type { FaultyAnswer } from "./support/faulty_target.ts";
+import type { RawDataHandler } from "./support/raw_target.ts";
+
+const STATUS_OK = 200;
+
+/** Statuses of calls that may have run, or were not taken. */
+const NOT_ANSWERED = [502, 503, 504];
+
+const PLAIN_PATH = "/call";
+const PLAIN = [Operation.Repeatable, Operation.AtMostOnce];
+
+/** Answers a call to a plain service with a head and a sound body. */
+function answerWith(
+  head: string,
+  answer: (text: string) => RawDataHandler,
+): FaultyAnswer {
+  return ({ socket }, body) => {
+    const { requestId } = JSON.parse(body) as { readonly requestId: string };
+    const text = JSON.stringify({ requestId, answer: {} });
+    if (socket !== null) {
+      answer(`${head}\r\n${text}`)("", socket);
+    }
+  };
+}
+
+describe("answers without a length, before a daemon", () => {
+  let faulty: FaultyDeployment;
+
+  before(async () => {
+    faulty = await FaultyDeployment.start();
+  });
+
+  after(async () => {
+    await faulty[Symbol.asyncDispose]();
+  });
+
+  afterEach(() => faulty.service.faults.clear());
+
+  for (const [name, head] of Object.entries(HEADS_WITHOUT_LENGTH)) {
+    for (const [end, breakOff] of Object.entries(BREAKS)) {
+      // Guards against a part of an answer that is passed on as a whole one:
+      // its target closed and reset the connection.
+      it(`are no success once broken by ${end}: ${name}`, async () => {
+        faulty.service.faults.set(PLAIN_PATH, answerWith(head, breakOff));
+        for (const operation of PLAIN) {
+          const status = await faulty.statusOf(operation);
+          expect(status, operation).to.be.oneOf(NOT_ANSWERED);
+        }
+      });
+    }
+
+    // Guards against a check for broken answers that sound ones fail.
+    it(`are passed on if they end in order: ${name}`, async () => {
+      const answer = answerWith(head, closeWhileReading);
+      faulty.service.faults.set(PLAIN_PATH, answer);
+      for (const operation of PLAIN) {
+        expect(await faulty.statusOf(operation)).to.equal(STATUS_OK);
+      }
+    });
+  }
+});
--- a/test/support/entry_fleet.ts
+++ b/test/support/entry_fleet.ts
@@ -134,10 +134,12 @@
       readonly signal?: AbortSignal;
       /** The parts of the prompt, as the platform writes them. */
       readonly parts?: string;
+      readonly body?: string | Uint8Array;
     } = {},
   ): Promise<ICallAnswer> {
     this.#calls += 1;
     const { id = `attempt-${this.#calls}`, signal, parts } = options;
+    const { body = "text" } = options;
     const startedAt = performance.now();
     const answer = await request(`http://${this.#callersOf(index)}${path}`, {
       method: "POST",
@@ -151,7 +153,7 @@
           : {}),
         ...(parts === undefined ? {} : { "x-prompt-prefix": parts }),
       },
-      body: "text",
+      body,
       ...(signal === undefined ? {} : { signal }),
     });
     return {
--- a/test/support/platform_engine.ts
+++ b/test/support/platform_engine.ts
@@ -4,6 +4,8 @@
 import { performance } from "node:perf_hooks";
 import { setTimeout as sleep } from "node:timers/promises";
 import { listenOn } from "../../src/adapters/listen.ts";
+import { fieldsOf } from "./broken_answers.ts";
+import type { RawAnswer } from "./broken_answers.ts";
 import type { IArrival } from "./leaving_callers.ts";
 import { writePieces } from "./endless_pieces.ts";
 import type { IEndlessAnswer } from "./endless_pieces.ts";
@@ -116,6 +118,8 @@
   endless: EndlessAnswer | null = null;
   /** What it writes in pieces in place of an answer; null for nothing. */
   pieces: IEnginePieces | null = null;
+  /** Writes what it answers to calls, raw on the connection; null for streams. */
+  answerRaw: RawAnswer | null = null;
   /** Whether it is down after a crash. */
   isDown = false;
   /** Its crashes, and the calls with such a part that arrived. */
@@ -269,6 +273,11 @@
     if (response.destroyed) {
       return;
     }
+    const attempt = request.headers["x-attempt-id"];
+    if (this.answerRaw !== null && attempt !== undefined && this.isServing) {
+      this.answerRaw(request.socket, fieldsOf(String(attempt), this.id));
+      return;
+    }
     let text = "";
     for await (const chunk of request as AsyncIterable<Buffer>) {
       text += chunk.toString();
--- a/test/support/platform_plain_target.ts
+++ b/test/support/platform_plain_target.ts
@@ -3,6 +3,8 @@
 import type { Server, ServerResponse } from "node:http";
 import { performance } from "node:perf_hooks";
 import { listenOn } from "../../src/adapters/listen.ts";
+import { fieldsOf } from "./broken_answers.ts";
+import type { RawAnswer } from "./broken_answers.ts";
 import type { IArrival } from "./leaving_callers.ts";
 import { writePieces } from "./endless_pieces.ts";
 import type { IEndlessAnswer } from "./endless_pieces.ts";
@@ -30,6 +32,8 @@
   endless: EndlessPart | null = null;
   /** What it writes in place of an answer; null for nothing. */
   pieces: IEndlessAnswer | null = null;
+  /** Writes what it answers, raw on the connection; null for usual answers. */
+  answerRaw: RawAnswer | null = null;
   /** What each answer says. */
   answer = "done";
   /** Bytes of each chunk in which it is written; null for a single one. */
@@ -55,8 +59,12 @@
 
   #createServer(): Server {
     return createServer((request, response) => {
-      request.resume();
       const attempt = request.headers["x-attempt-id"];
+      if (this.answerRaw !== null && attempt !== undefined) {
+        this.answerRaw(request.socket, fieldsOf(String(attempt), this.id));
+        return;
+      }
+      request.resume();
       if (attempt === undefined) {
         response.writeHead(400, { "x-not-executed": "1" }).end();
         return;
