Test invalid heads of answers wherever answers are read

Cause: other operators saw answers of status 000, and answers with a blank or a control character in a field's name, reach callers. Only some of these were tested, and only at calls to targets; one test allowed a success.

The parser of the HTTP client rejects each head before it is reported.

An answer with a space in a field's name may no longer be a success in odd_heads_test.

--- a/src/adapters/http/broken_answers_test.ts
+++ b/src/adapters/http/broken_answers_test.ts
@@ -1,4 +1,4 @@
-/** Answers without a length that are broken off, on each kind of client. */
+/** Answers that are broken off or not valid, on each kind of client. */
 import { expect } from "chai";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
@@ -7,6 +7,7 @@
   closeWhileReading,
   closeWithoutReading,
   HEADS_WITHOUT_LENGTH,
+  INVALID_HEADS,
   LONG_UPLOAD,
 } from "../../../test/support/broken_answers.ts";
 import { RawTarget } from "../../../test/support/raw_target.ts";
@@ -86,4 +87,16 @@
       expect(await read(create, answer, LONG_UPLOAD)).to.equal(null);
     });
   });
+
+  describe(`invalid heads of answers to an HTTP ${client}`, () => {
+    // Guards against an answer that is no HTTP and is read as one.
+    for (const [name, head] of Object.entries(INVALID_HEADS)) {
+      it(`are not read: ${name}`, async () => {
+        for (const length of ["", `Content-Length: ${PART.length}\r\n`]) {
+          const answer = closeWhileReading(`${head}${length}\r\n${PART}`);
+          expect(await read(create, answer, 10)).to.equal(null);
+        }
+      });
+    }
+  });
 }
--- a/test/broken_answers_daemon_test.ts
+++ b/test/broken_answers_daemon_test.ts
@@ -1,9 +1,10 @@
-/** Answers without a length that targets break off, before a daemon. */
+/** Answers that targets break off, or that are not valid, before a daemon. */
 import { expect } from "chai";
 import {
   BREAKS,
   closeWhileReading,
   HEADS_WITHOUT_LENGTH,
+  INVALID_HEADS,
 } from "./support/broken_answers.ts";
 import { FaultyDeployment, Operation } from "./support/faulty_deployment.ts";
 import type { FaultyAnswer } from "./support/faulty_target.ts";
@@ -15,6 +16,7 @@
 const NOT_ANSWERED = [502, 503, 504];
 
 const PLAIN_PATH = "/call";
+const ENGINE_PATH = "/generate";
 const PLAIN = [Operation.Repeatable, Operation.AtMostOnce];
 
 /** Answers a call to a plain service with a head and a sound body. */
@@ -31,7 +33,7 @@
   };
 }
 
-describe("answers without a length, before a daemon", () => {
+describe("broken answers, before a daemon", () => {
   let faulty: FaultyDeployment;
 
   before(async () => {
@@ -42,7 +44,9 @@
     await faulty[Symbol.asyncDispose]();
   });
 
-  afterEach(() => faulty.service.faults.clear());
+  afterEach(() => {
+    [faulty.service, ...faulty.engines].forEach(({ faults }) => faults.clear());
+  });
 
   for (const [name, head] of Object.entries(HEADS_WITHOUT_LENGTH)) {
     for (const [end, breakOff] of Object.entries(BREAKS)) {
@@ -66,4 +70,34 @@
       }
     });
   }
+
+  for (const [name, head] of Object.entries(INVALID_HEADS)) {
+    // Guards against an answer that is no HTTP and is passed on as a success.
+    it(`are no success if their head is invalid: ${name}`, async () => {
+      const answer = answerWith(head, closeWhileReading);
+      faulty.service.faults.set(PLAIN_PATH, answer);
+      for (const operation of PLAIN) {
+        const status = await faulty.statusOf(operation);
+        expect(status, operation).to.be.oneOf(NOT_ANSWERED);
+      }
+    });
+  }
+
+  // Guards against the same in answers of engines.
+  it("are no success of engines if their head is invalid", async () => {
+    const heads = Object.values(INVALID_HEADS);
+    let answers = 0;
+    faulty.failEngines(ENGINE_PATH, (response, body) => {
+      answerWith(heads[answers % heads.length] ?? "", closeWhileReading)(
+        response,
+        body,
+      );
+      answers += 1;
+    });
+    const calls = [Operation.Stream, Operation.Text].flatMap((operation) =>
+      heads.map(() => faulty.statusOf(operation)),
+    );
+    expect(await Promise.all(calls)).to.not.include(STATUS_OK);
+    expect(answers).to.be.at.least(heads.length);
+  });
 });
--- a/test/odd_heads_test.ts
+++ b/test/odd_heads_test.ts
@@ -73,7 +73,27 @@
   "a name with a space": {
     status: "200 OK",
     fields: ["x odd: a"],
-    expected: [200, ...NOT_ANSWERED],
+    expected: NOT_ANSWERED,
+  },
+  "a name before a space": {
+    status: "200 OK",
+    fields: ["x-odd : a"],
+    expected: NOT_ANSWERED,
+  },
+  "a name with a tab": {
+    status: "200 OK",
+    fields: ["x\todd: a"],
+    expected: NOT_ANSWERED,
+  },
+  "a name with a null character": {
+    status: "200 OK",
+    fields: ["x\0odd: a"],
+    expected: NOT_ANSWERED,
+  },
+  "a name with a control character": {
+    status: "200 OK",
+    fields: ["x\u0001odd: a"],
+    expected: NOT_ANSWERED,
   },
   "an empty name": {
     status: "200 OK",
--- a/test/support/broken_answers.ts
+++ b/test/support/broken_answers.ts
@@ -21,6 +21,35 @@
   "a coding without chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: x\r\n",
 };
 
+/** Lines of heads that are not valid. */
+const INVALID_LINES = {
+  "a name with a blank": "x odd: a",
+  "a name before a blank": "x-odd : a",
+  "a name after a blank": " x-odd: a",
+  "a name with a tab": "x\todd: a",
+  "a name with a null character": "x\0odd: a",
+  "a name with a control character": "x\u0001odd: a",
+  "a name with a delete character": "x\u007fodd: a",
+  "a length before a blank": "Content-Length : 4",
+  "a coding before a blank": "Transfer-Encoding : chunked",
+  "an empty name": ": a",
+} as const;
+
+/** Heads that no answer may have. */
+export const INVALID_HEADS: Readonly<Record<string, string>> = {
+  "status 000": "HTTP/1.1 000 Odd\r\n",
+  "status 000 without a reason": "HTTP/1.1 000\r\n",
+  "status 000 before a sound head":
+    "HTTP/1.1 000 Odd\r\n\r\nHTTP/1.1 200 OK\r\n",
+  "status 099": "HTTP/1.1 099 Odd\r\n",
+  ...Object.fromEntries(
+    Object.entries(INVALID_LINES).map(([name, line]) => [
+      name,
+      `HTTP/1.1 200 OK\r\n${line}\r\n`,
+    ]),
+  ),
+};
+
 /** Answers the first bytes of each connection. */
 function answerOnce(answer: (socket: Socket) => void): RawDataHandler {
   const answered = new WeakSet<Socket>();
