Log and count answers that are broken off

Cause: a call whose answer was broken off had a line as any failed call, and reports, the store or processes whose answers were had none of their own: nothing told an operator how the connection had ended, or whether the request was sent.

Change: a counter answers_broken_off by end (close, reset, unread), and a line answer_broken_off a second for each source, with whether the answer had a length and what was sent and unsent. AnswerInput reports it for each HTTP client of an entry process and a daemon. AnswerBoundRecorder and AnswerBreakRecorder share the count of what recurs.

An answer that a target never reads the request of is recorded as unread, with its unsent bytes.

--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -9,12 +9,14 @@
   AnswerBound,
   AnswerBoundError,
 } from "../../common/calls/answer_bounds.ts";
+import { AnswerBreak } from "../../common/calls/answer_breaks.ts";
+import type { IBrokenAnswer } from "../../common/calls/answer_breaks.ts";
 import type {
   AnswerMemory,
   AnswerShare,
 } from "../../common/calls/answer_memory.ts";
 import type { IScheduledInput, InputSchedule } from "../input_schedule.ts";
-import { ConnectionEnd } from "./connection_end.ts";
+import { ConnectionEnd, UNREAD_CODE } from "./connection_end.ts";
 
 /** Bytes that the parser gets at once. */
 const PIECE_LENGTH = 8_192;
@@ -33,12 +35,22 @@
 
 const RESET_CODE = "ECONNRESET";
 
+/** How a connection ended, by the code of its error. */
+const BREAKS: ReadonlyMap<unknown, AnswerBreak> = new Map([
+  [RESET_CODE, AnswerBreak.Reset],
+  ["EPIPE", AnswerBreak.Reset],
+  ["UND_ERR_SOCKET", AnswerBreak.Close],
+  [UNREAD_CODE, AnswerBreak.Unread],
+]);
+
 /** Where a connection's input is accounted for. */
 export interface IAnswerInputParts {
   readonly schedule: InputSchedule;
   readonly memory: AnswerMemory;
   /** Called when the connection is closed for a bound. */
   readonly onExceeded: (bound: AnswerBound) => void;
+  /** Called when an answer is broken off after its head. */
+  readonly onBroken: (answer: Omit<IBrokenAnswer, "source">) => void;
 }
 
 /** The input of one connection, which carries one answer at a time. */
@@ -87,8 +99,10 @@
       return push(chunk, encoding);
     };
     const destroy = socket.destroy.bind(socket);
-    socket.destroy = (error?: Error) =>
-      destroy(error === undefined ? undefined : brokenOffBy(error));
+    socket.destroy = (error?: Error) => {
+      this.#recordBreak(error);
+      return destroy(error === undefined ? undefined : brokenOffBy(error));
+    };
     socket.once("close", () => this.#close());
   }
 
@@ -230,6 +244,21 @@
     }
   }
 
+  /** @param error - why the connection is destroyed */
+  #recordBreak(error: Error | undefined): void {
+    const isWithinAnswer = this.#isAwaited && !this.#isHeadOpen;
+    const end = BREAKS.get(error && "code" in error && error.code);
+    if (isWithinAnswer && end !== undefined && !this.#socket.destroyed) {
+      const { bytesWritten, writableLength } = this.#socket;
+      this.#parts.onBroken({
+        end,
+        hasLength: !this.#endsWithConnection,
+        sent: bytesWritten - writableLength,
+        unsent: writableLength,
+      });
+    }
+  }
+
   #close(): void {
     this.#pieceAt = null;
     this.#parts.schedule.delete(this);
--- a/src/adapters/http/answer_input_test.ts
+++ b/src/adapters/http/answer_input_test.ts
@@ -22,6 +22,7 @@
       schedule,
       memory: new AnswerMemory(),
       onExceeded: () => undefined,
+      onBroken: () => undefined,
     });
     const other = { readPiece: () => false };
     schedule.tryRead(other);
--- a/src/adapters/http/connection_end.ts
+++ b/src/adapters/http/connection_end.ts
@@ -17,6 +17,9 @@
 /** Servers ignore an empty line after a request. */
 const EMPTY_LINE = "\r\n";
 
+/** The code of {@link UnreadRequestError}. */
+export const UNREAD_CODE = "REQUEST_UNREAD";
+
 /** Waits until the end of a connection is known to be no reset. */
 export class ConnectionEnd implements IDisposable {
   readonly #socket: Socket;
@@ -69,7 +72,7 @@
 
 /** The other side has closed the connection without reading the request. */
 export class UnreadRequestError extends Error {
-  readonly code = "REQUEST_UNREAD";
+  readonly code = UNREAD_CODE;
 
   constructor() {
     super("the connection was closed before the request was written");
--- a/src/adapters/http/http_clients.ts
+++ b/src/adapters/http/http_clients.ts
@@ -7,12 +7,15 @@
   NO_BOUND_RECORDER,
 } from "../../common/calls/answer_bounds.ts";
 import type { IAnswerBoundRecorder } from "../../common/calls/answer_bounds.ts";
+import { NO_BREAK_RECORDER } from "../../common/calls/answer_breaks.ts";
+import type { IAnswerBreakRecorder } from "../../common/calls/answer_breaks.ts";
 import { AnswerMemory } from "../../common/calls/answer_memory.ts";
 import { readText } from "../bounded_body.ts";
 import { InputSchedule } from "../input_schedule.ts";
 import type { JsonBudget } from "../json_text.ts";
 import { guardAnswer } from "./answer_guards.ts";
 import { AnswerInput } from "./answer_input.ts";
+import type { IAnswerInputParts } from "./answer_input.ts";
 
 /** What the answers to one process share. */
 export interface IHttpClientParts {
@@ -21,6 +24,7 @@
   /** What other answers take: a flood of those to calls leaves room for them. */
   readonly controlMemory?: AnswerMemory;
   readonly recorder?: IAnswerBoundRecorder;
+  readonly breaks?: IAnswerBreakRecorder;
 }
 
 /** Creates the clients of one process, and reads their answers. */
@@ -28,16 +32,19 @@
   readonly memory: AnswerMemory;
   readonly #controlMemory: AnswerMemory;
   readonly recorder: IAnswerBoundRecorder;
+  readonly #breaks: IAnswerBreakRecorder;
   readonly #schedule = new InputSchedule();
 
   constructor({
     memory = new AnswerMemory(),
     controlMemory = new AnswerMemory(),
     recorder = NO_BOUND_RECORDER,
+    breaks = NO_BREAK_RECORDER,
   }: IHttpClientParts = {}) {
     this.memory = memory;
     this.#controlMemory = controlMemory;
     this.recorder = recorder;
+    this.#breaks = breaks;
   }
 
   /**
@@ -133,7 +140,8 @@
     const { memory } = this;
     const schedule = this.#schedule;
     const { recorder } = this;
-    return { schedule, memory, recorder, closesAfterFailures: false };
+    const breaks = this.#breaks;
+    return { schedule, memory, recorder, breaks, closesAfterFailures: false };
   }
 }
 
@@ -153,6 +161,7 @@
   readonly schedule: InputSchedule;
   readonly memory: AnswerMemory;
   readonly recorder: IAnswerBoundRecorder;
+  readonly breaks: IAnswerBreakRecorder;
   readonly closesAfterFailures: boolean;
 }
 
@@ -169,9 +178,11 @@
   constructor(
     origin: string | URL,
     options: Client.Options,
-    { schedule, memory, recorder, closesAfterFailures }: IClientParts,
+    { schedule, memory, recorder, breaks, closesAfterFailures }: IClientParts,
   ) {
     const { host } = new URL(origin);
+    const onBroken: IAnswerInputParts["onBroken"] = (answer) =>
+      breaks.record({ ...answer, source: host });
     const onExceeded = (bound: AnswerBound) => recorder.record(bound, host);
     const connection: ICurrentConnection = { input: null };
     const connect = connectorOf(options);
@@ -183,7 +194,7 @@
             callback(error, null);
             return;
           }
-          const parts = { schedule, memory, onExceeded };
+          const parts = { schedule, memory, onExceeded, onBroken };
           connection.input = new AnswerInput(socket, parts);
           callback(null, socket);
         });
--- a/src/adapters/metrics/help_texts.ts
+++ b/src/adapters/metrics/help_texts.ts
@@ -1,6 +1,7 @@
 /** Help texts of the metrics, by name without the prefix. */
 export const HELP_TEXTS: Readonly<Record<string, string>> = {
   alarm: "1 while the alarm is raised",
+  answers_broken_off: "answers whose connection ended within them",
   answers_cut: "answers that exceeded a bound",
   engine_crashes: "engines that broke answers off and run no more",
   quarantined_prompt_parts: "prompt parts whose calls are refused",
--- a/src/common/calls/answer_bounds.ts
+++ b/src/common/calls/answer_bounds.ts
@@ -2,13 +2,7 @@
  * Bounds on what others answer, and what operators learn of those that are met.
  */
 import type { IClock, ILog, IMetrics } from "../services/services.ts";
-import type { MonotonicTime } from "../types.ts";
-
-/** Shortest time between two lines on a bound and a source, milliseconds. */
-const LINE_PERIOD = 1_000;
-
-/** Bounds and sources that are counted apart; beyond it counts begin anew. */
-const MAXIMUM_COUNTS = 1_000;
+import { Occurrences } from "./occurrences.ts";
 
 /** What an answer exceeded. */
 export enum AnswerBound {
@@ -48,50 +42,27 @@
   record: () => undefined,
 };
 
-interface IOccurrences {
-  count: number;
-  loggedAt: MonotonicTime;
-}
-
 /** Counts the bounds that are met, and logs each source once a second at most. */
 export class AnswerBoundRecorder implements IAnswerBoundRecorder {
-  readonly #clock: IClock;
   readonly #log: ILog;
   readonly #metrics: IMetrics;
-  readonly #occurrences = new Map<string, IOccurrences>();
+  readonly #occurrences: Occurrences;
 
   constructor(parts: {
     readonly clock: IClock;
     readonly log: ILog;
     readonly metrics: IMetrics;
   }) {
-    this.#clock = parts.clock;
     this.#log = parts.log;
     this.#metrics = parts.metrics;
+    this.#occurrences = new Occurrences(parts.clock);
   }
 
   record(bound: AnswerBound, source: string): void {
-    const now = this.#clock.now();
-    const seen = this.#occurrencesOf(`${bound} ${source}`);
-    seen.count += 1;
     this.#metrics.count("answers_cut", { bound });
-    if (now - seen.loggedAt >= LINE_PERIOD) {
-      this.#log.warn("answer_cut", { bound, source, count: seen.count });
-      seen.count = 0;
-      seen.loggedAt = now;
-    }
-  }
-
-  #occurrencesOf(key: string): IOccurrences {
-    const seen = this.#occurrences.get(key);
-    if (seen !== undefined) {
-      return seen;
-    }
-    if (this.#occurrences.size >= MAXIMUM_COUNTS) {
-      this.#occurrences.clear();
+    const count = this.#occurrences.count(`${bound} ${source}`);
+    if (count !== null) {
+      this.#log.warn("answer_cut", { bound, source, count });
     }
-    const first = { count: 0, loggedAt: Number.NEGATIVE_INFINITY };
-    this.#occurrences.set(key, first);
-    return first;
   }
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -24,6 +24,7 @@
 import { HttpTargets } from "../adapters/targets/http_targets.ts";
 import { splitAddress } from "../adapters/listen.ts";
 import { AnswerBoundRecorder } from "../common/calls/answer_bounds.ts";
+import { AnswerBreakRecorder } from "../common/calls/answer_breaks.ts";
 import { AnswerMemory } from "../common/calls/answer_memory.ts";
 import { divideDescriptors } from "../common/calls/descriptor_limits.ts";
 import { LimitRecorder, ProcessLimit } from "../common/calls/limit_recorder.ts";
@@ -159,9 +160,8 @@
         requests: this.#requests.used,
       }),
     });
-    const recorder = new AnswerBoundRecorder({
-      ...{ clock: this.#clock, log, metrics: this.#metrics },
-    });
+    const services = { clock: this.#clock, log, metrics: this.#metrics };
+    const recorder = new AnswerBoundRecorder(services);
     this.#recorder = recorder;
     const clients = new HttpClients({
       memory: this.#answers,
@@ -169,6 +169,7 @@
         settings.limits.memory_mb * SHARE_OF_CONTROL_ANSWERS,
       ),
       recorder,
+      breaks: new AnswerBreakRecorder(services),
     });
     const jsonAnswers = new JsonAnswers({ clients, recorder });
     this.#httpTargets = new HttpTargets(this.#barrier, jsonAnswers);
--- a/src/entry/entry_process.ts
+++ b/src/entry/entry_process.ts
@@ -50,6 +50,7 @@
 import type { IForwardingMember } from "../common/forwarding/types.ts";
 import { TargetCooldowns } from "../common/target_cooldowns.ts";
 import { AnswerBoundRecorder } from "../common/calls/answer_bounds.ts";
+import { AnswerBreakRecorder } from "../common/calls/answer_breaks.ts";
 import { AnswerMemory } from "../common/calls/answer_memory.ts";
 import { divideDescriptors } from "../common/calls/descriptor_limits.ts";
 import { LimitRecorder, ProcessLimit } from "../common/calls/limit_recorder.ts";
@@ -199,13 +200,13 @@
       }),
     });
     const maximum = divideDescriptors(max_descriptors);
-    this.#bounds = new AnswerBoundRecorder({
-      ...{ clock: this.#clock, log, metrics: this.#metrics },
-    });
+    const services = { clock: this.#clock, log, metrics: this.#metrics };
+    this.#bounds = new AnswerBoundRecorder(services);
     this.#clients = new HttpClients({
       memory: this.#memory,
       controlMemory: new AnswerMemory(memory_mb * SHARE_OF_CONTROL_ANSWERS),
       recorder: this.#bounds,
+      breaks: new AnswerBreakRecorder(services),
     });
     this.#client = new TargetClient(this.#barrier, this.#clients);
     this.#peerLink = new HttpPeerLink(this.#barrier, this.#clients);
--- a/test/broken_answers_daemon_test.ts
+++ b/test/broken_answers_daemon_test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 import {
   BREAKS,
+  closeAndReset,
   closeWhileReading,
   HEADS_WITHOUT_LENGTH,
   INVALID_HEADS,
@@ -71,6 +72,17 @@
     });
   }
 
+  // Guards against a broken answer of which an operator sees nothing.
+  it("are logged if they are broken off", async () => {
+    const answer = answerWith("HTTP/1.1 200 OK\r\n", (text) =>
+      closeAndReset(text, 0),
+    );
+    faulty.service.faults.set(PLAIN_PATH, answer);
+    await faulty.statusOf(Operation.Repeatable);
+    const lines = faulty.linesOf("answer_broken_off").join("\n");
+    expect(lines).to.match(/end=reset source=\S+ has_length=false/);
+  });
+
   for (const [name, head] of Object.entries(INVALID_HEADS)) {
     // Guards against an answer that is no HTTP and is passed on as a success.
     it(`are no success if their head is invalid: ${name}`, async () => {
--- a/test/broken_answers_test.ts
+++ b/test/broken_answers_test.ts
@@ -3,6 +3,7 @@
 import { LinkMode } from "../src/stand_ins/fault_proxy/fault_proxy.ts";
 import {
   BREAKS,
+  closeAndReset,
   closeWhileReading,
   HEADS_WITHOUT_LENGTH,
 } from "./support/broken_answers.ts";
@@ -100,6 +101,16 @@
     });
   }
 
+  // Guards against a broken answer of which an operator sees nothing.
+  it("are logged if they are broken off", async () => {
+    setAnswers(fleet, (text) => closeAndReset(text, 0));
+    await play(fleet);
+    const output = fleet.processes[NEAR]?.handle.output ?? "";
+    const line =
+      /event=answer_broken_off .*end=reset source=\S+ has_length=false/;
+    expect(output).to.match(line);
+  });
+
   // Guards against a check for broken answers that sound ones fail.
   it("reach callers whole if the request is read", async () => {
     setAnswers(fleet, closeWhileReading);
