Give a target that still reads the request the time to read it

What callers would see: a sound answer without a length whose target closes its side and goes on reading a long upload was broken if that took over a second.

Cause: the wait for the rest of the request had a bound on its whole time.

Change: the socket's own timeout, which begins anew with each part that is written, takes the place of that bound: an answer is broken once nothing more of the request was read for a second.

--- a/src/adapters/http/answer_guards.ts
+++ b/src/adapters/http/answer_guards.ts
@@ -222,7 +222,7 @@
 
 /** Chunks tell where an answer ends only if no other coding follows. */
 function isChunked(codings: string | string[] | undefined): boolean {
-  const lines = Array.isArray(codings) ? codings.at(-1) : codings;
-  const last = lines?.split(",").at(-1)?.trim();
+  const line = Array.isArray(codings) ? codings.at(-1) : codings;
+  const last = line?.split(",").at(-1)?.trim();
   return last?.toLowerCase() === "chunked";
 }
--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -93,6 +93,7 @@
     this.#read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     socket.read = (size?: number) =>
       size === 0 ? this.#prepareRead() : this.#readNext();
+    // Null is the end, of which no property tells before it is read.
     const push = socket.push.bind(socket);
     socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
       this.#hasEnded ||= chunk === null;
--- a/src/adapters/http/connection_end.ts
+++ b/src/adapters/http/connection_end.ts
@@ -11,8 +11,8 @@
 /** Milliseconds from a close to its reset; longer than a round trip. */
 const RESET_DELAY = 50;
 
-/** Milliseconds in which the other side may still read the request. */
-const LONGEST_WRITE = 1_000;
+/** Milliseconds in which the other side may read nothing of the request. */
+const LONGEST_PAUSE = 1_000;
 
 /** Servers ignore an empty line after a request. */
 const EMPTY_LINE = "\r\n";
@@ -43,15 +43,28 @@
 
   /** Waits for the rest of the request; a reset fails it. */
   #awaitWrite(): IDisposable {
-    this.#socket.write("", (error) => {
+    const socket = this.#socket;
+    let immediate: NodeJS.Immediate | undefined;
+    // The socket's own timeout begins anew with each part that is written. A
+    // process that is behind writes once more before it counts.
+    const onTimeout = () => {
+      immediate = setImmediate(() => {
+        socket.destroy(new UnreadRequestError());
+      });
+    };
+    socket.setTimeout(LONGEST_PAUSE, onTimeout);
+    socket.write("", (error) => {
       if (!error) {
         this.#timer.dispose();
         this.#timer = this.#awaitReset();
       }
     });
-    return afterDelay(LONGEST_WRITE, () => {
-      this.#socket.destroy(new UnreadRequestError());
-    });
+    return {
+      dispose: () => {
+        socket.setTimeout(0, onTimeout);
+        clearImmediate(immediate);
+      },
+    };
   }
 
   /**
--- a/test/support/broken_answers.ts
+++ b/test/support/broken_answers.ts
@@ -103,3 +103,20 @@
 export function closeWhileReading(text: string): RawDataHandler {
   return answerOnce((socket) => socket.end(text));
 }
+
+/**
+ * Writes a text, closes its own side and reads the rest of the request slowly.
+ *
+ * @param pause - milliseconds after each part
+ */
+export function closeWhileReadingSlowly(
+  text: string,
+  pause: number,
+): RawDataHandler {
+  const answer = closeWhileReading(text);
+  return (bytes, socket) => {
+    answer(bytes, socket);
+    socket.pause();
+    setTimeout(() => socket.resume(), pause);
+  };
+}
