--- a/src/adapters/http/answer_breaks_test.ts
+++ b/src/adapters/http/answer_breaks_test.ts
@@ -40,7 +40,7 @@
     }
     await body.text();
   } catch {
-    // What is recorded tells of it.
+    // The records are checked.
   } finally {
     await dispatcher.destroy();
   }
@@ -68,7 +68,7 @@
     expect(unread?.unsent).to.be.greaterThan(0);
   });
 
-  // Guards against a count that tells of targets what callers did.
+  // Guards against a count of broken answers that callers caused.
   it("are not those that are whole or no longer wanted", async () => {
     expect(await recordOf(closeWhileReading(WITHOUT_LENGTH))).to.deep.equal([]);
     const open: RawDataHandler = (_, socket) => socket.write(WITH_LENGTH);
--- a/src/adapters/http/answer_guards.ts
+++ b/src/adapters/http/answer_guards.ts
@@ -195,7 +195,7 @@
 }
 
 /**
- * Whether an answer tells where it ends.
+ * Whether an answer is framed: by a length or in chunks.
  *
  * @param fields - of its head, names and values in turn
  */
@@ -220,7 +220,7 @@
   );
 }
 
-/** Chunks tell where an answer ends only if no other coding follows. */
+/** Chunks frame an answer only if no other coding follows. */
 function isChunked(codings: string | string[] | undefined): boolean {
   const line = Array.isArray(codings) ? codings.at(-1) : codings;
   const last = line?.split(",").at(-1)?.trim();
--- a/src/adapters/http/answer_input.ts
+++ b/src/adapters/http/answer_input.ts
@@ -93,7 +93,7 @@
     this.#read = socket.read.bind(socket) as (size?: number) => Buffer | null;
     socket.read = (size?: number) =>
       size === 0 ? this.#prepareRead() : this.#readNext();
-    // Null is the end, of which no property tells before it is read.
+    // Null is the end; no property of the socket shows it before it is read.
     const push = socket.push.bind(socket);
     socket.push = (chunk: unknown, encoding?: BufferEncoding) => {
       this.#hasEnded ||= chunk === null;
@@ -116,7 +116,7 @@
   /**
    * The head of an answer is complete.
    *
-   * @param hasLength - whether the answer tells where it ends
+   * @param hasLength - whether the answer has a length or chunks
    */
   recordHead(hasLength: boolean): void {
     this.#isHeadOpen = false;
--- a/src/adapters/http/connection_end.ts
+++ b/src/adapters/http/connection_end.ts
@@ -45,8 +45,8 @@
   #awaitWrite(): IDisposable {
     const socket = this.#socket;
     let immediate: NodeJS.Immediate | undefined;
-    // The socket's own timeout begins anew with each part that is written. A
-    // process that is behind writes once more before it counts.
+    // The socket restarts its own timeout with each part that is written. The
+    // immediate lets a process that is behind write once more.
     const onTimeout = () => {
       immediate = setImmediate(() => {
         socket.destroy(new UnreadRequestError());
--- a/src/common/calls/answer_bounds_test.ts
+++ b/src/common/calls/answer_bounds_test.ts
@@ -1,6 +1,9 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../test/support/manual_clock.ts";
-import { RecordingLog } from "../../../test/support/recording_services.ts";
+import {
+  RecordingLog,
+  RecordingMetrics,
+} from "../../../test/support/recording_services.ts";
 import { AnswerBound, AnswerBoundRecorder } from "./answer_bounds.ts";
 
 describe("AnswerBoundRecorder", () => {
@@ -8,13 +11,7 @@
   it("counts each bound, and logs each source once a second", () => {
     const clock = new ManualClock();
     const log = new RecordingLog();
-    const counted: string[] = [];
-    const metrics = {
-      count: (name: string, labels = {}) =>
-        counted.push(`${name} ${JSON.stringify(labels)}`),
-      observe: () => undefined,
-      gauge: () => undefined,
-    };
+    const metrics = new RecordingMetrics();
     const recorder = new AnswerBoundRecorder({ clock, log, metrics });
     for (let answer = 0; answer < 30; answer += 1) {
       recorder.record(AnswerBound.Framing, "10.0.0.1:80");
@@ -26,7 +23,7 @@
       { bound: "framing", source: "10.0.0.1:80", count: 20 },
       { bound: "framing", source: "10.0.0.2:80", count: 1 },
     ]);
-    expect(counted).to.have.length(31);
-    expect(counted[0]).to.equal('answers_cut {"bound":"framing"}');
+    expect(metrics.counted).to.have.length(31);
+    expect(metrics.counted[0]).to.equal('answers_cut {"bound":"framing"}');
   });
 });
--- a/src/common/calls/answer_breaks.ts
+++ b/src/common/calls/answer_breaks.ts
@@ -15,7 +15,7 @@
   readonly end: AnswerBreak;
   /** Address of the target, store or process that answered. */
   readonly source: string;
-  /** Whether the head told where the answer ends. */
+  /** Whether the answer has a length or chunks. */
   readonly hasLength: boolean;
   /** Bytes written on the connection. */
   readonly sent: number;
@@ -23,7 +23,7 @@
   readonly unsent: number;
 }
 
-/** Told of each answer that is broken off. */
+/** Records each answer that is broken off. */
 export interface IAnswerBreakRecorder {
   record(answer: IBrokenAnswer): void;
 }
--- a/src/common/calls/answer_breaks_test.ts
+++ b/src/common/calls/answer_breaks_test.ts
@@ -1,6 +1,9 @@
 import { expect } from "chai";
 import { ManualClock } from "../../../test/support/manual_clock.ts";
-import { RecordingLog } from "../../../test/support/recording_services.ts";
+import {
+  RecordingLog,
+  RecordingMetrics,
+} from "../../../test/support/recording_services.ts";
 import { AnswerBreak, AnswerBreakRecorder } from "./answer_breaks.ts";
 
 describe("AnswerBreakRecorder", () => {
@@ -9,13 +12,7 @@
   it("counts each answer, and logs each source once a second", () => {
     const clock = new ManualClock();
     const log = new RecordingLog();
-    const counted: string[] = [];
-    const metrics = {
-      count: (name: string, labels = {}) =>
-        counted.push(`${name} ${JSON.stringify(labels)}`),
-      observe: () => undefined,
-      gauge: () => undefined,
-    };
+    const metrics = new RecordingMetrics();
     const recorder = new AnswerBreakRecorder({ clock, log, metrics });
     const answer = {
       end: AnswerBreak.Reset,
@@ -35,7 +32,7 @@
       { ...line, source: "10.0.0.1:80", count: 20 },
       { ...line, source: "10.0.0.2:80", count: 1 },
     ]);
-    expect(counted).to.have.length(31);
-    expect(counted[0]).to.equal('answers_broken_off {"end":"reset"}');
+    expect(metrics.counted).to.have.length(31);
+    expect(metrics.counted[0]).to.equal('answers_broken_off {"end":"reset"}');
   });
 });
--- a/src/common/calls/occurrences.ts
+++ b/src/common/calls/occurrences.ts
@@ -5,7 +5,7 @@
 /** Shortest time between two lines of a kind, milliseconds. */
 const LINE_PERIOD = 1_000;
 
-/** Kinds that are counted apart; beyond it counts begin anew. */
+/** Kinds that are counted apart; one more resets all counts. */
 const MAXIMUM_KINDS = 1_000;
 
 interface IOccurrence {
@@ -22,7 +22,7 @@
     this.#clock = clock;
   }
 
-  /** Counts one; returns how many a line is to tell of, or null for no line. */
+  /** Counts one; returns the count for a line, or null if none is due. */
   count(kind: string): number | null {
     const now = this.#clock.now();
     const seen = this.#get(kind);
--- a/test/support/recording_services.ts
+++ b/test/support/recording_services.ts
@@ -39,6 +39,23 @@
   }
 }
 
+/** Records counters, each as its name and labels. */
+export class RecordingMetrics implements IMetrics {
+  readonly counted: string[] = [];
+
+  count(name: string, labels: Readonly<Record<string, string>> = {}): void {
+    this.counted.push(`${name} ${JSON.stringify(labels)}`);
+  }
+
+  observe(): void {
+    // Only counters are recorded.
+  }
+
+  gauge(): void {
+    // Only counters are recorded.
+  }
+}
+
 /** Discards all metrics. */
 export const NO_METRICS: IMetrics = {
   count: () => undefined,
